--- /dev/null
+++ b/balance/budget_test.go
@@ -0,0 +1,64 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func TestBudgetEdges(t *testing.T) {
+	tests := []struct {
+		name    string
+		firsts  int
+		retries int
+		want    bool
+	}{
+		{"floor lets the first retry go", 0, 0, true},
+		{"floor is a strict bound", 0, int(budgetFloor), false},
+		{"percent beats the floor", 100, int(budgetPercent) - 1, true},
+		{"percent is a strict bound", 100, int(budgetPercent), false},
+	}
+	for _, tc := range tests {
+		var b budget
+		for range tc.firsts {
+			b.first(time.Second)
+		}
+		for range tc.retries {
+			b.spend(time.Second)
+		}
+		if got := b.allows(time.Second); got != tc.want {
+			t.Errorf("%s: allows = %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+func TestBudgetWindowSlides(t *testing.T) {
+	var b budget
+	for range int(budgetFloor) {
+		b.spend(time.Second)
+	}
+	if b.allows(time.Second + budgetWindow - 1) {
+		t.Error("a retry just inside the window must still count")
+	}
+	if !b.allows(time.Second + budgetWindow) {
+		t.Error("a retry a whole window old must no longer count")
+	}
+}
+
+func TestPauseGrowsWithJitter(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	seen := map[time.Duration]bool{}
+	for n := range 5 {
+		mean := pauseBase << n
+		for range 100 {
+			p := pause(rng, n)
+			if p < mean/2 || p > mean*3/2 {
+				t.Fatalf("pause(%d) = %v, outside %v +- half", n, p, mean)
+			}
+			seen[p] = true
+		}
+	}
+	if len(seen) < 400 {
+		t.Errorf("only %d distinct pauses in 500: no jitter", len(seen))
+	}
+}
--- /dev/null
+++ b/balance/connections_test.go
@@ -0,0 +1,49 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A connection refused is answered by letting go of the idle connections that
+// were unused for longest, never of one in use (i927b8b).
+func TestRefusedConnectionLetsAnUnusedOneGo(t *testing.T) {
+	set := site()
+	set.CanCopy = false
+	b, _ := New(set, 8)
+	b.Members(time.Second, ListFull, fleet(12), nil)
+	now := time.Minute
+	send := func(id string) string {
+		to := sentTo(b.Request(now, Request{ID: id, Class: "read", Deadline: now + 500*ms}, nil))
+		if to == "" {
+			t.Fatalf("%s not sent", id)
+		}
+		return to
+	}
+	for i := range 40 {
+		now += 20 * ms
+		id := fmt.Sprint(i)
+		send(id)
+		b.Outcome(now, Outcome{Request: id, Status: OK, Took: 10 * ms, Final: true}, nil)
+	}
+	held := send("held")
+	closed := map[string]bool{}
+	for i := range 30 {
+		now += 50 * ms
+		id := fmt.Sprint("refused", i)
+		send(id)
+		for _, a := range b.Outcome(now, Outcome{Request: id, Status: ConnectFailed, Took: 2 * ms}, nil) {
+			if a.Kind == Close {
+				closed[a.Server] = true
+				if a.Server == held {
+					t.Errorf("let go of %s, which has an attempt out", held)
+				}
+			}
+		}
+		b.Left(now, id, nil)
+	}
+	if len(closed) < 3 {
+		t.Errorf("30 refused connections let go of %v", closed)
+	}
+}
--- /dev/null
+++ b/balance/health_test.go
@@ -0,0 +1,69 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A server that refuses a connection is ejected at once; after that a single
+// trial request goes there, and a success brings it back. At most half of the
+// list is ejected at one time.
+func TestEjectionAndSingleTrial(t *testing.T) {
+	set := site()
+	set.CanCopy = false
+	b, _ := New(set, 9)
+	b.Members(time.Second, ListFull, fleet(4), nil)
+	now, n := time.Minute, 0
+	send := func() (id, to string) {
+		n++
+		now += ms
+		id = fmt.Sprint(n)
+		return id, sentTo(b.Request(now, Request{ID: id, Class: "record", Deadline: now + 900*ms}, nil))
+	}
+	end := func(id string, s Status) {
+		b.Outcome(now, Outcome{Request: id, Status: s, Took: time.Duration(1+n*n%13) * ms, Final: s == OK}, nil)
+		b.Left(now, id, nil)
+	}
+	id, bad := send()
+	end(id, ConnectFailed)
+	for range 200 {
+		id, to := send()
+		if to == bad {
+			t.Fatalf("%s sent to while ejected", bad)
+		}
+		end(id, OK)
+	}
+	now = b.byID[bad].until + 20*time.Second // its bad figure has faded
+	trials := 0
+	var open string
+	for range 300 {
+		id, to := send()
+		if to == bad {
+			trials++
+			open = id
+			continue
+		}
+		end(id, OK)
+	}
+	if trials != 1 {
+		t.Fatalf("%d trial requests out together, want 1", trials)
+	}
+	end(open, OK)
+	if s := b.byID[bad]; s.fails != 0 || s.trial {
+		t.Errorf("a trial that went well left %d failures", s.fails)
+	}
+	for range 40 {
+		id, _ := send()
+		end(id, ConnectFailed)
+	}
+	out := 0
+	for _, s := range b.all {
+		if s.until > now {
+			out++
+		}
+	}
+	if out != 2 {
+		t.Errorf("%d of 4 servers ejected, want half", out)
+	}
+}
--- /dev/null
+++ b/balance/lifecycle_test.go
@@ -0,0 +1,449 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// site returns settings like those of a mesh with one class of each effect.
+func site() Settings {
+	return Settings{
+		MaxAttempts: 3, CanCancel: true, CanCopy: true, Round: 2 * ms,
+		ColdShare: 0.2, ColdTime: 20 * time.Second, TipMultiple: 3,
+		Classes: []Class{
+			{Name: "read", Aim: 200 * ms, Deadline: 500 * ms, Worth: 1, LateWorth: 0.5, Effect: Repeat, Group: GroupAll},
+			{Name: "join", Aim: 300 * ms, Deadline: 900 * ms, Worth: 2, Effect: Keyed, Group: GroupCell, Window: 400 * ms},
+			{Name: "record", Aim: 300 * ms, Deadline: 900 * ms, Worth: 2, LateWorth: 0.5, Effect: Once, Group: GroupAll},
+		},
+	}
+}
+
+// fleet returns n ready servers in cells of three.
+func fleet(n int) []Server {
+	list := make([]Server, n)
+	for i := range list {
+		list[i] = Server{ID: fmt.Sprintf("s%d", i), Cell: i / 3, Zone: fmt.Sprint("z", i/6)}
+	}
+	return list
+}
+
+// sentTo returns the server of the first attempt among actions, "" for none.
+func sentTo(acts []Action) string {
+	for _, a := range acts {
+		if a.Kind == Send {
+			return a.Server
+		}
+	}
+	return ""
+}
+
+// bed drives a Balancer and its timers, and checks the rules on each action.
+type bed struct {
+	t       testing.TB
+	b       *Balancer
+	now     time.Duration
+	timers  map[time.Duration]bool
+	log     []string
+	reqs    map[string]*seen
+	servers map[string]Server
+	drained map[string]time.Duration
+	broken  []string
+}
+
+// seen is the checker's own record of a request.
+type seen struct {
+	class    Class
+	deadline time.Duration
+	sends    []Action
+	status   []Status // -1 while out
+	at       []time.Duration
+	answered bool
+}
+
+func newBed(t testing.TB, set Settings, seed uint64) *bed {
+	b, err := New(set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &bed{t: t, b: b, now: time.Minute, timers: map[time.Duration]bool{}, reqs: map[string]*seen{},
+		servers: map[string]Server{}, drained: map[string]time.Duration{}}
+}
+
+func (d *bed) breaks(format string, args ...any) {
+	d.broken = append(d.broken, fmt.Sprintf(format, args...))
+}
+
+func (d *bed) members(kind ListKind, list []Server) []Action {
+	for _, s := range list {
+		if s.State == Ready {
+			delete(d.drained, s.ID)
+		} else if _, known := d.drained[s.ID]; !known {
+			d.drained[s.ID] = d.now
+		}
+		d.servers[s.ID] = s
+	}
+	return d.take(d.b.Members(d.now, kind, list, nil))
+}
+
+func (d *bed) request(id string, class int) []Action {
+	c := d.b.set.Classes[class]
+	d.reqs[id] = &seen{class: c, deadline: d.now + c.Deadline}
+	return d.take(d.b.Request(d.now, Request{ID: id, Class: c.Name, Key: "k" + id, Deadline: d.now + c.Deadline}, nil))
+}
+
+func (d *bed) outcome(id string, number int, status Status) []Action {
+	q := d.reqs[id]
+	q.status[number] = status
+	final := status == OK || q.answered
+	if status == OK {
+		q.answered = true
+	}
+	return d.take(d.b.Outcome(d.now, Outcome{Request: id, Number: number, Status: status,
+		Took: d.now - q.at[number], Final: final}, nil))
+}
+
+// take checks actions and books them.
+func (d *bed) take(acts []Action) []Action {
+	for _, a := range acts {
+		d.log = append(d.log, fmt.Sprint(d.now, a))
+		switch a.Kind {
+		case Timer:
+			d.timers[d.now+a.Wait] = true
+		case Send:
+			d.checkSend(a)
+		case Refuse, Fail:
+			q := d.reqs[a.Request]
+			if q.answered {
+				d.breaks("rule 1: %s answered twice", a.Request)
+			}
+			q.answered = true
+			if a.Kind == Refuse && q.class.Effect != Repeat && d.anchor(q) >= 0 &&
+				!(q.class.Effect == Keyed && q.class.Group == GroupAll) {
+				d.breaks("rule 2: %s refused though it may have run", a.Request)
+			}
+		}
+	}
+	return acts
+}
+
+// anchor is the first attempt that may have run, -1 for none.
+func (d *bed) anchor(q *seen) int {
+	for i, s := range q.status {
+		if s < 0 || !s.harmless() {
+			return i
+		}
+	}
+	return -1
+}
+
+func (d *bed) checkSend(a Action) {
+	q := d.reqs[a.Request]
+	if q.answered {
+		d.breaks("rule 1: %s sent after its answer", a.Request)
+	}
+	if first := d.anchor(q); first >= 0 {
+		switch q.class.Effect {
+		case Once:
+			d.breaks("rule 2: %s sent again", a.Request)
+		case Keyed:
+			if d.now >= q.at[first]+q.class.Window || d.servers[a.Server].Cell != d.servers[q.sends[first].Server].Cell {
+				d.breaks("rule 2: %s sent outside its group", a.Request)
+			}
+		}
+	}
+	if since, ok := d.drained[a.Server]; ok && d.now > since {
+		d.breaks("rule 3: %s sent to drained %s", a.Request, a.Server)
+	}
+	if len(q.sends) >= d.b.set.MaxAttempts {
+		d.breaks("%s over its attempt limit", a.Request)
+	}
+	q.sends, q.status, q.at = append(q.sends, a), append(q.status, -1), append(q.at, d.now)
+}
+
+// step moves the clock and fires what is due.
+func (d *bed) step(by time.Duration) {
+	d.now += by
+	for due := d.nextDue(); due > 0; due = d.nextDue() {
+		delete(d.timers, due)
+		d.take(d.b.Timer(d.now, uint64(due), nil))
+	}
+	for id, q := range d.reqs {
+		if !q.answered && d.now > q.deadline+by {
+			d.breaks("rule 1: %s not answered in time", id)
+			q.answered = true
+		}
+	}
+}
+
+func (d *bed) nextDue() time.Duration {
+	least := time.Duration(0)
+	for at := range d.timers {
+		if at <= d.now && (least == 0 || at < least) {
+			least = at
+		}
+	}
+	return least
+}
+
+// play runs a random but legal day and returns its bed.
+func play(t testing.TB, seed uint64, ticks int) *bed {
+	d := newBed(t, site(), seed)
+	rng := rand.New(rand.NewPCG(seed, 9))
+	d.members(ListSaved, fleet(12))
+	var open []string
+	for tick := range ticks {
+		d.step(2 * ms)
+		if rng.IntN(3) == 0 {
+			id := fmt.Sprint("r", tick)
+			d.request(id, rng.IntN(3))
+			open = append(open, id)
+		}
+		if rng.IntN(60) == 0 {
+			s := d.servers[fmt.Sprintf("s%d", rng.IntN(12))]
+			s.State = ServerState(rng.IntN(3))
+			if rng.IntN(2) == 0 {
+				s.Started = d.now - 3*time.Second
+			}
+			d.members(ListChange, []Server{s})
+		}
+		for _, id := range open {
+			q := d.reqs[id]
+			for n := range q.sends {
+				if q.status[n] >= 0 || rng.IntN(25) > 0 {
+					continue
+				}
+				d.outcome(id, n, []Status{OK, OK, OK, Error, Full, Timeout, ConnectFailed, Reset}[rng.IntN(8)])
+			}
+		}
+		if len(open) > 60 {
+			open = open[20:]
+		}
+	}
+	return d
+}
+
+func TestRandomDaysKeepTheRules(t *testing.T) {
+	for seed := range uint64(8) {
+		d := play(t, seed+1, 6000)
+		for _, what := range d.broken {
+			t.Errorf("seed %d: %s", seed+1, what)
+		}
+		retried := 0
+		for _, q := range d.reqs {
+			if len(q.sends) > 1 {
+				retried++
+			}
+		}
+		if retried < 20 {
+			t.Errorf("seed %d: only %d requests were sent again, the day tests little", seed+1, retried)
+		}
+	}
+}
+
+func TestCheckerCatchesPlantedBreaches(t *testing.T) {
+	d := newBed(t, site(), 1)
+	d.members(ListSaved, fleet(12))
+	d.request("a", 2)
+	d.take([]Action{{Kind: Send, Request: "a", Server: "s1"}, {Kind: Refuse, Request: "a"}, {Kind: Fail, Request: "a"},
+		{Kind: Send, Request: "a", Server: "s2"}})
+	if len(d.broken) < 4 {
+		t.Errorf("planted breaches found: %q", d.broken)
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	if a, b := play(t, 5, 2000), play(t, 5, 2000); !reflect.DeepEqual(a.log, b.log) {
+		t.Error("two runs with the same events and seed differ")
+	}
+}
+
+func TestEffectRules(t *testing.T) {
+	tests := []struct {
+		class  int
+		status Status
+		resent bool
+		final  ActionKind // where not resent
+	}{
+		{0, Timeout, true, 0}, {0, Full, true, 0}, {0, Error, true, 0},
+		{1, Full, true, 0}, {1, ConnectFailed, true, 0}, {1, Reset, true, 0},
+		{2, Full, true, 0}, {2, ConnectFailed, true, 0},
+		{2, Timeout, false, Fail}, {2, Reset, false, Fail}, {2, Error, false, Fail}, {2, Cancelled, false, Fail},
+	}
+	for _, tc := range tests {
+		d := newBed(t, site(), 3)
+		d.members(ListSaved, fleet(12))
+		d.request("a", tc.class)
+		d.step(10 * ms)
+		acts := d.outcome("a", 0, tc.status)
+		if !tc.resent {
+			if len(acts) == 0 || acts[0].Kind != tc.final {
+				t.Errorf("class %d after status %d: got %v, want kind %d", tc.class, tc.status, acts, tc.final)
+			}
+			continue
+		}
+		if len(d.reqs["a"].sends) != 1 {
+			t.Errorf("class %d: resent without a pause", tc.class)
+		}
+		d.step(20 * ms)
+		if got := len(d.reqs["a"].sends); got != 2 {
+			t.Errorf("class %d after status %d: %d sends, want 2", tc.class, tc.status, got)
+		}
+	}
+}
+
+// A request of a class not announced must be treated as the most careful kind.
+func TestUnknownClassRunsOnce(t *testing.T) {
+	b, _ := New(site(), 1)
+	b.Members(0, ListSaved, fleet(3), nil)
+	b.Request(0, Request{ID: "x", Class: "?", Deadline: time.Second}, nil)
+	acts := b.Outcome(ms, Outcome{Request: "x", Status: Timeout, Took: ms}, nil)
+	if len(acts) == 0 || acts[0].Kind != Fail {
+		t.Errorf("got %v, want a failure", acts)
+	}
+}
+
+// A drain is obeyed by a retry that already waits in its pause.
+func TestPausedRetryObeysDrain(t *testing.T) {
+	d := newBed(t, site(), 1)
+	d.members(ListSaved, fleet(2))
+	d.request("a", 0)
+	d.step(2 * ms)
+	d.outcome("a", 0, Full)
+	list := fleet(2)
+	list[0].State, list[1].State = Draining, Draining
+	d.members(ListChange, list)
+	d.step(500 * ms)
+	if len(d.broken) > 0 || len(d.reqs["a"].sends) != 1 || !d.reqs["a"].answered {
+		t.Errorf("broken %q, sends %v, answered %v", d.broken, d.reqs["a"].sends, d.reqs["a"].answered)
+	}
+}
+
+// Many quiet balancers together must stay under what a cold server can take.
+func TestColdServerIsNotPushedOver(t *testing.T) {
+	const balancers, servers, rounds = 200, 20, 40
+	sent, total := 0, 0
+	for i := range uint64(balancers) {
+		b, _ := New(site(), i+1)
+		list := fleet(servers)
+		now := time.Minute
+		list[7].Started = now
+		b.Members(now, ListSaved, list, nil)
+		for n := range rounds {
+			now += 50 * ms
+			id := fmt.Sprint(n)
+			for _, a := range b.Request(now, Request{ID: id, Class: "record", Deadline: now + time.Second}, nil) {
+				if a.Kind == Send {
+					total++
+					if a.Server == "s7" {
+						sent++
+					}
+					b.Outcome(now, Outcome{Request: id, Number: a.Number, Status: OK, Took: 20 * ms, Final: true}, nil)
+				}
+			}
+		}
+	}
+	even := float64(total) / servers
+	most := site().TipMultiple * 0.3 * even // certain capacity after 2 s is 0.28 of an even split at full load
+	if float64(sent) > most*0.6 || sent == 0 {
+		t.Errorf("cold server got %d of %d attempts, want some but at most %.0f", sent, total, most*0.6)
+	}
+}
+
+// In an overload where answers come late, a share is refused at once (incident
+// i0a7fe6); where servers turn work away instead, nothing is refused early.
+func TestShedsOnLateAnswersOnly(t *testing.T) {
+	for _, status := range []Status{OK, Full} {
+		d := newBed(t, site(), 2)
+		d.members(ListSaved, fleet(12))
+		early := 0
+		for n := range 200 {
+			id := fmt.Sprint(n)
+			acts := d.request(id, 0)
+			if acts[0].Kind == Refuse {
+				early++
+				continue
+			}
+			for range 30 {
+				d.step(20 * ms)
+				q := d.reqs[id]
+				last := len(q.sends) - 1
+				if q.status[last] < 0 && (status == Full || d.now >= q.at[last]+300*ms) {
+					d.outcome(id, last, status)
+				}
+			}
+		}
+		if late := status == OK; (early > 20) != late {
+			t.Errorf("status %d: %d of 200 refused early", status, early)
+		}
+	}
+}
+
+func TestNewNamesTheField(t *testing.T) {
+	tests := map[string]func(*Settings){
+		"Classes":     func(s *Settings) { s.Classes = nil },
+		"Name":        func(s *Settings) { s.Classes[1].Name = "read" },
+		"Deadline":    func(s *Settings) { s.Classes[0].Deadline = 0 },
+		"MaxAttempts": func(s *Settings) { s.MaxAttempts = 0 },
+		"Effect":      func(s *Settings) { s.Classes[0].Effect = -1 },
+		"Group":       func(s *Settings) { s.Classes[0].Group = 9 },
+		"ColdShare":   func(s *Settings) { s.ColdShare = 1.5 },
+		"ColdTime":    func(s *Settings) { s.ColdTime = -1 },
+		"Window":      func(s *Settings) { s.Classes[0].Window = -1 },
+	}
+	for field, spoil := range tests {
+		s := site()
+		spoil(&s)
+		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s spoilt: error %v", field, err)
+		}
+	}
+}
+
+func TestStrayEventsAreIgnored(t *testing.T) {
+	b, _ := New(site(), 1)
+	acts := b.Outcome(0, Outcome{Request: "?", Number: -3}, nil)
+	acts = b.Timer(0, 99, acts)
+	acts = b.Left(0, "?", acts)
+	acts = b.Started(0, "?", 4, acts)
+	acts = b.Members(0, ListFull, nil, acts)
+	if len(acts) != 0 {
+		t.Errorf("stray events led to %v", acts)
+	}
+}
+
+func BenchmarkDecision(bm *testing.B) {
+	b, _ := New(site(), 1)
+	b.Members(0, ListSaved, fleet(400), nil)
+	now := time.Second
+	var acts []Action
+	for i := 0; bm.Loop(); i++ {
+		now += ms
+		id := fmt.Sprint(i)
+		acts = b.Request(now, Request{ID: id, Class: "read", Deadline: now + time.Second}, acts[:0])
+		acts = b.Outcome(now, Outcome{Request: id, Status: OK, Took: ms, Final: true}, acts[:0])
+	}
+}
+
+func ExampleBalancer() {
+	b, err := New(Settings{
+		MaxAttempts: 3, ColdShare: 0.2, ColdTime: 20 * time.Second, TipMultiple: 3,
+		Classes: []Class{{Name: "read", Aim: 200 * ms, Deadline: time.Second, Worth: 1, Effect: Repeat}},
+	}, 1)
+	if err != nil {
+		panic(err)
+	}
+	now := 5 * time.Second // any clock that only moves on
+	b.Members(now, ListFull, []Server{{ID: "10.0.0.1:80"}}, nil)
+	for _, a := range b.Request(now, Request{ID: "r1", Class: "read", Deadline: now + time.Second}, nil) {
+		if a.Kind == Send {
+			fmt.Println("send", a.Request, "to", a.Server)
+		}
+	}
+	// Output: send r1 to 10.0.0.1:80
+}
--- /dev/null
+++ b/balance/members.go
@@ -0,0 +1,255 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// ServerState is what the server list says of a server.
+type ServerState int
+
+// The states of a server.
+const (
+	Ready ServerState = iota
+	Draining
+	Gone
+)
+
+// Server is one entry of the server list.
+type Server struct {
+	ID      string
+	Zone    string
+	Cell    int
+	Started time.Duration // latest start; 0 for long ago
+	State   ServerState
+}
+
+// ListKind says how a list is to be read.
+type ListKind int
+
+// The kinds of list.
+const (
+	ListFull   ListKind = iota // the complete list
+	ListSaved                  // the complete list as last held, maybe old
+	ListChange                 // changed entries only
+	ListFailed                 // a call for the list failed; the old list stays
+)
+
+// server is what this balancer knows of one server.
+type server struct {
+	Server
+	hash    uint64
+	mark    uint64 // list that last named it
+	out     []*attempt
+	ratio   float64 // mean of latency over expected latency
+	count   float64 // samples behind ratio, fading
+	counted time.Duration
+	fails   int           // failures since the last success
+	until   time.Duration // ejected until then
+	trial   bool          // the single trial request after an ejection is out
+	order   uint64        // place in the ready list
+	clocked bool          // it is in the clock of connections
+	used    bool          // and was used since the clock's hand went by
+}
+
+// certain returns the share of its full capacity that a server has at least:
+// it rises evenly from ColdShare at its start to 1 after ColdTime.
+func (b *Balancer) certain(s *server, now time.Duration) float64 {
+	if s.Started <= 0 || b.set.ColdTime <= 0 || now-s.Started >= b.set.ColdTime {
+		return 1
+	}
+	age := max(0, float64(now-s.Started)/float64(b.set.ColdTime))
+	return b.set.ColdShare + (1-b.set.ColdShare)*age
+}
+
+// Members takes a server list or changes to it.
+func (b *Balancer) Members(now time.Duration, kind ListKind, entries []Server, acts []Action) []Action {
+	b.acts = acts
+	if kind == ListFailed {
+		b.subscribeLater(now, true)
+		return b.done(now)
+	}
+	b.listMark++
+	var added []ringPoint
+	removed := false
+	for i := range entries {
+		added = b.apply(now, &entries[i], added)
+		removed = removed || entries[i].State == Gone
+	}
+	if kind != ListChange {
+		for _, s := range b.all {
+			if s.mark != b.listMark {
+				s.State, removed = Gone, true
+				b.place(s)
+			}
+		}
+	}
+	if removed {
+		b.forgetGone()
+	}
+	b.ring.add(added)
+	b.warmAt = now
+	if kind == ListSaved {
+		b.subscribeLater(now, false)
+	} else {
+		b.subscribed, b.subscribeTries = true, 0
+	}
+	return b.done(now)
+}
+
+// apply takes one entry. A new start time means a new process: cold, and all
+// that was known of the old one is void.
+func (b *Balancer) apply(now time.Duration, e *Server, added []ringPoint) []ringPoint {
+	s := b.byID[e.ID]
+	if s == nil {
+		if e.State == Gone {
+			return added
+		}
+		s = &server{hash: hashString(e.ID)}
+		s.order = mix(s.hash ^ b.salt)
+		b.byID[e.ID] = s
+		b.all = append(b.all, s)
+		for i := uint64(0); b.set.WarmKeys && i < ringPoints; i++ {
+			added = append(added, ringPoint{mix(s.hash + i*0x9e3779b97f4a7c15), s})
+		}
+	} else if e.Started > s.Started {
+		s.ratio, s.count, s.fails, s.until, s.trial = 0, 0, 0, 0, false
+	}
+	s.Server, s.mark = *e, b.listMark
+	b.place(s)
+	return added
+}
+
+// place keeps the ready list in step with a server's state. It is kept in this
+// balancer's own random order, so that its first few are the subset it samples.
+func (b *Balancer) place(s *server) {
+	at, listed := slices.BinarySearchFunc(b.ready, s.order, func(e *server, o uint64) int { return cmp.Compare(e.order, o) })
+	switch {
+	case s.State == Ready && !listed:
+		b.ready = slices.Insert(b.ready, at, s)
+	case s.State != Ready && listed:
+		b.ready = slices.Delete(b.ready, at, at+1)
+	}
+}
+
+// forgetGone drops the servers that left the list.
+func (b *Balancer) forgetGone() {
+	gone := func(s *server) bool { return s.State == Gone }
+	for _, s := range b.all {
+		if gone(s) {
+			delete(b.byID, s.ID)
+		}
+	}
+	b.all = slices.DeleteFunc(b.all, gone)
+	b.ring.points = slices.DeleteFunc(b.ring.points, func(p ringPoint) bool { return gone(p.server) })
+}
+
+// subscribeLater arranges the next call for the list where it must be asked
+// for. Calls spread out and back off, since one list service serves them all.
+func (b *Balancer) subscribeLater(now time.Duration, failed bool) {
+	if !b.set.Subscribe || b.subscribeAt > now {
+		return
+	}
+	wait := time.Duration(b.rng.Float64() * float64(subscribeSpread))
+	if failed {
+		b.subscribed = false
+		mean := min(subscribeSpread<<min(b.subscribeTries, 6), subscribeMost)
+		wait = time.Duration(float64(mean) * (0.5 + b.rng.Float64()))
+		b.subscribeTries++
+	}
+	b.subscribeAt = now + wait
+	b.at(b.subscribeAt, wakeSubscribe, nil, 0)
+}
+
+// patience is how many failures in a row, the last of this status, eject a
+// server. The other statuses say nothing of its health.
+var patience = map[Status]int{Error: 3, Timeout: 2, Reset: 2, ConnectFailed: 1}
+
+// observe takes the result of an attempt into what is known of its server.
+func (b *Balancer) observe(now time.Duration, a *attempt, status Status, took time.Duration) {
+	s, ratio := a.server, float64(took)/a.expected
+	s.trial = false
+	switch status {
+	case OK:
+		b.learnClass(a.request, took)
+		s.fails, s.until = 0, 0
+	case Cancelled:
+		// A copy that lost: it took at least this long.
+		if ratio <= b.estimate(s, now) {
+			return
+		}
+	case NeverSent:
+		return
+	default:
+		ratio = max(failurePenalty, ratio)
+	}
+	if status == ConnectFailed {
+		for range refusedCloses {
+			b.release()
+		}
+	}
+	b.sample(s, now, ratio)
+	if p := patience[status]; p > 0 {
+		b.suspect(s, now, p)
+	}
+}
+
+// connected notes that a server is used and has a connection.
+func (b *Balancer) connected(s *server) {
+	s.used = true
+	if !s.clocked {
+		s.clocked = true
+		b.clock = append(b.clock, s)
+	}
+}
+
+// release closes the idle connections to a server that was not used for long,
+// by the clock algorithm. Servers cap their connections, and after the fleet
+// shrinks those that balancers hold idle keep others out: each connection
+// refused here is answered by some let go.
+func (b *Balancer) release() {
+	for range 2 * len(b.clock) {
+		s := b.clock[0]
+		b.clock = b.clock[1:]
+		if !s.used && len(s.out) == 0 {
+			s.clocked = false
+			b.act(Action{Kind: Close, Server: s.ID})
+			return
+		}
+		s.used = false
+		b.clock = append(b.clock, s)
+	}
+}
+
+// fade ages the evidence on a server, so that it returns to the fleet's mean.
+func (s *server) fade(now time.Duration) float64 {
+	if s.count == 0 {
+		return 0
+	}
+	return s.count * math.Exp2(-float64(now-s.counted)/float64(evidenceHalf))
+}
+
+// sample adds one latency ratio to the evidence on a server.
+func (b *Balancer) sample(s *server, now time.Duration, ratio float64) {
+	n := min(s.fade(now), evidenceMost-1)
+	s.ratio = (s.ratio*n + ratio) / (n + 1)
+	s.count, s.counted = n+1, now
+}
+
+// suspect ejects a server after enough failures in a row, within the cap on
+// the ejected share. After the time a single trial request may go there.
+func (b *Balancer) suspect(s *server, now time.Duration, patience int) {
+	s.fails++
+	if s.fails < patience || s.until > now {
+		return
+	}
+	b.ejections = slices.DeleteFunc(b.ejections, func(e *server) bool { return e.until <= now || e.State != Ready })
+	if float64(len(b.ejections)+1) > ejectShare*float64(len(b.ready)) {
+		return
+	}
+	hold := min(ejectFirst<<min(s.fails-patience, 6), ejectMost)
+	s.until = now + time.Duration(float64(hold)*(0.75+0.5*b.rng.Float64()))
+	b.ejections = append(b.ejections, s)
+}
--- /dev/null
+++ b/balance/pick.go
@@ -0,0 +1,251 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// mix spreads the bits of a hash.
+func mix(h uint64) uint64 {
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// hashString is 64-bit FNV-1a, mixed. It is the same in every balancer, so
+// that all of them send a key to the same servers.
+func hashString(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(s); i++ {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return mix(h)
+}
+
+// ringPoint is one point of a server on the key ring.
+type ringPoint struct {
+	hash   uint64
+	server *server
+}
+
+// ring orders the servers for each key, alike in all balancers.
+type ring struct{ points []ringPoint }
+
+// add merges new points into the ring.
+func (r *ring) add(more []ringPoint) {
+	if len(more) == 0 {
+		return
+	}
+	r.points = append(r.points, more...)
+	slices.SortFunc(r.points, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
+}
+
+// nth returns the n-th distinct server (from 0) after a key's place that ok
+// accepts, looking at a bounded stretch of the ring.
+func (r *ring) nth(key uint64, n int, ok func(*server) bool) *server {
+	if len(r.points) == 0 {
+		return nil
+	}
+	at, _ := slices.BinarySearchFunc(r.points, key, func(p ringPoint, k uint64) int { return cmp.Compare(p.hash, k) })
+	var seen [64]*server
+	found := 0
+	for i := 0; i < min(len(r.points), 128) && found < len(seen); i++ {
+		s := r.points[(at+i)%len(r.points)].server
+		if slices.Contains(seen[:found], s) || !ok(s) {
+			continue
+		}
+		if found == n {
+			return s
+		}
+		seen[found] = s
+		found++
+	}
+	return nil
+}
+
+// keyShare counts a key and returns the share of this balancer's requests that
+// carry it, by fading counters.
+func (b *Balancer) keyShare(key uint64) float64 {
+	slot := &b.keyCount[key%keySlots]
+	*slot++
+	b.keyTotal++
+	share := (*slot - 1) / b.keyTotal
+	if b.keyTotal > 4*keySlots {
+		b.keyTotal /= 2
+		for i := range b.keyCount {
+			b.keyCount[i] /= 2
+		}
+	}
+	return share
+}
+
+// usable tells whether a server can take an attempt of r now.
+func (b *Balancer) usable(r *request, s *server, now time.Duration) bool {
+	if s.State != Ready || s.until > now || s.fails > 0 && s.trial {
+		return false
+	}
+	for _, a := range r.attempts {
+		if a.server == s && !(a.ended && a.status == Full) {
+			return false
+		}
+	}
+	// Rule 2: once a keyed request may have run, only its group drops a repeat.
+	return r.anchor == nil || sameGroup(r.class.Group, s, r.anchor.server)
+}
+
+// sameGroup tells whether two servers drop each other's repeats.
+func sameGroup(g Group, a, b *server) bool {
+	switch g {
+	case GroupCell:
+		return a.Cell == b.Cell
+	case GroupZone:
+		return a.Zone == b.Zone
+	}
+	return true
+}
+
+// pick takes the better of two sampled servers; nil when there is none.
+func (b *Balancer) pick(r *request, now time.Duration) *server {
+	first := b.drawCold(r, now)
+	bias := 1.0
+	if first == nil {
+		first = b.draw(r, now, nil)
+		if r.key != 0 && r.spread == keySpread {
+			bias = homeBias
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	second := b.draw(r, now, first)
+	if second == nil || b.cost(first, now) <= bias*b.cost(second, now) {
+		return first
+	}
+	return second
+}
+
+// drawCold gives cold servers their chance (rule 4): one even draw over the
+// whole list for each request, never for its retries. Its measure is what a
+// warm server serves of late, so that all balancers together offer a cold one
+// a safe multiple of what it can do for certain: however hot a key is, however
+// often clients and balancers repeat in an overload, and also while a grown
+// fleet is mostly cold and the warm ones drown.
+func (b *Balancer) drawCold(r *request, now time.Duration) *server {
+	if len(r.attempts) > 0 || r.coldDrawn || len(b.ready) == 0 {
+		return nil
+	}
+	r.coldDrawn = true
+	s := b.ready[b.rng.IntN(len(b.ready))]
+	c := b.certain(s, now)
+	if c >= 1 || !b.usable(r, s, now) {
+		return nil
+	}
+	perWarm := b.success * min(coldSpread, float64(len(b.ready))/float64(max(b.countWarm(now), 1)))
+	if b.rng.Float64() >= c*coldMargin*max(b.set.TipMultiple, 1)*perWarm {
+		return nil
+	}
+	return s
+}
+
+// countWarm counts the ready servers that are warm, now and then.
+func (b *Balancer) countWarm(now time.Duration) int {
+	if now >= b.warmAt {
+		b.warm, b.warmAt = 0, now+warmEvery
+		for _, s := range b.ready {
+			if s.until <= now && b.certain(s, now) >= 1 {
+				b.warm++
+			}
+		}
+	}
+	return b.warm
+}
+
+// draw samples one warm server: from those of the request's key where keys are
+// warm, else from the own subset, and from the whole list where that has none.
+func (b *Balancer) draw(r *request, now time.Duration, other *server) *server {
+	ok := func(s *server) bool {
+		return s != other && b.usable(r, s, now) && b.certain(s, now) >= 1
+	}
+	if b.set.WarmKeys && r.key != 0 {
+		nth := 0
+		if r.spread > keySpread {
+			nth = b.rng.IntN(r.spread)
+		}
+		if s := b.ring.nth(r.key, nth, ok); s != nil {
+			return s
+		}
+	}
+	n := b.subset(now)
+	if n == 0 {
+		return nil
+	}
+	// Few may be usable: after these draws, look at each once from there on.
+	const draws = 12
+	for i, at := 0, 0; i < draws+len(b.ready); i++ {
+		if at++; i < draws {
+			at = b.rng.IntN(n)
+			n = min(n+1, len(b.ready))
+		}
+		if s := b.ready[at%len(b.ready)]; ok(s) {
+			return s
+		}
+	}
+	return nil
+}
+
+// subset is the number of servers, the first of the ready list, that samples
+// come from: as many as this balancer's traffic gives fresh evidence on. A
+// quiet balancer on a large list would know next to nothing of each, and would
+// hold a connection to every one.
+func (b *Balancer) subset(now time.Duration) int {
+	rate := float64(b.budget.recent(now)) / budgetWindow.Seconds()
+	return min(len(b.ready), max(subsetLeast, int(rate*subsetSpan.Seconds())))
+}
+
+// estimate is the smoothed latency ratio of a server, drawn towards the own
+// fleet-wide mean (1) the less is known of it.
+func (b *Balancer) estimate(s *server, now time.Duration) float64 {
+	n := s.fade(now)
+	return (s.ratio*n + evidencePrior) / (n + evidencePrior)
+}
+
+// cost is a server's expected delay: (own in-flight + 1) x smoothed latency.
+// An attempt that is out longer than expected counts as latency at once, so
+// that a hung server shows before its time-outs do.
+func (b *Balancer) cost(s *server, now time.Duration) float64 {
+	ratio := b.estimate(s, now)
+	for _, a := range s.out {
+		ratio = max(ratio, float64(now-a.sent)/a.expected)
+	}
+	return float64(len(s.out)+1) * ratio
+}
+
+// learnClass takes a latency into the fleet-wide mean of its class.
+func (b *Balancer) learnClass(r *request, took time.Duration) {
+	c := &b.classStat[r.classAt]
+	if c.latency == 0 {
+		c.latency = float64(took)
+	}
+	c.latency += latencyWeight / 2 * (float64(took)/b.workFactor(r) - c.latency)
+}
+
+// workFactor is a request's expected latency over its class's mean, by its
+// hint. Half of the latency is taken to be waiting, which no hint tells of.
+func (b *Balancer) workFactor(r *request) float64 {
+	c := &b.classStat[r.classAt]
+	if r.work <= 0 || c.work <= 0 {
+		return 1
+	}
+	return 0.5 + 0.5*min(float64(r.work)/c.work, 20)
+}
+
+// expect is the latency that an attempt of r is held to have on a mean server.
+func (b *Balancer) expect(r *request) float64 {
+	if l := b.classStat[r.classAt].latency; l > 0 {
+		return max(l*b.workFactor(r), float64(time.Millisecond))
+	}
+	return max(float64(r.class.Aim)/4, float64(time.Millisecond))
+}
--- /dev/null
+++ b/balance/settings.go
@@ -0,0 +1,166 @@
+// Package balance makes the decisions of a client-side load balancer: which
+// server gets an attempt, when a failed attempt is repeated, and when a request
+// is refused. It follows GEP-3388's windowed retry budget; docs/design.md says
+// what was added. A Balancer does no I/O and has no clock: its caller reports
+// events with the time they happened at and carries out the actions returned.
+package balance
+
+import (
+	"fmt"
+	"time"
+)
+
+// The module's own settings. They hold for every deployment; what differs
+// between deployments arrives in Settings or is observed.
+const (
+	budgetWindow  = 10 * time.Second // sliding window of the retry budget
+	budgetPercent = 20.0             // retries allowed, in percent of the window's first attempts
+	budgetFloor   = 2.0              // retries in a window that are allowed however few the first attempts
+
+	pauseBase   = 6 * time.Millisecond // mean pause before the first retry; doubles with each further one
+	pauseJitter = 0.5                  // a pause is drawn from mean x (1 -+ this)
+	holdPause   = 20 * time.Millisecond
+
+	hedgeAfter = 3.0 // a second copy leaves when the first is out this many times its expected latency
+	hedgeFrom  = 0.3 // but not before this share of the useful time has passed
+
+	latencyWeight  = 0.3              // weight of a new sample in the fleet-wide and per-class means
+	evidenceHalf   = 8 * time.Second  // half-life of what is known of one server
+	evidencePrior  = 1.5              // samples that the own fleet-wide mean counts for
+	evidenceMost   = 8.0              // samples remembered at most, so that new ones keep counting
+	failurePenalty = 3.0              // a failed attempt counts as this many times the expected latency at least
+	ejectFirst     = 2 * time.Second  // first ejection; doubles while trials fail
+	ejectMost      = 16 * time.Second // longest ejection
+	ejectShare     = 0.5              // share of the list that may be ejected at one time
+
+	refusedCloses = 2 // servers whose idle connections are let go for each connection refused
+
+	coldMargin    = 0.5                    // share of the multiple at which a cold server falls over that is offered to it at most
+	coldSpread    = 4.0                    // bound on the ready servers for each warm one, in that sum
+	warmEvery     = 500 * time.Millisecond // the warm servers are counted anew after this
+	successWeight = 0.08                   // weight of a request's end in the share of requests served by warm servers
+	shedUp        = 0.06                   // how far a late answer raises the share to refuse
+	shedDown      = 0.02                   // and one in time lowers it
+	shedOut       = 0.03                   // how far a request whose attempt never came back raises it
+	shedSent      = 50.0                   // first attempts in a window below which these steps grow
+	shedFast      = 5.0                    // up to this many times
+	shedMost      = 0.9                    // share refused at most, so that a better time is seen
+
+	scarce       = 0.85 // servers are scarce while a smaller share of requests is served
+	tenantWeight = 0.02 // weight of a request in the tenants' shares
+	tenantPrior  = 0.2  // weight of the agreed shares against the observed ones
+	overSlack    = 1.3  // how far over its fair part a tenant may be
+
+	subsetLeast = 6               // servers that samples come from at the least
+	subsetSpan  = 2 * time.Second // and as many as requests arrive in this time
+
+	keySpread  = 2   // servers that a key is sampled from; a hot key gets more
+	homeBias   = 2.0 // a key's second server must promise this many times less delay than its first
+	ringPoints = 24  // points of a server on the key ring
+	keySlots   = 256 // counters for the key frequencies
+
+	subscribeSpread = 2 * time.Second // first subscription, spread evenly over this
+	subscribeMost   = 8 * time.Second // longest pause between subscription calls
+)
+
+// Effect says what repeating a request of a class can do.
+type Effect int
+
+// The kinds of effect, most careful first.
+const (
+	Once   Effect = iota // must never run twice
+	Keyed                // servers of one Group drop repeats for Window
+	Repeat               // may run any number of times
+)
+
+// Group names the servers that know each other's keyed requests.
+type Group int
+
+// The groups, narrowest first.
+const (
+	GroupCell Group = iota
+	GroupZone
+	GroupAll
+)
+
+// Class describes one kind of request.
+type Class struct {
+	Name       string
+	Aim        time.Duration // answers within this earn the full worth
+	AimStretch float64       // the aim grows by this multiple of the request's work
+	Deadline   time.Duration // the client's whole wait, over all its tries
+	Worth      float64
+	LateWorth  float64 // share of Worth left after the aim
+	Effect     Effect
+	Group      Group
+	Window     time.Duration // how long a Group drops repeats
+}
+
+// Tenant is one customer with its agreed rate over all balancers.
+type Tenant struct {
+	Name  string
+	Quota float64 // requests a second; 0 means none agreed
+}
+
+// Settings are what a deployment states at start.
+type Settings struct {
+	Classes     []Class
+	Tenants     []Tenant
+	OverShare   float64 // worth of a request above its tenant's share
+	WarmKeys    bool    // a server that met a key lately serves it cheaper
+	Subscribe   bool    // the server list comes only when asked for
+	MaxAttempts int
+	CanCancel   bool
+	CanCopy     bool          // two attempts of a request may be out together
+	RetryAfter  time.Duration // longest advice that clients heed; 0 for none
+	Round       time.Duration // least time between two calls
+	ColdShare   float64       // share of its capacity that a server starts with
+	ColdTime    time.Duration // and is warm after
+	TipMultiple float64       // a cold server falls over at this multiple of its capacity
+}
+
+// validate returns an error that names the first field that can't be used.
+func (s *Settings) validate() error {
+	if len(s.Classes) == 0 {
+		return fmt.Errorf("balance: Classes: none given")
+	}
+	seen := map[string]bool{}
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		bad := ""
+		switch {
+		case seen[c.Name]:
+			bad = "Name: given twice"
+		case c.Deadline <= 0:
+			bad = "Deadline: not positive"
+		case c.Aim < 0:
+			bad = "Aim: negative"
+		case c.Window < 0:
+			bad = "Window: negative"
+		case c.Effect < Once || c.Effect > Repeat:
+			bad = "Effect: unknown"
+		case c.Group < GroupCell || c.Group > GroupAll:
+			bad = "Group: unknown"
+		}
+		if bad != "" {
+			return fmt.Errorf("balance: class %q: %s", c.Name, bad)
+		}
+		seen[c.Name] = true
+	}
+	bad := ""
+	switch {
+	case s.MaxAttempts <= 0:
+		bad = "MaxAttempts: not positive"
+	case !(s.ColdShare > 0 && s.ColdShare <= 1):
+		bad = "ColdShare: outside (0,1]"
+	case s.ColdTime < 0:
+		bad = "ColdTime: negative"
+	case s.RetryAfter < 0:
+		bad = "RetryAfter: negative"
+	case s.Round < 0:
+		bad = "Round: negative"
+	default:
+		return nil
+	}
+	return fmt.Errorf("balance: %s", bad)
+}
--- /dev/null
+++ b/balance/shed_test.go
@@ -0,0 +1,141 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// shareRefused sends n requests a gap apart that all are still out at their
+// aim, then counts how many of 200 more are refused at once.
+func shareRefused(class string, n int, gap time.Duration) float64 {
+	b, _ := New(site(), 5)
+	b.Members(time.Second, ListFull, fleet(9), nil)
+	now, refused := time.Minute, 0
+	send := func(id string) bool {
+		now += gap
+		acts := b.Request(now, Request{ID: id, Class: class, Deadline: now + 900*ms}, nil)
+		b.Timer(now+time.Second, 0, nil)
+		b.Outcome(now+time.Second, Outcome{Request: id, Status: Cancelled, Took: time.Second, Final: true}, nil)
+		return acts[0].Kind == Refuse
+	}
+	for i := range n {
+		send(fmt.Sprint("warm", i))
+	}
+	for i := range 200 {
+		if send(fmt.Sprint(i)) {
+			refused++
+		}
+	}
+	return float64(refused) / 200
+}
+
+// Attempts that are out at the aim feed an overload also where a late answer
+// is worth nothing and the request ends there (iaba009).
+func TestAttemptsOutAtTheirAimRaiseTheShareRefused(t *testing.T) {
+	for _, class := range []string{"join", "record"} {
+		if got := shareRefused(class, 60, 2*time.Second); got < 0.5 {
+			t.Errorf("%s: %.2f refused, want most", class, got)
+		}
+	}
+}
+
+// A quiet balancer must learn of an overload from few requests, a busy one by
+// small steps (iaba009).
+func TestQuietBalancersLearnOverloadFaster(t *testing.T) {
+	set := site()
+	share := func(gap time.Duration) float64 {
+		b, _ := New(set, 5)
+		for i := range 100 {
+			b.budget.first(time.Minute + time.Duration(i)*gap)
+		}
+		b.learnOverload(time.Minute+100*gap, shedUp)
+		return b.overload
+	}
+	busy, quiet := share(10*ms), share(2*time.Second)
+	if busy != shedUp || quiet < 3*shedUp || quiet > shedFast*shedUp {
+		t.Errorf("one late answer: busy %.3f, quiet %.3f", busy, quiet)
+	}
+}
+
+// A key has one home, whose cache it fills; its second server takes over when
+// the home is much worse (bosch-hearings, big-2).
+func TestKeyStaysAtItsHome(t *testing.T) {
+	set := site()
+	set.WarmKeys, set.CanCopy = true, false
+	b, _ := New(set, 6)
+	b.Members(time.Second, ListFull, fleet(12), nil)
+	now, n := time.Minute, 0
+	homes := func(slow string) map[string]int {
+		sent := map[string]int{}
+		for range 60 {
+			n++
+			now += 300 * ms
+			id := fmt.Sprint(n)
+			key := "hearing"
+			if n%4 > 0 { // others, so that the key is not hot
+				key = "other" + id
+			}
+			for _, a := range b.Request(now, Request{ID: id, Class: "read", Key: key, Deadline: now + 500*ms}, nil) {
+				if a.Kind != Send {
+					continue
+				}
+				took := 20 * ms
+				if a.Server == slow {
+					took = 180 * ms
+				}
+				if key == "hearing" {
+					sent[a.Server]++
+				}
+				b.Outcome(now+took, Outcome{Request: id, Status: OK, Took: took, Final: true}, nil)
+			}
+		}
+		return sent
+	}
+	// Even one request in four makes a key hot here; its share is set down.
+	b.keyTotal += 1e6
+	first := homes("")
+	if len(first) != 1 {
+		t.Fatalf("an even fleet: key sent to %v, want one server", first)
+	}
+	var home string
+	for home = range first {
+	}
+	if moved := homes(home); moved[home] > 5 {
+		t.Errorf("a slow home still got %v", moved)
+	}
+}
+
+// While most of a grown fleet is cold and serves well, nobody is scarce: a
+// tenant above its share is not refused for it. And requests refused at once
+// must not lower the share that cold servers get (ifb7b22).
+func TestColdServersServingAreNoScarcity(t *testing.T) {
+	b, _ := New(site(), 7)
+	list := fleet(12)
+	for i := range list {
+		list[i].Started = time.Minute - time.Second // all cold
+	}
+	list[0].Started = 0
+	b.Members(time.Minute, ListFull, list, nil)
+	now := time.Minute
+	for i := range 400 {
+		now += 20 * ms
+		id := fmt.Sprint(i)
+		b.Request(now, Request{ID: id, Class: "read", Deadline: now + 500*ms}, nil)
+		b.Outcome(now, Outcome{Request: id, Status: OK, Took: ms, Final: true}, nil)
+	}
+	if b.served < 0.95 || b.success > 0.9 {
+		t.Errorf("served %.2f, by warm servers %.2f; want nearly all, fewer", b.served, b.success)
+	}
+	before := b.success
+	b.overload = shedMost
+	for i := range 100 {
+		id := fmt.Sprint("refused", i)
+		q := &request{Request: Request{ID: id}, class: &b.set.Classes[0]}
+		b.requests[id] = q
+		b.end(q, now)
+	}
+	if b.success != before {
+		t.Errorf("requests refused at once moved the warm servers' share from %.2f to %.2f", before, b.success)
+	}
+}
--- /dev/null
+++ b/balance/tenant_test.go
@@ -0,0 +1,46 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A tenant that sends several times its share must be refused before another
+// that keeps to it, and only while servers are scarce.
+func TestTenantOverItsShareGoesFirst(t *testing.T) {
+	for _, scarceNow := range []bool{true, false} {
+		set := site()
+		set.OverShare = 0.05
+		set.Tenants = []Tenant{{"big", 600}, {"small", 400}}
+		b, _ := New(set, 4)
+		b.Members(0, ListSaved, fleet(12), nil)
+		refused, sent := map[string]int{}, map[string]int{}
+		now := time.Second
+		for n := range 1000 {
+			now += 10 * ms
+			tenant := "small"
+			if n%10 == 0 {
+				tenant = "big"
+			}
+			id := fmt.Sprint(n)
+			sent[tenant]++
+			status := OK
+			if scarceNow {
+				status = Error
+			}
+			for _, a := range b.Request(now, Request{ID: id, Class: "record", Tenant: tenant, Deadline: now + time.Second}, nil) {
+				switch a.Kind {
+				case Refuse:
+					refused[tenant]++
+				case Send:
+					b.Outcome(now, Outcome{Request: id, Status: status, Took: ms, Final: status == OK}, nil)
+				}
+			}
+		}
+		share := float64(refused["small"]) / float64(sent["small"])
+		if (share > 0.3) != scarceNow || refused["big"] > 0 {
+			t.Errorf("scarce %v: refused %v of %v", scarceNow, refused, sent)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sidecar/config.go
@@ -0,0 +1,116 @@
+// Package sidecar carries out on real sockets what package balance decides:
+// it takes requests from the application, sends attempts to upstreams and
+// follows discovery. It decides nothing itself.
+package sidecar
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"pipittrestle/balance"
+	"pipittrestle/internal/wire"
+)
+
+// Config is what a sidecar is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Cores     float64
+	Memory    int // bytes
+	Sockets   int
+	Known     list
+	Settings  balance.Settings
+	Conns     wire.Conns
+}
+
+// The least that a sidecar can work with.
+const (
+	leastMemory  = 32 << 20
+	leastSockets = 64
+)
+
+// Load reads the configuration file at path.
+func Load(path string) (Config, error) {
+	if path == "" {
+		return Config{}, errors.New("RELAY_CONFIG is not set: expected the path of the configuration file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("RELAY_CONFIG: %w", err)
+	}
+	cfg, err := parseConfig(text)
+	if err != nil {
+		return Config{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return cfg, nil
+}
+
+// parseConfig reads and checks the text of a configuration.
+func parseConfig(text []byte) (Config, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return Config{}, fmt.Errorf("not JSON: %w", err)
+	}
+	if v.Type() != fastjson.TypeObject {
+		return Config{}, fmt.Errorf("expected a JSON object, found %s", v.Type())
+	}
+	cfg := Config{
+		Name:      string(v.GetStringBytes("name")),
+		Listen:    string(v.GetStringBytes("listen")),
+		Discovery: string(v.GetStringBytes("discovery")),
+		Cores:     v.GetFloat64("limits", "cores"),
+		Memory:    v.GetInt("limits", "memory_mb") << 20,
+		Sockets:   v.GetInt("limits", "sockets"),
+	}
+	for _, a := range []struct{ key, addr string }{{"listen", cfg.Listen}, {"discovery", cfg.Discovery}} {
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return Config{}, fmt.Errorf("%s: expected an IP address and port, found %q", a.key, a.addr)
+		}
+	}
+	seed := string(v.GetStringBytes("seed"))
+	if cfg.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+		return Config{}, fmt.Errorf("seed: expected up to 16 hex digits, found %q", seed)
+	}
+	switch {
+	case !(cfg.Cores > 0):
+		return Config{}, errors.New("limits.cores: expected a number above 0")
+	case cfg.Memory < leastMemory:
+		return Config{}, fmt.Errorf("limits.memory_mb: expected %d or more", leastMemory>>20)
+	case cfg.Sockets < leastSockets:
+		return Config{}, fmt.Errorf("limits.sockets: expected %d or more", leastSockets)
+	}
+	if known := v.Get("known"); known != nil && known.Type() != fastjson.TypeNull {
+		if cfg.Known, err = parseList(known); err != nil {
+			return Config{}, fmt.Errorf("known: %w", err)
+		}
+	}
+	settings := v.Get("settings")
+	if settings == nil || settings.Type() != fastjson.TypeObject {
+		return Config{}, errors.New("settings: expected an object")
+	}
+	cfg.Settings, cfg.Conns = wire.Settings(settings), wire.ConnSettings(settings)
+	if _, err := balance.New(cfg.Settings, cfg.Seed); err != nil {
+		return Config{}, fmt.Errorf("settings: %w", err)
+	}
+	if cfg.Conns.Idle <= 0 || cfg.Conns.Dial <= 0 {
+		return Config{}, errors.New("settings: limits.conn-idle-us and limits.dial-timeout-us: expected numbers above 0")
+	}
+	return cfg, nil
+}
+
+// longest is the longest deadline of any class.
+func (c *Config) longest() time.Duration {
+	var d time.Duration
+	for i := range c.Settings.Classes {
+		d = max(d, c.Settings.Classes[i].Deadline)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/sidecar/engine.go
@@ -0,0 +1,382 @@
+package sidecar
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"pipittrestle/balance"
+)
+
+// clockOrigin is what the module's clock shows when the sidecar starts. The
+// module reads a start time of 0 or less as "long ago", so an upstream that
+// came up before the sidecar did must still have a positive one.
+const clockOrigin = time.Hour
+
+// past is a deadline that ends a blocked read or write at once.
+var past = time.Unix(1, 0)
+
+// engine owns the Balancer. All its state is behind one mutex, under which no
+// I/O is done: connections are only woken by deadlines there.
+type engine struct {
+	mu      sync.Mutex
+	bal     *balance.Balancer
+	start   time.Time
+	timer   *time.Timer
+	token   uint64
+	acts    []balance.Action
+	lapsed  []*attempt // cancelled, the module not yet told
+	calls   map[string]*call
+	hosts   map[string]*host
+	out     []*attempt // every attempt that has not ended
+	pool    *pool
+	watch   func() // asks discovery
+	classes map[string]time.Duration
+	longest time.Duration
+}
+
+// call is one request of a client, from its last byte until it is answered and
+// all its attempts have ended.
+type call struct {
+	id       string
+	head     []byte // request head, but for X-Deadline and the empty line
+	body     *body
+	conn     *clientConn
+	attempts []*attempt
+	open     int
+	answered bool
+	answer   answer
+	done     chan struct{}
+}
+
+// answer is what a client gets: an upstream's response, or a refusal, or a
+// failure.
+type answer struct {
+	kind balance.ActionKind // Send for an upstream's response
+	wait time.Duration      // advice with a refusal
+	resp *response
+}
+
+// attempt is one sending of a call to an upstream.
+type attempt struct {
+	eng    *engine
+	call   *call
+	host   *host
+	addr   string
+	number int
+	sent   time.Duration
+	until  time.Duration
+	at     int // place in engine.out
+
+	// Behind the engine's mutex.
+	conn      *conn
+	stopDial  func()
+	written   bool // the last byte may be out
+	streaming bool // the client gets its answer already
+	ended     bool
+	status    balance.Status
+}
+
+func newEngine(cfg *Config) (*engine, error) {
+	bal, err := balance.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	e := &engine{
+		bal:     bal,
+		start:   time.Now(),
+		calls:   map[string]*call{},
+		hosts:   map[string]*host{},
+		pool:    newPool(cfg.Conns, upstreamShare(cfg.Sockets)),
+		watch:   func() {},
+		classes: map[string]time.Duration{},
+		longest: cfg.longest(),
+	}
+	for _, c := range cfg.Settings.Classes {
+		e.classes[c.Name] = c.Deadline
+	}
+	e.timer = time.AfterFunc(time.Hour, e.tick)
+	return e, nil
+}
+
+// now reads the clock. It is called under the mutex only, so that the times
+// the module is given never go back.
+func (e *engine) now() time.Duration { return clockOrigin + time.Since(e.start) }
+
+// deadline is how long a client waits that does not say so.
+func (e *engine) deadline(class []byte) time.Duration {
+	if d, ok := e.classes[string(class)]; ok {
+		return d
+	}
+	return e.longest
+}
+
+// request hands a call to the module; false means that its id is still open.
+// The module would pass over such a request without an answer.
+func (e *engine) request(c *call, q balance.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.calls[c.id] != nil {
+		return false
+	}
+	e.calls[c.id] = c
+	now := e.now()
+	q.Deadline += now
+	e.carry(e.bal.Request(now, q, e.acts[:0]))
+	return true
+}
+
+// left takes the news that the client has gone.
+func (e *engine) left(c *call) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !c.answered {
+		c.answered = true
+		e.carry(e.bal.Left(e.now(), c.id, e.acts[:0]))
+		e.forget(c)
+	}
+}
+
+// tick is called when the module's timer is due.
+func (e *engine) tick() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	e.expire(now)
+	e.carry(e.bal.Timer(now, e.token, e.acts[:0]))
+}
+
+// expire ends the attempts whose time is up. An attempt's time is up together
+// with its request's, and the module must learn of the time-out first: were it
+// to cancel the attempt, a hung upstream would never show as one.
+func (e *engine) expire(now time.Duration) {
+	for i := 0; i < len(e.out); {
+		a := e.out[i]
+		if a.until > now || a.streaming {
+			i++
+			continue
+		}
+		status := balance.Timeout
+		if !a.written {
+			status = balance.ConnectFailed
+		}
+		e.close(a, status)
+		e.tell(a, now, now-a.sent)
+		i = 0
+	}
+}
+
+// members hands a list to the module.
+func (e *engine) members(kind balance.ListKind, entries []entry) {
+	e.mu.Lock()
+	var drop []*host
+	servers := make([]balance.Server, len(entries))
+	named := map[string]bool{}
+	for i := range entries {
+		n := &entries[i]
+		servers[i] = n.Server
+		servers[i].Started = e.started(n.since)
+		named[n.ID] = true
+		h := e.hosts[n.ID]
+		// A machine that vanished leaves connections that are silent for good:
+		// none is kept to an upstream that moved or started anew.
+		if h != nil && (h.addr != n.addr || h.since != n.since) || n.State != balance.Ready {
+			if h != nil {
+				drop = append(drop, h)
+				delete(e.hosts, n.ID)
+			}
+			h = nil
+		}
+		if h == nil && n.State != balance.Gone {
+			e.hosts[n.ID] = &host{addr: n.addr, since: n.since}
+		}
+	}
+	if kind == balance.ListFull || kind == balance.ListSaved {
+		for name, h := range e.hosts {
+			if !named[name] {
+				drop = append(drop, h)
+				delete(e.hosts, name)
+			}
+		}
+	}
+	e.carry(e.bal.Members(e.now(), kind, servers, e.acts[:0]))
+	e.mu.Unlock()
+	for _, h := range drop {
+		e.pool.retire(h)
+	}
+}
+
+// started turns Unix milliseconds into the module's clock; 0 stays "long ago".
+func (e *engine) started(ms int64) time.Duration {
+	if ms <= 0 {
+		return 0
+	}
+	return max(0, clockOrigin+time.UnixMilli(ms).Sub(e.start))
+}
+
+// carry does what the module decided, and tells it of the attempts that ended
+// by its own cancels.
+func (e *engine) carry(acts []balance.Action) {
+	for {
+		for i := range acts {
+			e.act(&acts[i])
+		}
+		if len(e.lapsed) == 0 {
+			e.acts = acts[:0]
+			return
+		}
+		a := e.lapsed[0]
+		e.lapsed = slices.Delete(e.lapsed, 0, 1)
+		now := e.now()
+		acts = e.bal.Outcome(now, a.outcome(now-a.sent), acts[:0])
+		e.forget(a.call)
+	}
+}
+
+// act does one thing.
+func (e *engine) act(x *balance.Action) {
+	c := e.calls[x.Request]
+	switch x.Kind {
+	case balance.Send:
+		e.send(c, x)
+	case balance.Refuse, balance.Fail:
+		e.reply(c, answer{kind: x.Kind, wait: x.Wait})
+	case balance.Cancel:
+		if c != nil && x.Number < len(c.attempts) {
+			if a := c.attempts[x.Number]; !a.ended && !a.streaming {
+				e.close(a, balance.Cancelled)
+				e.lapsed = append(e.lapsed, a)
+			}
+		}
+	case balance.Timer:
+		e.token = x.Token
+		e.timer.Reset(x.Wait)
+	case balance.Subscribe:
+		e.watch()
+	case balance.Close:
+		if h := e.hosts[x.Server]; h != nil {
+			go e.pool.closeIdle(h)
+		}
+	}
+}
+
+// send starts an attempt.
+func (e *engine) send(c *call, x *balance.Action) {
+	now := e.now()
+	a := &attempt{eng: e, call: c, host: e.hosts[x.Server], number: len(c.attempts), sent: now, until: now + x.Wait, at: len(e.out)}
+	c.attempts = append(c.attempts, a)
+	c.open++
+	c.body.hold()
+	e.out = append(e.out, a)
+	if a.host == nil { // never so: the module picks from the list
+		e.close(a, balance.NeverSent)
+		e.lapsed = append(e.lapsed, a)
+		c.body.release()
+		return
+	}
+	go a.run()
+}
+
+// reply gives a call its answer and wakes its client's goroutine.
+func (e *engine) reply(c *call, ans answer) {
+	if c == nil || c.answered {
+		return
+	}
+	c.answered, c.answer = true, ans
+	close(c.done)
+	c.conn.SetReadDeadline(past)
+	e.forget(c)
+}
+
+// forget drops a call that is over. Its id may come again only then.
+func (e *engine) forget(c *call) {
+	if c.answered && c.open == 0 {
+		delete(e.calls, c.id)
+	}
+}
+
+// close marks an attempt as ended and wakes its goroutine, which closes its
+// connection.
+func (e *engine) close(a *attempt, status balance.Status) {
+	a.ended, a.status = true, status
+	a.call.open--
+	last := e.out[len(e.out)-1]
+	e.out[a.at], last.at = last, a.at
+	e.out[len(e.out)-1] = nil
+	e.out = e.out[:len(e.out)-1]
+	if a.conn != nil {
+		a.conn.SetDeadline(past)
+	}
+	if a.stopDial != nil {
+		a.stopDial()
+	}
+}
+
+// outcome is what the module is told of an attempt that ended.
+func (a *attempt) outcome(took time.Duration) balance.Outcome {
+	return balance.Outcome{Request: a.call.id, Number: a.number, Status: a.status, Took: took, Final: a.call.answered || a.status == balance.OK}
+}
+
+// tell tells the module how an attempt ended.
+func (e *engine) tell(a *attempt, now, took time.Duration) {
+	e.carry(e.bal.Outcome(now, a.outcome(took), e.acts[:0]))
+	e.forget(a.call)
+}
+
+// end takes an attempt's end from its goroutine; took is 0 for until now. It
+// returns false where the attempt was given up before: its connection must not
+// be used again then.
+func (e *engine) end(a *attempt, status balance.Status, took time.Duration, resp *response) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.ended {
+		return false
+	}
+	a.conn = nil
+	e.close(a, status)
+	now := e.now()
+	if took == 0 {
+		took = now - a.sent
+	}
+	answered := a.call.answered
+	e.tell(a, now, took)
+	if status == balance.OK && !answered {
+		e.reply(a.call, answer{kind: balance.Send, resp: resp})
+	}
+	return true
+}
+
+// dialing notes how to stop the attempt's dial; false if it was given up.
+func (e *engine) dialing(a *attempt, stop func()) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a.stopDial = stop
+	return !a.ended
+}
+
+// attach notes the attempt's connection, and whether its last byte goes out
+// next. From then on it may run. It returns the time left, and false if the
+// attempt was given up: nothing may be written then.
+func (e *engine) attach(a *attempt, c *conn, last bool) (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.ended {
+		return 0, false
+	}
+	a.stopDial, a.conn, a.written = nil, c, last
+	return a.until - e.now(), true
+}
+
+// stream makes the attempt's answer the client's before it is whole; false if
+// the attempt was given up.
+func (e *engine) stream(a *attempt, resp *response) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.ended || a.call.answered {
+		return false
+	}
+	a.streaming, a.conn = true, nil
+	e.carry(e.bal.Started(e.now(), a.call.id, a.number, e.acts[:0]))
+	e.reply(a.call, answer{kind: balance.Send, resp: resp})
+	return true
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,46 @@
+package wire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+const begin = `{"op":"begin-batch","ts-us":1000000}` + "\n"
+const end = `{"op":"over-to-you"}` + "\n"
+const start = `{"op":"provision","sidecar":3,"salt":7,"info":{"classes":[{"name":"read","aim-us":200000,"deadline-us":500000,"effect":"free","group":"all","novel":[1]}],"limits":{"try-limit":3},"rules":{"cold-from":0.2,"cold-us":1000000,"tip-multiple":3},"later":{"x":1}}}` + "\n"
+const list = `{"op":"census","table":2,"hosts":[{"mode":"on","upstream":"10.0.0.1:80"}]}` + "\n" +
+	`{"op":"peers-known","sidecar":3,"mode":"SAVED","rev":1,"table":2}` + "\n"
+const ask = `{"op":"ask","sidecar":3,"op-id":"e7860b7b5d3a91c4","profile":"read","valid-until-us":1400000,"unknown":true}` + "\n"
+
+func TestTranscript(t *testing.T) {
+	var out bytes.Buffer
+	in := begin + start + list + ask + end + begin +
+		`{"op":"resolved","sidecar":3,"op-id":"e7860b7b5d3a91c4","final":true,"upstream":"10.0.0.1:80","result":"OK","rtt-us":900}` + "\n" +
+		`{"op":"teardown","sidecar":3}` + "\n" + end
+	if err := Serve(strings.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	want := `{"op":"assign","sidecar":3,"op-id":"e7860b7b5d3a91c4","upstream":"10.0.0.1:80","limit-us":200000}` + "\n" +
+		`{"op":"notify-me","sidecar":3,"wait-us":200000,"token":1200000000}` + "\n{\"op\":\"ok\"}\n{\"op\":\"ok\"}\n"
+	if out.String() != want {
+		t.Errorf("got\n%swant\n%s", out.String(), want)
+	}
+}
+
+func TestMalformedInputNamesItsLine(t *testing.T) {
+	tests := []struct{ name, in, want string }{
+		{"not JSON", begin + "{nope\n", "line 2: not JSON"},
+		{"not an object", "7\n", "line 1: not an object"},
+		{"unknown op", begin + start + `{"op":"sing","sidecar":3}` + "\n", `line 3: unknown op "sing"`},
+		{"not started", begin + ask, "line 2: event \"ask\" for instance 3"},
+		{"no table", begin + start + `{"op":"peers-known","sidecar":3,"mode":"FULL","table":9}` + "\n", "line 3: no census table 9"},
+		{"bad settings", begin + `{"op":"provision","sidecar":3,"salt":7,"info":{}}` + "\n", "line 2: balance: Classes"},
+	}
+	for _, tc := range tests {
+		err := Serve(strings.NewReader(tc.in), &bytes.Buffer{})
+		if err == nil || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%s: error %v, want %q", tc.name, err, tc.want)
+		}
+	}
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Checks the format, vets, tests with the race detector, builds, and starts
+# both programs.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+unformatted=$(gofmt -l balance cmd internal)
+if [ -n "$unformatted" ]; then
+	echo "not gofmt'd: $unformatted" >&2
+	exit 1
+fi
+go vet ./...
+go test -race -count=1 ./...
+mkdir -p bin
+go build -o bin/ ./cmd/...
+
+# The adapter answers an empty batch and ends with its input.
+reply=$(printf '{"op":"begin-batch","ts-us":1}\n{"op":"over-to-you"}\n' | bin/wirehost)
+[ "$reply" = '{"op":"ok"}' ] || { echo "wirehost answered: $reply" >&2; exit 1; }
+
+# The sidecar says in one line what is wrong with its configuration. That it
+# starts, serves and ends on SIGTERM is a test of cmd/sandhinge.
+if said=$(RELAY_CONFIG=/nonexistent bin/sandhinge 2>&1); then
+	echo "sandhinge started without a configuration" >&2
+	exit 1
+fi
+[ "$(wc -l <<<"$said")" = 1 ] || { echo "sandhinge said: $said" >&2; exit 1; }
+echo "all passed"
