Make room for the clients that ask; reload on SIGHUP

Ruled out: upstreams (15 ms at the median, 24 connections at once), the module (no time-outs to speak of), memory. Now the connection missed least gives way at once, those that never asked first; a connection on which nothing is asked ends after 2.4 to 3 s, a request must be whole after 2.7 s, longer by the bytes that have come. Clients get three fifths of the descriptors. Cause 2: 32 MB bodies with a reserve of as much (body.go) are now 64 KiB, without waiting for room. A chunked body that broke off had counted as whole. A reload checks the whole file first, keeps the old one if it is bad, and moves discovery in mid-watch; its list stays until the new address has told one. A cancelled call could find its connection nil (discovery.go, call).

--- a/cmd/sandhinge/main.go
+++ b/cmd/sandhinge/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -18,19 +19,36 @@
 	}
 }
 
-// run serves until SIGTERM or SIGINT and the drain that follows.
+// run serves until SIGTERM or SIGINT and the drain that follows. SIGHUP reloads
+// the configuration; it is caught first of all, since by default it would end
+// the process. Those that come during a reload make one more, and those that
+// come during the drain none.
 func run() error {
-	cfg, err := sidecar.Load(os.Getenv("RELAY_CONFIG"))
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	path := os.Getenv("RELAY_CONFIG")
+	cfg, err := sidecar.Load(path)
 	if err != nil {
 		return err
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	s, err := sidecar.Start(cfg)
 	if err != nil {
 		return err
 	}
-	<-stop
-	s.Drain()
-	return nil
+	for {
+		select {
+		case <-stop:
+			s.Drain()
+			return nil
+		case <-reload:
+			cfg, err := sidecar.Load(path)
+			if err != nil {
+				log.Printf("reload: the old configuration stays: %v", err)
+				continue
+			}
+			s.Reload(cfg)
+		}
+	}
 }
--- a/internal/sidecar/body.go
+++ b/internal/sidecar/body.go
@@ -8,76 +8,55 @@
 )
 
 const (
-	mostBody = 32 << 20
-	chunk    = 64 << 10
+	mostBody = 64 << 10 // the protocol's bound
+	chunk    = 8 << 10
 )
 
-var errTooLarge = errors.New("body over 32 MB")
+var (
+	errTooLarge = errors.New("body over 64 KiB")
+	errNoRoom   = errors.New("no memory for another body")
+)
 
-// budget bounds the bytes of all request bodies held. When it is used up,
-// reading waits and the clients are held back. One body at a time may go on
-// past it, into a reserve that the largest body fits in: were all of them to
-// wait, none would ever be whole and give its bytes back.
-type budget struct {
-	mu    sync.Mutex
-	freed sync.Cond
-	left  int
-	first *body // the one that may use the reserve
-}
+// budget bounds the bytes of all request bodies held. When it is used up, a
+// request is refused at once: a reader that waits for room holds its own part
+// meanwhile, and those that wait for one another never end. It guards against
+// any crowd of large or slow bodies; it might harm where bodies of the full
+// size are the rule and memory is scarce.
+type budget struct{ left atomic.Int64 }
 
 func newBudget(size int) *budget {
-	b := &budget{left: max(size-mostBody, 0)}
-	b.freed.L = &b.mu
+	b := &budget{}
+	b.left.Store(int64(size))
 	return b
 }
 
+// take takes n bytes, or none and returns false.
+func (b *budget) take(n int) bool {
+	if b.left.Add(int64(-n)) < 0 {
+		b.give(n)
+		return false
+	}
+	return true
+}
+
+// give returns bytes.
+func (b *budget) give(n int) { b.left.Add(int64(n)) }
+
 // body is a request's body, whole in memory, since an attempt may be repeated.
 type body struct {
 	budget *budget
-	held   func(on bool) // told when the budget makes it wait, and goes on
+	came   *atomic.Int64 // counts the bytes that have come
 	chunks [][]byte
 	size   int
-	taken  int // from the shared part
+	taken  int
 	users  atomic.Int32
 }
 
 var chunkPool = sync.Pool{New: func() any { return new([chunk]byte) }}
 
-// take waits for n more bytes of the budget.
-func (b *budget) take(y *body, n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for {
-		switch {
-		case b.left >= n:
-			b.left -= n
-			y.taken += n
-			return
-		case b.first == nil || b.first == y:
-			b.first = y
-			return
-		}
-		y.held(true)
-		b.freed.Wait()
-		y.held(false)
-	}
-}
-
-// give returns all that a body has taken.
-func (b *budget) give(y *body) {
-	b.mu.Lock()
-	b.left += y.taken
-	y.taken = 0
-	if b.first == y {
-		b.first = nil
-	}
-	b.mu.Unlock()
-	b.freed.Broadcast()
-}
-
 // readFrom reads a body of the given length, -1 for chunked. The budget is
 // taken as the bytes arrive, so that a length that is only announced costs
-// nothing.
+// next to nothing.
 func (y *body) readFrom(r io.Reader, length int) error {
 	if length > mostBody {
 		return errTooLarge
@@ -90,21 +69,17 @@
 				return nil
 			}
 		}
-		y.budget.take(y, want)
-		var buf []byte
-		if want == chunk {
-			buf = chunkPool.Get().(*[chunk]byte)[:]
-		} else {
-			buf = make([]byte, want)
+		if !y.budget.take(want) {
+			return errNoRoom
 		}
-		n, err := io.ReadFull(r, buf)
-		y.chunks = append(y.chunks, buf[:n])
+		y.taken += want
+		n, err := y.readChunk(r, want)
 		y.size += n
 		switch {
 		case y.size > mostBody:
 			return errTooLarge
 		case err == nil:
-		case length < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF):
+		case length < 0 && (err == io.EOF || err == errEnded):
 			return nil
 		default:
 			return err
@@ -112,6 +87,34 @@
 	}
 }
 
+// errEnded is the end of a body within a chunk of ours; of one that broke off
+// there the reader says io.ErrUnexpectedEOF.
+var errEnded = errors.New("body ended")
+
+// readChunk reads the next want bytes of a body, fewer with an error.
+func (y *body) readChunk(r io.Reader, want int) (n int, err error) {
+	var buf []byte
+	if want == chunk {
+		buf = chunkPool.Get().(*[chunk]byte)[:]
+	} else {
+		buf = make([]byte, want)
+	}
+	for n < want && err == nil {
+		var k int
+		k, err = r.Read(buf[n:])
+		n += k
+		y.came.Add(int64(k))
+	}
+	y.chunks = append(y.chunks, buf[:n])
+	switch {
+	case n == want:
+		err = nil
+	case err == io.EOF && n > 0:
+		err = errEnded
+	}
+	return n, err
+}
+
 func (y *body) len() int {
 	if y == nil {
 		return 0
@@ -136,5 +139,6 @@
 		}
 	}
 	y.chunks = nil
-	y.budget.give(y)
+	y.budget.give(y.taken)
+	y.taken = 0
 }
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -106,6 +107,26 @@
 	return cfg, nil
 }
 
+// differs names what a reload can't bring into use. Seed and list are new with
+// every file and mean nothing to a running sidecar.
+func (c *Config) differs(n *Config) []string {
+	var names []string
+	for _, f := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == n.Name},
+		{"listen", c.Listen == n.Listen},
+		{"limits", c.Cores == n.Cores && c.Memory == n.Memory && c.Sockets == n.Sockets},
+		{"settings", reflect.DeepEqual(c.Settings, n.Settings) && c.Conns == n.Conns},
+	} {
+		if !f.same {
+			names = append(names, f.name)
+		}
+	}
+	return names
+}
+
 // longest is the longest deadline of any class.
 func (c *Config) longest() time.Duration {
 	var d time.Duration
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -8,6 +8,7 @@
 	"log"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -35,6 +36,10 @@
 	// retryPushed is the pause after a failed call where lists are pushed and
 	// the module does not ask.
 	retryPushed = time.Second
+	// After a move the first calls are tried again at once, not at the
+	// module's pace: what the new address has to tell soon counts as told.
+	movePause = 200 * time.Millisecond
+	moveTries = 15
 )
 
 // list is what discovery tells.
@@ -118,13 +123,46 @@
 // discovery follows the list of upstreams.
 type discovery struct {
 	eng    *engine
-	addr   string
 	pushed bool // lists come without being asked for
 	index  int64
 	asked  chan struct{}
 	conn   net.Conn
 	br     *bufio.Reader
 	parser fastjson.Parser
+
+	mu    sync.Mutex
+	addr  string
+	moves int
+	cut   context.CancelFunc // ends the calls to addr
+}
+
+// move turns to another address. The list stays; the next call asks for the
+// whole one, since the versions of another service may count anew. It never
+// blocks, and a later move overtakes one that has not succeeded yet.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	moved := addr != d.addr
+	if moved {
+		d.addr = addr
+		d.moves++
+		if d.cut != nil {
+			d.cut()
+		}
+	}
+	d.mu.Unlock()
+	if moved {
+		d.ask()
+	}
+}
+
+// turn returns the present address, how often it changed, and a context that
+// ends with the next change.
+func (d *discovery) turn(ctx context.Context) (addr string, moves int, until context.Context, done context.CancelFunc) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	until, done = context.WithCancel(ctx)
+	d.cut = done
+	return d.addr, d.moves, until, done
 }
 
 // ask notes that the module wants the list; it never blocks.
@@ -135,40 +173,82 @@
 	}
 }
 
+// unask takes back what was asked.
+func (d *discovery) unask() {
+	select {
+	case <-d.asked:
+	default:
+	}
+}
+
 // run calls discovery when the module asks, and watches on until a call fails.
 func (d *discovery) run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, d.ask)
 	defer stop()
+	defer d.hangUp()
+	moves, tries := 0, 0 // tries left of a move
 	for {
-		if !d.pushed {
+		if !d.pushed && tries == 0 {
 			<-d.asked
+		} else {
+			d.unask() // the call that follows is the answer to it
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		err := d.watch(ctx)
-		if ctx.Err() != nil {
+		addr, n, until, done := d.turn(ctx)
+		if n != moves {
+			moves, tries, d.index = n, moveTries, 0
+			d.hangUp()
+		}
+		heard, err := d.watch(until, addr)
+		moved := until.Err() != nil
+		done()
+		d.hangUp()
+		if heard {
+			tries = 0
+		}
+		switch {
+		case ctx.Err() != nil:
 			return
+		case moved:
+			// The call was cut for the new address: discovery has not failed.
+			tries = moveTries
+			continue
+		case tries > 1:
+			tries--
+			pause(ctx, movePause)
+			continue
 		}
+		tries = 0
 		log.Printf("discovery: %v", err)
-		d.hangUp()
 		d.eng.members(balance.ListFailed, nil)
 		if d.pushed {
-			select {
-			case <-ctx.Done():
-			case <-time.After(retryPushed):
-			}
+			pause(ctx, retryPushed)
 		}
 	}
 }
 
-// watch hands every change to the engine until a call fails.
-func (d *discovery) watch(ctx context.Context) error {
+// pause waits, but not past the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// watch hands every change to the engine until a call fails. It tells whether
+// any call before that was answered.
+func (d *discovery) watch(ctx context.Context, addr string) (heard bool, err error) {
 	for {
 		began := time.Now()
-		l, err := d.call(ctx)
+		l, err := d.call(ctx, addr)
+		if err == nil {
+			// An answer that crossed a move is of the old address.
+			err = ctx.Err()
+		}
 		if err != nil {
-			return err
+			return heard, err
 		}
 		kind := balance.ListChange
 		if l.full {
@@ -176,12 +256,13 @@
 		} else if l.index < d.index {
 			err := fmt.Errorf("a change of version %d after version %d", l.index, d.index)
 			d.index = 0 // ask for the whole list next
-			return err
+			return heard, err
 		}
+		heard = true
 		d.index = l.index
 		d.eng.members(kind, l.entries)
 		if len(l.entries) == 0 && time.Since(began) < rest {
-			time.Sleep(rest)
+			pause(ctx, rest)
 		}
 	}
 }
@@ -196,7 +277,7 @@
 
 // call makes one call. Every step of it is bounded in time: discovery may fall
 // silent with the connection up.
-func (d *discovery) call(ctx context.Context) (list, error) {
+func (d *discovery) call(ctx context.Context, addr string) (list, error) {
 	path, wait := "/discovery/hosts", wholeWithin-answerWithin
 	if d.index > 0 {
 		wait = watchFor
@@ -207,16 +288,17 @@
 	}
 	if d.conn == nil {
 		dialer := net.Dialer{Timeout: dialWithin, KeepAlive: -1}
-		conn, err := dialer.DialContext(ctx, "tcp", d.addr)
+		conn, err := dialer.DialContext(ctx, "tcp", addr)
 		if err != nil {
 			return list{}, err
 		}
 		d.conn, d.br = conn, bufio.NewReaderSize(conn, readBuffer)
 	}
-	stop := context.AfterFunc(ctx, func() { d.conn.SetDeadline(past) })
+	conn := d.conn
+	conn.SetDeadline(time.Now().Add(wait + answerWithin))
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(past) })
 	defer stop()
-	d.conn.SetDeadline(time.Now().Add(wait + answerWithin))
-	if _, err := fmt.Fprintf(d.conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, d.addr); err != nil {
+	if _, err := fmt.Fprintf(d.conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr); err != nil {
 		return list{}, err
 	}
 	var resp fasthttp.Response
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -13,6 +13,7 @@
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -25,11 +26,19 @@
 
 const (
 	readyPath = "/up"
-	// Clients take up to 2 s for a head and trickle bodies: only one that
-	// makes no progress for long is cut off.
-	headWithin  = 15 // seconds from a head's first byte
-	readStall   = 15 // seconds in a body without a byte
-	writeStall  = 30 // seconds in one write of an answer
+	busyAfter = "0.1" // seconds after which a refused connection may find room
+	// A connection on which nothing is asked is closed after this. It is the
+	// client's to keep for 2 s.
+	silentFor = 2400 * time.Millisecond // no request yet
+	idleFor   = 3 * time.Second         // between requests
+	// A request must be whole within wholeIn of its first byte, the first one
+	// of a connection of the connect. Healthy clients take up to 2 s for a
+	// head. A body earns more time by the bytes that have come, so that a slow
+	// line is not cut off and a trickle is.
+	wholeIn     = 2700 * time.Millisecond
+	bodyRate    = 16 << 10 // bytes that earn a second
+	writeStall  = 5 * time.Second
+	sweepClient = 100 * time.Millisecond
 	headBuffer  = 8 << 10
 	writeBuffer = 4 << 10
 
@@ -42,13 +51,15 @@
 )
 
 // The shares of the descriptors: some for the process itself and discovery,
-// half of the rest for upstreams and half for clients.
-const ownSockets = 24
+// two fifths of the rest for upstreams and three for clients. Clients ask on a
+// third of all at most, but keep more: those that asked once, and those that
+// never will.
+const ownSockets = 16
 
-func upstreamShare(sockets int) int { return (sockets - ownSockets) / 2 }
+func upstreamShare(sockets int) int { return (sockets - ownSockets) * 2 / 5 }
 
 // clientShares returns how many client connections are served, and how many
-// more are taken on only to be refused.
+// more are taken on while others are being closed or only to be refused.
 func clientShares(sockets int) (serve, refuse int) {
 	n := sockets - ownSockets - upstreamShare(sockets)
 	return n - n/8, n / 8
@@ -56,21 +67,22 @@
 
 // Sidecar is a running sidecar.
 type Sidecar struct {
-	eng     *engine
-	srv     fasthttp.Server
-	front   *front
-	bodies  *budget
-	stop    context.CancelFunc
-	stopped chan struct{} // closed when the server has let its last connection go
+	eng    *engine
+	srv    fasthttp.Server
+	front  *front
+	bodies *budget
+	disc   *discovery
+	cfg    Config // as last loaded; only Reload touches it
+	stop   context.CancelFunc
 }
 
 // Start listens, and serves until Drain.
 func Start(cfg Config) (*Sidecar, error) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
-	// Half of the memory is for bodies at most; what is under the limit makes
-	// the collector rare while little is held.
-	debug.SetMemoryLimit(int64(cfg.Memory) * 7 / 10)
-	debug.SetGCPercent(400)
+	// The limit leaves room for stacks and what the kernel counts; the usual
+	// percentage keeps the heap flat instead of letting it drift up to there.
+	debug.SetMemoryLimit(int64(cfg.Memory) * 6 / 10)
+	debug.SetGCPercent(100)
 
 	eng, err := newEngine(&cfg)
 	if err != nil {
@@ -85,11 +97,11 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Sidecar{
-		eng:     eng,
-		front:   newFront(ln.(*net.TCPListener), cfg.Sockets),
-		bodies:  newBudget(cfg.Memory * 2 / 5),
-		stop:    stop,
-		stopped: make(chan struct{}),
+		eng:    eng,
+		front:  newFront(ln.(*net.TCPListener), cfg.Sockets),
+		bodies: newBudget(cfg.Memory / 8),
+		cfg:    cfg,
+		stop:   stop,
 	}
 	s.srv = fasthttp.Server{
 		Handler:                      s.handle,
@@ -105,6 +117,7 @@
 		Logger:                       quietLog{},
 	}
 	d := &discovery{eng: eng, addr: cfg.Discovery, pushed: !cfg.Settings.Subscribe, index: cfg.Known.index, asked: make(chan struct{}, 1)}
+	s.disc = d
 	eng.watch = d.ask
 	eng.members(balance.ListSaved, cfg.Known.entries)
 	go d.run(ctx)
@@ -118,6 +131,19 @@
 	return s, nil
 }
 
+// Reload takes a configuration that was read anew and checked. Discovery moves
+// at once; what else differs holds from the next start on, and the log says so.
+// It must not be called by two at a time.
+func (s *Sidecar) Reload(cfg Config) {
+	s.disc.move(cfg.Discovery)
+	line := "reload: discovery at " + cfg.Discovery
+	if later := s.cfg.differs(&cfg); len(later) > 0 {
+		line += "; changed but used from the next start on only: " + strings.Join(later, ", ")
+	}
+	log.Print(line)
+	s.cfg.Discovery = cfg.Discovery
+}
+
 // Addr is where the sidecar listens.
 func (s *Sidecar) Addr() string { return s.front.ln.Addr().String() }
 
@@ -165,6 +191,26 @@
 	ctx.SetConnectionClose()
 }
 
+// busy refuses a request that there is no room for; trying again helps soon.
+func busy(ctx *fasthttp.RequestCtx, why string) {
+	unread(ctx, fasthttp.StatusServiceUnavailable, why)
+	ctx.Response.Header.Set("Retry-After", busyAfter)
+}
+
+// rejectBody answers a request whose body could not be read.
+func rejectBody(ctx *fasthttp.RequestCtx, err error) {
+	switch {
+	case errors.Is(err, errNoRoom):
+		busy(ctx, err.Error())
+	case errors.Is(err, errTooLarge):
+		unread(ctx, fasthttp.StatusRequestEntityTooLarge, err.Error())
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		unread(ctx, fasthttp.StatusRequestTimeout, "body: too slow")
+	default:
+		unread(ctx, fasthttp.StatusBadRequest, "body: "+err.Error())
+	}
+}
+
 func (s *Sidecar) serve(ctx *fasthttp.RequestCtx, cc *clientConn) {
 	h := &ctx.Request.Header
 	uri := h.RequestURI()
@@ -196,7 +242,7 @@
 		unread(ctx, fasthttp.StatusBadRequest, "a GET has no body")
 		return
 	case cc.refused:
-		unread(ctx, fasthttp.StatusServiceUnavailable, "too many connections")
+		busy(ctx, "too many connections")
 		return
 	}
 	c := &call{id: string(id), conn: cc, done: make(chan struct{})}
@@ -205,21 +251,17 @@
 		Work: parseHint(h.Peek("X-Cost-Hint")), Again: string(h.Peek("X-Retry")) == "1",
 	}
 	if !bodiless && length != 0 && ctx.RequestBodyStream() != nil {
-		c.body = &body{budget: s.bodies, held: cc.held}
+		c.body = &body{budget: s.bodies, came: &cc.body}
 		c.body.hold()
 		defer c.body.release()
 		if err := c.body.readFrom(ctx.RequestBodyStream(), length); err != nil {
-			code := fasthttp.StatusBadRequest
-			if errors.Is(err, errTooLarge) {
-				code = fasthttp.StatusRequestEntityTooLarge
-			}
-			unread(ctx, code, "body: "+err.Error())
+			rejectBody(ctx, err)
 			return
 		}
 	}
 	c.head = requestHead(h, c.body.len(), bodiless)
 	q.Deadline = wait
-	cc.setPhase(phaseBusy)
+	cc.busy()
 	if !s.eng.request(c, q) {
 		reject(ctx, fasthttp.StatusConflict, "X-Request-Id: still open")
 		return
@@ -329,9 +371,9 @@
 const (
 	phaseIdle    = iota // between requests
 	phaseReading        // within a request's head or body
-	phaseHeld           // within a body, and held back by the budget
 	phaseBusy           // waiting for the answer
 	phaseHandled        // the answer is being written
+	phaseClosing        // given up while idle: what still comes is not read
 )
 
 // clientConn is a connection of the application.
@@ -346,44 +388,47 @@
 	over    atomic.Bool // the drain reads no further than what is there
 
 	phase atomic.Int32
-	began atomic.Int64 // second of a request's first byte
-	last  atomic.Int64 // second of the last byte read, or of the turn to idle
-	wrote atomic.Int64 // second in which the write under way began, 0 for none
+	asked atomic.Bool  // a whole request has come on it
+	began atomic.Int64 // time of a request's first byte; of the connect for the first request
+	last  atomic.Int64 // time of the turn to idle
+	body  atomic.Int64 // bytes of the body that have come
+	wrote atomic.Int64 // time at which the write under way began, 0 for none
 	once  sync.Once
 }
 
-// held notes that the budget holds the connection back, or no longer does.
-func (c *clientConn) held(on bool) {
-	if on {
-		c.setPhase(phaseHeld)
-		return
-	}
-	c.last.Store(c.front.second.Load())
-	c.setPhase(phaseReading)
-}
-
 func (c *clientConn) setPhase(p int32) { c.phase.Store(p) }
 
+// busy notes that a request is whole.
+func (c *clientConn) busy() {
+	c.asked.Store(true)
+	c.setPhase(phaseBusy)
+}
+
 // Read reads for the server. The end of an idle connection's life is an EOF,
 // not a time-out, since the server would answer that one.
 func (c *clientConn) Read(p []byte) (int, error) {
 	if c.phase.Load() == phaseHandled {
-		c.last.Store(c.front.second.Load())
+		c.last.Store(c.front.now())
+		c.asked.Store(true)
 		c.setPhase(phaseIdle)
 	}
 	if c.ahead && len(p) > 0 {
 		c.ahead = false
 		p[0] = c.early[0]
-		c.note()
+		if !c.note() {
+			return 0, io.EOF
+		}
 		return 1, nil
 	}
 	n, err := c.Conn.Read(p)
 	if n == 0 && c.over.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.rest(p)
 	}
-	if n > 0 {
-		c.note()
-	} else if errors.Is(err, os.ErrDeadlineExceeded) && c.phase.Load() == phaseIdle {
+	switch {
+	case n > 0 && !c.note():
+		return 0, io.EOF
+	case n > 0:
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.phase.Load() != phaseReading:
 		err = io.EOF
 	}
 	return n, err
@@ -403,20 +448,24 @@
 	return n, err
 }
 
-// note takes down that bytes came.
-func (c *clientConn) note() {
-	now := c.front.second.Load()
-	c.last.Store(now)
-	if c.phase.CompareAndSwap(phaseIdle, phaseReading) {
-		c.began.Store(now)
+// note takes down that bytes came; false if the connection was given up just
+// before, and they are as good as never read.
+func (c *clientConn) note() bool {
+	if !c.phase.CompareAndSwap(phaseIdle, phaseReading) {
+		return c.phase.Load() != phaseClosing
 	}
+	c.body.Store(0)
+	if c.asked.Load() {
+		c.began.Store(c.front.now())
+	}
+	return true
 }
 
 func (c *clientConn) Write(p []byte) (int, error) {
 	if c.muted {
 		return 0, net.ErrClosed
 	}
-	c.wrote.Store(c.front.second.Load())
+	c.wrote.Store(c.front.now())
 	n, err := c.Conn.Write(p)
 	c.wrote.Store(0)
 	return n, err
@@ -424,8 +473,35 @@
 
 // Close closes the connection and makes room for another.
 func (c *clientConn) Close() error {
+	err := c.Conn.Close()
 	c.once.Do(func() { c.front.remove(c) })
-	return c.Conn.Close()
+	return err
+}
+
+// unread tells whether the kernel holds bytes of the connection.
+func (c *clientConn) unread() bool {
+	some := false
+	c.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		some = n > 0 && err == nil
+	})
+	return some
+}
+
+// overdue tells whether the client has used up its time.
+func (c *clientConn) overdue(now int64) bool {
+	switch c.phase.Load() {
+	case phaseIdle:
+		if c.asked.Load() {
+			return now-c.last.Load() > idleFor.Milliseconds()
+		}
+		return now-c.began.Load() > silentFor.Milliseconds()
+	case phaseReading:
+		earned := c.body.Load() * 1000 / bodyRate
+		return now-c.began.Load() > wholeIn.Milliseconds()+earned
+	}
+	return false
 }
 
 // await waits until done is closed, which comes with a read deadline, and
@@ -454,7 +530,7 @@
 type front struct {
 	ln            *net.TCPListener
 	serve, refuse int
-	second        atomic.Int64 // a coarse clock
+	start         time.Time
 	draining      atomic.Bool
 
 	mu    sync.Mutex
@@ -463,16 +539,18 @@
 }
 
 func newFront(ln *net.TCPListener, sockets int) *front {
-	f := &front{ln: ln, conns: map[*clientConn]bool{}}
+	f := &front{ln: ln, conns: map[*clientConn]bool{}, start: time.Now()}
 	f.freed.L = &f.mu
 	f.serve, f.refuse = clientShares(sockets)
-	f.second.Store(1)
 	return f
 }
 
-// Accept takes the next connection. When there are too many, the one that has
-// been idle longest is closed; if none is idle, the new one's request is
-// refused, and when even those are many, connections wait in the kernel.
+// now is the time in milliseconds, never 0.
+func (f *front) now() int64 { return time.Since(f.start).Milliseconds() + 1 }
+
+// Accept takes the next connection. Over the share, the one that nobody misses
+// most is closed for it; if there is none, its request is refused at once, and
+// when even those are many, connections wait in the kernel.
 func (f *front) Accept() (net.Conn, error) {
 	for {
 		f.mu.Lock()
@@ -496,14 +574,14 @@
 			continue
 		}
 		c := &clientConn{Conn: nc, raw: raw, front: f}
-		c.last.Store(f.second.Load())
+		c.began.Store(f.now())
 		f.mu.Lock()
 		full := len(f.conns) >= f.serve
+		f.mu.Unlock()
+		c.refused = full && !f.evict()
+		f.mu.Lock()
 		f.conns[c] = true
 		f.mu.Unlock()
-		if full && !f.evict() {
-			c.refused = true
-		}
 		return c, nil
 	}
 }
@@ -512,20 +590,60 @@
 func (f *front) Close() error   { return f.ln.Close() }
 func (f *front) Addr() net.Addr { return f.ln.Addr() }
 
-// evict closes the connection that has been idle longest.
+// evict gives up the idle connection that is missed least, and tells whether
+// there was one. It guards against all that fills the share without asking:
+// connects that say nothing, clients that ask once and stay, pools larger than
+// they need to be. Those that never asked go first, whatever their age, since
+// a burst of them is as young as the usual client's connection behind it. One
+// with unread bytes stays. It might harm clients that connect long before they
+// ask; they find a closed connection and open another.
 func (f *front) evict() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var oldest *clientConn
-	for c := range f.conns {
-		if c.phase.Load() == phaseIdle && c.last.Load() < f.second.Load() && (oldest == nil || c.last.Load() < oldest.last.Load()) {
-			oldest = c
+	for {
+		var worst *clientConn
+		for c := range f.conns {
+			if c.phase.Load() == phaseIdle && (worst == nil || c.before(worst)) {
+				worst = c
+			}
+		}
+		if worst == nil {
+			return false
+		}
+		if worst.unread() {
+			// It is about to be read.
+			if !worst.phase.CompareAndSwap(phaseIdle, phaseReading) {
+				continue
+			}
+			worst.body.Store(0)
+			if worst.asked.Load() {
+				worst.began.Store(f.now())
+			}
+			continue
+		}
+		if worst.giveUp() {
+			return true
 		}
 	}
-	if oldest == nil {
+}
+
+// before tells whether c is missed less than d.
+func (c *clientConn) before(d *clientConn) bool {
+	if c.asked.Load() != d.asked.Load() {
+		return d.asked.Load()
+	}
+	if c.asked.Load() {
+		return c.last.Load() < d.last.Load()
+	}
+	return c.began.Load() < d.began.Load()
+}
+
+// giveUp ends an idle connection; false if a request has begun on it.
+func (c *clientConn) giveUp() bool {
+	if !c.phase.CompareAndSwap(phaseIdle, phaseClosing) {
 		return false
 	}
-	oldest.SetReadDeadline(past)
+	c.SetReadDeadline(past)
 	return true
 }
 
@@ -563,9 +681,10 @@
 	return len(f.conns) == 0
 }
 
-// sweep moves the coarse clock and cuts off clients that make no progress.
+// sweep cuts off the clients that have used up their time: with nothing asked,
+// with half a request, or with an answer that they do not read.
 func (f *front) sweep(stop <-chan struct{}) {
-	tick := time.NewTicker(time.Second)
+	tick := time.NewTicker(sweepClient)
 	defer tick.Stop()
 	for {
 		select {
@@ -573,13 +692,13 @@
 			return
 		case <-tick.C:
 		}
-		now := f.second.Add(1)
+		now := f.now()
 		f.mu.Lock()
 		for c := range f.conns {
-			if c.phase.Load() == phaseReading && now-c.last.Load() > readStall {
+			if c.overdue(now) && !c.giveUp() && c.phase.Load() == phaseReading {
 				c.SetReadDeadline(past)
 			}
-			if w := c.wrote.Load(); w > 0 && now-w > writeStall {
+			if w := c.wrote.Load(); w > 0 && now-w > writeStall.Milliseconds() {
 				c.SetWriteDeadline(past)
 			}
 		}
