Turn away what is outside the protocol; tell spoilt answers from whole ones

An answer that stops for 300 ms is spoilt. Spoilt answers are errors to the module (three in a row eject), not resets (two). A connection rests 5 ms before its next use, so that late bytes and closes show. Module: clock and ejections kept the servers that had gone (members.go, forgetGone).

--- /dev/null
+++ b/balance/churn_test.go
@@ -0,0 +1,37 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// What is kept of servers that have gone must go with them, however many come
+// and go and whether or not one of them ever refuses a connection.
+func TestGoneServersAreForgotten(t *testing.T) {
+	b, _ := New(site(), 3)
+	now := time.Minute
+	for round := range 200 {
+		list := fleet(8)
+		for i := range list {
+			list[i].ID = fmt.Sprintf("r%d-%s", round, list[i].ID)
+		}
+		b.Members(now, ListFull, list, nil)
+		for i := range 20 {
+			now += 5 * ms
+			id := fmt.Sprintf("%d-%d", round, i)
+			b.Request(now, Request{ID: id, Class: "read", Deadline: now + 500*ms}, nil)
+			b.Outcome(now, Outcome{Request: id, Status: Error, Took: ms}, nil)
+			b.Left(now, id, nil)
+		}
+	}
+	if n := len(b.byID); n != 8 {
+		t.Fatalf("%d servers known", n)
+	}
+	if len(b.clock) > 8 || len(b.ejections) > 8 || len(b.ready) > 8 || len(b.all) > 8 {
+		t.Errorf("kept of 8 servers: %d in the clock, %d ejections, %d ready, %d in all", len(b.clock), len(b.ejections), len(b.ready), len(b.all))
+	}
+	if now += time.Hour; len(b.Timer(now, 0, nil)) >= 0 && (len(b.requests) > 0 || len(b.wakes) > 1) {
+		t.Errorf("%d requests and %d wakes kept", len(b.requests), len(b.wakes))
+	}
+}
--- a/balance/members.go
+++ b/balance/members.go
@@ -143,6 +143,7 @@
 		}
 	}
 	b.all = slices.DeleteFunc(b.all, gone)
+	b.clock, b.ejections = slices.DeleteFunc(b.clock, gone), slices.DeleteFunc(b.ejections, gone)
 	b.ring.points = slices.DeleteFunc(b.ring.points, func(p ringPoint) bool { return gone(p.server) })
 }
 
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -10,7 +10,6 @@
 	"os"
 	"reflect"
 	"strconv"
-	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -126,12 +125,3 @@
 	}
 	return names
 }
-
-// longest is the longest deadline of any class.
-func (c *Config) longest() time.Duration {
-	var d time.Duration
-	for i := range c.Settings.Classes {
-		d = max(d, c.Settings.Classes[i].Deadline)
-	}
-	return d
-}
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -1,10 +1,13 @@
 package sidecar
 
 import (
+	"hash/maphash"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"pipittrestle/balance"
 )
 
@@ -31,8 +34,8 @@
 	out     []*attempt // every attempt that has not ended
 	pool    *pool
 	watch   func() // asks discovery
-	classes map[string]time.Duration
-	longest time.Duration
+	classes map[string]*balance.Class
+	used    usedIDs
 }
 
 // call is one request of a client, from its last byte until it is answered and
@@ -54,7 +57,7 @@
 type answer struct {
 	kind balance.ActionKind // Send for an upstream's response
 	wait time.Duration      // advice with a refusal
-	resp *response
+	resp *fasthttp.Response
 }
 
 // attempt is one sending of a call to an upstream.
@@ -69,12 +72,11 @@
 	at     int // place in engine.out
 
 	// Behind the engine's mutex.
-	conn      *conn
-	stopDial  func()
-	written   bool // the last byte may be out
-	streaming bool // the client gets its answer already
-	ended     bool
-	status    balance.Status
+	conn     *conn
+	stopDial func()
+	written  bool // the last byte may be out
+	ended    bool
+	status   balance.Status
 }
 
 func newEngine(cfg *Config) (*engine, error) {
@@ -89,11 +91,12 @@
 		hosts:   map[string]*host{},
 		pool:    newPool(cfg.Conns, upstreamShare(cfg.Sockets)),
 		watch:   func() {},
-		classes: map[string]time.Duration{},
-		longest: cfg.longest(),
+		classes: map[string]*balance.Class{},
+		used:    newUsedIDs(),
 	}
-	for _, c := range cfg.Settings.Classes {
-		e.classes[c.Name] = c.Deadline
+	for i := range cfg.Settings.Classes {
+		c := &cfg.Settings.Classes[i]
+		e.classes[c.Name] = c
 	}
 	e.timer = time.AfterFunc(time.Hour, e.tick)
 	return e, nil
@@ -103,20 +106,17 @@
 // the module is given never go back.
 func (e *engine) now() time.Duration { return clockOrigin + time.Since(e.start) }
 
-// deadline is how long a client waits that does not say so.
-func (e *engine) deadline(class []byte) time.Duration {
-	if d, ok := e.classes[string(class)]; ok {
-		return d
-	}
-	return e.longest
-}
+// class returns the class of that name, nil if there is none. Classes do not
+// change after the start.
+func (e *engine) class(name string) *balance.Class { return e.classes[name] }
 
-// request hands a call to the module; false means that its id is still open.
-// The module would pass over such a request without an answer.
+// request hands a call to the module; false means that its id is still open or
+// was used lately. The module would pass over the one without an answer, and
+// run the other again.
 func (e *engine) request(c *call, q balance.Request) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.calls[c.id] != nil {
+	if e.calls[c.id] != nil || !e.used.add(c.id) {
 		return false
 	}
 	e.calls[c.id] = c
@@ -152,20 +152,28 @@
 func (e *engine) expire(now time.Duration) {
 	for i := 0; i < len(e.out); {
 		a := e.out[i]
-		if a.until > now || a.streaming {
+		if a.until > now {
 			i++
 			continue
 		}
-		status := balance.Timeout
-		if !a.written {
-			status = balance.ConnectFailed
-		}
-		e.close(a, status)
+		e.close(a, a.lateStatus(now))
 		e.tell(a, now, now-a.sent)
 		i = 0
 	}
 }
 
+// lateStatus is how an attempt ends whose time is up. One that had too little
+// of it to connect says nothing of the upstream.
+func (a *attempt) lateStatus(now time.Duration) balance.Status {
+	switch {
+	case a.written:
+		return balance.Timeout
+	case now-a.sent >= a.eng.pool.dial:
+		return balance.ConnectFailed
+	}
+	return balance.NeverSent
+}
+
 // members hands a list to the module.
 func (e *engine) members(kind balance.ListKind, entries []entry) {
 	e.mu.Lock()
@@ -243,7 +251,7 @@
 		e.reply(c, answer{kind: x.Kind, wait: x.Wait})
 	case balance.Cancel:
 		if c != nil && x.Number < len(c.attempts) {
-			if a := c.attempts[x.Number]; !a.ended && !a.streaming {
+			if a := c.attempts[x.Number]; !a.ended {
 				e.close(a, balance.Cancelled)
 				e.lapsed = append(e.lapsed, a)
 			}
@@ -323,10 +331,9 @@
 	e.forget(a.call)
 }
 
-// end takes an attempt's end from its goroutine; took is 0 for until now. It
-// returns false where the attempt was given up before: its connection must not
+// end takes an attempt's end from its goroutine. It returns false where the attempt was given up before: its connection must not
 // be used again then.
-func (e *engine) end(a *attempt, status balance.Status, took time.Duration, resp *response) bool {
+func (e *engine) end(a *attempt, status balance.Status, resp *fasthttp.Response) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if a.ended {
@@ -335,11 +342,8 @@
 	a.conn = nil
 	e.close(a, status)
 	now := e.now()
-	if took == 0 {
-		took = now - a.sent
-	}
 	answered := a.call.answered
-	e.tell(a, now, took)
+	e.tell(a, now, now-a.sent)
 	if status == balance.OK && !answered {
 		e.reply(a.call, answer{kind: balance.Send, resp: resp})
 	}
@@ -354,29 +358,60 @@
 	return !a.ended
 }
 
-// attach notes the attempt's connection, and whether its last byte goes out
-// next. From then on it may run. It returns the time left, and false if the
-// attempt was given up: nothing may be written then.
-func (e *engine) attach(a *attempt, c *conn, last bool) (time.Duration, bool) {
+// attach notes the attempt's connection, on which it is written next. From then
+// on it may run. It returns the time left, and false if the attempt was given
+// up: nothing may be written then.
+func (e *engine) attach(a *attempt, c *conn) (time.Duration, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if a.ended {
 		return 0, false
 	}
-	a.stopDial, a.conn, a.written = nil, c, last
+	a.stopDial, a.conn, a.written = nil, c, true
 	return a.until - e.now(), true
 }
 
-// stream makes the attempt's answer the client's before it is whole; false if
-// the attempt was given up.
-func (e *engine) stream(a *attempt, resp *response) bool {
+// arm bounds the next read of an attempt's answer; false if the attempt was
+// given up, whose connection must not get more time.
+func (e *engine) arm(a *attempt, c *conn) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if a.ended || a.call.answered {
+	if a.ended {
 		return false
 	}
-	a.streaming, a.conn = true, nil
-	e.carry(e.bal.Started(e.now(), a.call.id, a.number, e.acts[:0]))
-	e.reply(a.call, answer{kind: balance.Send, resp: resp})
+	c.SetReadDeadline(time.Now().Add(stall))
+	return true
+}
+
+// usedIDs remembers the ids of the latest requests, by their hashes. An id
+// comes with one request only; one that comes again, after the first was
+// answered and forgotten, would run twice what may run once. It guards against
+// clients that send the same bytes again and those that take others' ids. It
+// might harm where an id is used again on purpose: the protocol has none.
+type usedIDs struct {
+	seed maphash.Seed
+	has  map[uint64]bool
+	ring []uint64
+	next int
+}
+
+const mostUsed = 8192 // ids remembered
+
+func newUsedIDs() usedIDs { return usedIDs{seed: maphash.MakeSeed(), has: map[uint64]bool{}} }
+
+// add takes an id in; false if it is there already.
+func (u *usedIDs) add(id string) bool {
+	h := maphash.String(u.seed, id)
+	if u.has[h] {
+		return false
+	}
+	u.has[h] = true
+	if len(u.ring) < mostUsed {
+		u.ring = append(u.ring, h)
+		return true
+	}
+	delete(u.has, u.ring[u.next])
+	u.ring[u.next] = h
+	u.next = (u.next + 1) % mostUsed
 	return true
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -220,37 +220,18 @@
 		}
 		return
 	}
-	class := classOf(uri)
-	id := h.Peek("X-Request-Id")
-	wait, ok := parseDeadline(h.Peek("X-Deadline"))
-	if !ok {
-		wait = s.eng.deadline(class)
-	}
-	length := h.ContentLength()
-	bodiless := ctx.IsGet() || ctx.IsHead()
+	q, bad := s.check(h)
 	switch {
-	case len(class) == 0:
-		unread(ctx, fasthttp.StatusBadRequest, "path: expected a class as its first part")
-		return
-	case len(id) == 0:
-		unread(ctx, fasthttp.StatusBadRequest, "X-Request-Id: missing")
-		return
-	case !ok && len(h.Peek("X-Deadline")) > 0:
-		unread(ctx, fasthttp.StatusBadRequest, "X-Deadline: expected seconds")
-		return
-	case bodiless && (length > 0 || length == -1):
-		unread(ctx, fasthttp.StatusBadRequest, "a GET has no body")
+	case bad != nil:
+		unread(ctx, bad.code, bad.why)
 		return
 	case cc.refused:
 		busy(ctx, "too many connections")
 		return
 	}
-	c := &call{id: string(id), conn: cc, done: make(chan struct{})}
-	q := balance.Request{
-		ID: c.id, Class: string(class), Tenant: string(h.Peek("X-Tenant")), Key: string(h.Peek("X-Key")),
-		Work: parseHint(h.Peek("X-Cost-Hint")), Again: string(h.Peek("X-Retry")) == "1",
-	}
-	if !bodiless && length != 0 && ctx.RequestBodyStream() != nil {
+	bodiless := ctx.IsGet()
+	c := &call{id: q.ID, conn: cc, done: make(chan struct{})}
+	if length := h.ContentLength(); !bodiless && length != 0 && ctx.RequestBodyStream() != nil {
 		c.body = &body{budget: s.bodies, came: &cc.body}
 		c.body.hold()
 		defer c.body.release()
@@ -260,39 +241,20 @@
 		}
 	}
 	c.head = requestHead(h, c.body.len(), bodiless)
-	q.Deadline = wait
 	cc.busy()
 	if !s.eng.request(c, q) {
-		reject(ctx, fasthttp.StatusConflict, "X-Request-Id: still open")
+		unread(ctx, fasthttp.StatusConflict, "X-Request-Id: in use or used before")
 		return
 	}
 	if gone := cc.await(c.done); gone {
 		s.eng.left(c)
-		ctx.SetConnectionClose()
-		// The answer may have come just then; a stream must be let go.
-		select {
-		case <-c.done:
-			c.answer.drop()
-		default:
-		}
-		reject(ctx, fasthttp.StatusBadRequest, "client gone")
-		ctx.SetConnectionClose()
+		unread(ctx, fasthttp.StatusBadRequest, "client gone")
 		return
 	}
 	cc.SetReadDeadline(time.Time{})
 	respond(ctx, &c.answer)
 }
 
-// drop lets an answer go that nobody gets.
-func (a *answer) drop() {
-	if a.resp == nil {
-		return
-	}
-	if a.resp.rest != nil {
-		a.resp.rest.Close()
-	}
-}
-
 // respond writes the answer that the module decided on.
 func respond(ctx *fasthttp.RequestCtx, a *answer) {
 	switch {
@@ -305,50 +267,14 @@
 		reject(ctx, fasthttp.StatusBadGateway, "failed")
 	default:
 		r := a.resp
-		n := r.Header.ContentLength()
 		r.Header.CopyTo(&ctx.Response.Header)
 		for _, name := range []string{"Connection", "Keep-Alive", "Trailer", "X-Not-Run"} {
 			ctx.Response.Header.Del(name)
 		}
 		ctx.Response.Header.ResetConnectionClose()
-		if r.rest != nil {
-			ctx.Response.ImmediateHeaderFlush = true
-			ctx.Response.SetBodyStream(r.rest, max(n, -1))
-			return
-		}
 		ctx.Response.SetBody(r.Body())
-		fasthttp.ReleaseResponse(r.Response)
-	}
-}
-
-// classOf returns the first part of the path.
-func classOf(uri []byte) []byte {
-	if len(uri) == 0 || uri[0] != '/' {
-		return nil
-	}
-	uri = uri[1:]
-	if i := bytes.IndexAny(uri, "/?#"); i >= 0 {
-		uri = uri[:i]
-	}
-	return uri
-}
-
-// parseDeadline reads how long the client waits; false if it does not say so.
-func parseDeadline(text []byte) (time.Duration, bool) {
-	f, err := strconv.ParseFloat(string(text), 64)
-	if err != nil || !(f >= 0) || f > 1e6 {
-		return 0, false
-	}
-	return time.Duration(f * float64(time.Second)), true
-}
-
-// parseHint reads a guess at the work; a bad one is none.
-func parseHint(text []byte) time.Duration {
-	n, err := strconv.ParseUint(string(text), 10, 40)
-	if err != nil {
-		return 0
+		fasthttp.ReleaseResponse(r)
 	}
-	return time.Duration(n) * time.Microsecond
 }
 
 // requestHead returns the head that goes on to upstreams, without X-Deadline
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -176,10 +176,10 @@
 	if _, err := io.WriteString(c, text); err != nil {
 		return nil, ""
 	}
-	return readAnswer(t, c)
+	return clientAnswer(t, c)
 }
 
-func readAnswer(t *testing.T, c net.Conn) (*http.Response, string) {
+func clientAnswer(t *testing.T, c net.Conn) (*http.Response, string) {
 	t.Helper()
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
@@ -228,7 +228,7 @@
 		id := newID()
 		c := dialClient(t, s)
 		io.WriteString(c, readRequest(id))
-		if r, body := readAnswer(t, c); r == nil || r.StatusCode != 200 || body != id {
+		if r, body := clientAnswer(t, c); r == nil || r.StatusCode != 200 || body != id {
 			t.Fatalf("with others staying, a request was answered %v %q", r, body)
 		}
 	}
@@ -271,7 +271,7 @@
 		io.WriteString(c, body[:10<<10])
 		time.Sleep(550 * time.Millisecond)
 	}
-	if r, got := readAnswer(t, c); r == nil || r.StatusCode != 200 || got != id {
+	if r, got := clientAnswer(t, c); r == nil || r.StatusCode != 200 || got != id {
 		t.Fatalf("answered %v %q", r, got)
 	}
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -22,12 +23,18 @@
 	// pool stops using it: a request that crosses the close may have run.
 	idleMargin = 400 * time.Millisecond
 	sweepEvery = 500 * time.Millisecond
-	// buffered is the largest answer that is held whole before any of it goes
-	// to the client; a larger one is passed on as it comes.
-	buffered = 64 << 10
-	// stall is how long an upstream may pause in an answer under way. It
-	// pauses 0.1 s at most, and the client must hear of a cut one.
-	stall      = 2 * time.Second
+	// restFor is how long a connection rests before its next use. Bytes that do
+	// not belong to its last answer, and the news that the upstream closed it,
+	// come right behind the answer: by then they show.
+	restFor = 5 * time.Millisecond
+	// mostAnswer is the protocol's bound on a body.
+	mostAnswer = 64 << 10
+	// stall is how long an upstream may pause within an answer. It guards
+	// against heads and bodies that never end and lengths that are too large:
+	// without it the request would wait until its time is up, and the upstream
+	// be held to hang. It might harm one that sends the head long before the
+	// body: that answer counts as failed.
+	stall      = 300 * time.Millisecond
 	readBuffer = 8 << 10 // also the largest response head
 	interim    = 8       // 1xx responses before the real one
 )
@@ -49,6 +56,8 @@
 	host   *host
 	idleAt time.Time
 	probe  [1]byte
+	arm    func() bool // for the attempt's answer; nil while nothing has come
+	begun  bool        // the answer has begun
 }
 
 // newConn wraps a connection that is up.
@@ -58,7 +67,21 @@
 		nc.Close()
 		return nil, err
 	}
-	return &conn{Conn: nc, raw: raw, br: bufio.NewReaderSize(nc, readBuffer), host: h}, nil
+	c := &conn{Conn: nc, raw: raw, host: h}
+	c.br = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
+}
+
+// Read reads an answer. Once it has begun, each further read is bounded.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.begun && !c.arm() {
+		return 0, net.ErrClosed
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.begun = true
+	}
+	return n, err
 }
 
 // quiet tells whether nothing has come on an idle connection. A FIN means that
@@ -87,17 +110,22 @@
 	return &pool{hosts: map[*host]bool{}, most: most, idle: max(set.Idle-idleMargin, set.Idle/2), dial: set.Dial}
 }
 
-// take returns an idle connection to h, the one used last, or nil.
-func (p *pool) take(h *host) *conn {
+// take returns the idle connection to h that was used last, of those that have
+// rested; one that has not only if rested is false. It may return nil.
+func (p *pool) take(h *host, rested bool) *conn {
 	for {
 		p.mu.Lock()
-		n := len(h.idle)
-		if n == 0 || time.Since(h.idle[n-1].idleAt) >= p.idle {
+		now := time.Now()
+		n := len(h.idle) - 1
+		for rested && n >= 0 && now.Sub(h.idle[n].idleAt) < restFor {
+			n--
+		}
+		if n < 0 || now.Sub(h.idle[n].idleAt) >= p.idle {
 			p.mu.Unlock()
 			return nil
 		}
-		c := h.idle[n-1]
-		p.remove(h, n-1)
+		c := h.idle[n]
+		p.remove(h, n)
 		p.mu.Unlock()
 		if c.quiet() {
 			return c
@@ -125,7 +153,7 @@
 		p.discard(c)
 		return
 	}
-	c.idleAt = time.Now()
+	c.idleAt, c.arm, c.begun = time.Now(), nil, false
 	h.idle = append(h.idle, c)
 	p.hosts[h] = true
 	p.mu.Unlock()
@@ -216,55 +244,68 @@
 	}
 }
 
-// connect returns a kept connection or opens one; nil if none comes up.
-func (a *attempt) connect() *conn {
+// connect returns a kept connection or opens one. If there is none it says how
+// the attempt ended: for want of the sidecar's own descriptors, which says
+// nothing of the upstream, or because the upstream is not there.
+func (a *attempt) connect() (*conn, balance.Status) {
 	p := a.eng.pool
-	if c := p.take(a.host); c != nil {
-		return c
+	if c := p.take(a.host, true); c != nil {
+		return c, 0
 	}
 	if !p.reserve() {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), p.dial)
-	defer cancel()
-	if a.eng.dialing(a, cancel) {
-		d := net.Dialer{KeepAlive: -1}
-		if nc, err := d.DialContext(ctx, "tcp", a.host.addr); err == nil {
-			if c, err := newConn(nc, a.host); err == nil {
-				return c
-			}
+		if c := p.take(a.host, false); c != nil {
+			return c, 0
 		}
+		return nil, balance.NeverSent
+	}
+	if c := a.dial(); c != nil {
+		return c, 0
 	}
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
-	return nil
+	return nil, balance.ConnectFailed
+}
+
+// dial opens a connection within the time for it; nil if none comes up.
+func (a *attempt) dial() *conn {
+	ctx, cancel := context.WithTimeout(context.Background(), a.eng.pool.dial)
+	defer cancel()
+	if !a.eng.dialing(a, cancel) {
+		return nil
+	}
+	d := net.Dialer{KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", a.host.addr)
+	if err != nil {
+		return nil
+	}
+	c, err := newConn(nc, a.host)
+	if err != nil {
+		return nil
+	}
+	return c
 }
 
 // run carries out the attempt and reports its end, unless the engine has ended
 // it before.
 func (a *attempt) run() {
 	defer a.call.body.release()
-	c := a.connect()
+	c, status := a.connect()
 	if c == nil {
-		a.eng.end(a, balance.ConnectFailed, 0, nil)
+		a.eng.end(a, status, nil)
 		return
 	}
-	large := a.call.body.len() > buffered
-	left, ok := a.eng.attach(a, c, !large)
+	left, ok := a.eng.attach(a, c)
 	if !ok {
 		a.eng.pool.put(c) // nothing was written on it
 		return
 	}
+	c.arm = func() bool { return a.eng.arm(a, c) }
 	head := make([]byte, 0, len(a.call.head)+64)
 	head = append(head, a.call.head...)
 	head = append(head, "X-Deadline: "...)
 	head = strconv.AppendFloat(head, max(left.Seconds(), 0.001), 'f', 4, 64)
 	head = append(head, "\r\n\r\n"...)
-	if large {
-		a.exchangeLarge(c, head)
-		return
-	}
 	bufs := net.Buffers{head}
 	if a.call.body != nil {
 		bufs = append(bufs, a.call.body.chunks...)
@@ -275,117 +316,112 @@
 	} else {
 		_, err = bufs.WriteTo(c.Conn)
 	}
-	a.receive(c, func() bool { return err == nil })
-}
-
-// exchangeLarge writes a body of many pieces while it waits for the answer: an
-// upstream may turn the request away before it has read all, and its answer
-// must not be missed behind a write that blocks.
-func (a *attempt) exchangeLarge(c *conn, head []byte) {
-	done := make(chan bool, 1)
-	go func() {
-		chunks := a.call.body.chunks
-		if _, err := c.Write(head); err != nil {
-			done <- false
-			return
-		}
-		for i, chunk := range chunks {
-			if i == len(chunks)-1 {
-				if _, ok := a.eng.attach(a, c, true); !ok {
-					done <- false
-					return
-				}
-			}
-			if _, err := c.Write(chunk); err != nil {
-				done <- false
-				return
-			}
-		}
-		done <- true
-	}()
-	var once sync.Once
-	var complete bool
-	written := func() bool {
-		once.Do(func() {
-			select {
-			case complete = <-done:
-			default:
-				c.SetWriteDeadline(past)
-				complete = <-done
-			}
-		})
-		return complete
-	}
-	a.receive(c, written)
-	written() // the body's pieces are given back after this
+	a.receive(c, err == nil)
 }
 
-// receive reads the response and reports the attempt's end. written stops the
-// writing, if it still goes on, and tells whether the last byte went out.
-func (a *attempt) receive(c *conn, written func() bool) {
-	e := a.eng
+// receive reads the answer and reports the attempt's end; written tells whether
+// the request's last byte went out. Whatever is wrong with an answer, the
+// request may have run, and the connection is of no further use.
+func (a *attempt) receive(c *conn, written bool) {
 	resp := fasthttp.AcquireResponse()
-	if err := readHead(resp, c.br); err != nil {
-		fasthttp.ReleaseResponse(resp)
+	err := readAnswer(resp, c.br)
+	// The framing tells where an answer ends. What is there behind it is not
+	// the client's, and nothing on that connection can be told apart any more.
+	clean := err == nil && written && !resp.ConnectionClose() && c.br.Buffered() == 0
+	status := answerStatus(resp, err)
+	if status == balance.Reset && !written {
 		// Only a request whose last byte was not written is known not to have
 		// run.
-		status := balance.Reset
-		if !written() {
-			status = balance.ConnectFailed
-		}
-		e.end(a, status, 0, nil)
-		e.pool.discard(c)
-		return
+		status = balance.ConnectFailed
 	}
-	if code := resp.StatusCode(); code != fasthttp.StatusOK {
-		status := balance.Error
-		if (code == fasthttp.StatusServiceUnavailable || code == fasthttp.StatusGatewayTimeout) &&
-			string(resp.Header.Peek("X-Not-Run")) == "1" {
-			status = balance.Full
-		}
-		n := resp.Header.ContentLength()
-		clean := e.end(a, status, 0, nil) && written() && !resp.ConnectionClose() && n >= 0 && n == c.br.Buffered()
+	if status != balance.OK {
 		fasthttp.ReleaseResponse(resp)
-		if clean {
-			c.br.Discard(n)
-			e.pool.put(c)
-		} else {
-			e.pool.discard(c)
-		}
-		return
+		resp = nil
 	}
-	first, whole, err := readBody(resp, c.br)
-	if err != nil {
-		written()
-		e.end(a, balance.Reset, 0, nil)
-		fasthttp.ReleaseResponse(resp)
-		e.pool.discard(c)
+	ok := a.eng.end(a, status, resp)
+	if clean && ok {
+		c.SetReadDeadline(time.Time{})
+		a.eng.pool.put(c)
 		return
 	}
-	reusable := written() && !resp.ConnectionClose()
-	if whole {
-		reusable = reusable && resp.Header.ContentLength() != -2 && c.br.Buffered() == 0
-		r := &response{Response: resp}
-		ok := e.end(a, balance.OK, 0, r)
-		switch {
-		case ok && reusable:
-			e.pool.put(c)
-		default:
-			e.pool.discard(c)
+	a.eng.pool.discard(c)
+}
+
+// answerStatus is how an attempt ended with that answer, or that error.
+func answerStatus(resp *fasthttp.Response, err error) balance.Status {
+	var spoilt *spoiltError
+	switch {
+	case errors.As(err, &spoilt):
+		return balance.Error
+	case err != nil:
+		return balance.Reset
+	}
+	switch resp.StatusCode() {
+	case fasthttp.StatusOK:
+		return balance.OK
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusGatewayTimeout:
+		if string(resp.Header.Peek("X-Not-Run")) == "1" {
+			return balance.Full
 		}
-		return
 	}
-	rest := &relay{attempt: a, conn: c, first: first, src: resp.BodyStream(), reusable: reusable}
-	rest.took = rest.elapsed()
-	a.call.body.hold()
-	if !e.stream(a, &response{Response: resp, rest: rest}) {
-		rest.Close()
+	return balance.Error
+}
+
+// spoiltError is an answer that came and can't be used. The upstream lives and
+// has answered: that counts as an error, not as a reset.
+type spoiltError struct{ why string }
+
+func (e *spoiltError) Error() string { return "spoilt answer: " + e.why }
+
+// readAnswer reads a whole answer, within the protocol's bounds: one whose
+// length can't be known, or that is too long, is spoilt. io errors before its
+// first byte are returned as they are.
+func readAnswer(resp *fasthttp.Response, br *bufio.Reader) error {
+	if _, err := br.Peek(1); err != nil {
+		return err
+	}
+	if err := readHead(resp, br); err != nil {
+		return spoiltBy(err)
+	}
+	switch n := resp.Header.ContentLength(); {
+	case resp.StatusCode() != fasthttp.StatusOK:
+		// Its head says all; a body that is not there yet is not waited for.
+		if n < 0 || n != br.Buffered() {
+			resp.SetConnectionClose()
+			return nil
+		}
+		br.Discard(n)
+		return nil
+	case n == -2:
+		return &spoiltError{"no length"}
+	case n > mostAnswer:
+		return &spoiltError{"too long"}
+	}
+	if err := resp.ReadBody(br, mostAnswer); err != nil {
+		return spoiltBy(err)
+	}
+	return nil
+}
+
+// spoiltBy tells an answer that is wrong from one that broke off with its
+// connection, which the upstream's end explains.
+func spoiltBy(err error) error {
+	var op *net.OpError
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &spoiltError{"it does not go on"}
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &op):
+		return err
 	}
+	return &spoiltError{err.Error()}
 }
 
 // readHead reads the head of the response that is not an interim one.
 func readHead(resp *fasthttp.Response, br *bufio.Reader) error {
 	for range interim {
+		if err := startsRight(br); err != nil {
+			return err
+		}
 		if err := resp.Header.Read(br); err != nil {
 			return err
 		}
@@ -396,132 +432,18 @@
 	return errors.New("too many interim responses")
 }
 
-// readBody reads a body that is to be buffered into resp. Of a larger one it
-// returns the first bytes, and resp has the rest as a stream.
-func readBody(resp *fasthttp.Response, br *bufio.Reader) (first []byte, whole bool, err error) {
-	n := resp.Header.ContentLength()
-	if n >= 0 && n <= buffered {
-		return nil, true, resp.ReadBody(br, 0)
-	}
-	resp.StreamBody = true
-	if err := resp.ReadBody(br, 0); err != nil {
-		return nil, false, err
-	}
-	first = make([]byte, 4<<10, buffered+1)
-	if n > buffered {
-		k, err := resp.BodyStream().Read(first)
-		return first[:k], false, err
-	}
-	first = first[:0]
-	for len(first) <= buffered {
-		if len(first) == cap(first) {
-			first = append(first, 0)[:len(first)]
-		}
-		k, err := resp.BodyStream().Read(first[len(first):cap(first)])
-		first = first[:len(first)+k]
-		if err == io.EOF {
-			resp.CloseBodyStream()
-			resp.SetBodyRaw(first)
-			return nil, true, nil
-		}
+// startsRight looks at a head's first bytes as they come: noise may well have
+// no line end to wait for.
+func startsRight(br *bufio.Reader) error {
+	const start = "HTTP/1."
+	for n := 1; n <= len(start); n++ {
+		b, err := br.Peek(n)
 		if err != nil {
-			return nil, false, err
-		}
-	}
-	return first, false, nil
-}
-
-// response is an upstream's 200 answer, whole or with the rest to come.
-type response struct {
-	*fasthttp.Response
-	rest *relay
-}
-
-// relay passes a large answer on as it comes. Its Close reports the attempt's
-// end; one cut short leaves the client with fewer bytes than announced.
-type relay struct {
-	attempt  *attempt
-	conn     *conn
-	first    []byte
-	src      io.Reader
-	took     time.Duration
-	reusable bool
-	whole    bool
-	broken   bool
-	closed   bool
-}
-
-func (r *relay) elapsed() time.Duration {
-	e := r.attempt.eng
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.now() - r.attempt.sent
-}
-
-// Read reads on, but waits for the upstream only so long: one that hangs in
-// the middle must not hold the client.
-func (r *relay) Read(p []byte) (int, error) {
-	if len(r.first) > 0 {
-		n := copy(p, r.first)
-		r.first = r.first[n:]
-		return n, nil
-	}
-	if r.whole {
-		return 0, io.EOF
-	}
-	r.conn.SetReadDeadline(time.Now().Add(stall))
-	n, err := r.src.Read(p)
-	if err == io.EOF {
-		r.whole = true
-	} else if err != nil {
-		r.broken = true
-	}
-	return n, err
-}
-
-// WriteTo is Read in larger pieces than the server's own buffer.
-func (r *relay) WriteTo(w io.Writer) (int64, error) {
-	buf := make([]byte, 32<<10)
-	var total int64
-	for {
-		n, err := r.Read(buf)
-		if n > 0 {
-			m, werr := w.Write(buf[:n])
-			total += int64(m)
-			if werr != nil {
-				return total, werr
-			}
-		}
-		if err == io.EOF {
-			return total, nil
+			return err
 		}
-		if err != nil {
-			return total, err
+		if string(b) != start[:n] {
+			return errors.New("not HTTP/1")
 		}
 	}
-}
-
-// Close ends the attempt.
-func (r *relay) Close() error {
-	if r.closed {
-		return nil
-	}
-	r.closed = true
-	status := balance.Cancelled
-	switch {
-	case r.whole:
-		status = balance.OK
-	case r.broken:
-		status = balance.Reset
-	}
-	a := r.attempt
-	ok := a.eng.end(a, status, r.took, nil)
-	if ok && r.whole && r.reusable && r.conn.br.Buffered() == 0 {
-		r.conn.SetReadDeadline(time.Time{})
-		a.eng.pool.put(r.conn)
-	} else {
-		a.eng.pool.discard(r.conn)
-	}
-	a.call.body.release()
 	return nil
 }
--- /dev/null
+++ b/internal/sidecar/upstream_test.go
@@ -0,0 +1,143 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pipittrestle/balance"
+)
+
+// spoilt are answers that are none, whatever follows.
+var spoilt = map[string]string{
+	"noise":               "\x01\x02\x03 no line end",
+	"another protocol":    "ICY 200 OK\r\nContent-Length: 1\r\n\r\na",
+	"no number":           "HTTP/1.1 2x0 OK\r\nContent-Length: 1\r\n\r\na",
+	"no colon":            "HTTP/1.1 200 OK\r\nnonsense\r\nContent-Length: 1\r\n\r\na",
+	"endless head":        "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: p\r\n", 2000),
+	"head without end":    "HTTP/1.1 200 OK\r\nContent-Le",
+	"length too large":    "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\nshort",
+	"negative length":     "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\na",
+	"two lengths":         "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+	"no length":           "HTTP/1.1 200 OK\r\n\r\nall of it?",
+	"bad chunk":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nz\r\nabcde\r\n0\r\n\r\n",
+	"endless chunks":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1000\r\n"+strings.Repeat("x", 0x1000)+"\r\n", 40),
+	"3 GB":                "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 200<<10),
+	"nothing but interim": strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 50),
+}
+
+// A spoilt answer fails the request, at once and for good where it may have
+// run, and is made good elsewhere where it may be repeated; its connection is
+// not used again, and no upstream is taken for dead because of one.
+func TestSpoiltAnswers(t *testing.T) {
+	for name, text := range spoilt {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			up := startUpstream(t, func(c net.Conn, r *http.Request, _ int64) bool {
+				if r.URL.Path == "/act" {
+					go io.WriteString(c, text)
+					return true
+				}
+				return good(c, r, 0)
+			})
+			s := startSidecar(t, up.addr())
+			r, body := exchange(t, s, "POST /act HTTP/1.1\r\nHost: a\r\nX-Request-Id: "+newID()+"\r\nX-Deadline: 6\r\nContent-Length: 1\r\n\r\nx")
+			if r == nil || r.StatusCode != http.StatusBadGateway || body != "failed\n" {
+				t.Fatalf("the client was told %v %.40q", r, body)
+			}
+			eventually(t, "the connection is closed", func() bool { return poolOpen(s) == 0 })
+			wantServed(t, s)
+		})
+	}
+}
+
+func poolOpen(s *Sidecar) int {
+	p := s.eng.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+func TestRepeatableIsSentElsewhere(t *testing.T) {
+	bad := startUpstream(t, func(c net.Conn, _ *http.Request, _ int64) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\nhalf")
+		return true
+	})
+	up := startUpstream(t, good)
+	s := startSidecar(t, bad.addr(), up.addr())
+	eventually(t, "the bad one is picked", func() bool {
+		wantServed(t, s)
+		return bad.seen.Load() > 0
+	})
+}
+
+// Good answers bring more than belongs to them: interim ones ahead, a second
+// copy, noise or the rest of nothing behind, at once or a little later. The
+// client gets its own answer, and the next client not what came late.
+func TestMoreThanTheAnswer(t *testing.T) {
+	for name, behind := range map[string]string{"a copy": "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", "noise": "\x00\xff\x01"} {
+		for _, late := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, late), func(t *testing.T) {
+				all := make(chan bool, 20) // written
+				up := startUpstream(t, func(c net.Conn, r *http.Request, _ int64) bool {
+					io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nX-Load: ?=\r\n\r\n")
+					id := r.Header.Get("X-Request-Id")
+					text := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Load: inflight=,\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+					if !late {
+						text += behind
+					}
+					io.WriteString(c, text)
+					if late {
+						time.Sleep(time.Millisecond)
+						io.WriteString(c, behind)
+					}
+					all <- true
+					return true
+				})
+				s := startSidecar(t, up.addr())
+				for range 20 {
+					wantServed(t, s)
+					<-all
+				}
+				if n := up.conns.Load(); n != 20 {
+					t.Errorf("20 answers with more behind came on %d connections", n)
+				}
+			})
+		}
+	}
+}
+
+// A connection is kept where the answer was clean.
+func TestCleanConnectionIsKept(t *testing.T) {
+	up := startUpstream(t, good)
+	s := startSidecar(t, up.addr())
+	for range 5 {
+		wantServed(t, s)
+		time.Sleep(2 * restFor)
+	}
+	if n := up.conns.Load(); n > 2 {
+		t.Errorf("5 requests one by one took %d connections", n)
+	}
+}
+
+// Want of the sidecar's own descriptors says nothing of the upstreams.
+func TestOwnShareIsNotTheUpstreamsFault(t *testing.T) {
+	up := startUpstream(t, good)
+	s := startSidecar(t, up.addr())
+	p := s.eng.pool
+	p.mu.Lock()
+	p.open += p.most
+	p.mu.Unlock()
+	a := &attempt{eng: s.eng, host: s.eng.hosts["s-"+up.addr()]}
+	if c, status := a.connect(); c != nil || status != balance.NeverSent {
+		t.Errorf("without descriptors: %v, status %d", c, status)
+	}
+	p.mu.Lock()
+	p.open -= p.most
+	p.mu.Unlock()
+	wantServed(t, s)
+}
