--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -55,6 +55,7 @@
 	br     *bufio.Reader
 	host   *host
 	idleAt time.Time
+	rested time.Duration // before its present use; 0 for a new one
 	probe  [1]byte
 	arm    func() bool // for the attempt's answer; nil while nothing has come
 	begun  bool        // the answer has begun
@@ -102,7 +103,8 @@
 	hosts map[*host]bool // those with idle connections
 	open  int
 	most  int
-	idle  time.Duration
+	idle  time.Duration // the longest rest, by the settings
+	stale staleness     // and by what was seen
 	dial  time.Duration
 }
 
@@ -120,11 +122,12 @@
 		for rested && n >= 0 && now.Sub(h.idle[n].idleAt) < restFor {
 			n--
 		}
-		if n < 0 || now.Sub(h.idle[n].idleAt) >= p.idle {
+		if n < 0 || now.Sub(h.idle[n].idleAt) >= p.stale.limit(now, p.idle) {
 			p.mu.Unlock()
 			return nil
 		}
 		c := h.idle[n]
+		c.rested = now.Sub(c.idleAt)
 		p.remove(h, n)
 		p.mu.Unlock()
 		if c.quiet() {
@@ -159,6 +162,13 @@
 	p.mu.Unlock()
 }
 
+// learn takes down how the use of a rested connection ended.
+func (p *pool) learn(rested time.Duration, dead bool) {
+	p.mu.Lock()
+	p.stale.learn(time.Now(), rested, dead)
+	p.mu.Unlock()
+}
+
 // discard closes a connection.
 func (p *pool) discard(c *conn) {
 	c.Close()
@@ -232,13 +242,14 @@
 			return
 		case now := <-tick.C:
 			p.mu.Lock()
+			limit := p.stale.limit(now, p.idle)
 			hosts := make([]*host, 0, len(p.hosts))
 			for h := range p.hosts {
 				hosts = append(hosts, h)
 			}
 			p.mu.Unlock()
 			for _, h := range hosts {
-				p.drop(h, func(c *conn) bool { return now.Sub(c.idleAt) >= p.idle })
+				p.drop(h, func(c *conn) bool { return now.Sub(c.idleAt) >= limit })
 			}
 		}
 	}
@@ -339,6 +350,9 @@
 		resp = nil
 	}
 	ok := a.eng.end(a, status, resp)
+	if ok && c.rested > 0 {
+		a.eng.pool.learn(c.rested, err != nil && !c.begun)
+	}
 	if clean && ok {
 		c.SetReadDeadline(time.Time{})
 		a.eng.pool.put(c)
