Weigh a run of failures against what all upstreams show

Now a run ejects only if it is unlikely at an upstream that is well, by the failures that successes followed of late; a single trial holds after an ejection only; the hold doubles with each ejection, not with each failure that was still out.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,6 +21,7 @@
 	Reset
 	Cancelled
 	NeverSent
+	statuses // how many there are
 )
 
 // harmless tells whether a status proves that the attempt never ran.
@@ -138,7 +139,8 @@
 	byID       map[string]*server
 	all, ready []*server
 	ejections  []*server
-	clock      []*server // servers with connections, for release
+	usual      [statuses]float64 // failures for each success of servers that are well, of late
+	clock      []*server         // servers with connections, for release
 	ring       ring
 	keyCount   [keySlots]float64
 	keyTotal   float64
@@ -183,11 +185,9 @@
 		salt:      mix(seed + 1),
 	}
 	b.setTenants()
-	for _, c := range set.Classes {
-		b.worthSum += c.Worth
-	}
 	for i, c := range set.Classes[:len(set.Classes)-1] {
 		b.classes[c.Name] = i
+		b.worthSum += c.Worth
 	}
 	return b, nil
 }
@@ -314,9 +314,7 @@
 	r.open++
 	s.out = append(s.out, a)
 	b.connected(s)
-	if s.fails > 0 {
-		s.trial = true
-	}
+	s.trial = s.outs > 0
 	if r.anchor == nil {
 		r.anchor = a
 	}
@@ -448,11 +446,8 @@
 	r.open--
 	a.server.out = slices.DeleteFunc(a.server.out, func(x *attempt) bool { return x == a })
 	r.anchor = nil
-	for _, x := range r.attempts {
-		if !x.ended || !x.status.harmless() {
-			r.anchor = x
-			break
-		}
+	if i := slices.IndexFunc(r.attempts, func(x *attempt) bool { return !x.ended || !x.status.harmless() }); i >= 0 {
+		r.anchor = r.attempts[i]
 	}
 	b.observe(now, a, o.Status, o.Took)
 	served := o.Status == OK && !r.answered
--- a/balance/budget.go
+++ b/balance/budget.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -15,23 +16,12 @@
 
 // slide forgets what left the window; an event exactly a window old has left.
 func slide(times []time.Duration, now time.Duration) []time.Duration {
-	n := 0
-	for n < len(times) && times[n] <= now-budgetWindow {
-		n++
-	}
-	if n == 0 {
-		return times
-	}
-	return times[:copy(times, times[n:])]
+	n, _ := slices.BinarySearch(times, now-budgetWindow+1)
+	return slices.Delete(times, 0, n)
 }
 
 // first counts a request's first attempt.
-func (b *budget) first(now time.Duration) {
-	if len(b.firsts) == cap(b.firsts) {
-		b.firsts = slide(b.firsts, now)
-	}
-	b.firsts = append(b.firsts, now)
-}
+func (b *budget) first(now time.Duration) { b.firsts = append(slide(b.firsts, now), now) }
 
 // recent returns the first attempts of the window.
 func (b *budget) recent(now time.Duration) int {
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -50,8 +50,8 @@
 		t.Fatalf("%d trial requests out together, want 1", trials)
 	}
 	end(open, OK)
-	if s := b.byID[bad]; s.fails != 0 || s.trial {
-		t.Errorf("a trial that went well left %d failures", s.fails)
+	if s := b.byID[bad]; s.health != (health{}) {
+		t.Errorf("a trial that went well left %v", s.health)
 	}
 	for range 40 {
 		id, _ := send()
--- a/balance/members.go
+++ b/balance/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -46,12 +47,18 @@
 	ratio   float64 // mean of latency over expected latency
 	count   float64 // samples behind ratio, fading
 	counted time.Duration
-	fails   int           // failures since the last success
-	until   time.Duration // ejected until then
-	trial   bool          // the single trial request after an ejection is out
-	order   uint64        // place in the ready list
-	clocked bool          // it is in the clock of connections
-	used    bool          // and was used since the clock's hand went by
+	health
+	order   uint64 // place in the ready list
+	clocked bool   // it is in the clock of connections
+	used    bool   // and was used since the clock's hand went by
+}
+
+// health is what keeps a server out. A success ends it, and a new start.
+type health struct {
+	run   [statuses]int // failures since the last success
+	outs  int           // ejections since then
+	until time.Duration // ejected until then
+	trial bool          // the single trial request after an ejection is out
 }
 
 // certain returns the share of its full capacity that a server has at least:
@@ -115,7 +122,7 @@
 			added = append(added, ringPoint{mix(s.hash + i*0x9e3779b97f4a7c15), s})
 		}
 	} else if e.Started > s.Started {
-		s.ratio, s.count, s.fails, s.until, s.trial = 0, 0, 0, 0, false
+		s.ratio, s.count, s.health = 0, 0, health{}
 	}
 	s.Server, s.mark = *e, b.listMark
 	b.place(s)
@@ -137,11 +144,7 @@
 // forgetGone drops the servers that left the list.
 func (b *Balancer) forgetGone() {
 	gone := func(s *server) bool { return s.State == Gone }
-	for _, s := range b.all {
-		if gone(s) {
-			delete(b.byID, s.ID)
-		}
-	}
+	maps.DeleteFunc(b.byID, func(_ string, s *server) bool { return gone(s) })
 	b.all = slices.DeleteFunc(b.all, gone)
 	b.clock, b.ejections = slices.DeleteFunc(b.clock, gone), slices.DeleteFunc(b.ejections, gone)
 	b.ring.points = slices.DeleteFunc(b.ring.points, func(p ringPoint) bool { return gone(p.server) })
@@ -175,7 +178,8 @@
 	switch status {
 	case OK:
 		b.learnClass(a.request, took)
-		s.fails, s.until = 0, 0
+		b.learnUsual(s)
+		s.health = health{}
 	case Cancelled:
 		// A copy that lost: it took at least this long.
 		if ratio <= b.estimate(s, now) {
@@ -193,6 +197,7 @@
 	}
 	b.sample(s, now, ratio)
 	if p := patience[status]; p > 0 {
+		s.run[status]++
 		b.suspect(s, now, p)
 	}
 }
@@ -239,18 +244,36 @@
 	s.count, s.counted = n+1, now
 }
 
+// learnUsual takes in the failures that a success ends: the server was well, so
+// they were chance. Of a longer outage only the first ones count.
+func (b *Balancer) learnUsual(s *server) {
+	for status, n := range s.run {
+		b.usual[status] += usualWeight * (min(float64(n), 2) - b.usual[status])
+	}
+}
+
 // suspect ejects a server after enough failures in a row, within the cap on
-// the ejected share. After the time a single trial request may go there.
+// the ejected share. After the time a single trial request may go there. Where
+// attempts fail at all servers alike, runs of failures come by chance, and the
+// healthy servers put out by them leave the rest too slow: the run must also be
+// unlikely at a server that is well. It covers any cause that strikes alike, as
+// a bad network or an overload; it might harm where one server dies meanwhile,
+// which then takes some failures more to show.
 func (b *Balancer) suspect(s *server, now time.Duration, patience int) {
-	s.fails++
-	if s.fails < patience || s.until > now {
+	fails, chance := 0, 1.0
+	for status, n := range s.run {
+		fails += n
+		chance *= math.Pow(min(max(b.usual[status], unlikely), 0.2), float64(n))
+	}
+	if fails < patience || chance > unlikely || s.until > now {
 		return
 	}
 	b.ejections = slices.DeleteFunc(b.ejections, func(e *server) bool { return e.until <= now || e.State != Ready })
 	if float64(len(b.ejections)+1) > ejectShare*float64(len(b.ready)) {
 		return
 	}
-	hold := min(ejectFirst<<min(s.fails-patience, 6), ejectMost)
+	hold := min(ejectFirst<<min(s.outs, 6), ejectMost)
 	s.until = now + time.Duration(float64(hold)*(0.75+0.5*b.rng.Float64()))
+	s.outs++
 	b.ejections = append(b.ejections, s)
 }
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -84,14 +84,10 @@
 
 // usable tells whether a server can take an attempt of r now.
 func (b *Balancer) usable(r *request, s *server, now time.Duration) bool {
-	if s.State != Ready || s.until > now || s.fails > 0 && s.trial {
+	tried := func(a *attempt) bool { return a.server == s && !(a.ended && a.status == Full) }
+	if s.State != Ready || s.until > now || s.outs > 0 && s.trial || slices.ContainsFunc(r.attempts, tried) {
 		return false
 	}
-	for _, a := range r.attempts {
-		if a.server == s && !(a.ended && a.status == Full) {
-			return false
-		}
-	}
 	// Rule 2: once a keyed request may have run, only its group drops a repeat.
 	return r.anchor == nil || sameGroup(r.class.Group, s, r.anchor.server)
 }
