Thin out the clients' idle connections beyond a sixth of the descriptors

A connection that turns idle now makes the one idle longest go, if more than a sixth of the descriptors are idle after an answer.

The test fails without the change.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -337,6 +337,7 @@
 		c.last.Store(c.front.now())
 		c.asked.Store(true)
 		c.setPhase(phaseIdle)
+		c.front.thin()
 	}
 	if c.ahead && len(p) > 0 {
 		c.ahead = false
@@ -456,6 +457,7 @@
 type front struct {
 	ln            *net.TCPListener
 	serve, refuse int
+	spare         int // idle connections that asked, kept at most
 	start         time.Time
 	draining      atomic.Bool
 
@@ -468,6 +470,7 @@
 	f := &front{ln: ln, conns: map[*clientConn]bool{}, start: time.Now()}
 	f.freed.L = &f.mu
 	f.serve, f.refuse = clientShares(sockets)
+	f.spare = sockets / 6
 	return f
 }
 
@@ -553,6 +556,32 @@
 	}
 }
 
+// thin closes the connection that has been idle longest of those that asked,
+// if there are more than spare. Clients hold a third of the descriptors at most:
+// one that opens a connection for each request, and leaves the old ones open for
+// a while, would run out of them with room left here, and could ask only as fast
+// as it lets go of them. Half of that is theirs to fill anew, at any time. It
+// covers every pool that grows and does not use what it has. It might harm
+// clients with more connections than that in use by turns: they open some anew,
+// and send again what crosses the close.
+func (f *front) thin() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	idle := 0
+	var oldest *clientConn
+	for c := range f.conns {
+		if c.phase.Load() == phaseIdle && c.asked.Load() {
+			idle++
+			if oldest == nil || c.before(oldest) {
+				oldest = c
+			}
+		}
+	}
+	if idle > f.spare && !oldest.unread() {
+		oldest.giveUp()
+	}
+}
+
 // before tells whether c is missed less than d.
 func (c *clientConn) before(d *clientConn) bool {
 	if c.asked.Load() != d.asked.Load() {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -237,6 +237,47 @@
 	}
 }
 
+// Of the clients that asked and stay, the one idle longest makes room long
+// before its time is up, and the others keep their connections.
+func TestIdleConnectionsAreThinnedOut(t *testing.T) {
+	up := startUpstream(t, good)
+	s := startSidecar(t, up.addr())
+	var all []net.Conn
+	ask := func(c net.Conn) {
+		t.Helper()
+		id := newID()
+		io.WriteString(c, readRequest(id))
+		if r, body := clientAnswer(t, c); r == nil || r.StatusCode != 200 || body != id {
+			t.Fatalf("answered %v %q", r, body)
+		}
+	}
+	for range s.front.spare + 1 {
+		c := dialClient(t, s)
+		ask(c)
+		all = append(all, c)
+		eventually(t, "it is idle", func() bool { return idleClients(s) >= min(len(all), s.front.spare) })
+	}
+	if n, err := io.Copy(io.Discard, all[0]); n > 0 || err != nil {
+		t.Errorf("the first one was told %d bytes, %v", n, err)
+	}
+	for _, c := range all[1:] {
+		ask(c)
+	}
+}
+
+// idleClients counts the connections that asked and are idle.
+func idleClients(s *Sidecar) int {
+	s.front.mu.Lock()
+	defer s.front.mu.Unlock()
+	n := 0
+	for c := range s.front.conns {
+		if c.phase.Load() == phaseIdle && c.asked.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 // A client that says nothing, or half of something, is let go.
 func TestHalfRequestsEnd(t *testing.T) {
 	up := startUpstream(t, good)
