--- a/balance/members.go
+++ b/balance/members.go
@@ -263,7 +263,7 @@
 	fails, chance := 0, 1.0
 	for status, n := range s.run {
 		fails += n
-		chance *= math.Pow(min(max(b.usual[status], unlikely), 0.2), float64(n))
+		chance *= math.Pow(min(max(b.usual[status], unlikely), usualMost), float64(n))
 	}
 	if fails < patience || chance > unlikely || s.until > now {
 		return
--- a/balance/settings.go
+++ b/balance/settings.go
@@ -30,6 +30,7 @@
 	evidenceMost   = 8.0              // samples remembered at most, so that new ones keep counting
 	failurePenalty = 3.0              // a failed attempt counts as this many times the expected latency at least
 	usualWeight    = 0.005            // weight of a success in the failures that are usual
+	usualMost      = 0.2              // and no failure counts as more usual than this, so that dead servers show
 	unlikely       = 1e-4             // a run of failures less likely than this ejects
 	ejectFirst     = 2 * time.Second  // first ejection; doubles while trials fail
 	ejectMost      = 16 * time.Second // longest ejection
