--- a/balance/settings.go
+++ b/balance/settings.go
@@ -1,6 +1,6 @@
 // Package balance makes the decisions of a client-side load balancer: which
 // server gets an attempt, when a failed attempt is repeated, and when a request
-// is refused. It follows GEP-3388's windowed retry budget; docs/design.md says
+// is refused. It follows GEP-3388's windowed retry budget; docs/design/balance.md says
 // what was added. A Balancer does no I/O and has no clock: its caller reports
 // events with the time they happened at and carries out the actions returned.
 package balance
--- a/cmd/sandhinge/main.go
+++ b/cmd/sandhinge/main.go
@@ -9,7 +9,7 @@
 	"os/signal"
 	"syscall"
 
-	"pipittrestle/internal/sidecar"
+	"otterspring/internal/sidecar"
 )
 
 func main() {
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"pipittrestle/internal/wire"
+	"otterspring/internal/wire"
 )
 
 func main() {
--- a/internal/sidecar/check.go
+++ b/internal/sidecar/check.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"pipittrestle/balance"
+	"otterspring/balance"
 )
 
 const (
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -13,8 +13,8 @@
 
 	"github.com/valyala/fastjson"
 
-	"pipittrestle/balance"
-	"pipittrestle/internal/wire"
+	"otterspring/balance"
+	"otterspring/internal/wire"
 )
 
 // Config is what a sidecar is told at its start.
--- a/internal/sidecar/counts_test.go
+++ b/internal/sidecar/counts_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"pipittrestle/balance"
+	"otterspring/balance"
 )
 
 // engineCounts are what the sidecar holds of requests, attempts and upstreams.
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -14,7 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
-	"pipittrestle/balance"
+	"otterspring/balance"
 )
 
 const (
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -8,7 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"pipittrestle/balance"
+	"otterspring/balance"
 )
 
 // clockOrigin is what the module's clock shows when the sidecar starts. The
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -14,8 +14,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"pipittrestle/balance"
-	"pipittrestle/internal/wire"
+	"otterspring/balance"
+	"otterspring/internal/wire"
 )
 
 const (
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"pipittrestle/balance"
+	"otterspring/balance"
 )
 
 // spoilt are answers that are none, whatever follows.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"pipittrestle/balance"
+	"otterspring/balance"
 )
 
 // The wire's words for the library's kinds; a word not listed gives a value
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"pipittrestle/balance"
+	"otterspring/balance"
 )
 
 // host holds the instances of one process. They share nothing but the parsed
