--- a/balance/balance.go
+++ b/balance/balance.go
@@ -218,14 +218,17 @@
 	return acts
 }
 
-// Timer takes a timer that came due. Timers that are not the earliest one are
-// harmless.
+// Over is the token that ends the service: every open request gets its final
+// answer at once.
+const Over = ^uint64(0)
+
+// Timer takes a timer that came due, or Over. Other timers are harmless.
 func (b *Balancer) Timer(now time.Duration, token uint64, acts []Action) []Action {
 	b.acts = acts
 	if uint64(b.armed) == token || b.armed <= now {
 		b.armed = 0
 	}
-	for len(b.wakes) > 0 && b.wakes[0].at <= now {
+	for len(b.wakes) > 0 && (b.wakes[0].at <= now || token == Over) {
 		w := b.wakes[0]
 		b.wakes = b.wakes[1:]
 		switch {
@@ -234,7 +237,7 @@
 				b.act(Action{Kind: Subscribe})
 			}
 		case w.r.answered:
-		case w.kind == wakeEnd:
+		case w.kind == wakeEnd || token == Over:
 			b.end(w.r, now)
 		case w.kind == wakeResend:
 			w.r.waiting = false
--- a/balance/budget.go
+++ b/balance/budget.go
@@ -40,8 +40,7 @@
 
 // pause draws the jittered wait before retry n (from 0), longer each time.
 func pause(rng *rand.Rand, n int) time.Duration {
-	mean := float64(pauseBase << min(n, 6))
-	return time.Duration(mean * (1 - pauseJitter + 2*pauseJitter*rng.Float64()))
+	return time.Duration(float64(pauseBase<<min(n, 6)) * (1 - pauseJitter + 2*pauseJitter*rng.Float64()))
 }
 
 // learnOverload moves the share of requests to refuse by how one that was sent
@@ -50,8 +49,8 @@
 // takes longer steps: hundreds of quiet ones that learn slowly overload the
 // servers together.
 func (b *Balancer) learnOverload(now time.Duration, step float64) {
-	step *= min(shedFast, max(1, shedSent/float64(b.budget.recent(now)+1)))
-	b.overload = min(shedMost, max(0, b.overload+step))
+	fast := min(shedFast, max(1, shedSent/float64(b.budget.recent(now)+1)))
+	b.overload = min(shedMost, max(0, b.overload+step*fast))
 }
 
 // shed tells whether to refuse a request before it is sent. In an overload
--- /dev/null
+++ b/cmd/rig/fleet.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"otterspring/internal/rig"
+	"otterspring/internal/standin/registry"
+)
+
+// runFleet restarts the instances of a fleet while requests come.
+func runFleet(ctx context.Context, args []string, out io.Writer) error {
+	f := flag.NewFlagSet("fleet", flag.ContinueOnError)
+	seed := f.Uint64("seed", 1, "where all chance comes from")
+	length := f.Duration("for", 60*time.Second, "how long requests come, 3s to 30m")
+	instances := f.Int("instances", 50, "sidecars, 1 to 400")
+	servers := f.Int("servers", 12, "call servers, 2 to 100")
+	rate := f.Float64("rate", 0, "requests a second over all; 0 for half of what the servers can serve")
+	surge := f.Float64("surge", 1.6, "the middle fifth has this many times the rate, 1 to 5")
+	restarts := f.String("restarts", "all", "how many instances are restarted once: all, none or a number")
+	mode := f.String("mode", "term", "how: kill, term or handover")
+	lines := f.Float64("lines", 400, "list lines a second that discovery can send, 0 for no bound")
+	hang := f.Bool("hang", false, "a server takes requests and answers none for a while")
+	prog := f.String("program", "", "the sidecar to run; empty for the one beside this program")
+	memory := f.Int("memory", 64, "MB that each sidecar is told it has, 32 to 1024")
+	if err := parse(f, args, out); err != nil {
+		return err
+	}
+	count, err := restartCount(*restarts, *instances)
+	if err != nil {
+		return err
+	}
+	if *mode != "kill" && *mode != "term" && *mode != "handover" {
+		return fmt.Errorf("%w: -mode: found %q, wanted kill, term or handover", errUsage, *mode)
+	}
+	for _, err := range []error{
+		within("for", *length, 3*time.Second, 30*time.Minute), within("instances", *instances, 1, 400), within("servers", *servers, 2, 100),
+		within("rate", *rate, 0, 20000), within("surge", *surge, 1, 5), within("lines", *lines, 0, 1e9), within("memory", *memory, 32, 1024),
+	} {
+		if err != nil {
+			return err
+		}
+	}
+	argv, err := program(*prog)
+	if err != nil {
+		return err
+	}
+	dir, clean, err := scratch()
+	if err != nil {
+		return err
+	}
+	defer clean()
+	opt := rig.Options{
+		Seed: *seed, Instances: *instances, Servers: *servers, Program: argv, Dir: dir, MemoryMB: *memory,
+		// The site's discovery is made for over a hundred sidecars.
+		Registry: registry.Config{Lines: *lines * max(1, float64(*instances)/50), CallLines: 23, Late: 500 * time.Millisecond},
+	}
+	if *mode == "handover" {
+		opt.Operator = func(i int, dir string) string {
+			return fmt.Sprintf("[handover]\nsocket = %q\n", filepath.Join(dir, fmt.Sprintf("n%d.sock", i+1)))
+		}
+	}
+	if *rate == 0 {
+		*rate = rig.Capacity(*servers) / 2
+	}
+	w, err := rig.New(opt)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	began := time.Now()
+	if err := w.StartAll(ctx, 8); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%d sidecars up in %.1f s, %d call servers (about %.0f requests a second), %.0f asked a second, %d restarts by %s\n",
+		*instances, time.Since(began).Seconds(), *servers, rig.Capacity(*servers), *rate, count, *mode)
+	run := rig.FleetRun{Rate: *rate, For: *length, Surge: *surge, Restarts: count, Mode: rig.Mode(*mode), Drain: true, Hang: *hang, Seed: *seed, Live: out}
+	res, err := run.Run(ctx, w)
+	if err != nil {
+		return err
+	}
+	return fleetVerdict(out, w, res, *length, *mode)
+}
+
+// restartCount reads -restarts.
+func restartCount(text string, instances int) (int, error) {
+	switch text {
+	case "all":
+		return instances, nil
+	case "none":
+		return 0, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 || n > instances {
+		return 0, fmt.Errorf("%w: -restarts: found %q, wanted all, none or 0 to %d", errUsage, text, instances)
+	}
+	return n, nil
+}
+
+// fleetVerdict prints what came of it.
+func fleetVerdict(out io.Writer, w *rig.World, res *rig.FleetResult, length time.Duration, mode string) error {
+	rep := w.Log.Report()
+	printService(out, &res.Service)
+	printRules(out, &rep)
+	n := len(w.Instances)
+	for _, err := range res.Errors {
+		fmt.Fprintln(out, "  restart:", err)
+	}
+	fmt.Fprintf(out, "%d restarted; %.1f MB and %.1f ms of CPU a second each; requests within 1 s of their instance's restart: %d, %.2f%% served, p99 %.1f ms; others %.2f%% served, p99 %.1f ms\n",
+		res.Restarted, float64(res.PeakBytes)/(1<<20), 1000*res.CPU.Seconds()/length.Seconds()/float64(n),
+		res.GapAsked, 100*res.GapServed, ms(res.GapP99), 100*res.QuietServed, ms(res.QuietP99))
+	fmt.Fprintf(out, "instances=%d servers=%d mode=%s restarted=%d %s refused_conns=%d overflow=%d gap_p99_ms=%.1f quiet_p99_ms=%.1f service=%.3f mb_each=%.1f cpu_ms_s_each=%.1f errors=%d\n",
+		n, len(w.Servers), mode, res.Restarted, rep.Line(), res.RefusedConns, res.Overflow, ms(res.GapP99), ms(res.QuietP99), res.Service.Figure(),
+		float64(res.PeakBytes)/(1<<20), 1000*res.CPU.Seconds()/length.Seconds()/float64(n), len(res.Errors))
+	if rep.Broken() || len(res.Errors) > 0 || mode == "handover" && res.RefusedConns > 0 {
+		return errRules
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/audit/audit.go
@@ -0,0 +1,468 @@
+// Package audit counts what passed on the sockets of clients, call servers and
+// discovery against the four rules: no request lost, no effect twice, drains
+// kept, no cold server pushed over. It sees nothing of the sidecar's inside:
+// the stand-ins on both sides of it report, and the audit compares.
+//
+// All times are durations since the origin of one clock that all reporters
+// share (Log.Now). A Log may be used by many goroutines.
+package audit
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Effect says what repeating a request can do.
+type Effect int
+
+// The kinds of effect.
+const (
+	Repeat Effect = iota // any number of times
+	Keyed                // a pod drops repeats within the window
+	Once                 // must never run twice
+)
+
+// Outcome is what a client got.
+type Outcome int
+
+// The outcomes.
+const (
+	Served  Outcome = iota // 200 with a body
+	Refused                // 429 or 503: trying again is harmless
+	Failed                 // any other answer
+)
+
+// Rules are the figures that the rules are held against.
+type Rules struct {
+	Grace       time.Duration // nothing new to a server later than this after the sidecar was told
+	Slack       time.Duration // every time limit is this much longer on sockets
+	ToldAfter   time.Duration // what discovery has to tell counts as told after this
+	TipMultiple float64       // a cold server falls over at this multiple of what it can do
+	TipFor      time.Duration // for this long
+}
+
+// Delft are the figures of the site delft-calls.
+func Delft() Rules {
+	return Rules{Grace: 500 * time.Millisecond, Slack: 50 * time.Millisecond, ToldAfter: 6 * time.Second, TipMultiple: 3, TipFor: 3 * time.Second}
+}
+
+const (
+	// MostRequests bounds the requests that a Log takes; those beyond are
+	// counted in Report.Unwatched and held against nothing.
+	MostRequests = 2_000_000
+	mostProblems = 20
+)
+
+// request is what is known of one id.
+type request struct {
+	instance  string
+	effect    Effect
+	asked     time.Duration
+	deadline  time.Duration
+	answered  bool
+	outcome   Outcome
+	at        time.Duration // of the answer
+	broke     bool          // the connection ended with no whole answer
+	gone      bool          // the client stopped waiting
+	killed    bool          // its sidecar was killed while it was open
+	arrivals  int
+	effects   int
+	firstPod  string
+	firstTime time.Duration
+}
+
+// serverKey is one life of a call server.
+type serverKey struct {
+	name string
+	life int
+}
+
+// told is what an instance was told of a server's life.
+type told struct {
+	at   time.Duration
+	away bool // it drains or is gone
+}
+
+// change is a change of the true list.
+type change struct {
+	at   time.Duration
+	away bool
+}
+
+// send is one arrival at a cold server.
+type send struct {
+	at   time.Duration
+	work float64
+}
+
+// instance is what is known of one sidecar, over all its processes.
+type instance struct {
+	since time.Duration // start of the process that may still have to be told
+	told  map[serverKey]told
+	open  map[string]*request
+	dying bool // it is being killed
+	epoch int  // restarts so far
+}
+
+// Log takes what passed, and judges it.
+type Log struct {
+	rules  Rules
+	origin time.Time
+
+	mu        sync.Mutex
+	requests  map[string]*request
+	instances map[string]*instance
+	changes   map[serverKey]change
+	cold      map[serverKey][]send
+	tipped    map[serverKey]bool
+	rep       Report
+}
+
+// New returns an empty Log whose clock starts now.
+func New(rules Rules) *Log {
+	return &Log{
+		rules: rules, origin: time.Now(),
+		requests: map[string]*request{}, instances: map[string]*instance{}, changes: map[serverKey]change{},
+		cold: map[serverKey][]send{}, tipped: map[serverKey]bool{},
+	}
+}
+
+// Now reads the clock of the log.
+func (l *Log) Now() time.Duration { return time.Since(l.origin) }
+
+// Report is the verdict: counts, and the first problems in words.
+type Report struct {
+	Asked, Served, Refused, Failed int
+	NoAnswer                       int // the client's time was up first
+	Held                           int // open at a sidecar that was killed: the client retries them
+	Resent                         int // sent once more after a close that crossed them
+	Lost                           int // rule 1: taken, and the connection ended with no whole answer
+	Late                           int // rule 1: answered after the deadline
+	Forged                         int // rule 1: served with what no call server made for it
+	After                          int // rule 1: sent on after its final answer
+	Twice                          int // rule 2: an effect ran twice
+	Untrue                         int // rule 2: refused, and it ran
+	LateSends                      int // rule 3
+	Tipped                         int // rule 4
+	Effects                        int
+	Unwatched                      int
+	Problems                       []string
+}
+
+// Broken tells whether a rule broke.
+func (r *Report) Broken() bool {
+	return r.Lost+r.Late+r.Forged+r.After+r.Twice+r.Untrue+r.LateSends+r.Tipped > 0
+}
+
+// Line is the counts as key=value.
+func (r *Report) Line() string {
+	return fmt.Sprintf("asked=%d served=%d refused=%d failed=%d noanswer=%d held=%d lost=%d late=%d forged=%d after=%d twice=%d untrue=%d late_sends=%d tipped=%d",
+		r.Asked, r.Served, r.Refused, r.Failed, r.NoAnswer, r.Held, r.Lost, r.Late, r.Forged, r.After, r.Twice, r.Untrue, r.LateSends, r.Tipped)
+}
+
+// problem notes a breach in words.
+func (l *Log) problem(count *int, format string, args ...any) {
+	*count++
+	if len(l.rep.Problems) < mostProblems {
+		l.rep.Problems = append(l.rep.Problems, fmt.Sprintf(format, args...))
+	}
+}
+
+// of returns the record of an instance.
+func (l *Log) of(name string) *instance {
+	i := l.instances[name]
+	if i == nil {
+		i = &instance{told: map[serverKey]told{}, open: map[string]*request{}}
+		l.instances[name] = i
+	}
+	return i
+}
+
+// Asked takes down that a client has written a request's last byte. deadline is
+// how long it waits. An id that is asked again after a close counts once.
+func (l *Log) Asked(id, name string, effect Effect, at, deadline time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.requests[id]; r != nil {
+		l.rep.Resent++
+		r.broke = false
+		return
+	}
+	if len(l.requests) >= MostRequests {
+		l.rep.Unwatched++
+		return
+	}
+	l.rep.Asked++
+	r := &request{instance: name, effect: effect, asked: at, deadline: at + deadline}
+	l.requests[id] = r
+	l.of(name).open[id] = r
+}
+
+// Answered takes down a whole answer. made tells whether its body is what a
+// call server made for this id; it matters for Served only.
+func (l *Log) Answered(id string, o Outcome, made bool, at time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.requests[id]
+	if r == nil {
+		return
+	}
+	delete(l.of(r.instance).open, id)
+	if r.answered {
+		l.problem(&l.rep.After, "%s: answered a second time", id)
+		return
+	}
+	r.answered, r.outcome, r.at = true, o, at
+	switch o {
+	case Served:
+		l.rep.Served++
+		if !made || r.arrivals == 0 {
+			l.problem(&l.rep.Forged, "%s: served with an answer that no call server made for it", id)
+		}
+	case Refused:
+		l.rep.Refused++
+		l.checkRefusal(id, r)
+	default:
+		l.rep.Failed++
+	}
+	if at > r.deadline+l.rules.Slack {
+		l.problem(&l.rep.Late, "%s: answered %v after its deadline", id, at-r.deadline)
+	}
+}
+
+// checkRefusal holds a refusal against what ran: a repeat must be harmless.
+func (l *Log) checkRefusal(id string, r *request) {
+	if r.effect != Repeat && r.effects > 0 {
+		l.problem(&l.rep.Untrue, "%s: refused though it ran", id)
+	}
+}
+
+// Broke takes down that the connection ended with no whole answer. Where resend
+// is true the client sends the request once more, as it may on a connection
+// that was kept.
+func (l *Log) Broke(id string, resend bool, at time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.requests[id]
+	if r == nil || r.answered || r.gone {
+		return
+	}
+	r.broke = true
+	if i := l.of(r.instance); i.dying && !r.killed {
+		r.killed = true
+		l.rep.Held++
+	}
+	if !resend {
+		delete(l.of(r.instance).open, id)
+	}
+	switch {
+	case r.killed:
+	case resend && r.arrivals == 0:
+		// It crossed a close of an idle connection: nothing was taken.
+	case !resend && r.arrivals == 0:
+		l.rep.Failed++ // the first on a connection that was closed unread
+	default:
+		l.problem(&l.rep.Lost, "%s: sent on by %s, and its connection ended with no whole answer", id, r.instance)
+	}
+}
+
+// Gone takes down that the client has stopped waiting. Up to its deadline that
+// is the client's own choice.
+func (l *Log) Gone(id string, at time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.requests[id]
+	if r == nil || r.answered || r.gone {
+		return
+	}
+	r.gone = true
+	delete(l.of(r.instance).open, id)
+	if r.killed {
+		return
+	}
+	l.rep.NoAnswer++
+	if at > r.deadline+l.rules.Slack {
+		l.problem(&l.rep.Late, "%s: no answer %v after its deadline", id, at-r.deadline)
+	}
+}
+
+// Arrived takes down an attempt at a call server: when its first byte came and
+// when it was whole. capacity is what the server can do at that moment, in
+// seconds of work a second, and work what it takes of it; full is its capacity
+// when warm.
+func (l *Log) Arrived(server string, life int, id string, first, at time.Duration, work, capacity, full float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := serverKey{server, life}
+	if capacity < full {
+		l.checkCold(key, at, work, capacity)
+	}
+	r := l.requests[id]
+	if r == nil {
+		return
+	}
+	r.arrivals++
+	if r.answered && first > r.at+l.rules.Slack {
+		l.problem(&l.rep.After, "%s: sent to %s %v after its final answer", id, server, first-r.at)
+	}
+	if since, away := l.toldAway(r.instance, key); away && first > since+l.rules.Grace+l.rules.Slack {
+		l.problem(&l.rep.LateSends, "%s: sent by %s to %s %v after it was told that it drains or is gone", id, r.instance, server, first-since)
+	}
+}
+
+// toldAway tells since when an instance knows, or counts as knowing, that a
+// server is not to be used any more.
+func (l *Log) toldAway(name string, key serverKey) (time.Duration, bool) {
+	i := l.of(name)
+	t, heard := i.told[key]
+	since, away := t.at, heard && t.away
+	if c, changed := l.changes[key]; changed && c.away {
+		if due := max(c.at, i.since) + l.rules.ToldAfter; !away || due < since {
+			since, away = due, true
+		}
+	}
+	return since, away
+}
+
+// checkCold holds what came within the window against what the server can do.
+func (l *Log) checkCold(key serverKey, at time.Duration, work, capacity float64) {
+	sends := append(l.cold[key], send{at, work})
+	for len(sends) > 0 && sends[0].at <= at-l.rules.TipFor {
+		sends = sends[1:]
+	}
+	l.cold[key] = sends
+	sum, most := 0.0, 0.0
+	for _, s := range sends {
+		sum += s.work
+		most = max(most, s.work)
+	}
+	// The largest request is let go for chance.
+	if sum-most > l.rules.TipMultiple*capacity*l.rules.TipFor.Seconds() && !l.tipped[key] {
+		l.tipped[key] = true
+		l.problem(&l.rep.Tipped, "%s (life %d): sent %.2f s of work within %v while it can do %.2f a second", key.name, key.life, sum, l.rules.TipFor, capacity)
+	}
+}
+
+// Ran takes down that an effect began at a call server of a pod. A repeat that
+// the pod dropped is none.
+func (l *Log) Ran(server, pod, id string, at time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rep.Effects++
+	r := l.requests[id]
+	if r == nil {
+		return
+	}
+	r.effects++
+	if r.effects == 1 {
+		r.firstPod, r.firstTime = pod, at
+	} else if r.effect != Repeat {
+		l.problem(&l.rep.Twice, "%s: ran at pod %s and %v later at %s (pod %s)", id, r.firstPod, at-r.firstTime, server, pod)
+	}
+	if r.answered && r.outcome == Refused && r.effect != Repeat {
+		l.problem(&l.rep.Untrue, "%s: ran at %s after it was refused", id, server)
+	}
+}
+
+// Epoch counts an instance's restarts. A connection to discovery is of the epoch
+// in which it was made: what is written on it later is told to nobody.
+func (l *Log) Epoch(name string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.of(name).epoch
+}
+
+// Told takes down what discovery has written to an instance about a server, on
+// a connection of that epoch.
+func (l *Log) Told(name string, epoch int, server string, life int, away bool, at time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i, key := l.of(name), serverKey{server, life}
+	if i.epoch != epoch {
+		return
+	}
+	if t, heard := i.told[key]; heard && t.away {
+		return // a drain is not taken back by an older list
+	}
+	i.told[key] = told{at, away}
+}
+
+// Changed takes down a change of the true list: a server's life begins, or is
+// not to be used any more.
+func (l *Log) Changed(server string, life int, away bool, at time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := serverKey{server, life}
+	if c, ok := l.changes[key]; ok && c.away {
+		return
+	}
+	l.changes[key] = change{at, away}
+}
+
+// Restarted takes down that a new process of an instance has taken its place
+// with nothing handed on: what the old one was told it has yet to hear.
+func (l *Log) Restarted(name string, at time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i := l.of(name)
+	i.since, i.dying = at, false
+	i.epoch++
+	clear(i.told)
+}
+
+// Dying takes down that an instance is about to be killed: what breaks from now
+// on until it is restarted was held by it.
+func (l *Log) Dying(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.of(name).dying = true
+}
+
+// Killed takes down that an instance was killed outright. Clients retry what it
+// held; that is not lost.
+func (l *Log) Killed(name string, at time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i := l.of(name)
+	for _, r := range i.open {
+		if !r.killed {
+			r.killed = true
+			l.rep.Held++
+		}
+	}
+	clear(i.open)
+}
+
+// Open returns how many requests have neither answer nor end.
+func (l *Log) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, i := range l.instances {
+		n += len(i.open)
+	}
+	return n
+}
+
+// Report returns the verdict so far. A request that is open now, past its
+// deadline, with nobody who reported its end, is lost.
+func (l *Log) Report() Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rep := l.rep
+	rep.Problems = append([]string(nil), l.rep.Problems...)
+	now := l.Now()
+	for _, i := range l.instances {
+		for id, r := range i.open {
+			if now <= r.deadline+l.rules.Slack {
+				continue
+			}
+			rep.Lost++
+			if len(rep.Problems) < mostProblems {
+				rep.Problems = append(rep.Problems, id+": neither answered nor ended")
+			}
+		}
+	}
+	return rep
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,261 @@
+// Package daemon runs a sidecar as a program: flags, signals, the operator's
+// file, the hand-over and what a supervisor is told. It is a package of its own
+// so that rigs and tests can run the very program.
+package daemon
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"otterspring/internal/handover"
+	"otterspring/internal/notify"
+	"otterspring/internal/operator"
+	"otterspring/internal/sidecar"
+)
+
+const usage = `usage: sandhinge [-operator FILE]
+
+The sidecar. It reads the configuration that RELAY_CONFIG names and, with
+-operator, the operator's file (docs/operate). Without one everything in it is
+off. Signals: SIGTERM and SIGINT drain and end, SIGHUP reads both files again.
+`
+
+// Main runs the program with its arguments, and returns its exit code: 0 after
+// an orderly end, 1 where it could not start, 2 for a usage that is none.
+func Main(args []string, stderr io.Writer) int {
+	flags := flag.NewFlagSet("sandhinge", flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	path := flags.String("operator", "", "")
+	if err := flags.Parse(args); err != nil || flags.NArg() > 0 {
+		if errors.Is(err, flag.ErrHelp) {
+			fmt.Fprint(stderr, usage)
+			return 0
+		}
+		if err == nil {
+			err = fmt.Errorf("found %q, wanted no arguments", flags.Arg(0))
+		}
+		fmt.Fprintf(stderr, "sandhinge: %v; -help says more\n", err)
+		return 2
+	}
+	// Caught first of all: by default SIGHUP would end the process.
+	d := &daemon{path: *path, reload: make(chan os.Signal, 1), stop: make(chan os.Signal, 1)}
+	signal.Notify(d.reload, syscall.SIGHUP)
+	signal.Notify(d.stop, syscall.SIGTERM, syscall.SIGINT)
+	if err := d.run(); err != nil {
+		fmt.Fprintln(stderr, "sandhinge:", err)
+		return 1
+	}
+	return 0
+}
+
+// daemon is the running program. All of it belongs to one goroutine.
+type daemon struct {
+	path     string // of the operator's file
+	reload   chan os.Signal
+	stop     chan os.Signal
+	settings operator.File
+	side     *sidecar.Sidecar
+	notify   *notify.Notifier // nil where it is off
+	offer    *handover.Offer  // nil where it is off
+	taking   *handover.Taking // the hand-over this process came by; nil after its end
+}
+
+// run starts, and serves until SIGTERM, SIGINT or a hand-over, and the drain
+// that follows.
+func (d *daemon) run() error {
+	cfg, err := sidecar.Load(os.Getenv("RELAY_CONFIG"))
+	if err != nil {
+		return err
+	}
+	if d.settings, err = operator.Load(d.path); err != nil {
+		return err
+	}
+	if d.settings.Notify.Systemd {
+		if d.notify, err = notify.FromEnvironment(); err != nil {
+			return err
+		}
+	}
+	if err := d.start(cfg); err != nil {
+		return err
+	}
+	d.tell(d.notify.Ready())
+	stopDog := d.watchdog()
+	defer stopDog()
+	return d.serve()
+}
+
+// start starts the sidecar: on the listener of the process before where there
+// is one to take over from, else on a new one.
+func (d *daemon) start(cfg sidecar.Config) error {
+	h := d.settings.Handover
+	var opt sidecar.Options
+	if h.Socket != "" {
+		t, err := handover.Take(h.Socket, cfg.Listen, h.Ready)
+		if err != nil && !errors.Is(err, handover.ErrNobody) {
+			return err
+		}
+		if t != nil {
+			d.taking = t
+			opt = sidecar.Options{Listener: t.Listener, Held: t.Held, Paused: true}
+		}
+	}
+	s, err := sidecar.StartWith(cfg, opt)
+	if err != nil {
+		return err
+	}
+	d.side = s
+	s.SetFinish(d.settings.Drain.Finish)
+	if d.taking != nil {
+		if err := d.taking.Ready(); err != nil {
+			return err
+		}
+		s.Resume()
+	}
+	if h.Socket == "" {
+		return nil
+	}
+	// The path is this process's before the old one stops offering there: who
+	// comes in between finds one of the two.
+	if d.offer, err = handover.NewOffer(h.Socket, s, h.Ready); err != nil {
+		return err
+	}
+	if d.taking != nil {
+		if err := d.taking.Taken(); err != nil {
+			d.offer.Close()
+			s.Retire(nil) // what it has accepted by now
+			return err
+		}
+		log.Printf("handover: taken over on %s", cfg.Listen)
+		s.OnList(d.taking.Tell)
+		go d.await(d.taking)
+	}
+	return nil
+}
+
+// serve handles signals and hand-overs until the end.
+func (d *daemon) serve() error {
+	var given <-chan *handover.Giving
+	if d.offer != nil {
+		given = d.offer.Given()
+	}
+	for {
+		select {
+		case <-d.stop:
+			d.tell(d.notify.Stopping())
+			d.settle()
+			if d.offer != nil {
+				d.offer.Close()
+			}
+			d.side.Drain()
+			return nil
+		case <-d.reload:
+			d.tell(d.notify.Reloading())
+			d.reloadAll()
+			d.tell(d.notify.Ready())
+		case g := <-given:
+			if d.giveAway(g) {
+				return nil
+			}
+		}
+	}
+}
+
+// await hears what the old process is told, until that one ends.
+func (d *daemon) await(t *handover.Taking) {
+	t.Await(d.side.Hear)
+	d.side.OffList()
+}
+
+// settle tells the process before, where it still drains, that this one will
+// end in good order or hand over itself.
+func (d *daemon) settle() {
+	if d.taking != nil {
+		d.taking.Settle()
+		d.taking = nil
+	}
+}
+
+// giveAway drains for the process that has taken over. It returns false if that
+// one ended meanwhile and this one goes on.
+func (d *daemon) giveAway(g *handover.Giving) bool {
+	log.Print("handover: given to another process; draining")
+	d.settle()
+	d.offer.Close()
+	d.side.OnList(g.Tell)
+	g.Tell(d.side.Held()) // what came since it was given
+	if d.side.Retire(g.Gone()) {
+		g.Done()
+		return true
+	}
+	d.side.OffList()
+	g.Drop()
+	log.Print("handover: the new process ended before this one had; this one goes on")
+	if err := d.offer.Open(); err != nil {
+		log.Print(err)
+	}
+	d.tell(d.notify.Ready()) // the main process again
+	return false
+}
+
+// reloadAll reads both files anew, and takes both or neither: a bad one is
+// named, and what was stays.
+func (d *daemon) reloadAll() {
+	cfg, err := sidecar.Load(os.Getenv("RELAY_CONFIG"))
+	if err != nil {
+		log.Printf("reload: the old configuration stays: %v", err)
+		d.side.NoteReload(false)
+		return
+	}
+	f, err := operator.Load(d.path)
+	if err != nil {
+		log.Printf("reload: the old configuration and operator's file stay: %v", err)
+		d.side.NoteReload(false)
+		return
+	}
+	d.side.Reload(cfg)
+	if later := d.settings.WaitsForStart(&f); len(later) > 0 {
+		log.Printf("reload: operator's file: changed but used from the next start on only: %s", strings.Join(later, ", "))
+	}
+	d.settings.Drain = f.Drain
+	d.side.SetFinish(f.Drain.Finish)
+	d.side.NoteReload(true)
+}
+
+// tell notes in the log that a supervisor could not be told.
+func (d *daemon) tell(err error) {
+	if err != nil {
+		log.Print(err)
+	}
+}
+
+// watchdog feeds the supervisor's watchdog as long as decisions are being made.
+func (d *daemon) watchdog() (stop func()) {
+	every := d.notify.Watchdog()
+	if every <= 0 {
+		return func() {}
+	}
+	end := make(chan struct{})
+	go func() {
+		tick := time.NewTicker(every)
+		defer tick.Stop()
+		for {
+			select {
+			case <-end:
+				return
+			case <-tick.C:
+				if d.side.Alive(every) {
+					d.notify.Alive()
+				}
+			}
+		}
+	}()
+	return func() { close(end) }
+}
--- /dev/null
+++ b/internal/fleet/process.go
@@ -0,0 +1,200 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// process is a process of an instance, a child or one that was adopted.
+type process struct {
+	id    int // the plan's number
+	pid   int
+	start string // its start time as the kernel has it, against reuse of the pid
+	fd    int    // pidfd
+}
+
+// signal sends a signal to just this process, even if its number were used anew.
+func (p *process) signal(s syscall.Signal) error {
+	err := unix.PidfdSendSignal(p.fd, s, nil, 0)
+	if errors.Is(err, unix.ESRCH) {
+		return nil // it has ended
+	}
+	return err
+}
+
+// startTime reads when a process started, in the kernel's ticks; empty if there
+// is no such process, or only what is left of it.
+func startTime(pid int) string {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return ""
+	}
+	at := strings.LastIndexByte(string(text), ')')
+	f := strings.Fields(string(text)[at+1:])
+	if at < 0 || len(f) < 20 || f[0] == "Z" || f[0] == "X" {
+		return ""
+	}
+	return f[19]
+}
+
+// mostLog is the size from which on a log is put aside at a start.
+const mostLog = 1 << 20
+
+// spawn starts a child. Its output goes to a file, so that it lives on without
+// the supervisor.
+func spawn(program string, args, env []string, logPath string) (*exec.Cmd, *process, error) {
+	if info, err := os.Stat(logPath); err == nil && info.Size() > mostLog {
+		os.Rename(logPath, logPath+".old")
+	}
+	out, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer out.Close()
+	cmd := exec.Command(program, args...)
+	cmd.Env = append(os.Environ(), env...)
+	cmd.Stdout, cmd.Stderr = out, out
+	// A group of its own: what a terminal sends to the supervisor is not for it.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := cmd.Start(); err != nil {
+		return nil, nil, err
+	}
+	p := &process{pid: cmd.Process.Pid, start: startTime(cmd.Process.Pid)}
+	if p.fd, err = unix.PidfdOpen(p.pid, 0); err != nil {
+		cmd.Process.Kill()
+		cmd.Wait()
+		return nil, nil, fmt.Errorf("pidfd: %w", err)
+	}
+	return cmd, p, nil
+}
+
+// adopt takes hold of a process that runs already; nil if it has ended.
+func adopt(pid int, start string) *process {
+	if pid <= 1 || start == "" || startTime(pid) != start {
+		return nil
+	}
+	fd, err := unix.PidfdOpen(pid, 0)
+	if err != nil {
+		return nil
+	}
+	// It may have ended, and its number been used anew, before the open.
+	if startTime(pid) != start {
+		unix.Close(fd)
+		return nil
+	}
+	return &process{pid: pid, start: start, fd: fd}
+}
+
+// awaitEnd returns when a process that is no child has ended.
+func (p *process) awaitEnd() {
+	for {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(p.fd), Events: unix.POLLIN}}, -1)
+		if n > 0 || err != nil && !errors.Is(err, unix.EINTR) {
+			return
+		}
+	}
+}
+
+var upClient = http.Client{
+	Transport: &http.Transport{DisableKeepAlives: true},
+	Timeout:   2 * time.Second,
+}
+
+// upState is what an instance says of itself at /up.
+type upState struct {
+	pid       int // 0 where nobody answered 200
+	good, bad int // reloads
+}
+
+// upBy asks an instance whether it is up, and which process says so.
+func upBy(ctx context.Context, addr string) (u upState) {
+	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+addr+"/up", nil)
+	if err != nil {
+		return u
+	}
+	r, err := upClient.Do(req)
+	if err != nil {
+		return u
+	}
+	r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return u
+	}
+	u.pid, _ = strconv.Atoi(r.Header.Get("X-Pid"))
+	fmt.Sscanf(r.Header.Get("X-Reloads"), "%d/%d", &u.good, &u.bad)
+	return u
+}
+
+const (
+	askFirst = 10 * time.Millisecond
+	askMost  = 200 * time.Millisecond
+)
+
+// awaitUp asks until is says yes, and returns true then, or false when ctx ends.
+// A process of another number that answers is not the one: the old one of a
+// hand-over, or one that has nothing to do with the fleet.
+func awaitUp(ctx context.Context, addr string, is func(upState) bool) bool {
+	pause := askFirst
+	for {
+		if is(upBy(ctx, addr)) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(pause):
+		}
+		pause = min(pause*3/2, askMost)
+	}
+}
+
+// lastLine returns the last line of a log, cut to what a message can hold.
+func lastLine(path string) string {
+	f, err := os.Open(path)
+	if err != nil {
+		return ""
+	}
+	defer f.Close()
+	info, err := f.Stat()
+	if err != nil {
+		return ""
+	}
+	buf := make([]byte, min(info.Size(), 2048))
+	f.ReadAt(buf, info.Size()-int64(len(buf)))
+	lines := strings.Split(strings.TrimSpace(string(buf)), "\n")
+	line := lines[len(lines)-1]
+	if len(line) > 200 {
+		line = line[:197] + "..."
+	}
+	return line
+}
+
+// writeWhole replaces a file as a whole.
+func writeWhole(path string, text []byte) error {
+	tmp, err := os.CreateTemp(filepath.Dir(path), ".new-*")
+	if err != nil {
+		return err
+	}
+	_, err = tmp.Write(text)
+	if e := tmp.Close(); err == nil {
+		err = e
+	}
+	if err == nil {
+		err = os.Rename(tmp.Name(), path)
+	}
+	if err != nil {
+		os.Remove(tmp.Name())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/fleet/supervisor.go
@@ -0,0 +1,586 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"otterspring/internal/fleetplan"
+)
+
+// Supervisor runs a fleet. All its state belongs to the goroutine of Run;
+// others send it events.
+type Supervisor struct {
+	file    *File
+	specs   []Spec
+	plan    *fleetplan.Plan
+	procs   []map[int]*process // of each instance, by the plan's number
+	program string             // that starts are of
+	next    *release           // being rolled out; nil if nothing is
+	events  chan func(now time.Duration) []fleetplan.Action
+	origin  time.Time
+	lock    *os.File
+	ln      net.Listener
+	wg      sync.WaitGroup
+	said    []string // the latest words, for status
+	log     *log.Logger
+}
+
+// release is what a roll brings.
+type release struct {
+	program string
+	specs   []Spec
+}
+
+const mostSaid = 50
+
+// saved is what a supervisor that comes after needs to know of a process.
+type saved struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	PID    int    `json:"pid"`
+	Start  string `json:"start"`
+}
+
+// New prepares the fleet of a file. It takes hold of the directory: a second
+// supervisor is turned away.
+func New(f *File, out io.Writer) (*Supervisor, error) {
+	specs, err := f.Specs()
+	if err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(f.Directory, 0o700); err != nil {
+		return nil, err
+	}
+	s := &Supervisor{
+		file: f, specs: specs, program: f.Program, origin: time.Now(),
+		events: make(chan func(time.Duration) []fleetplan.Action), log: log.New(out, "", log.LstdFlags),
+	}
+	for range specs {
+		s.procs = append(s.procs, map[int]*process{})
+	}
+	if s.plan, err = fleetplan.New(f.plan(), len(specs), uint64(time.Now().UnixNano())); err != nil {
+		return nil, err
+	}
+	if s.lock, err = os.OpenFile(filepath.Join(f.Directory, "fleet.lock"), os.O_CREATE|os.O_RDWR|syscall.O_CLOEXEC, 0o600); err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(s.lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		s.lock.Close()
+		return nil, fmt.Errorf("%s: another supervisor has this directory", f.Directory)
+	}
+	if s.ln, err = listenControl(f.Control); err != nil {
+		s.lock.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// listenControl opens the control socket with mode 0600. What a dead supervisor
+// left there is replaced; a file that is no socket is not.
+func listenControl(path string) (net.Listener, error) {
+	if info, err := os.Lstat(path); err == nil {
+		if info.Mode().Type() != os.ModeSocket {
+			return nil, fmt.Errorf("%s: found a file that is no socket, wanted a free path", path)
+		}
+		os.Remove(path) // the lock is held: nobody else is there
+	}
+	old := unix.Umask(0o177)
+	defer unix.Umask(old)
+	return net.Listen("unix", path)
+}
+
+func (s *Supervisor) now() time.Duration { return time.Since(s.origin) }
+
+// Run supervises until ctx ends or the fleet was stopped. When ctx ends the
+// instances are stopped.
+func (s *Supervisor) Run(ctx context.Context) error {
+	defer s.lock.Close()
+	defer s.ln.Close()
+	ctl, stopCtl := context.WithCancel(context.Background())
+	defer func() { stopCtl(); s.ln.Close(); s.wg.Wait() }()
+	s.adoptAll()
+	go s.control(ctl)
+	s.carry(s.plan.Tick(s.now()))
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	stop := ctx.Done()
+	for !s.plan.Stopped() {
+		timer.Reset(s.plan.Next(s.now()) - s.now())
+		select {
+		case <-stop:
+			stop = nil
+			s.say("stopping")
+			s.carry(s.plan.StopAll(s.now()))
+		case f := <-s.events:
+			s.carry(f(s.now()))
+		case <-timer.C:
+		}
+		s.carry(s.plan.Tick(s.now()))
+	}
+	s.say("all instances have ended")
+	return nil
+}
+
+// send hands an event to Run; it is dropped once that has returned.
+func (s *Supervisor) send(ctx context.Context, f func(time.Duration) []fleetplan.Action) {
+	select {
+	case s.events <- f:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Supervisor) say(format string, args ...any) {
+	line := fmt.Sprintf(format, args...)
+	s.log.Print(line)
+	s.said = append(s.said, time.Now().Format("15:04:05 ")+line)
+	if n := len(s.said) - mostSaid; n > 0 {
+		s.said = s.said[n:]
+	}
+}
+
+// adoptAll takes over what the supervisor before left running.
+func (s *Supervisor) adoptAll() {
+	text, err := os.ReadFile(s.statePath())
+	if errors.Is(err, os.ErrNotExist) {
+		return
+	}
+	var list []saved
+	if err == nil {
+		err = json.Unmarshal(text, &list)
+	}
+	if err != nil {
+		s.say("state of the supervisor before: %v; nothing is adopted", err)
+		return
+	}
+	at := map[string]int{}
+	for i, spec := range s.specs {
+		at[spec.Name] = i
+	}
+	for _, v := range list {
+		p := adopt(v.PID, v.Start)
+		if p == nil {
+			continue
+		}
+		i, known := at[v.Name]
+		if !known || s.specs[i].Listen != v.Listen {
+			s.say("%s: process %d on %s runs, and the file names it no more: left alone", v.Name, v.PID, v.Listen)
+			unix.Close(p.fd)
+			continue
+		}
+		s.adoptOne(i, p)
+	}
+	s.save()
+}
+
+// adoptOne takes over one process. One that does not say that it is up is
+// awaited, so that there are never two on an address.
+func (s *Supervisor) adoptOne(i int, p *process) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if _, n := s.plan.Phase(i); n == 0 && upBy(ctx, s.specs[i].Listen).pid == p.pid {
+		p.id = s.plan.Adopt(i)
+		s.say("%s: process %d adopted", s.specs[i].Name, p.pid)
+	} else if n == 0 {
+		p.id = s.plan.AdoptEnding(s.now(), i)
+		s.say("%s: process %d runs and does not say that it is up; its end is awaited", s.specs[i].Name, p.pid)
+	} else {
+		s.say("%s: process %d is a second one, as after a hand-over; it is left to its drain", s.specs[i].Name, p.pid)
+		unix.Close(p.fd)
+		return
+	}
+	s.procs[i][p.id] = p
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		p.awaitEnd()
+		s.ended(i, p, false)
+	}()
+}
+
+func (s *Supervisor) statePath() string { return filepath.Join(s.file.Directory, "state.json") }
+
+// save writes down which processes run, for a supervisor that comes after.
+func (s *Supervisor) save() {
+	list := []saved{}
+	for i, procs := range s.procs {
+		// The newest first: it is the one to adopt.
+		for id := range procs {
+			list = append(list, saved{s.specs[i].Name, s.specs[i].Listen, procs[id].pid, procs[id].start})
+		}
+	}
+	text, err := json.Marshal(list)
+	if err == nil {
+		err = writeWhole(s.statePath(), text)
+	}
+	if err != nil {
+		s.say("state: %v", err)
+	}
+}
+
+// ended passes the end of a process on. It is called by the goroutine that
+// waited for it; what it knows goes to Run.
+func (s *Supervisor) ended(i int, p *process, clean bool) {
+	// Run goes on until every process has ended, or is never told.
+	select {
+	case s.events <- func(now time.Duration) []fleetplan.Action {
+		unix.Close(p.fd)
+		delete(s.procs[i], p.id)
+		s.save()
+		return s.plan.Ended(now, i, p.id, clean)
+	}:
+	case <-time.After(time.Minute):
+	}
+}
+
+// carry does what the plan says.
+func (s *Supervisor) carry(acts []fleetplan.Action) {
+	for len(acts) > 0 {
+		a := acts[0]
+		acts = acts[1:]
+		switch a.Kind {
+		case fleetplan.Start:
+			acts = append(acts, s.start(a)...)
+		case fleetplan.Term:
+			s.signal(a, syscall.SIGTERM)
+		case fleetplan.KillIt:
+			s.signal(a, syscall.SIGKILL)
+		case fleetplan.Hup:
+			s.reload(a)
+		case fleetplan.Keep:
+			if s.next != nil {
+				s.program, s.specs, s.next = s.next.program, s.next.specs, nil
+			}
+		case fleetplan.Say:
+			name := "fleet"
+			if a.Instance >= 0 {
+				name = s.specs[a.Instance].Name
+				if line := lastLine(s.logPath(a.Instance)); line != "" && strings.Contains(a.Text, "ended") {
+					a.Text += " (its last word: " + line + ")"
+				}
+			}
+			s.say("%s: %s", name, a.Text)
+		}
+	}
+}
+
+func (s *Supervisor) logPath(i int) string {
+	return filepath.Join(s.file.Directory, s.specs[i].Name+".log")
+}
+
+func (s *Supervisor) configPath(i int) string {
+	return filepath.Join(s.file.Directory, s.specs[i].Name+".json")
+}
+
+// of returns the program and the instance's words that a start or a reload is
+// of.
+func (s *Supervisor) of(a fleetplan.Action) (string, Spec) {
+	if a.New && s.next != nil {
+		return s.next.program, s.next.specs[a.Instance]
+	}
+	return s.program, s.specs[a.Instance]
+}
+
+// start starts a process and watches it. It returns what follows of a start
+// that failed.
+func (s *Supervisor) start(a fleetplan.Action) []fleetplan.Action {
+	program, spec := s.of(a)
+	env := []string{"RELAY_NAME=" + spec.Name, "RELAY_LISTEN=" + spec.Listen}
+	var err error
+	if spec.Config != "" {
+		err = writeWhole(s.configPath(a.Instance), []byte(spec.Config))
+		env = append(env, "RELAY_CONFIG="+s.configPath(a.Instance))
+	}
+	if err == nil {
+		// A foreign process on the address is named before anything starts.
+		err = s.addressFree(a.Instance, spec.Listen)
+	}
+	if err == nil {
+		cmd, p, e := spawn(program, spec.Args, env, s.logPath(a.Instance))
+		if err = e; err == nil {
+			p.id = a.Proc
+			s.procs[a.Instance][p.id] = p
+			s.save()
+			s.watch(a.Instance, p, spec.Listen, cmd.Wait)
+			return nil
+		}
+	}
+	s.say("%s: start: %v", spec.Name, err)
+	return s.plan.Ended(s.now(), a.Instance, a.Proc, false)
+}
+
+// addressFree tells whether an instance without a process can have its address.
+func (s *Supervisor) addressFree(i int, addr string) error {
+	if len(s.procs[i]) > 0 {
+		return nil // the old one of a hand-over has it
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("address %s: found it in use by a process that is not of this fleet, or not to be had (%v)", addr, err)
+	}
+	return ln.Close()
+}
+
+// watch waits for a process to be ready, and for its end.
+func (s *Supervisor) watch(i int, p *process, addr string, wait func() error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.wg.Add(2)
+	go func() {
+		defer s.wg.Done()
+		if awaitUp(ctx, addr, func(u upState) bool { return u.pid == p.pid }) {
+			s.send(ctx, func(now time.Duration) []fleetplan.Action { return s.plan.Ready(now, i, p.id) })
+		}
+	}()
+	go func() {
+		defer s.wg.Done()
+		err := wait()
+		cancel()
+		s.ended(i, p, err == nil)
+	}()
+}
+
+// reload brings an instance its configuration and tells it.
+func (s *Supervisor) reload(a fleetplan.Action) {
+	_, spec := s.of(a)
+	p := s.procs[a.Instance][a.Proc]
+	if p == nil {
+		return
+	}
+	if spec.Config != "" {
+		if err := writeWhole(s.configPath(a.Instance), []byte(spec.Config)); err != nil {
+			s.say("%s: reload: %v", spec.Name, err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.file.Start.Ready)
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		defer cancel()
+		before := upBy(ctx, spec.Listen)
+		p.signal(syscall.SIGHUP)
+		var after upState
+		if !awaitUp(ctx, spec.Listen, func(u upState) bool {
+			after = u
+			return u.pid == p.pid && u.good+u.bad > before.good+before.bad
+		}) {
+			return // the plan's own time limit ends it
+		}
+		s.send(ctx, func(now time.Duration) []fleetplan.Action {
+			if after.bad > before.bad {
+				return s.plan.Unready(now, a.Instance, a.Proc)
+			}
+			return s.plan.Ready(now, a.Instance, a.Proc)
+		})
+	}()
+}
+
+func (s *Supervisor) signal(a fleetplan.Action, sig syscall.Signal) {
+	p := s.procs[a.Instance][a.Proc]
+	if p == nil {
+		return
+	}
+	if err := p.signal(sig); err != nil {
+		s.say("%s: %v to process %d: %v", s.specs[a.Instance].Name, sig, p.pid, err)
+	}
+}
+
+// control answers on the control socket.
+func (s *Supervisor) control(ctx context.Context) {
+	for {
+		c, err := s.ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(5 * time.Second))
+			line, err := bufio.NewReaderSize(c, 64<<10).ReadString('\n')
+			if err != nil || len(line) > 64<<10 {
+				fmt.Fprintln(c, "error: wanted one line")
+				return
+			}
+			answer := make(chan string, 1)
+			s.send(ctx, func(now time.Duration) []fleetplan.Action {
+				text, acts, err := s.command(now, strings.Fields(line))
+				if err != nil {
+					text = "error: " + err.Error() + "\n"
+				} else {
+					text = "ok\n" + text
+				}
+				answer <- text
+				return acts
+			})
+			select {
+			case text := <-answer:
+				io.WriteString(c, text)
+			case <-ctx.Done():
+			}
+		}()
+	}
+}
+
+// command carries out one command of an operator.
+func (s *Supervisor) command(now time.Duration, words []string) (string, []fleetplan.Action, error) {
+	if len(words) == 0 {
+		return "", nil, errors.New("wanted a verb")
+	}
+	verb, args := words[0], words[1:]
+	switch verb {
+	case "status":
+		return s.status(), nil, nil
+	case "stop":
+		return "stopping\n", s.plan.StopAll(now), nil
+	case "resume":
+		acts, err := s.plan.Resume(now)
+		return "", acts, err
+	case "cancel":
+		acts, err := s.plan.Cancel()
+		return "", acts, err
+	case "restart", "reload":
+		acts, err := s.roll(now, verb == "reload", args)
+		if err != nil {
+			return "", nil, err
+		}
+		return s.plan.RollText() + "\n", acts, nil
+	}
+	return "", nil, fmt.Errorf("found %q, wanted status, restart, reload, resume, cancel or stop", verb)
+}
+
+// roll begins a rolling restart or reload: [-program PATH] [NAME...]. The fleet
+// file and its templates are read again.
+func (s *Supervisor) roll(now time.Duration, reload bool, args []string) ([]fleetplan.Action, error) {
+	f, err := LoadFile(s.file.Path)
+	if err != nil {
+		return nil, err
+	}
+	next := &release{program: s.program}
+	if f.Program != s.file.Program {
+		next.program = f.Program
+	}
+	if len(args) > 1 && args[0] == "-program" && !reload {
+		next.program = args[1]
+		args = args[2:]
+		if info, err := os.Stat(next.program); err != nil || info.IsDir() || info.Mode()&0o111 == 0 {
+			return nil, fmt.Errorf("program: found none at %q", next.program)
+		}
+	}
+	if next.specs, err = f.Specs(); err != nil {
+		return nil, err
+	}
+	if len(next.specs) != len(s.specs) {
+		return nil, fmt.Errorf("%s: found %d instances, wanted the %d that run: a change of their number needs a new start of the supervisor", f.Path, len(next.specs), len(s.specs))
+	}
+	for i := range next.specs {
+		if next.specs[i].Name != s.specs[i].Name || next.specs[i].Listen != s.specs[i].Listen {
+			return nil, fmt.Errorf("%s: found %s on %s, wanted %s on %s: names and addresses stay", f.Path, next.specs[i].Name, next.specs[i].Listen, s.specs[i].Name, s.specs[i].Listen)
+		}
+	}
+	which, err := s.named(args)
+	if err != nil {
+		return nil, err
+	}
+	var acts []fleetplan.Action
+	if reload {
+		acts, err = s.plan.ReloadAll(now, which, true)
+	} else {
+		acts, err = s.plan.RestartAll(now, which, true)
+	}
+	if err == nil {
+		s.next = next
+	}
+	return acts, err
+}
+
+// named returns the instances of those names.
+func (s *Supervisor) named(names []string) ([]int, error) {
+	var which []int
+	for _, name := range names {
+		at := -1
+		for i := range s.specs {
+			if s.specs[i].Name == name {
+				at = i
+			}
+		}
+		if at < 0 {
+			return nil, fmt.Errorf("found no instance %q", name)
+		}
+		which = append(which, at)
+	}
+	return which, nil
+}
+
+// status words the state of the fleet.
+func (s *Supervisor) status() string {
+	var b strings.Builder
+	counts := map[fleetplan.Phase]int{}
+	for i, spec := range s.specs {
+		phase, _ := s.plan.Phase(i)
+		counts[phase]++
+		fmt.Fprintf(&b, "%-12s %-22s %-12s", spec.Name, spec.Listen, phase)
+		for _, p := range s.procs[i] {
+			fmt.Fprintf(&b, " %d", p.pid)
+		}
+		b.WriteByte('\n')
+	}
+	fmt.Fprintf(&b, "%d instances, %d up", len(s.specs), counts[fleetplan.Up])
+	if n := counts[fleetplan.GivenUp]; n > 0 {
+		fmt.Fprintf(&b, ", %d given up", n)
+	}
+	b.WriteByte('\n')
+	if text := s.plan.RollText(); text != "" {
+		fmt.Fprintf(&b, "roll: %s\n", text)
+	}
+	for _, line := range s.said[max(0, len(s.said)-5):] {
+		fmt.Fprintf(&b, "%s\n", line)
+	}
+	return b.String()
+}
+
+// Ask sends one command to the supervisor at path and returns its answer.
+func Ask(path string, words ...string) (string, error) {
+	c, err := net.DialTimeout("unix", path, time.Second)
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+		return "", fmt.Errorf("%s: found no control socket: no supervisor has run there", path)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "", fmt.Errorf("%s: found a dead control socket: the supervisor has ended; its instances may still run, and a new supervisor adopts them", path)
+	case err != nil:
+		return "", fmt.Errorf("%s: %w", path, err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := fmt.Fprintln(c, strings.Join(words, " ")); err != nil {
+		return "", fmt.Errorf("%s: %w", path, err)
+	}
+	text, err := io.ReadAll(io.LimitReader(c, 1<<20))
+	if err != nil {
+		return "", fmt.Errorf("%s: %w", path, err)
+	}
+	if why, bad := strings.CutPrefix(string(text), "error: "); bad {
+		return "", errors.New(strings.TrimSpace(why))
+	}
+	rest, ok := strings.CutPrefix(string(text), "ok\n")
+	if !ok {
+		return "", fmt.Errorf("%s: found %.40q, wanted the answer of a supervisor", path, text)
+	}
+	return rest, nil
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,106 @@
+// Package operator reads the operator's file, deploy/operator.toml: what is
+// switched on beyond what the platform tells the sidecar. Without the file, and
+// without a section, that subsystem is off.
+//
+// Each section is a struct of its own with the defaults that hold once the
+// section is there; docs/operate has a page for each.
+package operator
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"otterspring/internal/strictfile"
+)
+
+// File is what an operator's file says.
+type File struct {
+	Drain    Drain    `toml:"drain"`
+	Handover Handover `toml:"handover"`
+	Notify   Notify   `toml:"notify"`
+}
+
+// Drain bounds the end of an instance. Used from the next drain on, so a reload
+// brings it in.
+type Drain struct {
+	// Finish is how long after the signal requests may still be finished; what
+	// is open then is handed back. 0 takes the longest deadline of the classes
+	// and the time in which connections still come.
+	Finish time.Duration `toml:"finish" min:"1s" max:"10m"`
+}
+
+// Handover lets a new process take the listening socket over from this one.
+// A reload leaves it as it is; it is read at the start.
+type Handover struct {
+	// Socket is the path of the Unix socket on which an instance offers its
+	// listener and asks for that of the one before it. Empty: off.
+	Socket string `toml:"socket"`
+	// Ready is how long the new process may take from its first word until it
+	// is ready; after that the old one goes on alone.
+	Ready time.Duration `toml:"ready_within" min:"100ms" max:"5m"`
+}
+
+// Notify tells a supervisor of the states of the program, as systemd does it.
+type Notify struct {
+	// Systemd sends datagrams to $NOTIFY_SOCKET where that is set.
+	Systemd bool `toml:"systemd"`
+}
+
+// Defaults returns what holds without a file: everything is off.
+func Defaults() File {
+	return File{Handover: Handover{Ready: 10 * time.Second}}
+}
+
+// Load reads the file at path; an empty path means no file.
+func Load(path string) (File, error) {
+	f := Defaults()
+	if path == "" {
+		return f, nil
+	}
+	if err := strictfile.Load(path, &f); err != nil {
+		return Defaults(), err
+	}
+	return f, f.check(path)
+}
+
+// check holds against each other what no single value shows.
+func (f *File) check(path string) error {
+	// A Unix socket's address holds 108 bytes with the zero at its end.
+	if n := len(f.Handover.Socket); n > 100 {
+		return &strictfile.Error{File: path, Key: "handover.socket", Found: fmt.Sprintf("a path of %d bytes", n), Wanted: "100 at most"}
+	}
+	if s := f.Handover.Socket; s != "" && !strings.HasPrefix(s, "/") {
+		return &strictfile.Error{File: path, Key: "handover.socket", Found: fmt.Sprintf("%q", s), Wanted: "an absolute path"}
+	}
+	return nil
+}
+
+// On names the sections that are switched on.
+func (f *File) On() []string {
+	var on []string
+	if f.Drain.Finish > 0 {
+		on = append(on, "drain")
+	}
+	if f.Handover.Socket != "" {
+		on = append(on, "handover")
+	}
+	if f.Notify.Systemd {
+		on = append(on, "notify")
+	}
+	return on
+}
+
+// WaitsForStart names the sections that differ and that a running program does
+// not take from a reload.
+func (f *File) WaitsForStart(n *File) []string {
+	var names []string
+	if !reflect.DeepEqual(f.Handover, n.Handover) {
+		names = append(names, "handover")
+	}
+	if f.Notify != n.Notify {
+		names = append(names, "notify")
+	}
+	return names
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,65 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestNoFileMeansOff(t *testing.T) {
+	f, err := Load("")
+	if err != nil || len(f.On()) != 0 {
+		t.Errorf("on: %v, %v", f.On(), err)
+	}
+	if f, err = Load(write(t, "")); err != nil || len(f.On()) != 0 {
+		t.Errorf("an empty file: on: %v, %v", f.On(), err)
+	}
+}
+
+func TestSections(t *testing.T) {
+	f, err := Load(write(t, "[drain]\nfinish = \"4s\"\n[handover]\nsocket = \"/run/n1.sock\"\n[notify]\nsystemd = true\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Join(f.On(), " "); got != "drain handover notify" {
+		t.Errorf("on: %s", got)
+	}
+	if f.Drain.Finish != 4*time.Second || f.Handover.Ready != 10*time.Second {
+		t.Errorf("read %+v", f)
+	}
+	n := f
+	n.Drain.Finish = time.Second
+	if later := f.WaitsForStart(&n); len(later) != 0 {
+		t.Errorf("the drain waits for a start: %v", later)
+	}
+	n.Handover.Socket, n.Notify.Systemd = "/run/other.sock", false
+	if later := strings.Join(f.WaitsForStart(&n), " "); later != "handover notify" {
+		t.Errorf("waits: %s", later)
+	}
+}
+
+func TestBadFilesAreNamed(t *testing.T) {
+	for text, want := range map[string]string{
+		"[drain]\nfinish = \"10\"":                                   "operator.toml:2: drain.finish: found \"10\", wanted a duration",
+		"[drain]\nfinish = \"11m\"":                                  "wanted 1s to 10m",
+		"[handover]\nsocket = \"run/x\"":                             "wanted an absolute path",
+		"[handover]\nsocket = \"/" + strings.Repeat("x", 120) + "\"": "wanted 100 at most",
+		"[handoff]\nsocket = \"/run/x\"":                             "operator.toml:1: handoff: found a key that is not known, wanted one of drain, handover, notify",
+		"[notify]\nsystemd = \"yes\"":                                "wanted true or false",
+	} {
+		if _, err := Load(write(t, text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/instance.go
@@ -0,0 +1,335 @@
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"otterspring/internal/standin/registry"
+)
+
+// readyWithin bounds the start of a process. It is long: it ends a rig that
+// hangs, and is no verdict on speed.
+const readyWithin = 60 * time.Second
+
+// Instance is one sidecar: a name and an address that outlive its processes.
+type Instance struct {
+	Name string
+	Addr string
+
+	world    *World
+	config   string
+	operator string
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	door  *registry.Door
+	known string
+	procs []*Process // those that have not ended, oldest first
+	peak  int64      // largest resident size seen, in bytes
+	cpu   time.Duration
+}
+
+// Process is one process of an instance.
+type Process struct {
+	cmd  *exec.Cmd
+	tail *tail
+	done chan struct{}
+	err  error // after done
+}
+
+// tail keeps the last lines that a process wrote.
+type tail struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+const mostTail = 8 << 10
+
+func (t *tail) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.text = append(t.text, p...)
+	if n := len(t.text) - mostTail; n > 0 {
+		t.text = t.text[n:]
+	}
+	return len(p), nil
+}
+
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return string(t.text)
+}
+
+// newInstance reserves an address and a door to discovery. Each instance has an
+// address of its own in 127/8, so that no outgoing connection takes its port
+// while it restarts.
+func (w *World) newInstance(i, base int, seed uint64) (*Instance, error) {
+	in := &Instance{Name: fmt.Sprintf("n%d", i+1), world: w, rng: rand.New(rand.NewPCG(seed, 3))}
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", base, i/250, i%250+1))
+	if err != nil {
+		return nil, fmt.Errorf("instance %s: %w", in.Name, err)
+	}
+	in.Addr = ln.Addr().String()
+	ln.Close()
+	if in.door, err = w.Registry.Open(in.Name); err != nil {
+		return nil, err
+	}
+	in.config = w.path(in.Name + ".json")
+	if w.opt.Operator != nil {
+		in.operator = w.path(in.Name + ".toml")
+		if err := write(in.operator, w.opt.Operator(i, w.opt.Dir)); err != nil {
+			return nil, err
+		}
+	}
+	in.known = w.Registry.Snapshot()
+	return in, in.writeConfig()
+}
+
+// writeConfig writes the configuration for the next start or reload, with a new
+// seed.
+func (in *Instance) writeConfig() error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return write(in.config, in.world.configText(in, in.rng.Uint64(), in.door.Addr(), in.known))
+}
+
+// spawn starts a process.
+func (in *Instance) spawn(extra ...string) (*Process, error) {
+	o := &in.world.opt
+	args := append([]string{}, o.Program[1:]...)
+	if in.operator != "" {
+		args = append(args, "-operator", in.operator)
+	}
+	args = append(args, extra...)
+	p := &Process{cmd: exec.Command(o.Program[0], args...), tail: &tail{}, done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+in.config, "RELAY_NAME="+in.Name, "RELAY_LISTEN="+in.Addr, "RELAY_DISCOVERY="+in.door.Addr())
+	p.cmd.Env = append(p.cmd.Env, o.Env...)
+	p.cmd.Stdout, p.cmd.Stderr = p.tail, p.tail
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("instance %s: %w", in.Name, err)
+	}
+	in.mu.Lock()
+	in.procs = append(in.procs, p)
+	in.mu.Unlock()
+	go func() {
+		p.err = p.cmd.Wait()
+		in.mu.Lock()
+		for i, q := range in.procs {
+			if q == p {
+				in.procs = append(in.procs[:i:i], in.procs[i+1:]...)
+				break
+			}
+		}
+		if st := p.cmd.ProcessState; st != nil {
+			in.cpu += st.UserTime() + st.SystemTime()
+			if ru, ok := st.SysUsage().(*syscall.Rusage); ok {
+				in.peak = max(in.peak, ru.Maxrss<<10)
+			}
+		}
+		in.mu.Unlock()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Start starts a process and waits until it is ready.
+func (in *Instance) Start(ctx context.Context) error {
+	if err := in.writeConfig(); err != nil {
+		return err
+	}
+	p, err := in.spawn()
+	if err != nil {
+		return err
+	}
+	return in.await(ctx, p)
+}
+
+// await waits until GET /up is answered 200, or the process has ended.
+func (in *Instance) await(ctx context.Context, p *Process) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for {
+		if in.up(ctx) {
+			return nil
+		}
+		select {
+		case <-p.done:
+			return fmt.Errorf("instance %s ended before it was ready: %v: %s", in.Name, p.err, strings.TrimSpace(p.tail.String()))
+		case <-ctx.Done():
+			return fmt.Errorf("instance %s: not ready: %s", in.Name, strings.TrimSpace(p.tail.String()))
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+var upClient = http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+
+func (in *Instance) up(ctx context.Context) bool {
+	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+in.Addr+"/up", nil)
+	if err != nil {
+		return false
+	}
+	r, err := upClient.Do(req)
+	if err != nil {
+		return false
+	}
+	io.Copy(io.Discard, r.Body)
+	r.Body.Close()
+	return r.StatusCode == 200
+}
+
+// running returns the processes that have not ended.
+func (in *Instance) running() []*Process {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return append([]*Process(nil), in.procs...)
+}
+
+// Pids are those of the processes that have not ended.
+func (in *Instance) Pids() []int {
+	var pids []int
+	for _, p := range in.running() {
+		pids = append(pids, p.cmd.Process.Pid)
+	}
+	return pids
+}
+
+// Signal sends a signal to the newest process.
+func (in *Instance) Signal(s syscall.Signal) error {
+	procs := in.running()
+	if len(procs) == 0 {
+		return errors.New("instance " + in.Name + ": no process")
+	}
+	return procs[len(procs)-1].cmd.Process.Signal(s)
+}
+
+// Kill ends all processes outright. Clients retry what they held.
+func (in *Instance) Kill() {
+	procs := in.running()
+	in.world.Log.Dying(in.Name)
+	for _, p := range procs {
+		p.cmd.Process.Kill()
+	}
+	for _, p := range procs {
+		<-p.done
+	}
+	in.world.Log.Killed(in.Name, in.world.Log.Now())
+}
+
+// ErrCrashed is the end of a process that was not asked for.
+var ErrCrashed = errors.New("crashed")
+
+// Stop ends the newest process by SIGTERM and waits for it.
+func (in *Instance) Stop(ctx context.Context) error {
+	procs := in.running()
+	if len(procs) == 0 {
+		return nil
+	}
+	p := procs[len(procs)-1]
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+		return fmt.Errorf("instance %s: did not end on SIGTERM: %w", in.Name, ctx.Err())
+	}
+	if p.err != nil {
+		return fmt.Errorf("instance %s: ended on SIGTERM with %v: %s: %w", in.Name, p.err, strings.TrimSpace(p.tail.String()), ErrCrashed)
+	}
+	return nil
+}
+
+// Restart ends the newest process, by SIGKILL or SIGTERM, and starts another.
+func (in *Instance) Restart(ctx context.Context, kill bool) error {
+	if kill {
+		in.Kill()
+	} else if err := in.Stop(ctx); err != nil {
+		return err
+	}
+	in.world.Log.Restarted(in.Name, in.world.Log.Now())
+	return in.Start(ctx)
+}
+
+// HandOver starts a new process that takes the listener over, and waits until
+// the old one has ended.
+func (in *Instance) HandOver(ctx context.Context) error {
+	old := in.running()
+	if err := in.writeConfig(); err != nil {
+		return err
+	}
+	p, err := in.spawn()
+	if err != nil {
+		return err
+	}
+	for _, o := range old {
+		select {
+		case <-o.done:
+			if o.err != nil {
+				return fmt.Errorf("instance %s: the old process ended with %v: %s: %w", in.Name, o.err, strings.TrimSpace(o.tail.String()), ErrCrashed)
+			}
+		case <-p.done:
+			return fmt.Errorf("instance %s: the new process ended: %v: %s", in.Name, p.err, strings.TrimSpace(p.tail.String()))
+		case <-ctx.Done():
+			return fmt.Errorf("instance %s: the old process did not end: %w", in.Name, ctx.Err())
+		}
+	}
+	return in.await(ctx, p)
+}
+
+// Usage returns the largest resident size that any process of it had and the
+// CPU time of all, those that run now included.
+func (in *Instance) Usage() (peak int64, cpu time.Duration) {
+	in.mu.Lock()
+	peak, cpu = in.peak, in.cpu
+	in.mu.Unlock()
+	for _, p := range in.running() {
+		rss, used := processUsage(p.cmd.Process.Pid)
+		peak, cpu = max(peak, rss), cpu+used
+	}
+	return peak, cpu
+}
+
+// processUsage reads a process's peak resident size and CPU time.
+func processUsage(pid int) (peak int64, cpu time.Duration) {
+	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)); err == nil {
+		for _, line := range strings.Split(string(text), "\n") {
+			if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+				n, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+				peak = n << 10
+			}
+		}
+	}
+	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid)); err == nil {
+		if at := strings.LastIndexByte(string(text), ')'); at > 0 {
+			f := strings.Fields(string(text)[at+1:])
+			if len(f) > 12 {
+				user, _ := strconv.ParseInt(f[11], 10, 64)
+				sys, _ := strconv.ParseInt(f[12], 10, 64)
+				cpu = time.Duration(user+sys) * 10 * time.Millisecond
+			}
+		}
+	}
+	return peak, cpu
+}
+
+// Tail is what the processes that run now have last written.
+func (in *Instance) Tail() string {
+	var b strings.Builder
+	for _, p := range in.running() {
+		b.WriteString(p.tail.String())
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/rig/world.go
@@ -0,0 +1,256 @@
+// Package rig builds whole small worlds on loopback: discovery, call servers,
+// sidecars as processes of their own, and clients, with the audit on both
+// sides. The project's rigs and its tests of failures use it.
+package rig
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"otterspring/internal/audit"
+	"otterspring/internal/standin/callserver"
+	"otterspring/internal/standin/clients"
+	"otterspring/internal/standin/registry"
+)
+
+// Options describe a world. Zero values take the usual ones.
+type Options struct {
+	Seed      uint64
+	Instances int
+	Servers   int
+	PodSize   int           // servers in a pod
+	Window    time.Duration // in which a pod drops a repeated key
+	Stretch   float64       // all aims, deadlines and graces are longer by this: for slow machines
+	Cold      time.Duration // work after which a fresh server is warm
+	Registry  registry.Config
+	Program   []string // the sidecar: path and arguments
+	Env       []string // what its environment has beside the platform's variables
+	Dir       string   // for configurations and logs; must exist
+	MemoryMB  int
+	Sockets   int
+	Operator  func(instance int, dir string) string // text of each instance's operator's file; nil for none
+}
+
+func (o *Options) defaults() {
+	set := func(p *int, v int) {
+		if *p <= 0 {
+			*p = v
+		}
+	}
+	set(&o.Instances, 1)
+	set(&o.Servers, 6)
+	set(&o.PodSize, 4)
+	set(&o.MemoryMB, 64)
+	set(&o.Sockets, 512)
+	if o.Stretch <= 0 {
+		o.Stretch = 1
+	}
+	if o.Window == 0 {
+		o.Window = 4 * time.Second
+	}
+	if o.Cold == 0 {
+		o.Cold = 15 * time.Second
+	}
+	if o.Registry.CallLines == 0 {
+		o.Registry.CallLines = 23
+	}
+}
+
+// World is a running world.
+type World struct {
+	opt       Options
+	Log       *audit.Log
+	Registry  *registry.Registry
+	Servers   []*callserver.Server
+	Instances []*Instance
+	Classes   []clients.Class
+	pods      []*callserver.Pod
+
+	mu   sync.Mutex
+	regs []*registry.Registry // those that a move left behind, too
+}
+
+// Classes are the classes of the site, stretched.
+func Classes(stretch float64) []clients.Class {
+	ms := func(n float64) time.Duration { return time.Duration(n * stretch * float64(time.Millisecond)) }
+	return []clients.Class{
+		{Name: "roster", Effect: audit.Repeat, Share: 41, Aim: ms(200), Deadline: ms(500), Worth: 3},
+		{Name: "join", Effect: audit.Keyed, Share: 31, Aim: ms(500), Deadline: ms(2000), Worth: 8},
+		{Name: "start-rec", Effect: audit.Once, Share: 28, Aim: ms(500), Deadline: ms(1200), Worth: 5},
+	}
+}
+
+// works are the mean amounts of work by class.
+var works = map[string]time.Duration{"roster": 20 * time.Millisecond, "join": 54 * time.Millisecond, "start-rec": 55 * time.Millisecond}
+
+// speeds are those of a core of the site's three kinds of machine, by turns.
+var speeds = []float64{1.6, 0.95, 0.6}
+
+// Capacity is how many requests a second all servers of a world of that size
+// can serve, about.
+func Capacity(servers int) float64 {
+	mean := 0.41*works["roster"].Seconds() + 0.31*works["join"].Seconds() + 0.28*works["start-rec"].Seconds()
+	sum := 0.0
+	for i := range servers {
+		sum += 2 * speeds[i%len(speeds)]
+	}
+	return sum / mean
+}
+
+// New starts discovery and the call servers, and prepares the instances; they
+// are not started.
+func New(o Options) (*World, error) {
+	o.defaults()
+	rules := audit.Delft()
+	rules.Grace = time.Duration(float64(rules.Grace) * o.Stretch)
+	rules.Slack = time.Duration(float64(rules.Slack) * o.Stretch)
+	w := &World{opt: o, Log: audit.New(rules), Classes: Classes(o.Stretch)}
+	w.Registry = registry.New(o.Registry, w.Log, 1)
+	w.regs = []*registry.Registry{w.Registry}
+	rng := rand.New(rand.NewPCG(o.Seed, 0x776f726c64))
+	for i := range o.Servers {
+		if i%o.PodSize == 0 {
+			w.pods = append(w.pods, callserver.NewPod(fmt.Sprintf("pod%d", len(w.pods)+1), o.Window))
+		}
+		s, err := callserver.Start(w.serverConfig(i), w.pods[len(w.pods)-1], w.Log, rng.Uint64())
+		if err != nil {
+			w.Close()
+			return nil, err
+		}
+		w.Servers = append(w.Servers, s)
+		w.Registry.SetNow(w.entry(s, "active"))
+	}
+	base := 1 + rng.IntN(200)
+	for i := range o.Instances {
+		in, err := w.newInstance(i, base, rng.Uint64())
+		if err != nil {
+			w.Close()
+			return nil, err
+		}
+		w.Instances = append(w.Instances, in)
+	}
+	return w, nil
+}
+
+func (w *World) serverConfig(i int) callserver.Config {
+	c := callserver.Config{
+		Name: fmt.Sprintf("s%d", i+1), Zone: "delft-dc", Group: len(w.pods), Speed: speeds[i%len(speeds)],
+		Cap: 450, Idle: 5 * time.Second, Handshake: time.Millisecond, ColdFrom: 0.2, ColdWork: w.opt.Cold,
+		TipAt: 3, TipFor: 3 * time.Second, KeyMemory: 5 * time.Second, KeySaves: 0.4,
+	}
+	for _, k := range w.Classes {
+		c.Classes = append(c.Classes, callserver.Class{Name: k.Name, Effect: k.Effect, Work: works[k.Name]})
+	}
+	return c
+}
+
+// entry is what discovery tells of a server.
+func (w *World) entry(s *callserver.Server, status string) registry.Entry {
+	life, since := s.Life()
+	return registry.Entry{Name: s.Name(), Addr: s.Addr(), Zone: s.Zone(), Group: s.Group(), Status: status, SinceMS: since, Life: life}
+}
+
+// Drain makes discovery tell that a server drains; the server finishes what it
+// has and goes on serving what comes all the same, so that a late send shows.
+func (w *World) Drain(s *callserver.Server) { w.Registry.Set(w.entry(s, "leaving")) }
+
+// Remove ends a server and makes discovery tell that it is gone.
+func (w *World) Remove(s *callserver.Server) {
+	e := w.entry(s, "left")
+	s.Crash()
+	w.Registry.Set(e)
+}
+
+// Return starts a server anew, cold, and makes discovery tell it.
+func (w *World) Return(s *callserver.Server) error {
+	if err := s.Restart(""); err != nil {
+		return err
+	}
+	w.Registry.Set(w.entry(s, "active"))
+	return nil
+}
+
+// Close ends everything: instances are killed, all stand-ins closed and their
+// goroutines awaited.
+func (w *World) Close() {
+	for _, in := range w.Instances {
+		in.Kill()
+	}
+	w.mu.Lock()
+	regs := w.regs
+	w.mu.Unlock()
+	for _, r := range regs {
+		r.Close()
+	}
+	for _, s := range w.Servers {
+		s.Close()
+	}
+}
+
+// StartAll starts the instances, at most lanes of them at a time, and waits
+// until all are ready.
+func (w *World) StartAll(ctx context.Context, lanes int) error {
+	slots := make(chan bool, max(1, lanes))
+	errs := make(chan error, len(w.Instances))
+	for _, in := range w.Instances {
+		go func() {
+			slots <- true
+			defer func() { <-slots }()
+			errs <- in.Start(ctx)
+		}()
+	}
+	var first error
+	for range w.Instances {
+		if err := <-errs; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// Clients returns the clients of an instance.
+func (w *World) Clients(in *Instance, seed uint64) *clients.Clients {
+	return clients.New(clients.Config{
+		Instance: in.Name, Addr: in.Addr, Classes: w.Classes, Retries: 2, TryShare: 0.7, Body: 200,
+		Most: w.opt.Sockets / 3, Seed: seed,
+	}, w.Log)
+}
+
+// configText is the configuration of an instance.
+func (w *World) configText(in *Instance, seed uint64, discovery, known string) string {
+	var classes []string
+	for _, c := range w.Classes {
+		effect := map[audit.Effect]string{
+			audit.Repeat: `"effect":"free"`,
+			audit.Keyed:  fmt.Sprintf(`"effect":"guarded","group":"cell","window-us":%d`, w.opt.Window.Microseconds()),
+			audit.Once:   `"effect":"single_shot"`,
+		}[c.Effect]
+		classes = append(classes, fmt.Sprintf(`{"name":%q,"aim-us":%d,"deadline-us":%d,"worth":%g,%s}`,
+			c.Name, c.Aim.Microseconds(), c.Deadline.Microseconds(), c.Worth, effect))
+	}
+	return fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x",
+"limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},
+"known":%s,
+"settings":{"discovery":"subscribe","extra":{"warm-keys":true},"round-us":2000,
+ "limits":{"try-limit":3,"cancel":true,"second-copies":true,"retry-after":true,"max-retry-after-us":1000000,"conn-idle-us":5000000,"dial-timeout-us":100000},
+ "rules":{"cold-from":0.12,"cold-us":23000000,"tip-multiple":3},
+ "classes":[%s]}}
+`, in.Name, in.Addr, discovery, seed, w.opt.MemoryMB, w.opt.Sockets, known, strings.Join(classes, ","))
+}
+
+// write replaces a file as a whole.
+func write(path, text string) error {
+	tmp := path + ".new"
+	if err := os.WriteFile(tmp, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(tmp, path)
+}
+
+func (w *World) path(name string) string { return filepath.Join(w.opt.Dir, name) }
--- a/internal/sidecar/counts_test.go
+++ b/internal/sidecar/counts_test.go
@@ -77,7 +77,7 @@
 	eventually(t, "no client is kept", s.front.empty)
 
 	// An upstream that leaves takes its connections along.
-	s.eng.members(balance.ListFull, nil)
+	s.eng.members(balance.ListFull, list{full: true}, 0)
 	eventually(t, "nothing is kept of an upstream that has gone", func() bool {
 		_, _, hosts := engineCounts(s)
 		return hosts == 0 && poolOpen(s) == 0 && up.live.Load() == 0
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -201,7 +201,7 @@
 			moves, tries, d.index = n, moveTries, 0
 			d.hangUp()
 		}
-		heard, err := d.watch(until, addr)
+		heard, err := d.watch(until, addr, moves)
 		moved := until.Err() != nil
 		done()
 		d.hangUp()
@@ -222,7 +222,7 @@
 		}
 		tries = 0
 		log.Printf("discovery: %v", err)
-		d.eng.members(balance.ListFailed, nil)
+		d.eng.members(balance.ListFailed, list{}, moves)
 		if d.pushed {
 			pause(ctx, retryPushed)
 		}
@@ -239,7 +239,7 @@
 
 // watch hands every change to the engine until a call fails. It tells whether
 // any call before that was answered.
-func (d *discovery) watch(ctx context.Context, addr string) (heard bool, err error) {
+func (d *discovery) watch(ctx context.Context, addr string, moves int) (heard bool, err error) {
 	for {
 		began := time.Now()
 		l, err := d.call(ctx, addr)
@@ -260,7 +260,7 @@
 		}
 		heard = true
 		d.index = l.index
-		d.eng.members(kind, l.entries)
+		d.eng.members(kind, l, moves)
 		if len(l.entries) == 0 && time.Since(began) < rest {
 			pause(ctx, rest)
 		}
--- /dev/null
+++ b/internal/sidecar/drain.go
@@ -0,0 +1,200 @@
+package sidecar
+
+import (
+	"fmt"
+	"log"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"otterspring/balance"
+)
+
+const (
+	drainStep = 10 * time.Millisecond
+	// flushFor is how long clients may take to read what was handed back to
+	// them; after it their connections are cut.
+	flushFor = 500 * time.Millisecond
+)
+
+// SetFinish sets how long after the begin of a drain requests may still be
+// finished; 0 takes the usual bound. A drain under way looks at it once, at its
+// begin.
+func (s *Sidecar) SetFinish(d time.Duration) { s.finish.Store(int64(d)) }
+
+// drainBound is how long a drain may take until what is open is handed back.
+// Usually that is the time in which requests still come, and the longest wait
+// that a client may ask for: nothing is handed back then that its client still
+// waits for. A shorter bound is for supervisors that kill sooner.
+func (s *Sidecar) drainBound() time.Duration {
+	if d := time.Duration(s.finish.Load()); d > 0 {
+		return d
+	}
+	longest := time.Duration(0)
+	for _, c := range s.cfg.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return cutAt + deadlineSlack*longest + time.Second
+}
+
+// Drain ends the service at a planned restart. It returns when every request
+// that was taken is answered, at the bound of the drain at the latest: what is
+// open then gets its final answer at once, which says truthfully whether trying
+// again is harmless.
+func (s *Sidecar) Drain() {
+	began := time.Now()
+	end := began.Add(s.drainBound())
+	s.front.draining.Store(true)
+	time.Sleep(closeIdleAt)
+	s.front.cut(phaseIdle)
+	time.Sleep(cutAt - time.Since(began))
+	s.front.shut()
+	s.drainUntil(end, nil)
+	s.stop()
+}
+
+// Retire ends the service after another process has taken the listening socket
+// over: new connections are that one's, what this one has it answers. It
+// returns true when all is answered, and false as soon as abort is closed: then
+// the other process has ended, and this one serves on.
+func (s *Sidecar) Retire(abort <-chan struct{}) bool {
+	end := time.Now().Add(s.drainBound())
+	s.front.pause()
+	s.front.draining.Store(true)
+	// Connections that are asked on meanwhile get their answer and are closed
+	// with it. The rest are closed between requests.
+	if waitFor(closeIdleAt, abort) {
+		s.front.cut(phaseIdle)
+		if waitFor(cutAt-closeIdleAt, abort) && s.drainUntil(end, abort) {
+			s.front.leave()
+			s.stop()
+			return true
+		}
+	}
+	s.front.draining.Store(false)
+	s.front.resume()
+	return false
+}
+
+// waitFor waits; false if abort was closed first.
+func waitFor(d time.Duration, abort <-chan struct{}) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-abort:
+		return false
+	}
+}
+
+// drainUntil waits until no connection is left; false if abort was closed
+// first. At end what is open is handed back, and a little later cut off.
+func (s *Sidecar) drainUntil(end time.Time, abort <-chan struct{}) bool {
+	handed := false
+	for !s.front.empty() {
+		s.front.cut(phaseReading)
+		now := time.Now()
+		if !handed && !now.Before(end) {
+			handed = true
+			log.Printf("drain: its time is over: %d requests handed back", s.eng.handBack())
+		}
+		if now.After(end.Add(flushFor)) {
+			if n := s.front.abandon(); n > 0 {
+				log.Printf("drain: %d connections cut that did not read their answers", n)
+			}
+			time.Sleep(drainStep)
+			return true
+		}
+		if !waitFor(drainStep, abort) {
+			return false
+		}
+	}
+	return true
+}
+
+// Resume accepts connections, after a start that was paused.
+func (s *Sidecar) Resume() { s.front.resume() }
+
+// Listener is the listening socket, for a process that takes over.
+func (s *Sidecar) Listener() *net.TCPListener { return s.front.ln }
+
+// Held is the list as this process holds it, in discovery's form, for a process
+// that takes over.
+func (s *Sidecar) Held() []byte { return s.eng.list().text() }
+
+// Hear takes the list that the other process of a hand-over holds, if it is
+// newer than the own one: the versions are of the same discovery.
+func (s *Sidecar) Hear(text []byte) {
+	l, err := parseHeld(text)
+	if err != nil {
+		log.Printf("handover: list: %v", err)
+		return
+	}
+	s.eng.mu.Lock()
+	newer, moves := l.index > s.eng.index, s.eng.moves
+	s.eng.mu.Unlock()
+	if newer {
+		s.eng.members(balance.ListFull, l, moves)
+	}
+}
+
+// OnList has every list that discovery tells from now on passed to f too, until
+// OffList or the next OnList.
+func (s *Sidecar) OnList(f func([]byte)) {
+	s.eng.mu.Lock()
+	s.eng.onList = f
+	s.eng.mu.Unlock()
+}
+
+// OffList ends OnList.
+func (s *Sidecar) OffList() { s.OnList(nil) }
+
+// Alive tells within the time given whether the decisions are still being made:
+// whether the engine's mutex is to be had.
+func (s *Sidecar) Alive(within time.Duration) bool {
+	got := make(chan struct{})
+	go func() {
+		s.eng.mu.Lock()
+		s.eng.mu.Unlock() //nolint:staticcheck // only whether it is to be had
+		close(got)
+	}()
+	select {
+	case <-got:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
+// parseHeld reads a list in discovery's form.
+func parseHeld(text []byte) (list, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return list{}, fmt.Errorf("not JSON: %w", err)
+	}
+	return parseList(v)
+}
+
+// text is a list in discovery's form.
+func (l list) text() []byte {
+	var a fastjson.Arena
+	ends := a.NewArray()
+	for i, n := range l.entries {
+		e := a.NewObject()
+		e.Set("name", a.NewString(n.ID))
+		e.Set("address", a.NewString(n.addr))
+		e.Set("zone", a.NewString(n.Zone))
+		e.Set("group", a.NewNumberInt(n.Cell))
+		e.Set("status", a.NewString(statusWords[n.State]))
+		e.Set("since_ms", a.NewNumberString(strconv.FormatInt(n.since, 10)))
+		ends.SetArrayItem(i, e)
+	}
+	out := a.NewObject()
+	out.Set("index", a.NewNumberString(strconv.FormatInt(l.index, 10)))
+	out.Set("snapshot", a.NewTrue())
+	out.Set("endpoints", ends)
+	return out.MarshalTo(nil)
+}
+
+var statusWords = map[balance.ServerState]string{balance.Ready: "active", balance.Draining: "leaving", balance.Gone: "left"}
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"otterspring/balance"
+	"otterspring/internal/membership"
 )
 
 // clockOrigin is what the module's clock shows when the sidecar starts. The
@@ -36,6 +37,11 @@
 	watch   func() // asks discovery
 	classes map[string]*balance.Class
 	used    usedIDs
+	drains  membership.Drains
+	moves   int              // of discovery, as far as lists have come from there
+	index   int64            // of the list as it is held
+	listed  map[string]entry // and what it names
+	onList  func([]byte)     // gets every new list, outside the mutex; may be nil
 }
 
 // call is one request of a client, from its last byte until it is answered and
@@ -93,6 +99,7 @@
 		watch:   func() {},
 		classes: map[string]*balance.Class{},
 		used:    newUsedIDs(),
+		listed:  map[string]entry{},
 	}
 	for i := range cfg.Settings.Classes {
 		c := &cfg.Settings.Classes[i]
@@ -174,10 +181,16 @@
 	return balance.NeverSent
 }
 
-// members hands a list to the module.
-func (e *engine) members(kind balance.ListKind, entries []entry) {
+// members hands a list to the module. moves tells how often discovery had moved
+// when it was asked for.
+func (e *engine) members(kind balance.ListKind, l list, moves int) {
 	e.mu.Lock()
 	var drop []*host
+	entries := l.entries
+	if kind != balance.ListFailed {
+		e.keepDrains(l, moves)
+		e.note(l)
+	}
 	servers := make([]balance.Server, len(entries))
 	named := map[string]bool{}
 	for i := range entries {
@@ -208,10 +221,79 @@
 		}
 	}
 	e.carry(e.bal.Members(e.now(), kind, servers, e.acts[:0]))
+	onList := e.onList
 	e.mu.Unlock()
 	for _, h := range drop {
 		e.pool.retire(h)
 	}
+	if onList != nil && kind != balance.ListFailed {
+		onList(e.list().text())
+	}
+}
+
+// keepDrains sets right the entries of a list that lag behind a drain which was
+// told before.
+func (e *engine) keepDrains(l list, moves int) {
+	now := e.now()
+	for ; e.moves < moves; e.moves++ {
+		e.drains.Moved(now)
+	}
+	said := make([]membership.Entry, len(l.entries))
+	for i, n := range l.entries {
+		said[i] = membership.Entry{Name: n.ID, Since: n.since, State: memberStates[n.State]}
+	}
+	e.drains.Take(now, l.index, l.full, said)
+	for i, m := range said {
+		if m.State != memberStates[l.entries[i].State] {
+			l.entries[i].State = listStates[m.State]
+		}
+	}
+}
+
+var (
+	memberStates = map[balance.ServerState]membership.State{balance.Ready: membership.Active, balance.Draining: membership.Leaving, balance.Gone: membership.Left}
+	listStates   = map[membership.State]balance.ServerState{membership.Active: balance.Ready, membership.Leaving: balance.Draining, membership.Left: balance.Gone}
+)
+
+// note keeps the list as it is held, for a process that takes over.
+func (e *engine) note(l list) {
+	e.index = l.index
+	if l.full {
+		clear(e.listed)
+	}
+	for _, n := range l.entries {
+		if n.State == balance.Gone {
+			delete(e.listed, n.ID)
+		} else {
+			e.listed[n.ID] = n
+		}
+	}
+}
+
+// list returns the list as it is held.
+func (e *engine) list() list {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := list{index: e.index, full: true}
+	for _, n := range e.listed {
+		l.entries = append(l.entries, n)
+	}
+	return l
+}
+
+// handBack gives every open request its final answer at once: whether trying
+// again is harmless is the module's to say.
+func (e *engine) handBack() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, c := range e.calls {
+		if !c.answered {
+			n++
+		}
+	}
+	e.carry(e.bal.Timer(e.now(), balance.Over, e.acts[:0]))
+	return n
 }
 
 // started turns Unix milliseconds into the module's clock; 0 stays "long ago".
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -74,10 +74,46 @@
 	disc   *discovery
 	cfg    Config // as last loaded; only Reload touches it
 	stop   context.CancelFunc
+	finish atomic.Int64 // bound of the drain, in nanoseconds; 0 for the usual one
+
+	reloads [2]atomic.Int64 // that went well, and that did not
+}
+
+var ownPid = strconv.Itoa(os.Getpid())
+
+// NoteReload counts a reload, for who asks at /up.
+func (s *Sidecar) NoteReload(well bool) {
+	if well {
+		s.reloads[0].Add(1)
+	} else {
+		s.reloads[1].Add(1)
+	}
+}
+
+// Options are what a start may bring beside the configuration.
+type Options struct {
+	// Listener is the listening socket of the process before; nil to listen
+	// anew. It is used as it is: connections that wait in its queue are served.
+	Listener *net.TCPListener
+	// Held is the list as the process before held it, in discovery's form; it
+	// takes the place of the configuration's, which is older.
+	Held []byte
+	// Paused starts without accepting, until Resume.
+	Paused bool
 }
 
 // Start listens, and serves until Drain.
-func Start(cfg Config) (*Sidecar, error) {
+func Start(cfg Config) (*Sidecar, error) { return StartWith(cfg, Options{}) }
+
+// StartWith starts with what the process before has handed over.
+func StartWith(cfg Config, opt Options) (*Sidecar, error) {
+	if opt.Held != nil {
+		held, err := parseHeld(opt.Held)
+		if err != nil {
+			return nil, fmt.Errorf("list handed over: %w", err)
+		}
+		cfg.Known = held
+	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
 	// The limit leaves room for stacks and what the kernel counts; the usual
 	// percentage keeps the heap flat instead of letting it drift up to there.
@@ -88,17 +124,16 @@
 	if err != nil {
 		return nil, err
 	}
-	var lc net.ListenConfig
-	lc.KeepAlive = -1
-	lc.SetMultipathTCP(false)
-	ln, err := lc.Listen(context.Background(), "tcp", cfg.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+	ln := opt.Listener
+	if ln == nil {
+		if ln, err = listenTCP(cfg.Listen); err != nil {
+			return nil, err
+		}
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Sidecar{
 		eng:    eng,
-		front:  newFront(ln.(*net.TCPListener), cfg.Sockets),
+		front:  newFront(ln, cfg.Sockets),
 		bodies: newBudget(cfg.Memory / 8),
 		cfg:    cfg,
 		stop:   stop,
@@ -119,7 +154,15 @@
 	d := &discovery{eng: eng, addr: cfg.Discovery, pushed: !cfg.Settings.Subscribe, index: cfg.Known.index, asked: make(chan struct{}, 1)}
 	s.disc = d
 	eng.watch = d.ask
-	eng.members(balance.ListSaved, cfg.Known.entries)
+	eng.members(balance.ListSaved, cfg.Known, 0)
+	if opt.Paused {
+		s.front.pause()
+	}
+	if opt.Held != nil {
+		// The process before was on a watch: what it is told from now on this one
+		// must know, too. The module would ask later, spread over seconds.
+		d.ask()
+	}
 	go d.run(ctx)
 	go eng.pool.sweep(ctx.Done())
 	go s.front.sweep(ctx.Done())
@@ -131,6 +174,18 @@
 	return s, nil
 }
 
+// listenTCP opens the address for clients.
+func listenTCP(addr string) (*net.TCPListener, error) {
+	var lc net.ListenConfig
+	lc.KeepAlive = -1
+	lc.SetMultipathTCP(false)
+	ln, err := lc.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return ln.(*net.TCPListener), nil
+}
+
 // Reload takes a configuration that was read anew and checked. Discovery moves
 // at once; what else differs holds from the next start on, and the log says so.
 // It must not be called by two at a time.
@@ -152,22 +207,6 @@
 
 func (quietLog) Printf(string, ...any) {}
 
-// Drain ends the service at a planned restart. It returns when every request
-// that was taken is answered.
-func (s *Sidecar) Drain() {
-	began := time.Now()
-	s.front.draining.Store(true)
-	time.Sleep(closeIdleAt)
-	s.front.cut(phaseIdle)
-	time.Sleep(cutAt - time.Since(began))
-	s.front.shut()
-	for !s.front.empty() {
-		s.front.cut(phaseReading)
-		time.Sleep(10 * time.Millisecond)
-	}
-	s.stop()
-}
-
 // handle takes one request and answers it.
 func (s *Sidecar) handle(ctx *fasthttp.RequestCtx) {
 	cc := ctx.Conn().(*clientConn)
@@ -218,6 +257,10 @@
 		if s.front.draining.Load() {
 			reject(ctx, fasthttp.StatusServiceUnavailable, "draining")
 		}
+		// Which process says so, and how many reloads went well and how many did
+		// not: a supervisor tells by it the old process from the new one.
+		ctx.Response.Header.Set("X-Pid", ownPid)
+		ctx.Response.Header.Set("X-Reloads", fmt.Sprintf("%d/%d", s.reloads[0].Load(), s.reloads[1].Load()))
 		return
 	}
 	q, bad := s.check(h)
@@ -456,6 +499,8 @@
 // front is the listener, and knows every connection of the application.
 type front struct {
 	ln            *net.TCPListener
+	paused        bool // nothing is accepted; behind mu
+	ended         bool // nor ever will be; behind mu
 	serve, refuse int
 	spare         int // idle connections that asked, kept at most
 	start         time.Time
@@ -483,15 +528,19 @@
 func (f *front) Accept() (net.Conn, error) {
 	for {
 		f.mu.Lock()
-		for len(f.conns) >= f.serve+f.refuse {
+		for !f.ended && (f.paused || len(f.conns) >= f.serve+f.refuse) {
 			f.freed.Wait()
 		}
+		ended := f.ended
 		f.mu.Unlock()
 		nc, err := f.ln.AcceptTCP()
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+			if errors.Is(err, net.ErrClosed) || ended && errors.Is(err, os.ErrDeadlineExceeded) {
 				return nil, io.EOF
 			}
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				continue // paused, or ended
+			}
 			// Out of descriptors, say: what is idle makes room.
 			f.evict()
 			time.Sleep(5 * time.Millisecond)
@@ -624,11 +673,52 @@
 // shut stops listening. What the kernel has accepted by now is taken first:
 // closing the listener would reset it.
 func (f *front) shut() {
+	f.mu.Lock()
+	f.ended = true
+	f.mu.Unlock()
+	f.freed.Broadcast()
 	f.ln.SetDeadline(time.Now().Add(20 * time.Millisecond))
 	time.Sleep(20 * time.Millisecond)
 	f.ln.Close()
 }
 
+// leave stops listening where another process has the same socket: what waits
+// in its queue is that one's, and closing this descriptor resets nothing.
+func (f *front) leave() {
+	f.mu.Lock()
+	f.ended = true
+	f.mu.Unlock()
+	f.freed.Broadcast()
+	f.ln.Close()
+}
+
+// pause accepts no more, with the socket open: connections wait in the kernel.
+func (f *front) pause() {
+	f.mu.Lock()
+	f.paused = true
+	f.mu.Unlock()
+	f.ln.SetDeadline(past)
+}
+
+// resume accepts again.
+func (f *front) resume() {
+	f.mu.Lock()
+	f.paused = false
+	f.mu.Unlock()
+	f.ln.SetDeadline(time.Time{})
+	f.freed.Broadcast()
+}
+
+// abandon closes what is left, whatever its phase.
+func (f *front) abandon() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		c.SetDeadline(past)
+	}
+	return len(f.conns)
+}
+
 // empty tells whether no connection is left.
 func (f *front) empty() bool {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/standin/callserver/callserver.go
@@ -0,0 +1,437 @@
+// Package callserver is a stand-in for a call server, written from the
+// protocol's page: cores that work at a speed, slots, a waiting room, a cold
+// start that warms by work done, a cap on connections, idle closes, the cost of
+// a handshake, pods that drop repeated keys, and less work for keys met lately.
+// It reports to the audit what arrived and what ran, and has faults that a test
+// switches on. Work is waited for, not burnt.
+package callserver
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"otterspring/internal/audit"
+)
+
+// Class is how much work a class of requests is.
+type Class struct {
+	Name   string
+	Effect audit.Effect
+	Work   time.Duration // mean, on a core of speed 1
+}
+
+// Config describes one call server. The zero values of Slots, Queue, Cap, Idle
+// and Speed take the site's usual ones.
+type Config struct {
+	Name      string
+	Zone      string
+	Group     int // pod
+	Listen    string
+	Cores     int
+	Speed     float64       // of a core
+	Slots     int           // requests in work at a time, for each core
+	Queue     int           // waiting room
+	Cap       int           // open connections
+	Idle      time.Duration // a connection idle this long is closed
+	Handshake time.Duration // work that a new connection costs
+	ColdFrom  float64       // share of its capacity that a fresh start has; 1 or 0 for warm at once
+	ColdWork  time.Duration // work after which it is warm, at full speed of all cores
+	TipAt     float64       // falls over when sent this multiple of what it can do
+	TipFor    time.Duration // for this long
+	KeyMemory time.Duration // a key met within this costs less
+	KeySaves  float64       // share of the work that it saves
+	Classes   []Class
+}
+
+func (c *Config) defaults() {
+	set := func(p *int, v int) {
+		if *p == 0 {
+			*p = v
+		}
+	}
+	set(&c.Cores, 2)
+	set(&c.Slots, 1)
+	set(&c.Queue, 400)
+	set(&c.Cap, 450)
+	if c.Speed == 0 {
+		c.Speed = 1
+	}
+	if c.Idle == 0 {
+		c.Idle = 5 * time.Second
+	}
+	if c.ColdFrom == 0 {
+		c.ColdFrom = 1
+	}
+	if c.TipFor == 0 {
+		c.TipFor = 3 * time.Second
+	}
+	if c.Listen == "" {
+		c.Listen = "127.0.0.1:0"
+	}
+}
+
+// Pod is a group of call servers that know each other's keyed requests.
+type Pod struct {
+	Name   string
+	Window time.Duration // a repeated Idempotency-Key is dropped for this
+
+	mu   sync.Mutex
+	seen map[string]time.Time
+	last time.Time // of the latest clean-up
+}
+
+// NewPod returns a pod whose servers drop repeats for window.
+func NewPod(name string, window time.Duration) *Pod {
+	return &Pod{Name: name, Window: window, seen: map[string]time.Time{}}
+}
+
+// first tells whether a key has not run within the window, and notes it.
+func (p *Pod) first(key string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if now.Sub(p.last) > p.Window {
+		for k, t := range p.seen {
+			if now.Sub(t) > p.Window {
+				delete(p.seen, k)
+			}
+		}
+		p.last = now
+	}
+	if t, ok := p.seen[key]; ok && now.Sub(t) <= p.Window {
+		return false
+	}
+	p.seen[key] = now
+	return true
+}
+
+// job is a request in the waiting room or in work.
+type job struct {
+	id, key, idem string
+	class         *Class
+	work          time.Duration // left to do, on this server's cores
+	done          chan struct{} // closed when the work is done
+	timer         *time.Timer
+	state         int
+	begun         time.Time
+	speed         float64 // capacity share that its timer was set with
+}
+
+const (
+	jobWaiting = iota
+	jobRunning
+	jobOver
+)
+
+// Server is a running call server.
+type Server struct {
+	cfg     Config
+	pod     *Pod
+	log     *audit.Log
+	classes map[string]*Class
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	ln      *net.TCPListener
+	addr    string
+	life    int   // starts so far, from 1
+	since   int64 // Unix milliseconds of the latest start; 0 for long ago
+	conns   map[*serverConn]bool
+	running int
+	waiting []*job
+	done    float64 // seconds of work done in this life
+	cold    bool    // it began this life cold
+	sent    []load  // what came lately, while cold
+	tipped  bool
+	fault   Fault
+	leaving bool
+	keys    map[string]time.Time
+	fill    []net.Conn // fill the accept queue while vanished
+	stopped bool
+	wg      sync.WaitGroup
+	counts  Counts
+	most    int // connections at a time
+}
+
+type load struct {
+	at   time.Time
+	work float64
+}
+
+// Counts are what a server saw over all its lives.
+type Counts struct {
+	Conns, MostConns, Requests, TurnedAway, Ran, Dropped, Cancelled int
+}
+
+// Start brings a call server up, warm ("long ago"). All its chance comes from
+// seed.
+func Start(cfg Config, pod *Pod, log *audit.Log, seed uint64) (*Server, error) {
+	cfg.defaults()
+	s := &Server{
+		cfg: cfg, pod: pod, log: log, classes: map[string]*Class{},
+		rng: rand.New(rand.NewPCG(seed, 1)), conns: map[*serverConn]bool{}, keys: map[string]time.Time{},
+	}
+	for i := range cfg.Classes {
+		s.classes[cfg.Classes[i].Name] = &s.cfg.Classes[i]
+	}
+	if err := s.listen(cfg.Listen); err != nil {
+		return nil, err
+	}
+	s.life = 1
+	log.Changed(cfg.Name, s.life, false, log.Now())
+	return s, nil
+}
+
+// listen opens addr and begins to accept.
+func (s *Server) listen(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("call server %s: %w", s.cfg.Name, err)
+	}
+	s.mu.Lock()
+	s.ln = ln.(*net.TCPListener)
+	s.addr = ln.Addr().String()
+	s.mu.Unlock()
+	s.wg.Add(1)
+	go s.accept(s.ln)
+	return nil
+}
+
+// Name, Addr, Life and Since are what discovery tells of the server.
+func (s *Server) Name() string { return s.cfg.Name }
+
+// Group is the number of its pod, Zone its zone.
+func (s *Server) Group() int   { return s.cfg.Group }
+func (s *Server) Zone() string { return s.cfg.Zone }
+
+// Addr is where it listens in its present life.
+func (s *Server) Addr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addr
+}
+
+// Life counts its starts from 1; Since is the time of the latest in Unix
+// milliseconds, 0 for the first.
+func (s *Server) Life() (life int, since int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.life, s.since
+}
+
+// Counts returns what it saw so far.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Open returns how many connections are open.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Leave makes it turn away what is new to it, as a server does that drains; it
+// finishes what it has.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+}
+
+// Crash ends the process: connections are reset and new ones refused. What was
+// in work stops.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	ln := s.ln
+	s.mu.Unlock()
+	if ln != nil {
+		ln.Close()
+	}
+	s.unfill()
+	s.dropAll()
+}
+
+// Restart starts the process anew, cold, at addr ("" for the same). Its since
+// is later than before.
+func (s *Server) Restart(addr string) error {
+	if addr == "" {
+		addr = s.Addr()
+	}
+	s.Crash()
+	s.mu.Lock()
+	s.life++
+	s.since = max(time.Now().UnixMilli(), s.since+1)
+	s.done, s.cold, s.tipped, s.leaving, s.fault = 0, true, false, false, Fault{}
+	s.sent, s.keys = nil, map[string]time.Time{}
+	life := s.life
+	s.mu.Unlock()
+	s.log.Changed(s.cfg.Name, life, false, s.log.Now())
+	return s.listen(addr)
+}
+
+// Close ends the server and waits until all its goroutines have ended.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.Crash()
+	s.wg.Wait()
+}
+
+// dropAll resets every connection and stops all work.
+func (s *Server) dropAll() {
+	s.mu.Lock()
+	conns := make([]*serverConn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.waiting = nil
+	s.mu.Unlock()
+	for _, c := range conns {
+		c.reset()
+	}
+}
+
+// capacity is the share of its full capacity that it has now. The caller holds
+// the mutex.
+func (s *Server) capacity() float64 {
+	if !s.cold || s.cfg.ColdFrom >= 1 || s.cfg.ColdWork <= 0 {
+		return 1
+	}
+	return min(1, s.cfg.ColdFrom+(1-s.cfg.ColdFrom)*s.done/s.cfg.ColdWork.Seconds())
+}
+
+// full is its capacity when warm: seconds of work in a second.
+func (s *Server) full() float64 { return float64(s.cfg.Cores) * s.cfg.Speed }
+
+// workOf draws how much work a request is: the mean of its class, spread by a
+// third, less for a key met lately.
+func (s *Server) workOf(c *Class, key string) time.Duration {
+	w := float64(c.Work) * (0.7 + 0.6*s.rng.Float64())
+	if key != "" && s.cfg.KeyMemory > 0 {
+		now := time.Now()
+		if t, ok := s.keys[key]; ok && now.Sub(t) < s.cfg.KeyMemory {
+			w *= 1 - s.cfg.KeySaves
+		}
+		if len(s.keys) > 2000 {
+			clear(s.keys)
+		}
+		s.keys[key] = now
+	}
+	return time.Duration(w)
+}
+
+// submit takes a request in; it returns nil where the waiting room is full, the
+// server is leaving or it has fallen over.
+func (s *Server) submit(id, key, idem string, c *Class, first time.Duration) *job {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Requests++
+	work := s.workOf(c, key)
+	share := s.capacity()
+	s.log.Arrived(s.cfg.Name, s.life, id, first, s.log.Now(), work.Seconds(), share*s.full(), s.full())
+	s.weigh(work.Seconds(), share)
+	if s.tipped || s.leaving || s.running >= s.cfg.Cores*s.cfg.Slots && len(s.waiting) >= s.cfg.Queue {
+		s.counts.TurnedAway++
+		return nil
+	}
+	j := &job{id: id, key: key, idem: idem, class: c, work: work, done: make(chan struct{})}
+	s.waiting = append(s.waiting, j)
+	s.next()
+	return j
+}
+
+// weigh makes a cold server fall over that is sent too much. The caller holds
+// the mutex.
+func (s *Server) weigh(work, share float64) {
+	if share >= 1 || s.cfg.TipAt <= 0 {
+		s.sent = nil
+		return
+	}
+	now := time.Now()
+	s.sent = append(s.sent, load{now, work})
+	sum, keep := 0.0, 0
+	for i := range s.sent {
+		if now.Sub(s.sent[i].at) > s.cfg.TipFor {
+			keep = i + 1
+			continue
+		}
+		sum += s.sent[i].work
+	}
+	s.sent = s.sent[keep:]
+	if sum-work > s.cfg.TipAt*share*s.full()*s.cfg.TipFor.Seconds() {
+		s.tipped = true
+	}
+}
+
+// next starts work while slots are free. The caller holds the mutex.
+func (s *Server) next() {
+	for len(s.waiting) > 0 && s.running < s.cfg.Cores*s.cfg.Slots && !s.fault.Hang {
+		j := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		s.begin(j)
+	}
+}
+
+// begin starts a request's work; its effect counts from here. A keyed one that
+// the pod knows is answered with little work, and without effect.
+func (s *Server) begin(j *job) {
+	j.state = jobRunning
+	j.begun = time.Now()
+	s.running++
+	if j.class.Effect == audit.Keyed && j.idem != "" && !s.pod.first(j.idem) {
+		s.counts.Dropped++
+		j.work /= 10
+	} else {
+		s.counts.Ran++
+		s.log.Ran(s.cfg.Name, s.pod.Name, j.id, s.log.Now())
+	}
+	slow := max(1, s.fault.Slow)
+	// Slots beyond the cores share them.
+	crowd := max(1, float64(s.running)/float64(s.cfg.Cores))
+	took := time.Duration(float64(j.work) / s.cfg.Speed / s.capacity() * slow * crowd)
+	j.timer = time.AfterFunc(took, func() { s.finish(j) })
+}
+
+// finish ends a request's work.
+func (s *Server) finish(j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j.state != jobRunning {
+		return
+	}
+	j.state = jobOver
+	s.running--
+	s.done += j.work.Seconds()
+	close(j.done)
+	s.next()
+}
+
+// cancel stops a request's work: its connection has ended.
+func (s *Server) cancel(j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch j.state {
+	case jobWaiting:
+		for i, w := range s.waiting {
+			if w == j {
+				s.waiting = append(s.waiting[:i:i], s.waiting[i+1:]...)
+				break
+			}
+		}
+	case jobRunning:
+		j.timer.Stop()
+		s.running--
+	default:
+		return
+	}
+	j.state = jobOver
+	s.counts.Cancelled++
+	s.next()
+}
--- /dev/null
+++ b/internal/standin/clients/clients.go
@@ -0,0 +1,356 @@
+package clients
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"otterspring/internal/audit"
+	"otterspring/internal/standin/callserver"
+)
+
+// Config describes the clients of one sidecar.
+type Config struct {
+	Instance string
+	Addr     string
+	Classes  []Class
+	Retries  int     // tries after the first
+	TryShare float64 // a try is given up after this share of the deadline; 0 takes all of it
+	Most     int     // connections at a time; 0 takes 300
+	Body     int     // bytes of a POST's body
+	Kept     time.Duration
+	Seed     uint64
+}
+
+// Sample is what became of one arrival, over all its tries.
+type Sample struct {
+	At    time.Duration // when it was due, on the log's clock
+	Took  time.Duration // from then to the last byte of its answer, or its end
+	Class int
+	OK    bool // served
+	Tries int
+}
+
+// Clients are the clients of one sidecar.
+type Clients struct {
+	cfg Config
+	log *audit.Log
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	idle    []*clientConn
+	open    int
+	samples []Sample
+
+	refused  atomic.Int64 // connections refused
+	overflow atomic.Int64 // arrivals with no connection left for them
+	conns    atomic.Int64 // connections made
+	ids      atomic.Int64
+	wg       sync.WaitGroup
+}
+
+// New returns clients that have asked nothing yet.
+func New(cfg Config, log *audit.Log) *Clients {
+	if cfg.Most == 0 {
+		cfg.Most = 300
+	}
+	if cfg.TryShare == 0 {
+		cfg.TryShare = 1
+	}
+	if cfg.Kept == 0 {
+		cfg.Kept = 2 * time.Second
+	}
+	return &Clients{cfg: cfg, log: log, rng: rand.New(rand.NewPCG(cfg.Seed, 7))}
+}
+
+// RefusedConns is how many connections were refused.
+func (c *Clients) RefusedConns() int { return int(c.refused.Load()) }
+
+// Overflow is how many arrivals found all connections in use. They count as
+// asked and not served.
+func (c *Clients) Overflow() int { return int(c.overflow.Load()) }
+
+// Conns is how many connections were made.
+func (c *Clients) Conns() int { return int(c.conns.Load()) }
+
+// Samples returns what became of the arrivals that are over.
+func (c *Clients) Samples() []Sample {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.samples)
+}
+
+// Run asks as planned, from now on, and returns when all has been answered or
+// given up. When ctx ends nothing more is asked.
+func (c *Clients) Run(ctx context.Context, plan []Arrival) {
+	start := time.Now()
+	origin := c.log.Now()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for _, a := range plan {
+		if d := a.At - time.Since(start); d > 0 {
+			timer.Reset(d)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		c.wg.Add(1)
+		go func() {
+			defer c.wg.Done()
+			c.ask(a, origin+a.At)
+		}()
+	}
+	c.wg.Wait()
+	c.mu.Lock()
+	idle := c.idle
+	c.idle = nil
+	c.mu.Unlock()
+	for _, cc := range idle {
+		c.close(cc)
+	}
+}
+
+// result is how one try ended.
+type result int
+
+const (
+	served result = iota
+	refused
+	failed   // an answer that promises nothing
+	broken   // no answer, the connection ended
+	timedOut // no answer in time
+	notTaken // no connection: it was never asked
+	noneLeft // no connection allowed
+)
+
+// ask asks for one arrival until it is served or its time or tries are over.
+func (c *Clients) ask(a Arrival, due time.Duration) {
+	class := &c.cfg.Classes[a.Class]
+	end := due + class.Deadline
+	op := fmt.Sprintf("%s-%d", c.cfg.Instance, c.ids.Add(1))
+	s := Sample{At: due, Class: a.Class}
+	for try := 0; ; try++ {
+		s.Tries++
+		left := end - c.log.Now()
+		wait := min(left, time.Duration(c.cfg.TryShare*float64(class.Deadline)))
+		if wait <= 0 {
+			break
+		}
+		got, advice := c.try(a, class, op, try, wait)
+		s.OK = got == served
+		again := got == refused || got == notTaken ||
+			(got == failed || got == timedOut) && class.Effect == audit.Repeat ||
+			got == broken && class.Effect != audit.Once
+		if !again || try >= c.cfg.Retries {
+			break
+		}
+		if advice == 0 {
+			advice = c.backoff(try)
+		}
+		if c.log.Now()+advice >= end {
+			break
+		}
+		time.Sleep(advice)
+	}
+	s.Took = c.log.Now() - due
+	c.mu.Lock()
+	c.samples = append(c.samples, s)
+	c.mu.Unlock()
+}
+
+// backoff is the pause before a retry: 10 to 80 ms, longer each time.
+func (c *Clients) backoff(try int) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration((10 + 70*c.rng.Float64()) * float64(time.Millisecond) * float64(int(1)<<min(try, 4)))
+}
+
+// try asks once, and once more on a new connection where the first was a kept
+// one that closed unread.
+func (c *Clients) try(a Arrival, class *Class, op string, n int, wait time.Duration) (result, time.Duration) {
+	id := op + "." + strconv.Itoa(n)
+	until := time.Now().Add(wait)
+	cc, got := c.take()
+	if cc == nil {
+		return got, 0
+	}
+	for {
+		kept := cc.kept
+		left := time.Until(until)
+		c.log.Asked(id, c.cfg.Instance, class.Effect, c.log.Now(), left)
+		got, advice, begun := c.exchange(cc, a, class, id, op, n, until)
+		if got != broken {
+			return got, advice
+		}
+		resend := kept && !begun
+		c.log.Broke(id, resend, c.log.Now())
+		if !resend {
+			return broken, 0
+		}
+		if cc, got = c.dial(); cc == nil {
+			c.log.Gone(id, c.log.Now())
+			return got, 0
+		}
+	}
+}
+
+// exchange writes one request and reads its answer; begun tells whether any of
+// the answer came.
+func (c *Clients) exchange(cc *clientConn, a Arrival, class *Class, id, op string, n int, until time.Time) (got result, advice time.Duration, begun bool) {
+	cc.nc.SetDeadline(until)
+	if _, err := cc.nc.Write(c.text(a, class, id, op, n, time.Until(until))); err != nil {
+		c.close(cc)
+		if isTimeout(err) {
+			c.log.Gone(id, c.log.Now())
+			return timedOut, 0, false
+		}
+		return broken, 0, false
+	}
+	if _, err := cc.br.Peek(1); err != nil {
+		c.close(cc)
+		if isTimeout(err) {
+			c.log.Gone(id, c.log.Now())
+			return timedOut, 0, false
+		}
+		return broken, 0, false
+	}
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := resp.ReadLimitBody(cc.br, 64<<10); err != nil {
+		c.close(cc)
+		if isTimeout(err) {
+			c.log.Gone(id, c.log.Now())
+			return timedOut, 0, true
+		}
+		return broken, 0, true
+	}
+	at := c.log.Now()
+	switch resp.StatusCode() {
+	case 200:
+		c.log.Answered(id, audit.Served, callserver.Made(id, string(resp.Body())), at)
+		got = served
+	case 429, 503:
+		c.log.Answered(id, audit.Refused, false, at)
+		got = refused
+		if s, err := strconv.ParseFloat(string(resp.Header.Peek("Retry-After")), 64); err == nil && s >= 0 && s <= 60 {
+			advice = time.Duration(s * float64(time.Second))
+		}
+	default:
+		c.log.Answered(id, audit.Failed, false, at)
+		got = failed
+	}
+	if resp.ConnectionClose() || cc.br.Buffered() > 0 {
+		c.close(cc)
+	} else {
+		c.put(cc)
+	}
+	return got, advice, true
+}
+
+// text is a request on the wire.
+func (c *Clients) text(a Arrival, class *Class, id, op string, n int, left time.Duration) []byte {
+	b := make([]byte, 0, 512)
+	method := "POST"
+	if class.Effect == audit.Repeat {
+		method = "GET"
+	}
+	b = fmt.Appendf(b, "%s /%s HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: %s\r\nX-Deadline: %.3f\r\n", method, class.Name, id, left.Seconds())
+	if a.Key != "" {
+		b = fmt.Appendf(b, "X-Key: %s\r\n", a.Key)
+	}
+	if n > 0 {
+		b = append(b, "X-Retry: 1\r\n"...)
+	}
+	if class.Effect == audit.Keyed {
+		b = fmt.Appendf(b, "Idempotency-Key: %s\r\n", op)
+	}
+	if method == "POST" {
+		b = fmt.Appendf(b, "Content-Length: %d\r\n\r\n", c.cfg.Body)
+		return append(b, strings.Repeat("b", c.cfg.Body)...)
+	}
+	return append(b, "\r\n"...)
+}
+
+// clientConn is a connection to the sidecar.
+type clientConn struct {
+	nc   net.Conn
+	br   *bufio.Reader
+	kept bool // it has carried a request before
+	last time.Time
+}
+
+// take returns the connection used last, or a new one.
+func (c *Clients) take() (*clientConn, result) {
+	c.mu.Lock()
+	for len(c.idle) > 0 {
+		cc := c.idle[len(c.idle)-1]
+		c.idle = c.idle[:len(c.idle)-1]
+		if time.Since(cc.last) < c.cfg.Kept {
+			c.mu.Unlock()
+			return cc, served
+		}
+		c.open--
+		cc.nc.Close()
+	}
+	c.mu.Unlock()
+	return c.dial()
+}
+
+// dial opens a connection.
+func (c *Clients) dial() (*clientConn, result) {
+	c.mu.Lock()
+	if c.open >= c.cfg.Most {
+		c.mu.Unlock()
+		c.overflow.Add(1)
+		return nil, noneLeft
+	}
+	c.open++
+	c.mu.Unlock()
+	nc, err := net.DialTimeout("tcp", c.cfg.Addr, time.Second)
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.refused.Add(1)
+		}
+		c.mu.Lock()
+		c.open--
+		c.mu.Unlock()
+		return nil, notTaken
+	}
+	c.conns.Add(1)
+	return &clientConn{nc: nc, br: bufio.NewReaderSize(nc, 2<<10)}, served
+}
+
+func (c *Clients) put(cc *clientConn) {
+	cc.kept, cc.last = true, time.Now()
+	c.mu.Lock()
+	c.idle = append(c.idle, cc)
+	c.mu.Unlock()
+}
+
+func (c *Clients) close(cc *clientConn) {
+	cc.nc.Close()
+	c.mu.Lock()
+	c.open--
+	c.mu.Unlock()
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
--- /dev/null
+++ b/internal/standin/clients/service.go
@@ -0,0 +1,99 @@
+package clients
+
+import (
+	"slices"
+	"time"
+)
+
+// ClassService is the service of one class.
+type ClassService struct {
+	Name          string
+	Asked, InTime int
+	P50, P99      time.Duration // of those served
+}
+
+// Service is worth answered in time against worth asked.
+type Service struct {
+	Asked, Earned float64 // worth
+	Worst         float64 // share in the worst 10 s
+	Classes       []ClassService
+}
+
+// Share is the service of the whole run.
+func (s *Service) Share() float64 {
+	if s.Asked == 0 {
+		return 1
+	}
+	return s.Earned / s.Asked
+}
+
+// Figure weighs the whole run, the worst 10 s and the worst class as the site
+// does: 55, 35 and 10 %.
+func (s *Service) Figure() float64 {
+	worst := 1.0
+	for _, c := range s.Classes {
+		if c.Asked > 0 {
+			worst = min(worst, float64(c.InTime)/float64(c.Asked))
+		}
+	}
+	return 0.55*s.Share() + 0.35*s.Worst + 0.10*worst
+}
+
+// Judge counts the service of samples. Retries are in their first try.
+func Judge(classes []Class, samples []Sample) Service {
+	var s Service
+	const step = time.Second
+	type bucket struct{ asked, earned float64 }
+	buckets := map[int]*bucket{}
+	first, last := 1<<30, 0
+	took := make([][]time.Duration, len(classes))
+	for _, c := range classes {
+		s.Classes = append(s.Classes, ClassService{Name: c.Name})
+	}
+	for _, x := range samples {
+		c, cs := &classes[x.Class], &s.Classes[x.Class]
+		at := int(x.At / step)
+		b := buckets[at]
+		if b == nil {
+			b = &bucket{}
+			buckets[at] = b
+		}
+		first, last = min(first, at), max(last, at)
+		cs.Asked++
+		s.Asked += c.Worth
+		b.asked += c.Worth
+		if x.OK {
+			took[x.Class] = append(took[x.Class], x.Took)
+		}
+		if x.OK && x.Took <= c.Aim {
+			cs.InTime++
+			s.Earned += c.Worth
+			b.earned += c.Worth
+		}
+	}
+	s.Worst = s.Share()
+	for from := first; from+10 <= last+1; from++ {
+		asked, earned := 0.0, 0.0
+		for at := from; at < from+10; at++ {
+			if b := buckets[at]; b != nil {
+				asked, earned = asked+b.asked, earned+b.earned
+			}
+		}
+		if asked > 0 {
+			s.Worst = min(s.Worst, earned/asked)
+		}
+	}
+	for i := range took {
+		s.Classes[i].P50, s.Classes[i].P99 = Quantile(took[i], 0.5), Quantile(took[i], 0.99)
+	}
+	return s
+}
+
+// Quantile returns the q-quantile of times, 0 of none. It sorts them.
+func Quantile(times []time.Duration, q float64) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[min(int(q*float64(len(times))), len(times)-1)]
+}
--- /dev/null
+++ b/internal/standin/registry/registry.go
@@ -0,0 +1,406 @@
+// Package registry is a stand-in for the platform's discovery, written from the
+// protocol's page: the whole list, a watch on changes, a capacity in lines a
+// second for all callers together, lateness, going down, and moving to another
+// address. Every instance gets an address of its own, so that the audit knows
+// whom it told what.
+package registry
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"otterspring/internal/audit"
+)
+
+// Entry is one call server of the list.
+type Entry struct {
+	Name    string
+	Addr    string
+	Zone    string
+	Group   int
+	Status  string // active, leaving or left
+	SinceMS int64
+	Life    int // for the audit; it is not told
+}
+
+func (e *Entry) json() string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":%q,"type":"standin","group":%d,"status":%q,"weight":1.0,"since_ms":%d}`,
+		e.Name, e.Addr, e.Zone, e.Group, e.Status, e.SinceMS)
+}
+
+// Config says how good discovery is.
+type Config struct {
+	Lines     float64       // a second, for all callers; 0 for no bound
+	CallLines float64       // fixed cost of a call
+	Late      time.Duration // a change is known this much later
+	Patience  time.Duration // a call that would wait longer fails; 0 takes 2 s
+}
+
+// Registry is discovery.
+type Registry struct {
+	cfg Config
+	log *audit.Log
+
+	mu      sync.Mutex
+	index   int64
+	entries map[string]Entry
+	changed map[string]int64 // index of each entry's latest change
+	order   []string
+	news    chan struct{} // closed and made anew at each change
+	free    time.Time     // when the calls taken so far are worked through
+	down    bool
+	silent  bool
+	doors   map[*Door]bool
+	timers  map[*time.Timer]bool
+	closed  bool
+	wg      sync.WaitGroup
+	calls   int
+	failed  int
+	lines   int
+}
+
+// New returns a registry that knows nothing; the index begins at from.
+func New(cfg Config, log *audit.Log, from int64) *Registry {
+	if cfg.Patience == 0 {
+		cfg.Patience = 2 * time.Second
+	}
+	return &Registry{cfg: cfg, log: log, index: from, entries: map[string]Entry{}, changed: map[string]int64{},
+		news: make(chan struct{}), doors: map[*Door]bool{}, timers: map[*time.Timer]bool{}}
+}
+
+// Set puts an entry into the list, Late after now.
+func (r *Registry) Set(e Entry) {
+	away := e.Status != "active"
+	if r.log != nil && away {
+		r.log.Changed(e.Name, e.Life, true, r.log.Now())
+	}
+	if r.cfg.Late <= 0 {
+		r.set(e)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return
+	}
+	var t *time.Timer
+	t = time.AfterFunc(r.cfg.Late, func() {
+		r.mu.Lock()
+		delete(r.timers, t)
+		r.mu.Unlock()
+		r.set(e)
+	})
+	r.timers[t] = true
+}
+
+// SetNow puts an entry in without lateness.
+func (r *Registry) SetNow(e Entry) { r.set(e) }
+
+func (r *Registry) set(e Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.entries[e.Name]; !ok {
+		r.order = append(r.order, e.Name)
+	}
+	r.index++
+	r.entries[e.Name], r.changed[e.Name] = e, r.index
+	close(r.news)
+	r.news = make(chan struct{})
+}
+
+// Index returns the version of the list.
+func (r *Registry) Index() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.index
+}
+
+// Snapshot is the whole list in discovery's form, for the configuration's
+// "known".
+func (r *Registry) Snapshot() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	text, _ := r.text(0)
+	return text
+}
+
+// Fork returns a second registry with the list as it is now and its index at
+// from: another address of the same service, that may lag behind.
+func (r *Registry) Fork(from int64) *Registry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := New(r.cfg, r.log, from)
+	for _, name := range r.order {
+		n.order = append(n.order, name)
+		n.entries[name], n.changed[name] = r.entries[name], from
+	}
+	return n
+}
+
+// text is the list, or what changed since a version. The caller holds the
+// mutex.
+func (r *Registry) text(since int64) (string, []Entry) {
+	var parts []string
+	var told []Entry
+	for _, name := range r.order {
+		e := r.entries[name]
+		if since > 0 && r.changed[name] <= since {
+			continue
+		}
+		told = append(told, e)
+		if since == 0 && e.Status == "left" {
+			continue // a whole list tells it by leaving it out
+		}
+		parts = append(parts, e.json())
+	}
+	return fmt.Sprintf(`{"index":%d,"snapshot":%v,"endpoints":[%s]}`, r.index, since == 0, strings.Join(parts, ",")), told
+}
+
+// Down takes discovery down: watches end, calls fail. Where silent is true it
+// says nothing at all.
+func (r *Registry) Down(down, silent bool) {
+	r.mu.Lock()
+	r.down, r.silent = down, silent
+	var doors []*Door
+	for d := range r.doors {
+		doors = append(doors, d)
+	}
+	r.mu.Unlock()
+	if down && !silent {
+		for _, d := range doors {
+			d.dropConns()
+		}
+	}
+}
+
+// Load returns the calls taken, those that failed for want of capacity, and the
+// lines sent.
+func (r *Registry) Load() (calls, failed, lines int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calls, r.failed, r.lines
+}
+
+// Close ends all doors and waits for their goroutines.
+func (r *Registry) Close() {
+	r.mu.Lock()
+	r.closed = true
+	for t := range r.timers {
+		t.Stop()
+	}
+	clear(r.timers)
+	var doors []*Door
+	for d := range r.doors {
+		doors = append(doors, d)
+	}
+	r.mu.Unlock()
+	for _, d := range doors {
+		d.Close()
+	}
+	r.wg.Wait()
+}
+
+// turn books a call's work and returns how long it waits; false where that is
+// too long. The caller holds the mutex.
+func (r *Registry) turn(lines int) (time.Duration, bool) {
+	r.calls++
+	if r.cfg.Lines <= 0 {
+		r.lines += lines
+		return 0, true
+	}
+	now := time.Now()
+	if r.free.Before(now) {
+		r.free = now
+	}
+	if r.free.Sub(now) > r.cfg.Patience {
+		r.failed++
+		return 0, false
+	}
+	r.lines += lines
+	r.free = r.free.Add(time.Duration((r.cfg.CallLines + float64(lines)) / r.cfg.Lines * float64(time.Second)))
+	return r.free.Sub(now), true
+}
+
+// Door is the address that one instance asks at.
+type Door struct {
+	reg      *Registry
+	instance string
+	ln       net.Listener
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	end      chan struct{}
+	once     sync.Once
+}
+
+// Open opens an address for an instance.
+func (r *Registry) Open(instance string) (*Door, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("registry: %w", err)
+	}
+	d := &Door{reg: r, instance: instance, ln: ln, conns: map[net.Conn]bool{}, end: make(chan struct{})}
+	r.mu.Lock()
+	r.doors[d] = true
+	r.wg.Add(1)
+	r.mu.Unlock()
+	go d.accept()
+	return d, nil
+}
+
+// Addr is where the instance asks.
+func (d *Door) Addr() string { return d.ln.Addr().String() }
+
+// Close takes no new connection and closes the open ones.
+func (d *Door) Close() {
+	d.once.Do(func() {
+		close(d.end)
+		d.ln.Close()
+		d.dropConns()
+		d.reg.mu.Lock()
+		delete(d.reg.doors, d)
+		d.reg.mu.Unlock()
+	})
+}
+
+func (d *Door) dropConns() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.conns {
+		c.Close()
+	}
+}
+
+func (d *Door) accept() {
+	defer d.reg.wg.Done()
+	for {
+		c, err := d.ln.Accept()
+		if err != nil {
+			select {
+			case <-d.end:
+				return
+			case <-time.After(5 * time.Millisecond):
+				continue
+			}
+		}
+		d.mu.Lock()
+		d.conns[c] = true
+		d.mu.Unlock()
+		d.reg.wg.Add(1)
+		go d.serve(c)
+	}
+}
+
+// serve answers the calls of one connection in turn.
+func (d *Door) serve(c net.Conn) {
+	defer d.reg.wg.Done()
+	defer func() {
+		c.Close()
+		d.mu.Lock()
+		delete(d.conns, c)
+		d.mu.Unlock()
+	}()
+	select {
+	case <-d.end: // accepted while closing
+		return
+	default:
+	}
+	br := bufio.NewReader(c)
+	epoch := 0
+	if d.reg.log != nil {
+		epoch = d.reg.log.Epoch(d.instance)
+	}
+	for {
+		var h fasthttp.RequestHeader
+		if h.Read(br) != nil {
+			return
+		}
+		u, err := url.Parse(string(h.RequestURI()))
+		if err != nil || u.Path != "/discovery/hosts" {
+			fmt.Fprint(c, "HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		since, _ := strconv.ParseInt(u.Query().Get("since"), 10, 64)
+		wait, _ := strconv.Atoi(u.Query().Get("timeout_ms"))
+		if !d.answer(c, epoch, since, min(time.Duration(wait)*time.Millisecond, time.Minute)) {
+			return
+		}
+	}
+}
+
+// hungUp tells whether the caller has closed its side.
+func hungUp(c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = n == 0 && err == nil || err != nil && err != syscall.EAGAIN
+	})
+	return gone
+}
+
+// answer answers one call; false ends the connection.
+func (d *Door) answer(c net.Conn, epoch int, since int64, wait time.Duration) bool {
+	r := d.reg
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	r.mu.Lock()
+	for since > 0 && r.index <= since && !r.down && wait > 0 {
+		news := r.news
+		r.mu.Unlock()
+		select {
+		case <-news:
+		case <-deadline.C:
+			wait = 0
+		case <-d.end:
+			return false
+		}
+		r.mu.Lock()
+	}
+	if r.down {
+		silent := r.silent
+		r.mu.Unlock()
+		if silent {
+			<-d.end
+		}
+		return false
+	}
+	text, told := r.text(since)
+	pause, ok := r.turn(len(told))
+	r.mu.Unlock()
+	if !ok {
+		_, err := fmt.Fprint(c, "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
+	select {
+	case <-time.After(pause):
+	case <-d.end:
+		return false
+	}
+	if hungUp(c) {
+		// The kernel would take the bytes all the same, and nobody be told.
+		return false
+	}
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(text), text); err != nil {
+		return false
+	}
+	if r.log != nil {
+		at := r.log.Now()
+		for _, e := range told {
+			r.log.Told(d.instance, epoch, e.Name, e.Life, e.Status != "active", at)
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/strictfile/strictfile.go
@@ -0,0 +1,440 @@
+// Package strictfile reads TOML files that operators write, strictly: a key
+// that is not known, a value of another kind or without its unit, and one out
+// of its bounds are each one line with file, line, key, what was found and what
+// is wanted. The file is taken whole or not at all.
+//
+// A struct's fields say what a file may hold, by their tags:
+//
+//	toml:"finish"   the key; a field without this tag is not read
+//	min:"100ms"     least value, in the words of the file
+//	max:"5m"        largest value
+//	oneof:"a|b"     the only words allowed
+//	need:"true"     the key must be there
+//
+// Field types are string, bool, int, float64, time.Duration ("250ms"), Size
+// ("8MiB"), []string, structs (tables) and slices of structs (arrays of
+// tables). What the struct holds before is the default.
+package strictfile
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// MostBytes is the largest file that is read.
+const MostBytes = 1 << 20
+
+// Size is a number of bytes, written with a unit: "512B", "64KiB", "8MiB",
+// "1GiB".
+type Size int64
+
+// String writes a size in the largest unit that divides it.
+func (s Size) String() string {
+	for _, u := range sizeUnits {
+		if s >= u.bytes && s%u.bytes == 0 {
+			return fmt.Sprintf("%d%s", s/u.bytes, u.name)
+		}
+	}
+	return fmt.Sprintf("%dB", int64(s))
+}
+
+var sizeUnits = []struct {
+	name  string
+	bytes Size
+}{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+
+// ParseSize reads a whole number with one of the units B, KiB, MiB, GiB.
+func ParseSize(text string) (Size, error) {
+	for _, u := range sizeUnits {
+		digits, ok := strings.CutSuffix(text, u.name)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseInt(digits, 10, 64)
+		if err != nil || n < 0 || n > math.MaxInt64/int64(u.bytes) {
+			break
+		}
+		return Size(n) * u.bytes, nil
+	}
+	return 0, errors.New(`a size with its unit, like "8MiB"`)
+}
+
+// Error is what is wrong with a file, in one line.
+type Error struct {
+	File   string
+	Line   int    // from 1; 0 where no line can be named
+	Key    string // with its table, like drain.finish; empty where there is none
+	Found  string
+	Wanted string
+}
+
+// Error words it: file:line: key: found, wanted.
+func (e *Error) Error() string {
+	var b strings.Builder
+	b.WriteString(e.File)
+	if e.Line > 0 {
+		fmt.Fprintf(&b, ":%d", e.Line)
+	}
+	if e.Key != "" {
+		b.WriteString(": " + e.Key)
+	}
+	b.WriteString(": found " + e.Found)
+	if e.Wanted != "" {
+		b.WriteString(", wanted " + e.Wanted)
+	}
+	return b.String()
+}
+
+// Load reads the file at path into the struct that into points to.
+func Load(path string, into any) error {
+	info, err := os.Stat(path)
+	if err != nil {
+		return &Error{File: path, Found: plainOS(err), Wanted: "a readable file"}
+	}
+	if !info.Mode().IsRegular() {
+		return &Error{File: path, Found: info.Mode().Type().String(), Wanted: "a regular file"}
+	}
+	if info.Size() > MostBytes {
+		return &Error{File: path, Found: fmt.Sprintf("%d bytes", info.Size()), Wanted: fmt.Sprintf("%d at most", MostBytes)}
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return &Error{File: path, Found: plainOS(err), Wanted: "a readable file"}
+	}
+	return Decode(path, text, into)
+}
+
+// plainOS is the cause of an operating system's error without the path, which
+// the line has already.
+func plainOS(err error) string {
+	var p *os.PathError
+	if errors.As(err, &p) {
+		return p.Err.Error()
+	}
+	return err.Error()
+}
+
+// Decode reads text into the struct that into points to; name stands for the
+// file in errors. After an error the struct is as it was.
+func Decode(name string, text []byte, into any) error {
+	values := map[string]any{}
+	if err := toml.Unmarshal(text, &values); err != nil {
+		return syntaxError(name, err)
+	}
+	d := &decoder{file: name, lines: keyLines(text)}
+	target := reflect.ValueOf(into).Elem()
+	work := reflect.New(target.Type()).Elem()
+	work.Set(target)
+	if err := d.table(values, work, ""); err != nil {
+		return err
+	}
+	target.Set(work)
+	return nil
+}
+
+// syntaxError names the place that the parser stopped at.
+func syntaxError(name string, err error) error {
+	e := &Error{File: name, Found: strings.TrimPrefix(err.Error(), "toml: "), Wanted: "TOML"}
+	var de *toml.DecodeError
+	if errors.As(err, &de) {
+		e.Line, _ = de.Position()
+		e.Key = strings.Join(de.Key(), ".")
+	}
+	e.Found = strings.ReplaceAll(e.Found, "\n", " ")
+	return e
+}
+
+// keyLines maps every key, and every table, to the line of its first mention.
+func keyLines(text []byte) map[string]int {
+	lines := map[string]int{}
+	counts := map[string]int{} // tables of each array so far
+	var p unstable.Parser
+	p.Reset(text)
+	table := ""
+	note := func(key string, n *unstable.Node) {
+		if _, ok := lines[key]; !ok {
+			lines[key] = p.Shape(n.Raw).Start.Line
+		}
+	}
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		var last *unstable.Node
+		for it := e.Key(); it.Next(); {
+			last = it.Node()
+			parts = append(parts, string(last.Data))
+		}
+		if last == nil {
+			continue
+		}
+		switch e.Kind {
+		case unstable.Table:
+			table = within(counts, parts)
+			note(table, last)
+		case unstable.ArrayTable:
+			array := within(counts, parts)
+			counts[array]++
+			table = fmt.Sprintf("%s[%d]", array, counts[array])
+			note(table, last)
+		case unstable.KeyValue:
+			path := table
+			for _, part := range parts {
+				path = join(path, part)
+				note(path, last)
+			}
+			inlineLines(&p, path, e.Value(), note)
+		}
+	}
+	return lines
+}
+
+// inlineLines notes the keys of an inline table, and of those in arrays.
+func inlineLines(p *unstable.Parser, path string, v *unstable.Node, note func(string, *unstable.Node)) {
+	switch v.Kind {
+	case unstable.InlineTable:
+		for it := v.Children(); it.Next(); {
+			kv := it.Node()
+			at := path
+			var last *unstable.Node
+			for k := kv.Key(); k.Next(); {
+				last = k.Node()
+				at = join(at, string(last.Data))
+				note(at, last)
+			}
+			inlineLines(p, at, kv.Value(), note)
+		}
+	case unstable.Array:
+		i := 0
+		for it := v.Children(); it.Next(); {
+			i++
+			inlineLines(p, fmt.Sprintf("%s[%d]", path, i), it.Node(), note)
+		}
+	}
+}
+
+// within joins a table's name; a part that is an array stands for its latest
+// table.
+func within(counts map[string]int, parts []string) string {
+	path := ""
+	for i, part := range parts {
+		path = join(path, part)
+		if n := counts[path]; n > 0 && i < len(parts)-1 {
+			path = fmt.Sprintf("%s[%d]", path, n)
+		}
+	}
+	return path
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// decoder puts values into fields.
+type decoder struct {
+	file  string
+	lines map[string]int
+}
+
+func (d *decoder) fail(key, found, wanted string) error {
+	return &Error{File: d.file, Line: d.lines[key], Key: key, Found: found, Wanted: wanted}
+}
+
+// table puts a table's values into a struct.
+func (d *decoder) table(values map[string]any, into reflect.Value, path string) error {
+	fields := map[string]int{}
+	var known []string
+	for i := range into.NumField() {
+		if key := into.Type().Field(i).Tag.Get("toml"); key != "" {
+			fields[key] = i
+			known = append(known, key)
+		}
+	}
+	// The first key in the file's order is the one to name.
+	keys := make([]string, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b string) int {
+		if n := d.lines[join(path, a)] - d.lines[join(path, b)]; n != 0 {
+			return n
+		}
+		return strings.Compare(a, b)
+	})
+	for _, key := range keys {
+		at, ok := fields[key]
+		if !ok {
+			return d.fail(join(path, key), "a key that is not known", "one of "+strings.Join(known, ", "))
+		}
+		if err := d.value(values[key], into.Field(at), into.Type().Field(at).Tag, join(path, key)); err != nil {
+			return err
+		}
+	}
+	for _, key := range known {
+		if _, there := values[key]; !there && into.Type().Field(fields[key]).Tag.Get("need") == "true" {
+			e := d.fail(path, "no "+key, "it given").(*Error)
+			return e
+		}
+	}
+	return nil
+}
+
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	sizeType     = reflect.TypeFor[Size]()
+)
+
+// value puts one value into a field, within the bounds of its tags.
+func (d *decoder) value(v any, into reflect.Value, tag reflect.StructTag, key string) error {
+	switch {
+	case into.Type() == durationType:
+		text, ok := v.(string)
+		n, err := time.ParseDuration(text)
+		if !ok || err != nil {
+			return d.fail(key, show(v), `a duration with its unit, like "250ms"`)
+		}
+		into.SetInt(int64(n))
+		return d.bounds(float64(n), show(v), tag, key, func(s string) float64 { b, _ := time.ParseDuration(s); return float64(b) })
+	case into.Type() == sizeType:
+		text, _ := v.(string)
+		n, err := ParseSize(text)
+		if err != nil {
+			return d.fail(key, show(v), err.Error())
+		}
+		into.SetInt(int64(n))
+		return d.bounds(float64(n), show(v), tag, key, func(s string) float64 { b, _ := ParseSize(s); return float64(b) })
+	}
+	switch into.Kind() {
+	case reflect.String:
+		return d.text(v, into, tag, key)
+	case reflect.Bool:
+		b, ok := v.(bool)
+		if !ok {
+			return d.fail(key, show(v), "true or false")
+		}
+		into.SetBool(b)
+	case reflect.Int:
+		n, ok := v.(int64)
+		if !ok {
+			return d.fail(key, show(v), "a whole number")
+		}
+		into.SetInt(n)
+		return d.bounds(float64(n), show(v), tag, key, plainNumber)
+	case reflect.Float64:
+		f, ok := v.(float64)
+		if n, whole := v.(int64); whole {
+			f, ok = float64(n), true
+		}
+		if !ok || math.IsNaN(f) || math.IsInf(f, 0) {
+			return d.fail(key, show(v), "a number")
+		}
+		into.SetFloat(f)
+		return d.bounds(f, show(v), tag, key, plainNumber)
+	case reflect.Struct:
+		t, ok := v.(map[string]any)
+		if !ok {
+			return d.fail(key, show(v), "a table")
+		}
+		return d.table(t, into, key)
+	case reflect.Slice:
+		return d.list(v, into, tag, key)
+	default:
+		panic("strictfile: no rule for fields of type " + into.Type().String())
+	}
+	return nil
+}
+
+func plainNumber(s string) float64 { f, _ := strconv.ParseFloat(s, 64); return f }
+
+// text puts a string into a field.
+func (d *decoder) text(v any, into reflect.Value, tag reflect.StructTag, key string) error {
+	s, ok := v.(string)
+	if !ok {
+		return d.fail(key, show(v), "a string")
+	}
+	if words := tag.Get("oneof"); words != "" && !slices.Contains(strings.Split(words, "|"), s) {
+		return d.fail(key, show(v), "one of "+strings.ReplaceAll(words, "|", ", "))
+	}
+	if s == "" && tag.Get("need") == "true" {
+		return d.fail(key, show(v), "text that is not empty")
+	}
+	into.SetString(s)
+	return nil
+}
+
+// list puts an array of strings or of tables into a slice.
+func (d *decoder) list(v any, into reflect.Value, tag reflect.StructTag, key string) error {
+	items, ok := v.([]any)
+	if !ok {
+		if tables, is := v.([]map[string]any); is {
+			for _, t := range tables {
+				items = append(items, t)
+			}
+			ok = true
+		}
+	}
+	if !ok {
+		return d.fail(key, show(v), "an array")
+	}
+	if err := d.bounds(float64(len(items)), fmt.Sprintf("%d entries", len(items)), tag, key, plainNumber); err != nil {
+		return err
+	}
+	out := reflect.MakeSlice(into.Type(), len(items), len(items))
+	for i, item := range items {
+		at := fmt.Sprintf("%s[%d]", key, i+1)
+		if _, ok := d.lines[at]; !ok {
+			d.lines[at] = d.lines[key]
+		}
+		if err := d.value(item, out.Index(i), "", at); err != nil {
+			return err
+		}
+	}
+	into.Set(out)
+	return nil
+}
+
+// bounds holds a number against the tags min and max, which are in the words
+// of the file.
+func (d *decoder) bounds(n float64, found string, tag reflect.StructTag, key string, parse func(string) float64) error {
+	least, most := tag.Get("min"), tag.Get("max")
+	if (least == "" || n >= parse(least)) && (most == "" || n <= parse(most)) {
+		return nil
+	}
+	switch {
+	case most == "":
+		return d.fail(key, found, least+" or more")
+	case least == "":
+		return d.fail(key, found, most+" at most")
+	}
+	return d.fail(key, found, least+" to "+most)
+}
+
+// show words a value as it stands in the file, cut to a length that leaves the
+// line readable.
+func show(v any) string {
+	text := fmt.Sprint(v)
+	switch t := v.(type) {
+	case string:
+		text = strconv.Quote(t)
+	case map[string]any:
+		text = "a table"
+	case []any, []map[string]any:
+		text = "an array"
+	}
+	if len(text) > 60 {
+		text = text[:57] + "..."
+	}
+	return text
+}
