Tests of stand-ins, audit, hand-over and daemon, each with the failure it is for

Each way to break a rule on the sockets is played by a relay broken on purpose, and the audit must name it. The daemon's tests run the program itself: two hand-overs in a surge, a new version that dies, hangs or is misconfigured, a new process killed while the old one drains, few descriptors left, a bounded drain against servers that answer nothing, two reloads while a server drains.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -388,6 +388,17 @@
 	i.told[key] = told{at, away}
 }
 
+// Away returns when an instance was told that a server's life is not to be used
+// any more; 0 if it was not.
+func (l *Log) Away(name, server string, life int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.of(name).told[serverKey{server, life}]; t.away {
+		return t.at
+	}
+	return 0
+}
+
 // Changed takes down a change of the true list: a server's life begins, or is
 // not to be used any more.
 func (l *Log) Changed(server string, life int, away bool, at time.Duration) {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -103,9 +103,9 @@
 // take asks, and reads what is given.
 func (t *Taking) take(addr string) error {
 	t.conn.SetDeadline(time.Now().Add(t.patience))
-	if _, err := fmt.Fprintf(t.conn, "%s take %s\n", version, addr); err != nil {
-		return fmt.Errorf("asking: %w", err)
-	}
+	// One that is busy says so and closes, perhaps before this is written: what
+	// it said is there to be read all the same.
+	fmt.Fprintf(t.conn, "%s take %s\n", version, addr)
 	line, fd, err := t.receive()
 	if err != nil {
 		return err
--- a/internal/rig/instance.go
+++ b/internal/rig/instance.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"otterspring/internal/standin/registry"
 )
 
@@ -106,22 +108,35 @@
 	return write(in.config, in.world.configText(in, in.rng.Uint64(), in.door.Addr(), in.known))
 }
 
-// spawn starts a process.
-func (in *Instance) spawn(extra ...string) (*Process, error) {
-	o := &in.world.opt
-	args := append([]string{}, o.Program[1:]...)
+// spawn starts a process as the options say.
+func (in *Instance) spawn() (*Process, error) {
+	var args []string
 	if in.operator != "" {
-		args = append(args, "-operator", in.operator)
+		args = []string{"-operator", in.operator}
 	}
-	args = append(args, extra...)
+	return in.Spawn(nil, args...)
+}
+
+// Spawn starts a further process of the instance with arguments and variables
+// of its own, and waits for nothing.
+func (in *Instance) Spawn(env []string, extra ...string) (*Process, error) {
+	o := &in.world.opt
+	args := append(append([]string{}, o.Program[1:]...), extra...)
 	p := &Process{cmd: exec.Command(o.Program[0], args...), tail: &tail{}, done: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+in.config, "RELAY_NAME="+in.Name, "RELAY_LISTEN="+in.Addr, "RELAY_DISCOVERY="+in.door.Addr())
-	p.cmd.Env = append(p.cmd.Env, o.Env...)
+	p.cmd.Env = append(append(p.cmd.Env, o.Env...), env...)
 	p.cmd.Stdout, p.cmd.Stderr = p.tail, p.tail
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return nil, fmt.Errorf("instance %s: %w", in.Name, err)
 	}
+	if o.Limit > 0 {
+		limit := unix.Rlimit{Cur: uint64(o.Limit), Max: uint64(o.Limit)}
+		if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+			p.cmd.Process.Kill()
+			return nil, fmt.Errorf("instance %s: limit of descriptors: %w", in.Name, err)
+		}
+	}
 	in.mu.Lock()
 	in.procs = append(in.procs, p)
 	in.mu.Unlock()
@@ -230,6 +245,35 @@
 	in.world.Log.Killed(in.Name, in.world.Log.Now())
 }
 
+// Pid is the number of a process; Tail is what it has last written.
+func (p *Process) Pid() int     { return p.cmd.Process.Pid }
+func (p *Process) Tail() string { return p.tail.String() }
+
+// Kill ends a process outright.
+func (p *Process) Kill() { p.cmd.Process.Kill() }
+
+// Wait waits for a process's end and returns how it ended.
+func (p *Process) Wait(ctx context.Context) error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Move makes the next reload find discovery at another registry.
+func (in *Instance) Move(to *registry.Registry) error {
+	door, err := to.Open(in.Name)
+	if err != nil {
+		return err
+	}
+	in.mu.Lock()
+	in.door = door
+	in.mu.Unlock()
+	return in.writeConfig()
+}
+
 // ErrCrashed is the end of a process that was not asked for.
 var ErrCrashed = errors.New("crashed")
 
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -27,6 +27,7 @@
 	PodSize   int           // servers in a pod
 	Window    time.Duration // in which a pod drops a repeated key
 	Stretch   float64       // all aims, deadlines and graces are longer by this: for slow machines
+	Grace     time.Duration // of drains; 0 for the site's, stretched
 	Cold      time.Duration // work after which a fresh server is warm
 	Registry  registry.Config
 	Program   []string // the sidecar: path and arguments
@@ -34,6 +35,7 @@
 	Dir       string   // for configurations and logs; must exist
 	MemoryMB  int
 	Sockets   int
+	Limit     int                                   // on each process's descriptors; 0 for none but the system's
 	Operator  func(instance int, dir string) string // text of each instance's operator's file; nil for none
 }
 
@@ -110,6 +112,9 @@
 	rules := audit.Delft()
 	rules.Grace = time.Duration(float64(rules.Grace) * o.Stretch)
 	rules.Slack = time.Duration(float64(rules.Slack) * o.Stretch)
+	if o.Grace > 0 {
+		rules.Grace = o.Grace
+	}
 	w := &World{opt: o, Log: audit.New(rules), Classes: Classes(o.Stretch)}
 	w.Registry = registry.New(o.Registry, w.Log, 1)
 	w.regs = []*registry.Registry{w.Registry}
@@ -253,4 +258,7 @@
 	return os.Rename(tmp, path)
 }
 
+// Dir is where configurations and logs are.
+func (w *World) Dir() string { return w.opt.Dir }
+
 func (w *World) path(name string) string { return filepath.Join(w.opt.Dir, name) }
--- a/internal/standin/clients/clients.go
+++ b/internal/standin/clients/clients.go
@@ -58,9 +58,12 @@
 	overflow atomic.Int64 // arrivals with no connection left for them
 	conns    atomic.Int64 // connections made
 	ids      atomic.Int64
+	own      int64 // number of these clients, so that no two have an id in common
 	wg       sync.WaitGroup
 }
 
+var numbers atomic.Int64
+
 // New returns clients that have asked nothing yet.
 func New(cfg Config, log *audit.Log) *Clients {
 	if cfg.Most == 0 {
@@ -72,7 +75,7 @@
 	if cfg.Kept == 0 {
 		cfg.Kept = 2 * time.Second
 	}
-	return &Clients{cfg: cfg, log: log, rng: rand.New(rand.NewPCG(cfg.Seed, 7))}
+	return &Clients{own: numbers.Add(1), cfg: cfg, log: log, rng: rand.New(rand.NewPCG(cfg.Seed, 7))}
 }
 
 // RefusedConns is how many connections were refused.
@@ -143,7 +146,7 @@
 func (c *Clients) ask(a Arrival, due time.Duration) {
 	class := &c.cfg.Classes[a.Class]
 	end := due + class.Deadline
-	op := fmt.Sprintf("%s-%d", c.cfg.Instance, c.ids.Add(1))
+	op := fmt.Sprintf("%s-%d-%d", c.cfg.Instance, c.own, c.ids.Add(1))
 	s := Sample{At: due, Class: a.Class}
 	for try := 0; ; try++ {
 		s.Tries++
