--- /dev/null
+++ b/balance/over_test.go
@@ -0,0 +1,58 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Over gives every open request its final answer at once, truthfully: a refusal
+// where nothing ran or a repeat is harmless, else a failure. Nothing is sent any
+// more.
+func TestOver(t *testing.T) {
+	set := site()
+	set.CanCopy = false
+	d := newBed(t, set, 4)
+	d.members(ListFull, fleet(6))
+	for id, class := range map[string]int{"read": 0, "join": 1, "record": 2, "never": 2, "done": 0} {
+		if sentTo(d.request(id, class)) == "" {
+			t.Fatalf("%s was not sent", id)
+		}
+	}
+	d.outcome("done", 0, OK)
+	d.outcome("never", 0, ConnectFailed) // it waits for its retry
+	d.now += ms
+	got := map[string]ActionKind{}
+	for _, a := range d.take(d.b.Timer(d.now, Over, nil)) {
+		switch a.Kind {
+		case Refuse, Fail:
+			got[a.Request] = a.Kind
+		case Send:
+			t.Errorf("%s was sent to %s", a.Request, a.Server)
+		}
+	}
+	want := map[string]ActionKind{"read": Refuse, "join": Fail, "record": Fail, "never": Refuse}
+	for id, kind := range want {
+		if got[id] != kind {
+			t.Errorf("%s: answer %v, want %v", id, got[id], kind)
+		}
+	}
+	if len(got) != len(want) {
+		t.Errorf("answers %v", got)
+	}
+	// It is harmless where nothing is open, and the module goes on.
+	d.take(d.b.Timer(d.now+time.Second, Over, nil))
+	d.now += time.Second
+	sent := 0
+	for i := range 20 { // some may be shed: the module takes what ended for late
+		if sentTo(d.request(fmt.Sprint("next", i), 0)) != "" {
+			sent++
+		}
+	}
+	if sent == 0 {
+		t.Error("nothing is sent afterwards")
+	}
+	if len(d.broken) > 0 {
+		t.Error(d.broken)
+	}
+}
--- /dev/null
+++ b/cmd/otterspring/main_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestExitCodes(t *testing.T) {
+	dir := t.TempDir()
+	good, bad, ill := filepath.Join(dir, "good.toml"), filepath.Join(dir, "bad.toml"), filepath.Join(dir, "fleet.toml")
+	os.WriteFile(good, []byte("[drain]\nfinish = \"3s\"\n"), 0o600)
+	os.WriteFile(bad, []byte("[drain]\nfinish = 3\n"), 0o600)
+	os.WriteFile(ill, []byte("program = \"x\"\n"), 0o600)
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{nil, 2, "usage: otterspring COMMAND"},
+		{[]string{"help"}, 0, "fleet"},
+		{[]string{"help", "check"}, 0, "usage: otterspring check FILE"},
+		{[]string{"help", "dance"}, 2, "wanted a command"},
+		{[]string{"check", "-h"}, 0, "usage: otterspring check FILE"},
+		{[]string{"fleet", "-h"}, 0, "usage: otterspring fleet run FILE"},
+		{[]string{"dance"}, 2, `found "dance", wanted a command`},
+		{[]string{"check"}, 2, "wanted a file"},
+		{[]string{"check", "-x"}, 2, `found "-x"`},
+		{[]string{"check", good}, 0, "good; on: drain"},
+		{[]string{"check", good, bad}, 1, "bad.toml:2: drain.finish: found 3, wanted a duration"},
+		{[]string{"check", filepath.Join(dir, "none")}, 1, "no such file"},
+		{[]string{"fleet", "run"}, 2, "wanted a verb and a file"},
+		{[]string{"fleet", "dance", ill}, 2, "wanted run, check, status"},
+		{[]string{"fleet", "status", ill, "x"}, 2, "wanted nothing behind the file"},
+		{[]string{"fleet", "run", ill}, 1, "fleet.toml: found no directory"},
+		{[]string{"fleet", "check", filepath.Join(dir, "none")}, 1, "no such file"},
+	} {
+		var out, errw bytes.Buffer
+		code := run(c.args, &out, &errw)
+		text := out.String() + errw.String()
+		if code != c.code || !strings.Contains(text, c.want) {
+			t.Errorf("%v: exit code %d, want %d: %s", c.args, code, c.code, text)
+		}
+		if code != 0 && len(c.args) > 0 && strings.Count(errw.String(), "\n") != 1 {
+			t.Errorf("%v: said %q", c.args, errw.String())
+		}
+	}
+}
+
+// The file in the repository is good, and everything in it is off.
+func TestShippedFile(t *testing.T) {
+	var out, errw bytes.Buffer
+	if code := run([]string{"check", "../../deploy/operator.toml"}, &out, &errw); code != 0 || !strings.Contains(out.String(), "everything is off") {
+		t.Errorf("%d: %s%s", code, out.String(), errw.String())
+	}
+}
+
+// A fleet with no supervisor: one line, exit code 1.
+func TestNoSupervisor(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "fleet.toml")
+	os.WriteFile(path, []byte("program = \"/bin/true\"\ndirectory = \"run\"\ncount = 1\nlisten = \"127.0.0.1:9\"\n"), 0o600)
+	var out, errw bytes.Buffer
+	if code := run([]string{"fleet", "status", path}, &out, &errw); code != 1 || !strings.Contains(errw.String(), "found no control socket") || strings.Count(errw.String(), "\n") != 1 {
+		t.Errorf("%d: %s", code, errw.String())
+	}
+	out.Reset()
+	if code := run([]string{"fleet", "check", path}, &out, &errw); code != 0 || !strings.Contains(out.String(), "1 instance") {
+		t.Errorf("%d: %s", code, out.String())
+	}
+}
--- a/cmd/rig/speed.go
+++ b/cmd/rig/speed.go
@@ -1,10 +1,455 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"flag"
+	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+
+	"otterspring/internal/audit"
+	"otterspring/internal/rig"
+	"otterspring/internal/standin/callserver"
+	"otterspring/internal/standin/clients"
 )
 
-func runSpeed(ctx context.Context, args []string, out io.Writer) error { return errors.New("tbd") }
-func runProxy(args []string) int                                       { return 2 }
+// speedOptions are the flags of rig speed.
+type speedOptions struct {
+	seed     uint64
+	phase    time.Duration
+	rounds   int
+	program  string
+	against  string
+	operator string
+	conns    int
+}
+
+// runSpeed compares a sidecar with a reverse proxy, or with another build of
+// the sidecar, in turn and in one run.
+func runSpeed(ctx context.Context, args []string, out io.Writer) error {
+	f := flag.NewFlagSet("speed", flag.ContinueOnError)
+	var o speedOptions
+	f.Uint64Var(&o.seed, "seed", 1, "where all chance comes from")
+	f.DurationVar(&o.phase, "for", 4*time.Second, "length of each phase, 1s to 5m; there are three of them a round and a side")
+	f.IntVar(&o.rounds, "rounds", 3, "rounds, 1 to 50; each plays both sides, in alternating order")
+	f.StringVar(&o.program, "program", "", "the sidecar to run; empty for the one beside this program")
+	f.StringVar(&o.against, "against", "", "another build of the sidecar to compare with; empty for net/http/httputil's ReverseProxy")
+	f.StringVar(&o.operator, "operator", "", "operator's file for the sidecar, not for the other side")
+	f.IntVar(&o.conns, "conns", 32, "connections at the limit, 1 to 200")
+	if err := parse(f, args, out); err != nil {
+		return err
+	}
+	for _, err := range []error{
+		within("for", o.phase, time.Second, 5*time.Minute), within("rounds", o.rounds, 1, 50), within("conns", o.conns, 1, 200),
+	} {
+		if err != nil {
+			return err
+		}
+	}
+	argv, err := program(o.program)
+	if err != nil {
+		return err
+	}
+	dir, clean, err := scratch()
+	if err != nil {
+		return err
+	}
+	defer clean()
+	s, err := newSpeed(o, argv, dir)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	return s.play(ctx, out)
+}
+
+// speed is a run: call servers that answer at once, and two sides.
+type speed struct {
+	opt     speedOptions
+	dir     string
+	servers []*fasthttp.Server
+	addrs   []string
+	sides   [2]side
+	ids     atomic.Int64
+}
+
+// side is one of the two that are compared.
+type side struct {
+	name  string
+	start func(ctx context.Context) (addr string, pid int, stop func(), err error)
+	runs  []measured
+}
+
+// measured is what one round of a side showed.
+type measured struct {
+	limit    float64          // requests a second
+	cpu      [2]time.Duration // a request, at each of the rates
+	p50, p99 [2]time.Duration
+	peak     int64 // bytes
+	failed   int
+}
+
+// rates are those at which CPU and latency are taken: the site's of one busy
+// sidecar, and the whole fleet's.
+var rates = [2]float64{300, 2400}
+
+const upstreams = 4
+
+// newSpeed starts the call servers and prepares both sides.
+func newSpeed(o speedOptions, argv []string, dir string) (*speed, error) {
+	s := &speed{opt: o, dir: dir}
+	for range upstreams {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			s.close()
+			return nil, err
+		}
+		srv := &fasthttp.Server{NoDefaultServerHeader: true, NoDefaultDate: true, Handler: func(c *fasthttp.RequestCtx) {
+			c.SetBodyString(callserver.Body(string(c.Request.Header.Peek("X-Request-Id")), "s"))
+		}}
+		go srv.Serve(ln)
+		s.servers = append(s.servers, srv)
+		s.addrs = append(s.addrs, ln.Addr().String())
+	}
+	operator := ""
+	if o.operator != "" {
+		text, err := os.ReadFile(o.operator)
+		if err != nil {
+			s.close()
+			return nil, fmt.Errorf("%w: -operator: %v", errUsage, err)
+		}
+		operator = string(text)
+	}
+	s.sides[0] = side{name: "sidecar", start: s.sidecar(argv, operator)}
+	s.sides[1] = side{name: "ReverseProxy", start: s.proxy}
+	if o.against != "" {
+		other, err := program(o.against)
+		if err != nil {
+			s.close()
+			return nil, err
+		}
+		s.sides[1] = side{name: filepath.Base(o.against), start: s.sidecar(other, "")}
+	}
+	return s, nil
+}
+
+func (s *speed) close() {
+	for _, srv := range s.servers {
+		srv.Shutdown()
+	}
+}
+
+// sidecar returns how to start a sidecar that knows the call servers.
+func (s *speed) sidecar(argv []string, operator string) func(context.Context) (string, int, func(), error) {
+	return func(ctx context.Context) (string, int, func(), error) {
+		dir, err := os.MkdirTemp(s.dir, "side")
+		if err != nil {
+			return "", 0, nil, err
+		}
+		o := rig.Options{Seed: s.opt.seed, Instances: 1, External: s.addrs, Program: argv, Dir: dir, MemoryMB: 192, Sockets: 1024}
+		if operator != "" {
+			o.Operator = func(int, string) string { return operator }
+		}
+		w, err := rig.New(o)
+		if err != nil {
+			return "", 0, nil, err
+		}
+		if err := w.StartAll(ctx, 1); err != nil {
+			w.Close()
+			return "", 0, nil, err
+		}
+		in := w.Instances[0]
+		return in.Addr, in.Pids()[0], w.Close, nil
+	}
+}
+
+// proxy starts this program as a reverse proxy.
+func (s *speed) proxy(ctx context.Context) (string, int, func(), error) {
+	self, err := os.Executable()
+	if err != nil {
+		return "", 0, nil, err
+	}
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.77.1:0", 1+rand.IntN(200)))
+	if err != nil {
+		return "", 0, nil, err
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	cmd := exec.Command(self, append([]string{proxyWord, addr}, s.addrs...)...)
+	cmd.Stderr = os.Stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return "", 0, nil, err
+	}
+	stop := func() { cmd.Process.Kill(); cmd.Wait() }
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			c.Close()
+			return addr, cmd.Process.Pid, stop, nil
+		}
+		if time.Now().After(end) || ctx.Err() != nil {
+			stop()
+			return "", 0, nil, errors.New("the reverse proxy does not come up")
+		}
+	}
+}
+
+// runProxy is the reverse proxy: the standard library's, on one core, with the
+// sidecar's memory settings.
+func runProxy(args []string) int {
+	if len(args) < 2 {
+		fmt.Fprintln(os.Stderr, "rig: the proxy wants an address and upstreams")
+		return 2
+	}
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(192 << 20 * 6 / 10)
+	var targets []*url.URL
+	for _, a := range args[1:] {
+		targets = append(targets, &url.URL{Scheme: "http", Host: a})
+	}
+	proxy := &httputil.ReverseProxy{
+		Rewrite:   func(r *httputil.ProxyRequest) { r.SetURL(targets[rand.IntN(len(targets))]) },
+		Transport: &http.Transport{MaxIdleConnsPerHost: 400, MaxIdleConns: 1600, DisableCompression: true},
+	}
+	fmt.Fprintln(os.Stderr, http.ListenAndServe(args[0], proxy))
+	return 1
+}
+
+// play plays the rounds and prints the table.
+func (s *speed) play(ctx context.Context, out io.Writer) error {
+	split := pinSelf()
+	fmt.Fprintf(out, "%d cores (%s), %d call servers that answer at once, %d rounds of %v a phase\n", runtime.NumCPU(), split, upstreams, s.opt.rounds, s.opt.phase)
+	for round := range s.opt.rounds {
+		for k := range 2 {
+			sd := &s.sides[(round+k)%2]
+			m, err := s.measure(ctx, sd)
+			if err != nil {
+				return fmt.Errorf("%s: %w", sd.name, err)
+			}
+			sd.runs = append(sd.runs, m)
+			fmt.Fprintf(out, "round %d  %-14s %7.0f/s at the limit  CPU a request %4.0f and %4.0f us  p50 %5.2f and %5.2f ms  p99 %6.2f and %6.2f ms  peak %5.1f MB  failed %d\n",
+				round+1, sd.name, m.limit, us(m.cpu[0]), us(m.cpu[1]), ms(m.p50[0]), ms(m.p50[1]), ms(m.p99[0]), ms(m.p99[1]), float64(m.peak)/(1<<20), m.failed)
+		}
+	}
+	return s.verdict(out)
+}
+
+func us(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+
+// verdict prints the ratios: the median of those of the rounds, since both
+// sides of a round were played right behind one another.
+func (s *speed) verdict(out io.Writer) error {
+	ratio := func(of func(measured) float64) float64 {
+		var list []float64
+		for i := range s.sides[0].runs {
+			list = append(list, of(s.sides[0].runs[i])/max(of(s.sides[1].runs[i]), 1e-9))
+		}
+		slices.Sort(list)
+		return list[len(list)/2]
+	}
+	diff := func(of func(measured) float64) float64 {
+		var list []float64
+		for i := range s.sides[0].runs {
+			list = append(list, of(s.sides[0].runs[i])-of(s.sides[1].runs[i]))
+		}
+		slices.Sort(list)
+		return list[len(list)/2]
+	}
+	failed := 0
+	for _, m := range s.sides[0].runs {
+		failed += m.failed
+	}
+	fmt.Fprintf(out, "\n%s to %s, median of the rounds:\n", s.sides[0].name, s.sides[1].name)
+	fmt.Fprintf(out, "limit_ratio=%.3f cpu300_ratio=%.3f cpu2400_ratio=%.3f p50_300_more_ms=%.2f p50_2400_more_ms=%.2f p99_300_ratio=%.2f p99_2400_ratio=%.2f memory_ratio=%.2f failed=%d\n",
+		ratio(func(m measured) float64 { return m.limit }),
+		ratio(func(m measured) float64 { return us(m.cpu[0]) }), ratio(func(m measured) float64 { return us(m.cpu[1]) }),
+		diff(func(m measured) float64 { return ms(m.p50[0]) }), diff(func(m measured) float64 { return ms(m.p50[1]) }),
+		ratio(func(m measured) float64 { return ms(m.p99[0]) }), ratio(func(m measured) float64 { return ms(m.p99[1]) }),
+		ratio(func(m measured) float64 { return float64(m.peak) }), failed)
+	return nil
+}
+
+// measure plays the three phases of one side.
+func (s *speed) measure(ctx context.Context, sd *side) (measured, error) {
+	var m measured
+	addr, pid, stop, err := sd.start(ctx)
+	if err != nil {
+		return m, err
+	}
+	defer stop()
+	pin(pid)
+	s.closed(ctx, addr, 500*time.Millisecond) // warm up
+	n, _ := s.closed(ctx, addr, s.opt.phase)
+	m.limit = float64(n) / s.opt.phase.Seconds()
+	for i, rate := range rates {
+		if err := s.open(ctx, addr, pid, rate, i, &m); err != nil {
+			return m, err
+		}
+	}
+	m.peak = peak(pid)
+	return m, ctx.Err()
+}
+
+// closed asks on each connection as soon as it has its answer, and returns how
+// many were served.
+func (s *speed) closed(ctx context.Context, addr string, length time.Duration) (served, failed int) {
+	var ok, bad atomic.Int64
+	var wg sync.WaitGroup
+	end := time.Now().Add(length)
+	for range s.opt.conns {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for time.Now().Before(end) && ctx.Err() == nil {
+				s.askOn(addr, end, &ok, &bad)
+			}
+		}()
+	}
+	wg.Wait()
+	return int(ok.Load()), int(bad.Load())
+}
+
+// askOn asks on one connection until the end, or until it closes.
+func (s *speed) askOn(addr string, end time.Time, ok, bad *atomic.Int64) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		bad.Add(1)
+		time.Sleep(5 * time.Millisecond)
+		return
+	}
+	defer c.Close()
+	br := bufio.NewReader(c)
+	var text []byte
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	for time.Now().Before(end) {
+		text = append(text[:0], "GET /roster HTTP/1.1\r\nHost: service.internal\r\nX-Deadline: 0.500\r\nX-Request-Id: c"...)
+		text = strconv.AppendInt(text, s.ids.Add(1), 10)
+		text = append(text, "\r\n\r\n"...)
+		c.SetDeadline(end.Add(2 * time.Second))
+		if _, err := c.Write(text); err != nil {
+			return
+		}
+		if err := resp.Read(br); err != nil {
+			return
+		}
+		if resp.StatusCode() != 200 {
+			bad.Add(1)
+		} else {
+			ok.Add(1)
+		}
+		if resp.ConnectionClose() {
+			return
+		}
+	}
+}
+
+// open asks at a rate drawn ahead, and takes CPU and latency.
+func (s *speed) open(ctx context.Context, addr string, pid int, rate float64, at int, m *measured) error {
+	classes := rig.Classes(1)[:1]
+	cl := clients.New(clients.Config{Instance: "n1", Addr: addr, Classes: classes, Most: 300, Seed: s.opt.seed}, audit.New(audit.Delft()))
+	plan, err := clients.Draw(clients.Shape{Rate: rate, For: s.opt.phase, Keys: 3000, Skew: 0.7}, classes, s.opt.seed)
+	if err != nil {
+		return err
+	}
+	before := cpuTime(pid)
+	cl.Run(ctx, plan)
+	used := cpuTime(pid) - before
+	var took []time.Duration
+	for _, x := range cl.Samples() {
+		if x.OK {
+			took = append(took, x.Took)
+		} else {
+			m.failed++
+		}
+	}
+	if len(took) == 0 {
+		return fmt.Errorf("nothing was served at %.0f a second", rate)
+	}
+	m.cpu[at] = used / time.Duration(len(took))
+	m.p50[at], m.p99[at] = clients.Quantile(took, 0.5), clients.Quantile(took, 0.99)
+	return nil
+}
+
+// cpuTime is the time that all threads of a process have run, to the
+// nanosecond where the kernel tells.
+func cpuTime(pid int) time.Duration {
+	var sum time.Duration
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	for _, path := range tasks {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		if f := strings.Fields(string(text)); len(f) > 0 {
+			n, _ := strconv.ParseInt(f[0], 10, 64)
+			sum += time.Duration(n)
+		}
+	}
+	return sum
+}
+
+// peak is the largest resident size of a process.
+func peak(pid int) int64 {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for _, line := range strings.Split(string(text), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			n, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return n << 10
+		}
+	}
+	return 0
+}
+
+// pin puts all threads of a process on the first core. Without the right to do
+// so it stays as it is: GOMAXPROCS is 1 on both sides.
+func pin(pid int) {
+	var set unix.CPUSet
+	set.Set(0)
+	affinity(pid, &set)
+}
+
+// pinSelf keeps this program, with clients and call servers, off the first core
+// where there are others.
+func pinSelf() string {
+	if runtime.NumCPU() < 2 {
+		return "one for all"
+	}
+	var set unix.CPUSet
+	for i := 1; i < runtime.NumCPU(); i++ {
+		set.Set(i)
+	}
+	affinity(os.Getpid(), &set)
+	return "the first for the side that is measured"
+}
+
+func affinity(pid int, set *unix.CPUSet) {
+	tasks, _ := os.ReadDir(fmt.Sprintf("/proc/%d/task", pid))
+	for _, t := range tasks {
+		if tid, err := strconv.Atoi(t.Name()); err == nil {
+			unix.SchedSetaffinity(tid, set)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coap/block/block_test.go
@@ -0,0 +1,231 @@
+package block
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"otterspring/internal/coap/message"
+)
+
+func limits() Limits {
+	return Limits{Transfers: 4, Body: 64 << 10, Bytes: 128 << 10, Idle: time.Minute, Size: 1024}
+}
+
+func part(num uint32, more bool, size int, payload []byte) *message.Message {
+	m := &message.Message{Code: message.POST, Payload: payload}
+	m.Add(message.URIPath, []byte("join"))
+	m.AddBlock(message.Block1, message.Block{Num: num, More: more, Size: size})
+	return m
+}
+
+// Any body goes up and comes down whole, whatever sizes the sides want.
+func TestBothWays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := bytes.Repeat([]byte("0123456789abcdefg"), 4000)[:rapid.IntRange(1, 64<<10).Draw(t, "length")]
+		sizes := []int{16, 64, 256, 1024}
+		lim := limits()
+		lim.Size = rapid.SampledFrom(sizes).Draw(t, "server")
+		r, err := NewReceiver(lim)
+		if err != nil {
+			t.Fatal(err)
+		}
+		u := NewUpload(body, rapid.SampledFrom(sizes).Draw(t, "client"))
+		var got []byte
+		for i := 0; ; i++ {
+			if i > 5000 {
+				t.Fatal("the upload does not end")
+			}
+			payload, b := u.Block()
+			p := r.Take(0, "k", part(b.Num, b.More, b.Size, payload))
+			if p.Whole {
+				got = p.Body
+				if !u.Last() {
+					t.Fatal("whole before the last block")
+				}
+				break
+			}
+			answer := &message.Message{Code: p.Code}
+			answer.AddBlock(message.Block1, p.Block)
+			if more, err := u.Continue(answer); err != nil || !more {
+				t.Fatalf("after block %+v: %v %v %v", b, p.Code, more, err)
+			}
+		}
+		if !bytes.Equal(got, body) {
+			t.Fatalf("%d bytes came of %d", len(got), len(body))
+		}
+		if n, held := r.Held(); n != 0 || held != 0 {
+			t.Fatalf("%d transfers with %d bytes are left", n, held)
+		}
+
+		s, _ := NewSender(lim)
+		d := NewDownload(64 << 10)
+		req := &message.Message{Code: message.GET}
+		if rapid.Bool().Draw(t, "early") { // the client says its size first
+			req.AddBlock(message.Block2, message.Block{Size: rapid.SampledFrom(sizes).Draw(t, "wanted")})
+		}
+		resp := s.First(0, "k", req, message.Message{Code: message.Content, Payload: body})
+		for i := 0; ; i++ {
+			if i > 5000 {
+				t.Fatal("the download does not end")
+			}
+			next, more, err := d.Take(&resp)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !more {
+				break
+			}
+			req := &message.Message{Code: message.GET}
+			req.AddBlock(message.Block2, next)
+			var ok bool
+			if resp, ok = s.Next(0, "k", req); !ok {
+				t.Fatalf("block %+v was not kept", next)
+			}
+		}
+		if !bytes.Equal(d.Body(), body) {
+			t.Fatalf("%d bytes came down of %d", len(d.Body()), len(body))
+		}
+	})
+}
+
+func TestReceiverTurnsAway(t *testing.T) {
+	full := make([]byte, 1024)
+	for _, c := range []struct {
+		name  string
+		parts []*message.Message
+		want  message.Code
+	}{
+		{"a block out of order", []*message.Message{part(0, true, 1024, full), part(2, true, 1024, full)}, message.RequestEntityIncomplete},
+		{"one with no beginning", []*message.Message{part(1, true, 1024, full)}, message.RequestEntityIncomplete},
+		{"one that is not full", []*message.Message{part(0, true, 1024, full[:1000])}, message.BadRequest},
+		{"one that is too full", []*message.Message{part(0, false, 16, full)}, message.BadRequest},
+		{"the reserved size", []*message.Message{{Code: message.POST, Options: []message.Option{{Number: message.Block1, Value: []byte{7}}}}}, message.BadRequest},
+	} {
+		r, _ := NewReceiver(limits())
+		var got Part
+		for _, m := range c.parts {
+			got = r.Take(0, "k", m)
+		}
+		if got.Code != c.want || got.Whole {
+			t.Errorf("%s: %v", c.name, got.Code)
+		}
+		if n, _ := r.Held(); n != 0 {
+			t.Errorf("%s: %d transfers are left", c.name, n)
+		}
+	}
+	// One that says beforehand that it is too large, and one that never ends.
+	r, _ := NewReceiver(limits())
+	m := part(0, true, 1024, full)
+	m.AddUint(message.Size1, 1<<20)
+	if p := r.Take(0, "k", m); p.Code != message.RequestEntityTooLarge || p.Size1 != 64<<10 {
+		t.Errorf("announced: %+v", p)
+	}
+	for i := uint32(0); ; i++ {
+		p := r.Take(0, "k", part(i, true, 1024, full))
+		if p.Code == message.RequestEntityTooLarge {
+			if i != 64 {
+				t.Errorf("turned away at block %d", i)
+			}
+			break
+		}
+		if i > 100 {
+			t.Fatal("it never ends")
+		}
+	}
+}
+
+// Transfers are bounded in number, bytes and time; the longest idle go first.
+func TestBounds(t *testing.T) {
+	r, _ := NewReceiver(limits())
+	for i := range 10 {
+		r.Take(time.Duration(i)*time.Second, fmt.Sprint(i), part(0, true, 1024, make([]byte, 1024)))
+	}
+	if n, held := r.Held(); n != 4 || held != 4096 || r.GivenUp != 6 {
+		t.Errorf("%d transfers, %d bytes, %d given up", n, held, r.GivenUp)
+	}
+	if p := r.Take(10*time.Second, "9", part(1, true, 1024, make([]byte, 1024))); p.Code != message.Continue {
+		t.Errorf("the latest was given up: %v", p.Code)
+	}
+	if p := r.Take(10*time.Second, "0", part(1, true, 1024, make([]byte, 1024))); p.Code != message.RequestEntityIncomplete {
+		t.Errorf("the oldest was kept: %v", p.Code)
+	}
+	r.Take(5*time.Minute, "x", part(0, true, 16, make([]byte, 16)))
+	if n, held := r.Held(); n != 1 || held != 16 {
+		t.Errorf("after five minutes: %d transfers, %d bytes", n, held)
+	}
+	s, _ := NewSender(limits())
+	if resp := s.First(0, "k", &message.Message{}, message.Message{Code: message.Content, Payload: make([]byte, 65<<10)}); resp.Code != message.InternalServerError {
+		t.Errorf("an answer over the bound: %v", resp.Code)
+	}
+}
+
+func TestDownloadErrors(t *testing.T) {
+	answer := func(num uint32, more bool, size, length int, etag string) *message.Message {
+		m := &message.Message{Code: message.Content, Payload: make([]byte, length)}
+		m.Add(message.ETag, []byte(etag))
+		m.AddBlock(message.Block2, message.Block{Num: num, More: more, Size: size})
+		return m
+	}
+	for _, c := range []struct {
+		name    string
+		answers []*message.Message
+		want    error
+	}{
+		{"another block", []*message.Message{answer(0, true, 16, 16, "a"), answer(2, true, 16, 16, "a")}, ErrBlock},
+		{"a changed body", []*message.Message{answer(0, true, 16, 16, "a"), answer(1, true, 16, 16, "b")}, ErrETag},
+		{"a block that is not full", []*message.Message{answer(0, true, 16, 10, "a")}, ErrBroken},
+		{"a body over the bound", []*message.Message{answer(0, true, 16, 16, "a"), answer(1, true, 16, 16, "a"), answer(2, false, 16, 16, "a")}, ErrLong},
+		{"no block behind a block", []*message.Message{answer(0, true, 16, 16, "a"), {Code: message.Content}}, ErrBlock},
+	} {
+		d := NewDownload(40)
+		var err error
+		for _, m := range c.answers {
+			_, _, err = d.Take(m)
+		}
+		if !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+	u := NewUpload(make([]byte, 100), 16)
+	if _, err := u.Continue(&message.Message{Code: message.Continue}); !errors.Is(err, ErrBlock) {
+		t.Errorf("a Continue without a block: %v", err)
+	}
+	if more, err := u.Continue(&message.Message{Code: message.NotFound}); more || err != nil {
+		t.Errorf("an error in the middle: %v %v", more, err)
+	}
+}
+
+// Two transfers that differ in anything but the block are two.
+func TestKeys(t *testing.T) {
+	base := part(0, true, 16, nil)
+	tagged := part(0, true, 16, nil)
+	tagged.Add(message.RequestTag, []byte("1"))
+	other := part(3, false, 64, nil)
+	if Key("a", base) != Key("a", other) {
+		t.Error("blocks of one transfer have two keys")
+	}
+	if Key("a", base) == Key("b", base) || Key("a", base) == Key("a", tagged) {
+		t.Error("two transfers have one key")
+	}
+}
+
+func FuzzReceiver(f *testing.F) {
+	f.Add([]byte{8}, []byte("0123456789abcdef"), []byte{0x10}, []byte("x"))
+	f.Fuzz(func(t *testing.T, b1, p1, b2, p2 []byte) {
+		r, _ := NewReceiver(Limits{Transfers: 1, Body: 64, Bytes: 64, Idle: time.Second, Size: 16})
+		for _, x := range [][2][]byte{{b1, p1}, {b2, p2}} {
+			p := r.Take(0, "k", &message.Message{Code: message.POST, Payload: x[1], Options: []message.Option{{Number: message.Block1, Value: x[0]}}})
+			if len(p.Body) > 64 {
+				t.Fatalf("%d bytes", len(p.Body))
+			}
+			if _, held := r.Held(); held > 64 || held < 0 {
+				t.Fatalf("%d bytes held", held)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/coap/message/code.go
@@ -0,0 +1,65 @@
+package message
+
+import "fmt"
+
+// Code is a method or a response code: class in the upper 3 bits, detail in the
+// lower 5 (RFC 7252, section 3 and 12.1).
+type Code uint8
+
+// Codes of RFC 7252, RFC 7959 (4.08), RFC 8132 (FETCH, PATCH, iPATCH, 4.09,
+// 4.22) and RFC 8516 (4.29).
+const (
+	Empty  Code = 0
+	GET    Code = 1
+	POST   Code = 2
+	PUT    Code = 3
+	DELETE Code = 4
+	FETCH  Code = 5
+	PATCH  Code = 6
+	IPATCH Code = 7
+
+	Created  Code = 2<<5 | 1
+	Deleted  Code = 2<<5 | 2
+	Valid    Code = 2<<5 | 3
+	Changed  Code = 2<<5 | 4
+	Content  Code = 2<<5 | 5
+	Continue Code = 2<<5 | 31
+
+	BadRequest               Code = 4 << 5
+	Unauthorized             Code = 4<<5 | 1
+	BadOption                Code = 4<<5 | 2
+	Forbidden                Code = 4<<5 | 3
+	NotFound                 Code = 4<<5 | 4
+	MethodNotAllowed         Code = 4<<5 | 5
+	NotAcceptable            Code = 4<<5 | 6
+	RequestEntityIncomplete  Code = 4<<5 | 8
+	Conflict                 Code = 4<<5 | 9
+	PreconditionFailed       Code = 4<<5 | 12
+	RequestEntityTooLarge    Code = 4<<5 | 13
+	UnsupportedContentFormat Code = 4<<5 | 15
+	UnprocessableEntity      Code = 4<<5 | 22
+	TooManyRequests          Code = 4<<5 | 29
+
+	InternalServerError  Code = 5 << 5
+	NotImplemented       Code = 5<<5 | 1
+	BadGateway           Code = 5<<5 | 2
+	ServiceUnavailable   Code = 5<<5 | 3
+	GatewayTimeout       Code = 5<<5 | 4
+	ProxyingNotSupported Code = 5<<5 | 5
+	HopLimitReached      Code = 5<<5 | 8
+)
+
+// Class is 0 for requests, 2 for success, 4 and 5 for errors.
+func (c Code) Class() int { return int(c >> 5) }
+
+// Detail is what is behind the dot.
+func (c Code) Detail() int { return int(c & 31) }
+
+// Request tells whether it is a method.
+func (c Code) Request() bool { return c.Class() == 0 && c != Empty }
+
+// Response tells whether it is a response code.
+func (c Code) Response() bool { return c.Class() >= 2 && c.Class() <= 5 }
+
+// String writes c.dd.
+func (c Code) String() string { return fmt.Sprintf("%d.%02d", c.Class(), c.Detail()) }
--- /dev/null
+++ b/internal/coap/message/message_test.go
@@ -0,0 +1,214 @@
+package message
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// The examples of RFC 7252, appendix A, byte for byte.
+func TestExamplesOfTheRFC(t *testing.T) {
+	for name, c := range map[string]struct {
+		hex  string
+		want Message
+	}{
+		"figure 16, request": {"40017d34bb74656d7065726174757265",
+			Message{Type: Confirmable, Code: GET, ID: 0x7d34, Options: []Option{{URIPath, []byte("temperature")}}}},
+		"figure 16, response": {"60457d34ff32322e332043",
+			Message{Type: Acknowledgement, Code: Content, ID: 0x7d34, Payload: []byte("22.3 C")}},
+		"figure 17, request": {"41017d3520bb74656d7065726174757265",
+			Message{Type: Confirmable, Code: GET, ID: 0x7d35, Token: []byte{0x20}, Options: []Option{{URIPath, []byte("temperature")}}}},
+		"an empty acknowledgement": {"60007d36", Message{Type: Acknowledgement, ID: 0x7d36}},
+	} {
+		text, _ := hex.DecodeString(c.hex)
+		var m Message
+		if err := Decode(text, &m); err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if !same(&m, &c.want) {
+			t.Errorf("%s: decoded %+v, want %+v", name, m, c.want)
+		}
+		if got, err := c.want.Append(nil); err != nil || !bytes.Equal(got, text) {
+			t.Errorf("%s: encoded %x, %v", name, got, err)
+		}
+	}
+}
+
+// same compares messages; nil and empty are alike.
+func same(a, b *Message) bool {
+	if a.Type != b.Type || a.Code != b.Code || a.ID != b.ID || !bytes.Equal(a.Token, b.Token) || !bytes.Equal(a.Payload, b.Payload) || len(a.Options) != len(b.Options) {
+		return false
+	}
+	for i := range a.Options {
+		if a.Options[i].Number != b.Options[i].Number || !bytes.Equal(a.Options[i].Value, b.Options[i].Value) {
+			return false
+		}
+	}
+	return true
+}
+
+func TestMalformed(t *testing.T) {
+	for _, c := range []struct {
+		name, hex string
+		want      error
+	}{
+		{"nothing", "", ErrNotCoAP},
+		{"three bytes", "400100", ErrNotCoAP},
+		{"version 0", "00010001", ErrNotCoAP},
+		{"version 2", "80010001", ErrNotCoAP},
+		{"a token of 9", "49010001010203040506070809", ErrToken},
+		{"a token cut short", "4401000101", ErrShort},
+		{"an empty one with a token", "4100000101", ErrEmpty},
+		{"an empty one with a payload", "40000001ff01", ErrEmpty},
+		{"a marker with no payload", "40010001ff", ErrPayload},
+		{"an option cut short", "40010001b4616263", ErrShort},
+		{"a reserved delta", "40010001f0", ErrReserved},
+		{"a reserved length", "400100010f", ErrReserved},
+		{"an extended delta cut short", "40010001d0", ErrShort},
+		{"a two-byte delta cut short", "40010001e001", ErrShort},
+		{"a length past the end", "40010001bd0a61", ErrShort},
+		{"a number over 65535", "40010001e0ffffe0ffff", ErrNumber},
+		{"too many options", "40010001" + strings.Repeat("10", 65), ErrOptions},
+		{"a reserved class", "40200001", ErrClass},
+		{"64 KiB of options", "40010001" + strings.Repeat("1c"+strings.Repeat("61", 12), 5000), ErrLong},
+	} {
+		text, err := hex.DecodeString(c.hex)
+		if err != nil {
+			t.Fatal(c.name, err)
+		}
+		var m Message
+		if err := Decode(text, &m); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, err, c.want)
+		}
+	}
+}
+
+// What can be encoded comes back the same.
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := Message{
+			Type: Type(rapid.IntRange(0, 3).Draw(t, "type")), ID: rapid.Uint16().Draw(t, "id"),
+			Code:    rapid.SampledFrom([]Code{GET, POST, Content, BadOption, TooManyRequests, ServiceUnavailable}).Draw(t, "code"),
+			Token:   rapid.SliceOfN(rapid.Byte(), 0, 8).Draw(t, "token"),
+			Payload: rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "payload"),
+		}
+		for range rapid.IntRange(0, 10).Draw(t, "options") {
+			m.Add(Number(rapid.Uint16().Draw(t, "number")), rapid.SliceOfN(rapid.Byte(), 0, 300/10).Draw(t, "value"))
+		}
+		if rapid.Bool().Draw(t, "long") {
+			m.Add(ProxyURI, bytes.Repeat([]byte("u"), rapid.IntRange(0, 1034).Draw(t, "length")))
+		}
+		text, err := m.Append(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got Message
+		if err := Decode(text, &got); err != nil {
+			t.Fatalf("%x: %v", text, err)
+		}
+		if !same(&m, &got) {
+			t.Fatalf("%+v came back as %+v", m, got)
+		}
+	})
+}
+
+func TestUints(t *testing.T) {
+	for _, x := range []uint32{0, 1, 255, 256, 65535, 65536, 1<<32 - 1} {
+		var m Message
+		m.AddUint(MaxAge, x)
+		if got, ok := m.Uint(MaxAge); !ok || got != x {
+			t.Errorf("%d came back as %d", x, got)
+		}
+	}
+	m := Message{Options: []Option{{MaxAge, []byte{0, 0, 1}}}}
+	if got, _ := m.Uint(MaxAge); got != 1 {
+		t.Errorf("leading zeros: %d", got)
+	}
+	if _, ok := m.Uint(Size1); ok {
+		t.Error("an option that is not there has a value")
+	}
+}
+
+func TestBlocks(t *testing.T) {
+	for _, b := range []Block{{0, false, 16}, {0, true, 1024}, {63, true, 1024}, {1<<20 - 1, false, 512}} {
+		var m Message
+		m.AddBlock(Block1, b)
+		if got, there, good := m.Block(Block1); !there || !good || got != b {
+			t.Errorf("%+v came back as %+v", b, got)
+		}
+	}
+	m := Message{Options: []Option{{Block2, []byte{7}}}}
+	if _, there, good := m.Block(Block2); !there || good {
+		t.Error("the reserved size was taken")
+	}
+}
+
+// Options that are not known, of a wrong length, or once too often (RFC 7252,
+// section 5.4).
+func TestUnknown(t *testing.T) {
+	all := func(n Number) bool { return n < 1000 }
+	for _, c := range []struct {
+		name    string
+		options []Option
+		bad     Number
+		found   bool
+		left    int
+	}{
+		{"all known", []Option{{URIPath, []byte("a")}, {URIPath, []byte("b")}}, 0, false, 2},
+		{"an elective one that is not", []Option{{URIPath, nil}, {2000, []byte("x")}}, 0, false, 1},
+		{"a critical one that is not", []Option{{2001, []byte("x")}}, 2001, true, 1},
+		{"a critical one of a wrong length", []Option{{Accept, []byte("xxx")}}, Accept, true, 1},
+		{"an elective one of a wrong length", []Option{{ContentFormat, []byte("xxx")}}, 0, false, 0},
+		{"a critical one twice", []Option{{URIHost, []byte("a")}, {URIHost, []byte("b")}}, URIHost, true, 2},
+		{"an elective one twice", []Option{{MaxAge, nil}, {MaxAge, []byte{1}}}, 0, false, 1},
+	} {
+		m := Message{Options: c.options}
+		bad, found := m.Unknown(all)
+		if bad != c.bad || found != c.found || len(m.Options) != c.left {
+			t.Errorf("%s: %d, %v, %d left", c.name, bad, found, len(m.Options))
+		}
+	}
+	if !URIHost.Critical() || ETag.Critical() || !URIHost.Unsafe() || !Size1.NoCacheKey() || ETag.NoCacheKey() {
+		t.Error("the bits of option numbers are read wrong")
+	}
+}
+
+func TestPathAndQuery(t *testing.T) {
+	m := Message{Options: []Option{{URIPath, []byte("join")}, {URIPath, []byte("x y")}, {URIQuery, []byte("a=1")}, {URIQuery, []byte("b")}}}
+	if m.Path() != "/join/x y" || m.Query() != "a=1&b" || (&Message{}).Path() != "/" {
+		t.Errorf("%q %q", m.Path(), m.Query())
+	}
+}
+
+// FuzzDecode: nothing panics, nothing outside the datagram is looked at, and
+// what is decoded encodes to what decodes the same.
+func FuzzDecode(f *testing.F) {
+	for _, s := range []string{"40017d34bb74656d7065726174757265", "60457d34ff32322e332043", "60007d36", "49010001010203040506070809", "40010001e0ffffe0ffff", "40010001bd0a61", "ffffffffff", "48020001010203040506070850ff61"} {
+		text, _ := hex.DecodeString(s)
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var m Message
+		if Decode(text, &m) != nil {
+			return
+		}
+		again, err := m.Append(nil)
+		if err != nil {
+			t.Fatalf("%x: %v", text, err)
+		}
+		var n Message
+		if err := Decode(again, &n); err != nil || !same(&m, &n) {
+			t.Fatalf("%x: %+v and %+v, %v", text, m, n, err)
+		}
+		if !reflect.DeepEqual(m.Path(), n.Path()) {
+			t.Fatal("paths differ")
+		}
+		m.Unknown(func(n Number) bool { return n%3 == 0 })
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,21 +113,22 @@
 	}
 	d.side = s
 	s.SetFinish(d.settings.Drain.Finish)
+	if h.Socket == "" {
+		return nil
+	}
 	if d.taking != nil {
 		if err := d.taking.Ready(); err != nil {
 			return err
 		}
-		s.Resume()
-	}
-	if h.Socket == "" {
-		return nil
 	}
 	// The path is this process's before the old one stops offering there: who
-	// comes in between finds one of the two.
+	// comes in between finds one of the two. If it can't be had, nothing has been
+	// accepted yet, and the old one goes on.
 	if d.offer, err = handover.NewOffer(h.Socket, s, h.Ready); err != nil {
 		return err
 	}
 	if d.taking != nil {
+		s.Resume()
 		if err := d.taking.Taken(); err != nil {
 			d.offer.Close()
 			s.Retire(nil) // what it has accepted by now
--- /dev/null
+++ b/internal/daemon/notify_test.go
@@ -0,0 +1,52 @@
+package daemon_test
+
+import (
+	"net"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"otterspring/internal/rig"
+)
+
+// The states that a supervisor hears over the life of a sidecar, through a
+// socket that the test holds.
+func TestNotify(t *testing.T) {
+	t.Parallel()
+	path := filepath.Join(t.TempDir(), "notify")
+	c, err := net.ListenUnixgram("unixgram", &net.UnixAddr{Name: path, Net: "unixgram"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetReadDeadline(time.Now().Add(patience))
+	until := func(state string) {
+		t.Helper()
+		buf := make([]byte, 4096)
+		for {
+			n, err := c.Read(buf)
+			if err != nil {
+				t.Fatalf("never heard %s: %v", state, err)
+			}
+			if strings.Contains(string(buf[:n]), state) {
+				return
+			}
+		}
+	}
+	w := world(t, func(o *rig.Options) {
+		o.Env = append(o.Env, "NOTIFY_SOCKET="+path, "WATCHDOG_USEC=200000")
+		o.Operator = func(int, string) string { return "[notify]\nsystemd = true\n" }
+	})
+	in := w.Instances[0]
+	until("READY=1\nMAINPID=")
+	until("WATCHDOG=1")
+	in.Signal(syscall.SIGHUP)
+	until("RELOADING=1\nMONOTONIC_USEC=")
+	until("READY=1")
+	if err := in.Stop(ctx(t)); err != nil {
+		t.Error(err)
+	}
+	until("STOPPING=1")
+}
--- /dev/null
+++ b/internal/fleet/ignore_test.go
@@ -0,0 +1,9 @@
+package fleet
+
+import (
+	"os/signal"
+	"syscall"
+)
+
+// ignore makes a test's program ignore SIGTERM.
+func ignore() { signal.Ignore(syscall.SIGTERM) }
--- a/internal/fleet/supervisor.go
+++ b/internal/fleet/supervisor.go
@@ -35,6 +35,8 @@
 	lock    *os.File
 	ln      net.Listener
 	wg      sync.WaitGroup
+	ctx     context.Context // ends with Run: what waits for a process does, too
+	end     context.CancelFunc
 	said    []string // the latest words, for status
 	log     *log.Logger
 }
@@ -69,6 +71,7 @@
 		file: f, specs: specs, program: f.Program, origin: time.Now(),
 		events: make(chan func(time.Duration) []fleetplan.Action), log: log.New(out, "", log.LstdFlags),
 	}
+	s.ctx, s.end = context.WithCancel(context.Background())
 	for range specs {
 		s.procs = append(s.procs, map[int]*process{})
 	}
@@ -110,10 +113,9 @@
 func (s *Supervisor) Run(ctx context.Context) error {
 	defer s.lock.Close()
 	defer s.ln.Close()
-	ctl, stopCtl := context.WithCancel(context.Background())
-	defer func() { stopCtl(); s.ln.Close(); s.wg.Wait() }()
+	defer func() { s.end(); s.ln.Close(); s.wg.Wait() }()
 	s.adoptAll()
-	go s.control(ctl)
+	go s.control(s.ctx)
 	s.carry(s.plan.Tick(s.now()))
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -170,6 +172,14 @@
 	for i, spec := range s.specs {
 		at[spec.Name] = i
 	}
+	// Those that are up first: after a hand-over that was under way there are two
+	// of an instance, and the other one is draining.
+	type found struct {
+		i  int
+		p  *process
+		up bool
+	}
+	var alive []found
 	for _, v := range list {
 		p := adopt(v.PID, v.Start)
 		if p == nil {
@@ -181,17 +191,24 @@
 			unix.Close(p.fd)
 			continue
 		}
-		s.adoptOne(i, p)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		alive = append(alive, found{i, p, upBy(ctx, v.Listen).pid == p.pid})
+		cancel()
+	}
+	for _, up := range []bool{true, false} {
+		for _, f := range alive {
+			if f.up == up {
+				s.adoptOne(f.i, f.p, up)
+			}
+		}
 	}
 	s.save()
 }
 
 // adoptOne takes over one process. One that does not say that it is up is
 // awaited, so that there are never two on an address.
-func (s *Supervisor) adoptOne(i int, p *process) {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-	defer cancel()
-	if _, n := s.plan.Phase(i); n == 0 && upBy(ctx, s.specs[i].Listen).pid == p.pid {
+func (s *Supervisor) adoptOne(i int, p *process, up bool) {
+	if _, n := s.plan.Phase(i); n == 0 && up {
 		p.id = s.plan.Adopt(i)
 		s.say("%s: process %d adopted", s.specs[i].Name, p.pid)
 	} else if n == 0 {
@@ -217,7 +234,6 @@
 func (s *Supervisor) save() {
 	list := []saved{}
 	for i, procs := range s.procs {
-		// The newest first: it is the one to adopt.
 		for id := range procs {
 			list = append(list, saved{s.specs[i].Name, s.specs[i].Listen, procs[id].pid, procs[id].start})
 		}
@@ -234,16 +250,12 @@
 // ended passes the end of a process on. It is called by the goroutine that
 // waited for it; what it knows goes to Run.
 func (s *Supervisor) ended(i int, p *process, clean bool) {
-	// Run goes on until every process has ended, or is never told.
-	select {
-	case s.events <- func(now time.Duration) []fleetplan.Action {
+	s.send(s.ctx, func(now time.Duration) []fleetplan.Action {
 		unix.Close(p.fd)
 		delete(s.procs[i], p.id)
 		s.save()
 		return s.plan.Ended(now, i, p.id, clean)
-	}:
-	case <-time.After(time.Minute):
-	}
+	})
 }
 
 // carry does what the plan says.
@@ -336,7 +348,7 @@
 
 // watch waits for a process to be ready, and for its end.
 func (s *Supervisor) watch(i int, p *process, addr string, wait func() error) {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(s.ctx)
 	s.wg.Add(2)
 	go func() {
 		defer s.wg.Done()
@@ -364,7 +376,7 @@
 			s.say("%s: reload: %v", spec.Name, err)
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), s.file.Start.Ready)
+	ctx, cancel := context.WithTimeout(s.ctx, s.file.Start.Ready)
 	s.wg.Add(1)
 	go func() {
 		defer s.wg.Done()
--- /dev/null
+++ b/internal/rig/fleet_test.go
@@ -0,0 +1,127 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"otterspring/internal/daemon"
+)
+
+// TestMain runs the very program where a test asks for it.
+func TestMain(m *testing.M) {
+	if os.Getenv("TEST_RUNS_PROGRAM") == "sidecar" {
+		os.Exit(daemon.Main(os.Args[1:], os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// descriptors counts the open ones of this process.
+func descriptors(t *testing.T) int {
+	t.Helper()
+	list, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Skip("no /proc: ", err)
+	}
+	return len(list)
+}
+
+// Fifty instances, each restarted at a random moment of a burst, by each mode
+// in turn: every request is answered exactly once, the rules are kept, and
+// nothing is left of it. Times are stretched tenfold, so that the verdict does
+// not hang on the machine's speed.
+func TestFleetRestarts(t *testing.T) {
+	upClient.CloseIdleConnections()
+	goroutines, fds := runtime.NumGoroutine(), descriptors(t)
+	for _, mode := range []Mode{HandOver, Kill, Term} {
+		t.Run(string(mode), func(t *testing.T) { fleet(t, mode, 50) })
+	}
+	upClient.CloseIdleConnections()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		g, f := runtime.NumGoroutine(), descriptors(t)
+		if g <= goroutines && f <= fds {
+			break
+		}
+		if time.Now().After(end) {
+			buf := make([]byte, 1<<16)
+			t.Fatalf("%d goroutines and %d descriptors, at first %d and %d\n%s", g, f, goroutines, fds, buf[:runtime.Stack(buf, true)])
+		}
+	}
+}
+
+func fleet(t *testing.T, mode Mode, n int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	defer cancel()
+	const seed = 11
+	t.Logf("seed %d", seed)
+	o := Options{
+		Seed: seed, Instances: n, Servers: 8, Stretch: 10, Dir: t.TempDir(), MemoryMB: 128, Sockets: 256,
+		Program: []string{os.Args[0]}, Env: []string{"TEST_RUNS_PROGRAM=sidecar", "GORACE=halt_on_error=1"},
+	}
+	if mode == HandOver {
+		o.Operator = func(i int, dir string) string {
+			return fmt.Sprintf("[handover]\nsocket = %q\nready_within = \"1m\"\n", filepath.Join(dir, fmt.Sprintf("n%d.sock", i+1)))
+		}
+	}
+	w, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	if err := w.StartAll(ctx, 4); err != nil {
+		t.Fatal(err)
+	}
+	run := FleetRun{Rate: 100, For: 4 * time.Second, Surge: 2, Restarts: n, Mode: mode, Drain: true, Seed: seed}
+	res, err := run.Run(ctx, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep := w.Log.Report()
+	t.Logf("%s; %d connections refused, %d overflowed", rep.Line(), res.RefusedConns, res.Overflow)
+	for _, err := range res.Errors {
+		t.Error(err)
+	}
+	if rep.Broken() || w.Log.Open() != 0 {
+		t.Errorf("%d open, %v", w.Log.Open(), rep.Problems)
+	}
+	if got := rep.Served + rep.Refused + rep.Failed + rep.NoAnswer + rep.Held; got != rep.Asked {
+		t.Errorf("%d ends for %d requests", got, rep.Asked)
+	}
+	if res.Restarted != n || rep.Served < rep.Asked/2 {
+		t.Errorf("%d restarted, %d of %d served", res.Restarted, rep.Served, rep.Asked)
+	}
+	if mode == HandOver && (res.RefusedConns > 0 || rep.Held > 0) {
+		t.Errorf("%d connections refused, %d requests held by killed processes", res.RefusedConns, rep.Held)
+	}
+	for _, in := range w.Instances {
+		if pids := in.Pids(); len(pids) != 1 {
+			t.Errorf("%s has processes %v", in.Name, pids)
+		}
+	}
+}
+
+// A world that can't be had is refused in one line, and nothing is left.
+func TestBadWorlds(t *testing.T) {
+	w, err := New(Options{Seed: 1, Dir: filepath.Join(t.TempDir(), "none"), Program: []string{"/none"}})
+	if err == nil {
+		w.Close()
+		t.Error("a folder that is not there was taken")
+	}
+	w, err = New(Options{Seed: 1, Dir: t.TempDir(), External: []string{"192.0.2.1:80"}, Program: []string{"/none"}})
+	if err == nil || !strings.Contains(err.Error(), "wanted a loopback address") {
+		t.Errorf("an address that is not on loopback: %v", err)
+	}
+	w, err = New(Options{Seed: 1, Dir: t.TempDir(), Program: []string{"/none"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	if err := w.StartAll(context.Background(), 1); err == nil {
+		t.Error("a program that is not there was started")
+	}
+}
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -25,6 +26,7 @@
 	Instances int
 	Servers   int
 	PodSize   int           // servers in a pod
+	External  []string      // addresses of call servers that run already, in place of stand-ins
 	Window    time.Duration // in which a pod drops a repeated key
 	Stretch   float64       // all aims, deadlines and graces are longer by this: for slow machines
 	Grace     time.Duration // of drains; 0 for the site's, stretched
@@ -119,6 +121,16 @@
 	w.Registry = registry.New(o.Registry, w.Log, 1)
 	w.regs = []*registry.Registry{w.Registry}
 	rng := rand.New(rand.NewPCG(o.Seed, 0x776f726c64))
+	for i, addr := range o.External {
+		if a, err := netip.ParseAddrPort(addr); err != nil || !a.Addr().IsLoopback() {
+			w.Close()
+			return nil, fmt.Errorf("rig: found call server %q, wanted a loopback address and a port", addr)
+		}
+		w.Registry.SetNow(registry.Entry{Name: fmt.Sprintf("s%d", i+1), Addr: addr, Zone: "delft-dc", Group: 1, Status: "active", Life: 1})
+	}
+	if len(o.External) > 0 {
+		o.Servers = 0
+	}
 	for i := range o.Servers {
 		if i%o.PodSize == 0 {
 			w.pods = append(w.pods, callserver.NewPod(fmt.Sprintf("pod%d", len(w.pods)+1), o.Window))
--- a/internal/sidecar/check_test.go
+++ b/internal/sidecar/check_test.go
@@ -10,6 +10,7 @@
 
 // What is outside the protocol is told so at once and reaches no upstream.
 func TestOutsideTheProtocol(t *testing.T) {
+	t.Parallel()
 	up := startUpstream(t, good)
 	s := startSidecar(t, up.addr())
 	const act = "POST /act HTTP/1.1\r\nHost: a\r\n"
@@ -50,6 +51,7 @@
 
 // An id comes with one request, while that is open and after it.
 func TestIDOnce(t *testing.T) {
+	t.Parallel()
 	asked, answer := make(chan bool, 1), make(chan bool)
 	up := startUpstream(t, func(c net.Conn, r *http.Request, _ int64) bool {
 		asked <- true
--- a/internal/sidecar/counts_test.go
+++ b/internal/sidecar/counts_test.go
@@ -34,6 +34,7 @@
 // clients that leave, the sidecar's counts are those of the sockets: nothing is
 // in flight, and what the pool says is open is open at the upstream.
 func TestCountsAgreeWithTheSockets(t *testing.T) {
+	t.Parallel()
 	up := startUpstream(t, func(c net.Conn, r *http.Request, nth int64) bool {
 		switch nth % 7 {
 		case 0:
@@ -87,6 +88,7 @@
 // A drain answers what is taken, half-read and just accepted ones included,
 // and ends.
 func TestDrainAnswersWhatIsTaken(t *testing.T) {
+	t.Parallel()
 	asked, answer := make(chan bool, 9), make(chan bool)
 	up := startUpstream(t, func(c net.Conn, r *http.Request, _ int64) bool {
 		asked <- true
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -220,6 +220,7 @@
 // Connections that never ask, or asked once and stay, must not keep the usual
 // client out, however many and however young they are.
 func TestIdleConnectionsMakeRoom(t *testing.T) {
+	t.Parallel()
 	up := startUpstream(t, good)
 	s := startSidecar(t, up.addr())
 	most := s.front.serve + s.front.refuse
@@ -240,6 +241,7 @@
 // Of the clients that asked and stay, the one idle longest makes room long
 // before its time is up, and the others keep their connections.
 func TestIdleConnectionsAreThinnedOut(t *testing.T) {
+	t.Parallel()
 	up := startUpstream(t, good)
 	s := startSidecar(t, up.addr())
 	var all []net.Conn
@@ -280,6 +282,7 @@
 
 // A client that says nothing, or half of something, is let go.
 func TestHalfRequestsEnd(t *testing.T) {
+	t.Parallel()
 	up := startUpstream(t, good)
 	s := startSidecar(t, up.addr())
 	var all sync.WaitGroup
@@ -305,6 +308,7 @@
 
 // A slow client that makes progress is not cut off.
 func TestSlowBodyIsServed(t *testing.T) {
+	t.Parallel()
 	up := startUpstream(t, good)
 	s := startSidecar(t, up.addr())
 	id := newID()
@@ -322,6 +326,7 @@
 
 // A large body is turned away by its length, without reading it.
 func TestLargeBodyIsTurnedAway(t *testing.T) {
+	t.Parallel()
 	up := startUpstream(t, good)
 	s := startSidecar(t, up.addr())
 	r, _ := exchange(t, s, "POST /act HTTP/1.1\r\nHost: a\r\nX-Request-Id: "+newID()+"\r\nContent-Length: 62914560\r\n\r\n"+strings.Repeat("x", 9000))
@@ -343,6 +348,7 @@
 // A reload moves discovery, in the middle of a watch, and a further one before
 // the first has succeeded; the list is kept until the new one is there.
 func TestReloadMovesDiscovery(t *testing.T) {
+	t.Parallel()
 	old, next := startUpstream(t, good), startUpstream(t, good)
 	s := startSidecar(t, old.addr())
 	wantServed(t, s)
--- a/internal/sidecar/stale_test.go
+++ b/internal/sidecar/stale_test.go
@@ -36,6 +36,7 @@
 // Upstreams that forget resting connections without a word cost a few requests,
 // not all that come after a rest.
 func TestForgottenConnectionsAreNotUsed(t *testing.T) {
+	t.Parallel()
 	const kept = 150 * time.Millisecond
 	var dead atomic.Int64
 	var mu sync.Mutex
--- a/internal/sidecar/unwritten_test.go
+++ b/internal/sidecar/unwritten_test.go
@@ -46,6 +46,7 @@
 // A connection that breaks with a request's first bytes has not got its last:
 // even one that must not run twice is sent again.
 func TestBreakBeforeTheLastByteIsMadeGood(t *testing.T) {
+	t.Parallel()
 	for framing := range unsafeRequests {
 		t.Run(framing, func(t *testing.T) {
 			t.Parallel()
@@ -70,6 +71,7 @@
 
 // After the last byte it may have run, and is not sent again.
 func TestBreakAfterTheLastByteIsNot(t *testing.T) {
+	t.Parallel()
 	for framing := range unsafeRequests {
 		t.Run(framing, func(t *testing.T) {
 			t.Parallel()
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -35,6 +35,7 @@
 // run, and is made good elsewhere where it may be repeated; its connection is
 // not used again, and no upstream is taken for dead because of one.
 func TestSpoiltAnswers(t *testing.T) {
+	t.Parallel()
 	for name, text := range spoilt {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -65,6 +66,7 @@
 
 // A request that may be repeated is made good on another upstream.
 func TestRepeatableIsSentElsewhere(t *testing.T) {
+	t.Parallel()
 	var all atomic.Int64
 	serve := func(c net.Conn, r *http.Request, _ int64) bool {
 		if all.Add(1) == 1 {
@@ -85,6 +87,7 @@
 // copy, noise or the rest of nothing behind, at once or a little later. The
 // client gets its own answer, and the next client not what came late.
 func TestMoreThanTheAnswer(t *testing.T) {
+	t.Parallel()
 	for name, behind := range map[string]string{"a copy": "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", "noise": "\x00\xff\x01"} {
 		for _, late := range []bool{false, true} {
 			t.Run(fmt.Sprint(name, late), func(t *testing.T) {
@@ -119,6 +122,7 @@
 
 // A connection is kept where the answer was clean.
 func TestCleanConnectionIsKept(t *testing.T) {
+	t.Parallel()
 	up := startUpstream(t, good)
 	s := startSidecar(t, up.addr())
 	for range 5 {
@@ -132,6 +136,7 @@
 
 // Want of the sidecar's own descriptors says nothing of the upstreams.
 func TestOwnShareIsNotTheUpstreamsFault(t *testing.T) {
+	t.Parallel()
 	up := startUpstream(t, good)
 	s := startSidecar(t, up.addr())
 	p := s.eng.pool
--- a/internal/sidecar/usual_test.go
+++ b/internal/sidecar/usual_test.go
@@ -21,6 +21,7 @@
 
 // One reset does not limit a working upstream to a request at a time.
 func TestOneResetLeavesAnUpstreamInUse(t *testing.T) {
+	t.Parallel()
 	const together = 4
 	came, all := make(chan bool, together), make(chan bool)
 	up := startUpstream(t, func(c net.Conn, r *http.Request, nth int64) bool {
@@ -44,6 +45,7 @@
 // Upstreams at which resets are the usual thing stay in use, also those that see
 // two in a row.
 func TestUsualResetsPutNobodyOut(t *testing.T) {
+	t.Parallel()
 	var hold atomic.Bool
 	end := make(chan bool)
 	t.Cleanup(func() { close(end) })
--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Checks the format, vets, tests with the race detector, builds, and starts
-# both programs.
+# all programs.
 set -euo pipefail
 cd "$(dirname "$0")"
 
@@ -25,4 +25,10 @@
 	exit 1
 fi
 [ "$(wc -l <<<"$said")" = 1 ] || { echo "sandhinge said: $said" >&2; exit 1; }
+
+# The operators' command and the rig: what is shipped is good, and a short try
+# with the sidecar as it was built keeps the rules.
+bin/otterspring check deploy/operator.toml
+bin/rig try -for 2s -rate 20 >bin/try.log || { cat bin/try.log >&2; exit 1; }
+tail -n 1 bin/try.log
 echo "all passed"
