--- a/cmd/rig/speed.go
+++ b/cmd/rig/speed.go
@@ -56,7 +56,7 @@
 	f.StringVar(&o.program, "program", "", "the sidecar to run; empty for the one beside this program")
 	f.StringVar(&o.against, "against", "", "another build of the sidecar to compare with; empty for net/http/httputil's ReverseProxy")
 	f.StringVar(&o.operator, "operator", "", "operator's file for the sidecar, not for the other side")
-	f.IntVar(&o.conns, "conns", 32, "connections at the limit, 1 to 200")
+	f.IntVar(&o.conns, "conns", 128, "connections at the limit, 1 to 200")
 	if err := parse(f, args, out); err != nil {
 		return err
 	}
