The supervisor tells how a process ended and its own last word

A new program that ended at once was reported with the last line of the process before it. The log is read from where the process began, and its exit is named.

--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +23,7 @@
 	pid   int
 	start string // its start time as the kernel has it, against reuse of the pid
 	fd    int    // pidfd
+	logAt int64  // size of the log when it started
 }
 
 // signal sends a signal to just this process, even if its number were used anew.
@@ -62,6 +64,10 @@
 		return nil, nil, err
 	}
 	defer out.Close()
+	logAt, err := out.Seek(0, io.SeekEnd)
+	if err != nil {
+		return nil, nil, err
+	}
 	cmd := exec.Command(program, args...)
 	cmd.Env = append(os.Environ(), env...)
 	cmd.Stdout, cmd.Stderr = out, out
@@ -70,7 +76,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, nil, err
 	}
-	p := &process{pid: cmd.Process.Pid, start: startTime(cmd.Process.Pid)}
+	p := &process{pid: cmd.Process.Pid, start: startTime(cmd.Process.Pid), logAt: logAt}
 	if p.fd, err = unix.PidfdOpen(p.pid, 0); err != nil {
 		cmd.Process.Kill()
 		cmd.Wait()
@@ -159,8 +165,9 @@
 	}
 }
 
-// lastLine returns the last line of a log, cut to what a message can hold.
-func lastLine(path string) string {
+// lastLine returns the last line of a log behind a place in it, cut to what a
+// message can hold.
+func lastLine(path string, from int64) string {
 	f, err := os.Open(path)
 	if err != nil {
 		return ""
@@ -170,7 +177,7 @@
 	if err != nil {
 		return ""
 	}
-	buf := make([]byte, min(info.Size(), 2048))
+	buf := make([]byte, max(0, min(info.Size()-from, 2048)))
 	f.ReadAt(buf, info.Size()-int64(len(buf)))
 	lines := strings.Split(strings.TrimSpace(string(buf)), "\n")
 	line := lines[len(lines)-1]
--- a/internal/fleet/supervisor.go
+++ b/internal/fleet/supervisor.go
@@ -224,7 +224,7 @@
 	go func() {
 		defer s.wg.Done()
 		p.awaitEnd()
-		s.ended(i, p, false)
+		s.ended(i, p, false, "adopted, so that its exit code is not known")
 	}()
 }
 
@@ -249,11 +249,18 @@
 
 // ended passes the end of a process on. It is called by the goroutine that
 // waited for it; what it knows goes to Run.
-func (s *Supervisor) ended(i int, p *process, clean bool) {
+func (s *Supervisor) ended(i int, p *process, clean bool, how string) {
 	s.send(s.ctx, func(now time.Duration) []fleetplan.Action {
 		unix.Close(p.fd)
 		delete(s.procs[i], p.id)
 		s.save()
+		if !clean {
+			line := ""
+			if word := lastLine(s.logPath(i), p.logAt); word != "" {
+				line = "; its last word: " + word
+			}
+			s.say("%s: process %d ended: %s%s", s.specs[i].Name, p.pid, how, line)
+		}
 		return s.plan.Ended(now, i, p.id, clean)
 	})
 }
@@ -280,9 +287,6 @@
 			name := "fleet"
 			if a.Instance >= 0 {
 				name = s.specs[a.Instance].Name
-				if line := lastLine(s.logPath(a.Instance)); line != "" && strings.Contains(a.Text, "ended") {
-					a.Text += " (its last word: " + line + ")"
-				}
 			}
 			s.say("%s: %s", name, a.Text)
 		}
@@ -360,7 +364,11 @@
 		defer s.wg.Done()
 		err := wait()
 		cancel()
-		s.ended(i, p, err == nil)
+		how := ""
+		if err != nil {
+			how = err.Error()
+		}
+		s.ended(i, p, err == nil, how)
 	}()
 }
 
@@ -572,7 +580,7 @@
 	c, err := net.DialTimeout("unix", path, time.Second)
 	switch {
 	case errors.Is(err, os.ErrNotExist):
-		return "", fmt.Errorf("%s: found no control socket: no supervisor has run there", path)
+		return "", fmt.Errorf("%s: found no control socket, wanted that of a running supervisor", path)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return "", fmt.Errorf("%s: found a dead control socket: the supervisor has ended; its instances may still run, and a new supervisor adopts them", path)
 	case err != nil:
