Take out a check of the fleet's test that could not fail

It accepted either configuration on disk. What the roll-back has to show is checked beside it, by the counts of rolls. No change of a program.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -259,10 +259,6 @@
 	if n := strings.Count(r.out.String(), "roll done: 4 went well, 0 did not"); n != 2 || !strings.Contains(r.out.String(), "fleet: rolled back") {
 		t.Errorf("%d rolls went well, want 2: %s", n, r.out)
 	}
-	text, _ := os.ReadFile(filepath.Join(r.file.Directory, "n1.json"))
-	if !strings.Contains(string(text), `"cores":1`) && !strings.Contains(string(text), `"cores":0`) {
-		t.Errorf("n1.json holds %s", text)
-	}
 	for _, words := range [][]string{{"restart", "n9"}, {"dance"}, {"resume"}, {"cancel"}, {"restart", "-program", "/none"}} {
 		if _, err := Ask(r.file.Control, words...); err == nil || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%v: %v", words, err)
