otterspring check says every fault once: one line each, none that counts them

Need: the check printed a second line that counted the bad files beside the line of the fault, and stopped at the first fault of a file; what the storms' files need is all that is wrong, with its place.

Change: internal/strictfile goes on after a fault and returns all of them in the file's order (100 at most); Decode and Load return the first, as before. Types that read their own text may stand in a file. operator.LoadAll names all faults, those that concern two values with their line, too.

Result: a file with three faults gives three lines, held by TestExitCodes; a counting line put back fails it. The sidecar's own log still takes the first fault in one line.

--- a/cmd/otterspring/check.go
+++ b/cmd/otterspring/check.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -11,9 +10,9 @@
 
 const checkHelp = `usage: otterspring check FILE...
 
-Reads operators' files (deploy/operator.toml) as sandhinge does and says what is
-wrong with each in one line: file, line, key, what was found and what is wanted.
-Nothing is started. Exit codes: 0 all are good, 1 one is not, 2 usage.
+Reads operators' files (deploy/operator.toml) as sandhinge does and says all that
+is wrong with each, a line a fault: file, line, key, what was found and what is
+wanted. Nothing is started. Exit codes: 0 all are good, 1 one is not, 2 usage.
 `
 
 // check reads operators' files and says what is wrong with them.
@@ -21,7 +20,7 @@
 	if len(args) == 0 {
 		return fmt.Errorf("%w: wanted a file", errUsage)
 	}
-	var bad []error
+	bad := false
 	for _, path := range args {
 		if strings.HasPrefix(path, "-") {
 			if path == "-h" || path == "-help" || path == "--help" {
@@ -29,10 +28,12 @@
 			}
 			return fmt.Errorf("%w: found %q, wanted files", errUsage, path)
 		}
-		f, err := operator.Load(path)
-		if err != nil {
-			fmt.Fprintln(out, err)
-			bad = append(bad, err)
+		f, errs := operator.LoadAll(path)
+		if len(errs) > 0 {
+			for _, err := range errs {
+				fmt.Fprintln(out, err)
+			}
+			bad = true
 			continue
 		}
 		on := "everything is off"
@@ -41,16 +42,8 @@
 		}
 		fmt.Fprintf(out, "%s: good; %s\n", path, on)
 	}
-	if n := len(bad); n > 0 {
-		return errors.New(plural(n, "file is", "files are") + " not good")
+	if bad {
+		return errSaid
 	}
 	return nil
 }
-
-// plural words a count.
-func plural(n int, one, many string) string {
-	if n == 1 {
-		return "1 " + one
-	}
-	return fmt.Sprintf("%d %s", n, many)
-}
--- a/cmd/otterspring/fleet.go
+++ b/cmd/otterspring/fleet.go
@@ -118,3 +118,11 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 }
+
+// plural words a count.
+func plural(n int, one, many string) string {
+	if n == 1 {
+		return "1 " + one
+	}
+	return fmt.Sprintf("%d %s", n, many)
+}
--- a/cmd/otterspring/main.go
+++ b/cmd/otterspring/main.go
@@ -20,6 +20,7 @@
 var (
 	errUsage = errors.New("usage")
 	errHelp  = errors.New("help")
+	errSaid  = errors.New("a check failed, and said why")
 )
 
 // commands is filled at the start: help names all of them.
@@ -61,7 +62,9 @@
 		fmt.Fprintf(errw, "otterspring %s: %v; otterspring help %s says more\n", c.name, err, c.name)
 		return 2
 	}
-	fmt.Fprintf(errw, "otterspring %s: %v\n", c.name, err)
+	if !errors.Is(err, errSaid) {
+		fmt.Fprintf(errw, "otterspring %s: %v\n", c.name, err)
+	}
 	return 1
 }
 
--- a/cmd/otterspring/main_test.go
+++ b/cmd/otterspring/main_test.go
@@ -13,6 +13,8 @@
 	good, bad, ill := filepath.Join(dir, "good.toml"), filepath.Join(dir, "bad.toml"), filepath.Join(dir, "fleet.toml")
 	os.WriteFile(good, []byte("[drain]\nfinish = \"3s\"\n"), 0o600)
 	os.WriteFile(bad, []byte("[drain]\nfinish = 3\n"), 0o600)
+	worse := filepath.Join(dir, "worse.toml")
+	os.WriteFile(worse, []byte("[drain]\nfinish = 3\n[handover]\nready_within = \"1h\"\nsockets = \"/run/x\"\n"), 0o600)
 	os.WriteFile(ill, []byte("program = \"x\"\n"), 0o600)
 	for _, c := range []struct {
 		args []string
@@ -30,6 +32,7 @@
 		{[]string{"check", "-x"}, 2, `found "-x"`},
 		{[]string{"check", good}, 0, "good; on: drain"},
 		{[]string{"check", good, bad}, 1, "bad.toml:2: drain.finish: found 3, wanted a duration"},
+		{[]string{"check", worse}, 1, "worse.toml:4: handover.ready_within: found \"1h\", wanted 100ms to 5m"},
 		{[]string{"check", filepath.Join(dir, "none")}, 1, "no such file"},
 		{[]string{"fleet", "run"}, 2, "wanted a verb and a file"},
 		{[]string{"fleet", "dance", ill}, 2, "wanted run, check, status"},
@@ -43,8 +46,17 @@
 		if code != c.code || !strings.Contains(text, c.want) {
 			t.Errorf("%v: exit code %d, want %d: %s", c.args, code, c.code, text)
 		}
-		if code != 0 && len(c.args) > 0 && strings.Count(errw.String(), "\n") != 1 {
-			t.Errorf("%v: said %q", c.args, errw.String())
+		// One line for one fault, and no line that counts them.
+		faults := 1
+		if len(c.args) > 1 && c.args[1] == worse {
+			faults = 3
+		}
+		said := errw.String()
+		if c.code == 1 {
+			said = strings.ReplaceAll(text, good+": good; on: drain\n", "")
+		}
+		if code != 0 && len(c.args) > 0 && strings.Count(said, "\n") != faults {
+			t.Errorf("%v: said %q, wanted lines: %d", c.args, said, faults)
 		}
 	}
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -53,28 +53,55 @@
 	return File{Handover: Handover{Ready: 10 * time.Second}}
 }
 
-// Load reads the file at path; an empty path means no file.
+// Load reads the file at path; an empty path means no file. The first of what
+// is wrong is the error.
 func Load(path string) (File, error) {
+	f, errs := LoadAll(path)
+	if len(errs) > 0 {
+		return f, errs[0]
+	}
+	return f, nil
+}
+
+// LoadAll reads the file at path and returns all that is wrong with it, an
+// error a fault; the file holds the defaults then.
+func LoadAll(path string) (File, []error) {
 	f := Defaults()
 	if path == "" {
 		return f, nil
 	}
-	if err := strictfile.Load(path, &f); err != nil {
-		return Defaults(), err
+	text, err := strictfile.Read(path)
+	if err != nil {
+		return f, []error{err}
+	}
+	lines, bad := strictfile.DecodeAll(path, text, &f)
+	if len(bad) == 0 {
+		bad = f.check(path, lines)
+	}
+	if len(bad) == 0 {
+		return f, nil
+	}
+	var errs []error
+	for _, e := range bad {
+		errs = append(errs, e)
 	}
-	return f, f.check(path)
+	return Defaults(), errs
 }
 
 // check holds against each other what no single value shows.
-func (f *File) check(path string) error {
+func (f *File) check(path string, lines strictfile.Lines) (errs []*strictfile.Error) {
+	const key = "handover.socket"
+	bad := func(found, wanted string) {
+		errs = append(errs, &strictfile.Error{File: path, Line: lines[key], Key: key, Found: found, Wanted: wanted})
+	}
 	// A Unix socket's address holds 108 bytes with the zero at its end.
 	if n := len(f.Handover.Socket); n > 100 {
-		return &strictfile.Error{File: path, Key: "handover.socket", Found: fmt.Sprintf("a path of %d bytes", n), Wanted: "100 at most"}
+		bad(fmt.Sprintf("a path of %d bytes", n), "100 at most")
 	}
 	if s := f.Handover.Socket; s != "" && !strings.HasPrefix(s, "/") {
-		return &strictfile.Error{File: path, Key: "handover.socket", Found: fmt.Sprintf("%q", s), Wanted: "an absolute path"}
+		bad(fmt.Sprintf("%q", s), "an absolute path")
 	}
-	return nil
+	return errs
 }
 
 // On names the sections that are switched on.
--- a/internal/strictfile/strictfile.go
+++ b/internal/strictfile/strictfile.go
@@ -12,11 +12,13 @@
 //	need:"true"     the key must be there
 //
 // Field types are string, bool, int, float64, time.Duration ("250ms"), Size
-// ("8MiB"), []string, structs (tables) and slices of structs (arrays of
-// tables). What the struct holds before is the default.
+// ("8MiB"), types that read their own text (encoding.TextUnmarshaler, whose
+// error says what is wanted), slices of these, structs (tables) and slices of
+// structs (arrays of tables). What the struct holds before is the default.
 package strictfile
 
 import (
+	"encoding"
 	"errors"
 	"fmt"
 	"math"
@@ -97,21 +99,30 @@
 
 // Load reads the file at path into the struct that into points to.
 func Load(path string, into any) error {
+	text, err := Read(path)
+	if err != nil {
+		return err
+	}
+	return Decode(path, text, into)
+}
+
+// Read reads a file that may be decoded: a regular one, of MostBytes at most.
+func Read(path string) ([]byte, error) {
 	info, err := os.Stat(path)
 	if err != nil {
-		return &Error{File: path, Found: plainOS(err), Wanted: "a readable file"}
+		return nil, &Error{File: path, Found: plainOS(err), Wanted: "a readable file"}
 	}
 	if !info.Mode().IsRegular() {
-		return &Error{File: path, Found: info.Mode().Type().String(), Wanted: "a regular file"}
+		return nil, &Error{File: path, Found: info.Mode().Type().String(), Wanted: "a regular file"}
 	}
 	if info.Size() > MostBytes {
-		return &Error{File: path, Found: fmt.Sprintf("%d bytes", info.Size()), Wanted: fmt.Sprintf("%d at most", MostBytes)}
+		return nil, &Error{File: path, Found: fmt.Sprintf("%d bytes", info.Size()), Wanted: fmt.Sprintf("%d at most", MostBytes)}
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return &Error{File: path, Found: plainOS(err), Wanted: "a readable file"}
+		return nil, &Error{File: path, Found: plainOS(err), Wanted: "a readable file"}
 	}
-	return Decode(path, text, into)
+	return text, nil
 }
 
 // plainOS is the cause of an operating system's error without the path, which
@@ -125,25 +136,44 @@
 }
 
 // Decode reads text into the struct that into points to; name stands for the
-// file in errors. After an error the struct is as it was.
+// file in errors. After an error, of which the first is returned, the struct is
+// as it was.
 func Decode(name string, text []byte, into any) error {
+	if _, errs := DecodeAll(name, text, into); len(errs) > 0 {
+		return errs[0]
+	}
+	return nil
+}
+
+// DecodeAll does as Decode and returns all that is wrong, in the file's order,
+// MostErrors at most. Lines tells where each key of the file stands, for errors
+// that only the caller can see.
+func DecodeAll(name string, text []byte, into any) (Lines, []*Error) {
 	values := map[string]any{}
 	if err := toml.Unmarshal(text, &values); err != nil {
-		return syntaxError(name, err)
+		return nil, []*Error{syntaxError(name, err)}
 	}
 	d := &decoder{file: name, lines: keyLines(text)}
 	target := reflect.ValueOf(into).Elem()
 	work := reflect.New(target.Type()).Elem()
 	work.Set(target)
-	if err := d.table(values, work, ""); err != nil {
-		return err
+	d.table(values, work, "")
+	if len(d.errs) > 0 {
+		return d.lines, d.errs
 	}
 	target.Set(work)
-	return nil
+	return d.lines, nil
 }
 
+// MostErrors bounds what is said of one file.
+const MostErrors = 100
+
+// Lines maps each key of a file, with its tables (drain.finish, fault[2].kind),
+// to the line that it stands in.
+type Lines map[string]int
+
 // syntaxError names the place that the parser stopped at.
-func syntaxError(name string, err error) error {
+func syntaxError(name string, err error) *Error {
 	e := &Error{File: name, Found: strings.TrimPrefix(err.Error(), "toml: "), Wanted: "TOML"}
 	var de *toml.DecodeError
 	if errors.As(err, &de) {
@@ -245,15 +275,19 @@
 // decoder puts values into fields.
 type decoder struct {
 	file  string
-	lines map[string]int
+	lines Lines
+	errs  []*Error
 }
 
-func (d *decoder) fail(key, found, wanted string) error {
-	return &Error{File: d.file, Line: d.lines[key], Key: key, Found: found, Wanted: wanted}
+// fail notes what is wrong; the reading goes on with what follows.
+func (d *decoder) fail(key, found, wanted string) {
+	if len(d.errs) < MostErrors {
+		d.errs = append(d.errs, &Error{File: d.file, Line: d.lines[key], Key: key, Found: found, Wanted: wanted})
+	}
 }
 
 // table puts a table's values into a struct.
-func (d *decoder) table(values map[string]any, into reflect.Value, path string) error {
+func (d *decoder) table(values map[string]any, into reflect.Value, path string) {
 	fields := map[string]int{}
 	var known []string
 	for i := range into.NumField() {
@@ -276,19 +310,16 @@
 	for _, key := range keys {
 		at, ok := fields[key]
 		if !ok {
-			return d.fail(join(path, key), "a key that is not known", "one of "+strings.Join(known, ", "))
-		}
-		if err := d.value(values[key], into.Field(at), into.Type().Field(at).Tag, join(path, key)); err != nil {
-			return err
+			d.fail(join(path, key), "a key that is not known", "one of "+strings.Join(known, ", "))
+			continue
 		}
+		d.value(values[key], into.Field(at), into.Type().Field(at).Tag, join(path, key))
 	}
 	for _, key := range known {
 		if _, there := values[key]; !there && into.Type().Field(fields[key]).Tag.Get("need") == "true" {
-			e := d.fail(path, "no "+key, "it given").(*Error)
-			return e
+			d.fail(path, "no "+key, "it given")
 		}
 	}
-	return nil
 }
 
 var (
@@ -297,85 +328,104 @@
 )
 
 // value puts one value into a field, within the bounds of its tags.
-func (d *decoder) value(v any, into reflect.Value, tag reflect.StructTag, key string) error {
+func (d *decoder) value(v any, into reflect.Value, tag reflect.StructTag, key string) {
 	switch {
 	case into.Type() == durationType:
 		text, ok := v.(string)
 		n, err := time.ParseDuration(text)
 		if !ok || err != nil {
-			return d.fail(key, show(v), `a duration with its unit, like "250ms"`)
+			d.fail(key, show(v), `a duration with its unit, like "250ms"`)
+			return
 		}
 		into.SetInt(int64(n))
-		return d.bounds(float64(n), show(v), tag, key, func(s string) float64 { b, _ := time.ParseDuration(s); return float64(b) })
+		d.bounds(float64(n), show(v), tag, key, func(s string) float64 { b, _ := time.ParseDuration(s); return float64(b) })
+		return
 	case into.Type() == sizeType:
 		text, _ := v.(string)
 		n, err := ParseSize(text)
 		if err != nil {
-			return d.fail(key, show(v), err.Error())
+			d.fail(key, show(v), err.Error())
+			return
 		}
 		into.SetInt(int64(n))
-		return d.bounds(float64(n), show(v), tag, key, func(s string) float64 { b, _ := ParseSize(s); return float64(b) })
+		d.bounds(float64(n), show(v), tag, key, func(s string) float64 { b, _ := ParseSize(s); return float64(b) })
+		return
+	}
+	if own, ok := into.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		text, ok := v.(string)
+		if !ok {
+			text = fmt.Sprint(v) // a bare number is as good as one in quotes
+		}
+		if err := own.UnmarshalText([]byte(text)); err != nil {
+			d.fail(key, show(v), err.Error())
+		}
+		return
 	}
 	switch into.Kind() {
 	case reflect.String:
-		return d.text(v, into, tag, key)
+		d.text(v, into, tag, key)
 	case reflect.Bool:
 		b, ok := v.(bool)
 		if !ok {
-			return d.fail(key, show(v), "true or false")
+			d.fail(key, show(v), "true or false")
+			return
 		}
 		into.SetBool(b)
 	case reflect.Int:
 		n, ok := v.(int64)
 		if !ok {
-			return d.fail(key, show(v), "a whole number")
+			d.fail(key, show(v), "a whole number")
+			return
 		}
 		into.SetInt(n)
-		return d.bounds(float64(n), show(v), tag, key, plainNumber)
+		d.bounds(float64(n), show(v), tag, key, plainNumber)
 	case reflect.Float64:
 		f, ok := v.(float64)
 		if n, whole := v.(int64); whole {
 			f, ok = float64(n), true
 		}
 		if !ok || math.IsNaN(f) || math.IsInf(f, 0) {
-			return d.fail(key, show(v), "a number")
+			d.fail(key, show(v), "a number")
+			return
 		}
 		into.SetFloat(f)
-		return d.bounds(f, show(v), tag, key, plainNumber)
+		d.bounds(f, show(v), tag, key, plainNumber)
 	case reflect.Struct:
 		t, ok := v.(map[string]any)
 		if !ok {
-			return d.fail(key, show(v), "a table")
+			d.fail(key, show(v), "a table")
+			return
 		}
-		return d.table(t, into, key)
+		d.table(t, into, key)
 	case reflect.Slice:
-		return d.list(v, into, tag, key)
+		d.list(v, into, tag, key)
 	default:
 		panic("strictfile: no rule for fields of type " + into.Type().String())
 	}
-	return nil
 }
 
 func plainNumber(s string) float64 { f, _ := strconv.ParseFloat(s, 64); return f }
 
 // text puts a string into a field.
-func (d *decoder) text(v any, into reflect.Value, tag reflect.StructTag, key string) error {
+func (d *decoder) text(v any, into reflect.Value, tag reflect.StructTag, key string) {
 	s, ok := v.(string)
 	if !ok {
-		return d.fail(key, show(v), "a string")
+		d.fail(key, show(v), "a string")
+		return
 	}
 	if words := tag.Get("oneof"); words != "" && !slices.Contains(strings.Split(words, "|"), s) {
-		return d.fail(key, show(v), "one of "+strings.ReplaceAll(words, "|", ", "))
+		d.fail(key, show(v), "one of "+strings.ReplaceAll(words, "|", ", "))
+		return
 	}
 	if s == "" && tag.Get("need") == "true" {
-		return d.fail(key, show(v), "text that is not empty")
+		d.fail(key, show(v), "text that is not empty")
+		return
 	}
 	into.SetString(s)
-	return nil
 }
 
 // list puts an array of strings or of tables into a slice.
-func (d *decoder) list(v any, into reflect.Value, tag reflect.StructTag, key string) error {
+func (d *decoder) list(v any, into reflect.Value, tag reflect.StructTag, key string) {
 	items, ok := v.([]any)
 	if !ok {
 		if tables, is := v.([]map[string]any); is {
@@ -386,39 +436,37 @@
 		}
 	}
 	if !ok {
-		return d.fail(key, show(v), "an array")
-	}
-	if err := d.bounds(float64(len(items)), fmt.Sprintf("%d entries", len(items)), tag, key, plainNumber); err != nil {
-		return err
+		d.fail(key, show(v), "an array")
+		return
 	}
+	d.bounds(float64(len(items)), fmt.Sprintf("%d entries", len(items)), tag, key, plainNumber)
 	out := reflect.MakeSlice(into.Type(), len(items), len(items))
 	for i, item := range items {
 		at := fmt.Sprintf("%s[%d]", key, i+1)
 		if _, ok := d.lines[at]; !ok {
 			d.lines[at] = d.lines[key]
 		}
-		if err := d.value(item, out.Index(i), "", at); err != nil {
-			return err
-		}
+		d.value(item, out.Index(i), "", at)
 	}
 	into.Set(out)
-	return nil
 }
 
 // bounds holds a number against the tags min and max, which are in the words
 // of the file.
-func (d *decoder) bounds(n float64, found string, tag reflect.StructTag, key string, parse func(string) float64) error {
+func (d *decoder) bounds(n float64, found string, tag reflect.StructTag, key string, parse func(string) float64) {
 	least, most := tag.Get("min"), tag.Get("max")
 	if (least == "" || n >= parse(least)) && (most == "" || n <= parse(most)) {
-		return nil
+		return
 	}
 	switch {
 	case most == "":
-		return d.fail(key, found, least+" or more")
+		d.fail(key, found, least+" or more")
+		return
 	case least == "":
-		return d.fail(key, found, most+" at most")
+		d.fail(key, found, most+" at most")
+		return
 	}
-	return d.fail(key, found, least+" to "+most)
+	d.fail(key, found, least+" to "+most)
 }
 
 // show words a value as it stands in the file, cut to a length that leaves the
