--- a/internal/standin/callserver/callserver.go
+++ b/internal/standin/callserver/callserver.go
@@ -39,6 +39,7 @@
 	Handshake time.Duration // work that a new connection costs
 	ColdFrom  float64       // share of its capacity that a fresh start has; 1 or 0 for warm at once
 	ColdWork  time.Duration // work after which it is warm, at full speed of all cores
+	ColdTime  time.Duration // and it is warm after this whatever it did; 0 for never
 	TipAt     float64       // falls over when sent this multiple of what it can do
 	TipFor    time.Duration // for this long
 	KeyMemory time.Duration // a key met within this costs less
@@ -304,7 +305,11 @@
 	if !s.cold || s.cfg.ColdFrom >= 1 || s.cfg.ColdWork <= 0 {
 		return 1
 	}
-	return min(1, s.cfg.ColdFrom+(1-s.cfg.ColdFrom)*s.done/s.cfg.ColdWork.Seconds())
+	warmth := s.done / s.cfg.ColdWork.Seconds()
+	if s.cfg.ColdTime > 0 {
+		warmth = max(warmth, float64(time.Now().UnixMilli()-s.since)/float64(s.cfg.ColdTime.Milliseconds()))
+	}
+	return min(1, s.cfg.ColdFrom+(1-s.cfg.ColdFrom)*warmth)
 }
 
 // full is its capacity when warm: seconds of work in a second.
--- a/internal/standin/callserver/conn.go
+++ b/internal/standin/callserver/conn.go
@@ -180,6 +180,11 @@
 	if j == nil {
 		return c.turnAway()
 	}
+	if f.ResetRunning {
+		c.srv.cancel(j)
+		c.reset()
+		return false
+	}
 	// A connection that ends stops the work: read on meanwhile. The peer sends
 	// nothing before its answer, so whatever comes is the end.
 	stop := make(chan struct{})
--- a/internal/standin/clients/clients.go
+++ b/internal/standin/clients/clients.go
@@ -41,6 +41,31 @@
 	Class int
 	OK    bool // served
 	Tries int
+	End   End // how its last try ended
+}
+
+// End is how an arrival ended.
+type End uint8
+
+// The ends.
+const (
+	EndServed  End = iota
+	EndRefused     // the sidecar turned it away
+	EndFailed      // an answer that promises nothing, or a connection that broke
+	EndNone        // its time was up first, or it found no connection
+)
+
+// EndOf sorts what a try ended with.
+func EndOf(served, refused, answered bool) End {
+	switch {
+	case served:
+		return EndServed
+	case refused:
+		return EndRefused
+	case answered:
+		return EndFailed
+	}
+	return EndNone
 }
 
 // Clients are the clients of one sidecar.
@@ -56,6 +81,7 @@
 
 	refused  atomic.Int64 // connections refused
 	overflow atomic.Int64 // arrivals with no connection left for them
+	late     atomic.Int64 // arrivals that began more than lateBy after they were due
 	conns    atomic.Int64 // connections made
 	ids      atomic.Int64
 	own      int64 // number of these clients, so that no two have an id in common
@@ -85,6 +111,13 @@
 // asked and not served.
 func (c *Clients) Overflow() int { return int(c.overflow.Load()) }
 
+// lateBy is from when on an arrival counts as late: the clients, or the machine
+// that they are on, are slower than their load.
+const lateBy = 50 * time.Millisecond
+
+// Late is how many arrivals began late.
+func (c *Clients) Late() int { return int(c.late.Load()) }
+
 // Conns is how many connections were made.
 func (c *Clients) Conns() int { return int(c.conns.Load()) }
 
@@ -146,6 +179,9 @@
 func (c *Clients) ask(a Arrival, due time.Duration) {
 	class := &c.cfg.Classes[a.Class]
 	end := due + class.Deadline
+	if c.log.Now() > due+lateBy {
+		c.late.Add(1)
+	}
 	op := fmt.Sprintf("%s-%d-%d", c.cfg.Instance, c.own, c.ids.Add(1))
 	s := Sample{At: due, Class: a.Class}
 	for try := 0; ; try++ {
@@ -157,6 +193,7 @@
 		}
 		got, advice := c.try(a, class, op, try, wait)
 		s.OK = got == served
+		s.End = EndOf(s.OK, got == refused, got == failed || got == broken)
 		again := got == refused || got == notTaken ||
 			(got == failed || got == timedOut) && class.Effect == audit.Repeat ||
 			got == broken && class.Effect != audit.Once
