--- /dev/null
+++ b/internal/standin/relay/relay_test.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// echo answers each line with itself.
+func echo(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewScanner(c)
+				for in.Scan() {
+					if in.Text() == "reset" {
+						c.(*net.TCPConn).SetLinger(0)
+						return
+					}
+					fmt.Fprintln(c, in.Text())
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func dial(t *testing.T, r *Relay) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.DialTimeout("tcp", r.Addr(), 5*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+func say(c net.Conn, br *bufio.Reader, text string, within time.Duration) string {
+	fmt.Fprintln(c, text)
+	return hear(c, br, within)
+}
+
+func hear(c net.Conn, br *bufio.Reader, within time.Duration) string {
+	c.SetReadDeadline(time.Now().Add(within))
+	line, err := br.ReadString('\n')
+	if err != nil {
+		if e, ok := err.(net.Error); ok && e.Timeout() {
+			return "silent"
+		}
+		return "ended"
+	}
+	return strings.TrimSpace(line)
+}
+
+func TestRelay(t *testing.T) {
+	t.Parallel()
+	target := echo(t)
+	r, err := Start(func() string { return target })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	c, br := dial(t, r)
+	if got := say(c, br, "one", 5*time.Second); got != "one" {
+		t.Fatalf("heard %q", got)
+	}
+	for _, way := range []struct{ to, from bool }{{true, true}, {true, false}, {false, true}} {
+		if err := r.Cut(way.to, way.from); err != nil {
+			t.Fatal(err)
+		}
+		// Silence, on a connection that stays open; new ones never come up.
+		if got := say(c, br, "two", 100*time.Millisecond); got != "silent" {
+			t.Errorf("%+v: heard %q", way, got)
+		}
+		if n, err := net.DialTimeout("tcp", r.Addr(), 150*time.Millisecond); err == nil {
+			n.Close()
+			t.Errorf("%+v: a connection came up", way)
+		}
+		if err := r.Cut(false, false); err != nil {
+			t.Fatal(err)
+		}
+		if got := hear(c, br, 5*time.Second); got != "two" {
+			t.Errorf("%+v: after the cut heard %q", way, got)
+		}
+	}
+	if n, nbr := dial(t, r); say(n, nbr, "new", 5*time.Second) != "new" {
+		t.Error("after the cut a new connection is of no use")
+	}
+	if got := say(c, br, "reset", 5*time.Second); got != "ended" {
+		t.Errorf("a reset came through as %q", got)
+	}
+}
+
+func TestLoopbackOnly(t *testing.T) {
+	if _, err := Start(func() string { return "192.0.2.1:80" }); err == nil || !strings.Contains(err.Error(), "wanted a loopback address") {
+		t.Error(err)
+	}
+}
