Storms as files: world, load, faults at their times, what must hold

Change: internal/experiment reads TOML strictly and says every fault of a file in a line; draws a plan (steps, arrivals) from a seed, the same for each engine; merges faults that meet on one server; judges a record: figures over the run and its phases, promises, void runs, rules at stake. 13 storms under experiments/, each with a short form. xxHash for a file's hash, HdrHistogram for latency, both outside the sidecar.

Result: tests for bad files (19), settings, the bound of 10,000 points, faults that meet, verdicts (15 cases, among them a full audit, a phase with nothing asked, clients slower than their load).

--- /dev/null
+++ b/internal/experiment/check.go
@@ -0,0 +1,273 @@
+package experiment
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"otterspring/internal/strictfile"
+)
+
+// Kind says what a fault's kind takes and does.
+type Kind struct {
+	Does      string
+	On        string // servers, instances, both, or "" for discovery and growth
+	Lasts     bool   // it takes a length
+	Chance    bool   // it strikes each request with a chance
+	Factor    bool
+	NeedCount bool
+}
+
+// Kinds are the faults that a file may name.
+var Kinds = map[string]Kind{
+	"hang":          {Does: "takes requests and answers none", On: "servers", Lasts: true},
+	"slow":          {Does: "takes factor times as long", On: "servers", Lasts: true, Factor: true},
+	"refuse":        {Does: "turns requests away, not run", On: "servers", Lasts: true, Chance: true},
+	"error":         {Does: "answers 500 after the request ran", On: "servers", Lasts: true, Chance: true},
+	"spoilt":        {Does: "answers what can't be read, after it ran", On: "servers", Lasts: true, Chance: true},
+	"reset-before":  {Does: "resets at a request's first bytes", On: "servers", Lasts: true, Chance: true},
+	"reset-after":   {Does: "resets once the request is whole and running", On: "servers", Lasts: true, Chance: true},
+	"reset-answer":  {Does: "resets within the answer", On: "servers", Lasts: true, Chance: true},
+	"vanish":        {Does: "falls silent, and comes back cold", On: "servers", Lasts: true},
+	"crash":         {Does: "dies with resets, and comes back cold", On: "servers", Lasts: true},
+	"drain":         {Does: "drains, ends, and comes back cold", On: "servers", Lasts: true},
+	"remove":        {Does: "leaves the list and dies, for good", On: "servers"},
+	"release":       {Does: "servers are rolled one by one: drain, end, back cold", On: "servers", Lasts: true},
+	"grow":          {Does: "count new servers come, cold", NeedCount: true},
+	"partition":     {Does: "nothing passes between instances and servers", On: "both", Lasts: true},
+	"list-down":     {Does: "discovery ends its calls and takes none", Lasts: true},
+	"list-silent":   {Does: "discovery answers nothing", Lasts: true},
+	"list-late":     {Does: "discovery knows changes later", Lasts: true},
+	"kill":          {Does: "the sidecar is killed and started anew", On: "instances"},
+	"term":          {Does: "the sidecar drains, ends and is started anew", On: "instances"},
+	"handover":      {Does: "a new process takes the sidecar's listener over", On: "instances"},
+	"roll-handover": {Does: "the instances are handed over one by one", On: "instances", Lasts: true},
+}
+
+// KindNames are the names of Kinds, in order.
+func KindNames() []string {
+	var names []string
+	for k := range Kinds {
+		names = append(names, k)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// checker notes what no single value shows.
+type checker struct {
+	s     *Storm
+	name  string
+	lines strictfile.Lines
+	errs  []*strictfile.Error
+}
+
+func (c *checker) bad(key, found, wanted string) {
+	line := c.lines[key]
+	for at := key; line == 0 && strings.Contains(at, "."); {
+		at = at[:strings.LastIndexByte(at, '.')]
+		line = c.lines[at]
+	}
+	c.errs = append(c.errs, &strictfile.Error{File: c.name, Line: line, Key: key, Found: found, Wanted: wanted})
+}
+
+func (s *Storm) check(name string, lines strictfile.Lines) []*strictfile.Error {
+	c := &checker{s: s, name: name, lines: lines}
+	c.load()
+	for i := range s.Faults {
+		c.fault(fmt.Sprintf("fault[%d]", i+1), &s.Faults[i])
+	}
+	c.phases()
+	c.sweeps()
+	return c.errs
+}
+
+func (c *checker) load() {
+	s := c.s
+	for i, v := range s.World.Server.Speeds {
+		if !(v >= 0.01 && v <= 100) {
+			c.bad("world.server.speeds", fmt.Sprintf("%g at place %d", v, i+1), "0.01 to 100")
+		}
+	}
+	names, shares := map[string]bool{}, 0.0
+	for i, k := range s.Load.Classes {
+		key := fmt.Sprintf("load.class[%d]", i+1)
+		if names[k.Name] {
+			c.bad(key+".name", strconv.Quote(k.Name), "a name that no other class has")
+		}
+		if k.Aim > k.Deadline {
+			c.bad(key+".aim", k.Aim.String(), "the deadline, "+k.Deadline.String()+", at most")
+		}
+		names[k.Name] = true
+		shares += k.Share
+	}
+	if shares <= 0 {
+		c.bad("load.class", "shares that are all 0", "one above")
+	}
+	if s.Load.Rate == 0 && s.Load.Times == 0 {
+		c.bad("load", "neither rate nor times above 0", "one of them")
+	}
+	if s.Load.Rate > 0 && s.Load.Times > 0 && c.lines["load.times"] > 0 {
+		c.bad("load.times", "it beside rate", "one of them")
+	}
+	times := 1.0
+	for _, g := range s.Load.Surges {
+		times = max(times, g.Times)
+	}
+	if n := s.Rate() * s.For.Seconds() * times; n > 4_000_000 {
+		c.bad("load", fmt.Sprintf("up to %.0f requests", n), "4000000 at most")
+	}
+}
+
+func (c *checker) fault(key string, f *Fault) {
+	s := c.s
+	k, ok := Kinds[f.Kind]
+	if !ok {
+		c.bad(key+".kind", strconv.Quote(f.Kind), "one of "+strings.Join(KindNames(), ", "))
+		return
+	}
+	if f.At.On(s.For) >= s.For {
+		c.bad(key+".at", f.At.On(s.For).String(), "a time before the end, "+s.For.String())
+	}
+	wants := func(have, want bool, field, what string) {
+		switch {
+		case have && !want:
+			c.bad(key+"."+field, "it with "+f.Kind, "it left out")
+		case !have && want:
+			c.bad(key, "no "+field+" with "+f.Kind, what)
+		}
+	}
+	onServers, onInstances := k.On == "servers" || k.On == "both", k.On == "instances" || k.On == "both"
+	wants(f.For.set, k.Lasts, "for", "how long it lasts")
+	wants(f.Chance > 0, k.Chance, "chance", "a chance above 0 for each request")
+	wants(f.Factor > 0, k.Factor, "factor", "a factor")
+	wants(f.Count > 0, k.NeedCount, "count", "how many")
+	wants(f.Servers.Text != "", onServers, "servers", "which servers")
+	wants(f.Instances.Text != "", onInstances, "instances", "which instances")
+	wants(f.Late > 0, f.Kind == "list-late", "late", "how late")
+	if f.Way != "" {
+		wants(true, f.Kind == "partition", "way", "")
+	}
+	if f.Move {
+		wants(true, f.Kind == "vanish" || f.Kind == "crash", "move", "")
+	}
+	c.set(key+".servers", f.Servers, 's', s.AllServers())
+	c.set(key+".instances", f.Instances, 'n', s.World.Instances)
+}
+
+// set holds a set against how many there are.
+func (c *checker) set(key string, set Set, letter byte, n int) {
+	if set.Text == "" {
+		return
+	}
+	wanted := fmt.Sprintf("of %d", n)
+	words := strings.Fields(set.Text)
+	switch first := words[0]; {
+	case (first == "pod" || first == "zone") && letter == 'n':
+		c.bad(key, strconv.Quote(set.Text), "a set of instances")
+	case len(words) == 2 && first == "pod" && atoi(words[1]) > c.s.pods(),
+		len(words) == 2 && first == "zone" && atoi(words[1]) > c.s.World.Zones:
+		c.bad(key, strconv.Quote(set.Text), "one that is there")
+	case first[0] == 's' || first[0] == 'n':
+		for _, w := range words {
+			if w[0] != letter || atoi(w[1:]) > n {
+				c.bad(key, strconv.Quote(w), fmt.Sprintf("%c1 to %c%d", letter, letter, n))
+			}
+		}
+	case atoi(first) > n:
+		c.bad(key, first, wanted)
+	}
+}
+
+func atoi(s string) int {
+	n, _ := strconv.Atoi(s)
+	return n
+}
+
+// pods is how many pods the servers of the start make.
+func (s *Storm) pods() int { return (s.World.Servers + s.World.Pod - 1) / s.World.Pod }
+
+// AllServers counts those of the start and those that come by growth.
+func (s *Storm) AllServers() int {
+	n := s.World.Servers
+	for _, f := range s.Faults {
+		if f.Kind == "grow" {
+			n += f.Count
+		}
+	}
+	return n
+}
+
+func (c *checker) phases() {
+	s := c.s
+	names := map[string]bool{}
+	for i, p := range s.Phases {
+		key := fmt.Sprintf("phase[%d]", i+1)
+		if names[p.Name] {
+			c.bad(key+".name", strconv.Quote(p.Name), "a name that no other phase has")
+		}
+		names[p.Name] = true
+		if from, to := p.From.On(s.For), p.To.On(s.For); from >= to || to > s.For {
+			c.bad(key+".to", fmt.Sprintf("from %v to %v", from, to), "an end after the start and within "+s.For.String())
+		}
+	}
+	for i, h := range s.Holds {
+		key := fmt.Sprintf("hold[%d]", i+1)
+		if h.Phase != "" && !names[h.Phase] {
+			c.bad(key, strconv.Quote(h.String()), "a phase that the file names")
+		}
+		if h.Phase != "" && Figures[h.Figure].WholeOnly {
+			c.bad(key, strconv.Quote(h.String()), h.Figure+" over the whole run")
+		}
+	}
+}
+
+func (c *checker) sweeps() {
+	points := 1
+	for i, w := range c.s.Sweeps {
+		key := fmt.Sprintf("sweep[%d]", i+1)
+		for _, v := range w.Values {
+			try := c.s.clone()
+			try.Sweeps = nil
+			if err := try.Set(w.Key + "=" + v); err != nil {
+				c.bad(key, strconv.Quote(w.Key+"="+v), err.Error())
+				break
+			}
+		}
+		if points *= max(1, len(w.Values)); points > MostPoints {
+			c.bad(key, fmt.Sprintf("%d points", points), fmt.Sprintf("%d at most", MostPoints))
+			return
+		}
+	}
+}
+
+// Points are the settings of each point of the sweeps, in order; one with none
+// where there is no sweep.
+func (s *Storm) Points() [][]string {
+	points := [][]string{nil}
+	for _, w := range s.Sweeps {
+		var next [][]string
+		for _, p := range points {
+			for _, v := range w.Values {
+				next = append(next, append(slices.Clone(p), w.Key+"="+v))
+			}
+		}
+		points = next
+	}
+	return points
+}
+
+// At is the storm with settings over it, checked anew.
+func (s *Storm) At(set []string) (*Storm, error) {
+	c := s.clone()
+	for _, kv := range set {
+		if err := c.Set(kv); err != nil {
+			return nil, &strictfile.Error{File: s.File, Key: kv, Found: "no such setting or value", Wanted: err.Error()}
+		}
+	}
+	if bad := c.check(s.File, nil); len(bad) > 0 {
+		return nil, bad[0]
+	}
+	return &c, nil
+}
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,285 @@
+package experiment
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"otterspring/internal/audit"
+	"otterspring/internal/standin/clients"
+)
+
+const calm = "name = \"x\"\nfor = \"10s\"\n"
+
+func parse(t *testing.T, text string) *Storm {
+	t.Helper()
+	s, errs := Parse("x.toml", []byte(text), false, nil)
+	if len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	return s
+}
+
+func TestShippedStormsAreGood(t *testing.T) {
+	files, _ := filepath.Glob("../../experiments/*.toml")
+	if len(files) < 13 {
+		t.Fatalf("found %d storms", len(files))
+	}
+	for _, f := range files {
+		for _, short := range []bool{false, true} {
+			s, errs := LoadFile(f, short, nil)
+			if len(errs) > 0 {
+				t.Errorf("%v", errs)
+				continue
+			}
+			if want := strings.TrimSuffix(filepath.Base(f), ".toml"); s.Name != want {
+				t.Errorf("%s: named %q", f, s.Name)
+			}
+			if len(s.Short) == 0 {
+				t.Errorf("%s: no short form", f)
+			}
+		}
+	}
+}
+
+// All that is wrong with a file is said, one line each, with its place.
+func TestBadFilesAreNamed(t *testing.T) {
+	for text, want := range map[string][]string{
+		"for = \"10s\"\n":                      {"found no name"},
+		calm + "fro = 1\n":                     {"x.toml:3: fro: found a key that is not known"},
+		calm + "hold = [\"x\"]":                {"x.toml:3: hold[1]: found \"x\", wanted a bound on a figure"},
+		calm + "hold = [\"servce >= 0.9\"]":    {"wanted a figure, one of ambiguous"},
+		calm + "hold = [\"no: service >= 1\"]": {"wanted a phase that the file names"},
+		calm + "[world]\ninstances = 0\nservers = 9999\n": {
+			"x.toml:4: world.instances: found 0, wanted 1 to 4000", "x.toml:5: world.servers: found 9999, wanted 1 to 500"},
+		calm + "[[fault]]\nkind = \"dance\"\nat = \"1s\"\n":                                               {"x.toml:4: fault[1].kind: found \"dance\", wanted one of crash, drain"},
+		calm + "[[fault]]\nkind = \"hang\"\nat = \"11s\"\nfor = \"1s\"\nservers = \"all\"\n":              {"x.toml:5: fault[1].at: found 11s, wanted a time before the end"},
+		calm + "[[fault]]\nkind = \"hang\"\nat = \"1s\"\n":                                                {"no for with hang", "no servers with hang"},
+		calm + "[[fault]]\nkind = \"hang\"\nat = \"1x\"\nfor = \"1s\"\nservers = \"s99x\"\n":              {"fault[1].at: found \"1x\"", "fault[1].servers: found \"s99x\""},
+		calm + "[[fault]]\nkind = \"hang\"\nat = \"1s\"\nfor = \"1s\"\nservers = \"s99\"\n":               {"x.toml:7: fault[1].servers: found \"s99\", wanted s1 to s13"},
+		calm + "[[fault]]\nkind = \"hang\"\nat = \"1s\"\nfor = \"1s\"\nservers = \"pod 9\"\n":             {"wanted one that is there"},
+		calm + "[[fault]]\nkind = \"kill\"\nat = \"1s\"\ninstances = \"zone\"\n":                          {"wanted a set of instances"},
+		calm + "[[fault]]\nkind = \"hang\"\nat = \"1s\"\nfor = \"1s\"\nservers = \"all\"\nchance = 0.5\n": {"found it with hang, wanted it left out"},
+		calm + "[[phase]]\nname = \"a\"\nfrom = \"5s\"\nto = \"4s\"\n":                                    {"wanted an end after the start"},
+		calm + "[load]\nrate = 5000\ntimes = 0.5\n":                                                       {"found it beside rate"},
+		calm + "short = [\"for=1000h\"]\n":                                                                {"x.toml:3: short: found \"for=1000h\", wanted 1s to 30m"},
+		calm + "[[sweep]]\nkey = \"load.timez\"\nvalues = [\"1\"]\n":                                      {"sweep[1]: found \"load.timez=1\""},
+		calm + "name = 3\n": {"wanted TOML"},
+	} {
+		_, errs := Parse("x.toml", []byte(text), false, nil)
+		if len(errs) != len(want) {
+			t.Errorf("%q: said %v, wanted %d lines", text, errs, len(want))
+			continue
+		}
+		for i, w := range want {
+			if !strings.Contains(errs[i].Error(), w) || strings.Contains(errs[i].Error(), "\n") {
+				t.Errorf("%q: said %q, wanted %q", text, errs[i], w)
+			}
+		}
+	}
+}
+
+func TestSettings(t *testing.T) {
+	s, errs := Parse("x.toml", []byte(calm+"[[fault]]\nkind = \"slow\"\nat = \"10%\"\nfor = \"2s\"\nservers = \"s1\"\nfactor = 2\n"), false,
+		[]string{"load.times=0.9", "fault[1].factor=4", "fault[1].at=50%", "world.discovery.late=3s", "fault[1].servers=half"})
+	if len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	if f := s.Faults[0]; s.Load.Times != 0.9 || f.Factor != 4 || f.At.On(s.For) != 5*time.Second || f.Servers.Text != "half" || s.World.Discovery.Late != 3*time.Second {
+		t.Errorf("set %+v %+v", s.Load, f)
+	}
+	for _, kv := range []string{"load.times", "load.times=x", "load.tines=1", "fault[2].factor=4", "fault[1].factor=400", "=1"} {
+		if _, errs := Parse("x.toml", []byte(calm), false, []string{kv}); len(errs) != 1 {
+			t.Errorf("%s: %v", kv, errs)
+		}
+	}
+}
+
+// 10,000 points are taken, one more is not.
+func TestSweepBound(t *testing.T) {
+	axis := func(key string, n int) string {
+		v := make([]string, n)
+		for i := range v {
+			v[i] = fmt.Sprintf("%q", fmt.Sprint(1+i))
+		}
+		return fmt.Sprintf("[[sweep]]\nkey = %q\nvalues = [%s]\n", key, strings.Join(v, ","))
+	}
+	s := parse(t, calm+axis("world.instances", 100)+axis("world.servers", 100))
+	points := s.Points()
+	if len(points) != 10_000 {
+		t.Fatalf("%d points", len(points))
+	}
+	if last := strings.Join(points[9999], " "); last != "world.instances=100 world.servers=100" {
+		t.Errorf("the last is %s", last)
+	}
+	at, err := s.At(points[9999])
+	if err != nil || at.World.Instances != 100 || s.World.Instances != 20 {
+		t.Errorf("%v; %d, the file's own %d", err, at.World.Instances, s.World.Instances)
+	}
+	if _, errs := Parse("x.toml", []byte(calm+axis("world.instances", 101)+axis("world.servers", 100)), false, nil); len(errs) != 1 {
+		t.Errorf("10,100 points: %v", errs)
+	}
+}
+
+const troubled = calm + `
+[[fault]]
+kind = "vanish"
+at = "1s"
+for = "4s"
+servers = "s1 s2"
+move = true
+[[fault]]
+kind = "crash"
+at = "2s"
+for = "5s"
+servers = "s1"
+[[fault]]
+kind = "hang"
+at = "1s"
+for = "8s"
+servers = "s1 s3"
+[[fault]]
+kind = "slow"
+at = "3s"
+for = "1s"
+servers = "s3"
+factor = 3
+[[fault]]
+kind = "slow"
+at = "2s"
+for = "4s"
+servers = "s3"
+factor = 2
+[[fault]]
+kind = "remove"
+at = "1500ms"
+servers = "s4"
+[[fault]]
+kind = "hang"
+at = "2s"
+for = "1s"
+servers = "s4"
+[[fault]]
+kind = "vanish"
+at = "2s"
+for = "1s"
+servers = "s4"
+`
+
+// Outages of one server overlap, a hang and slowness contradict each other, and
+// faults meet a server that has gone.
+func TestFaultsThatMeet(t *testing.T) {
+	s := parse(t, troubled)
+	p, err := Resolve(s, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr := NewTracker(s)
+	var got []string
+	for _, st := range p.Steps {
+		if do := tr.Step(st); do.Op != "" {
+			text := fmt.Sprintf("%v s%d %s", st.At, st.Server+1, do.Op)
+			if do.Op == Ill || do.Op == Up {
+				text += fmt.Sprintf(" hang=%v slow=%g", do.State.Hang, do.State.Slow)
+			}
+			if do.Move {
+				text += " move"
+			}
+			got = append(got, text)
+		}
+	}
+	want := []string{
+		"1s s1 vanish", "1s s2 vanish", "1s s3 ill hang=true slow=1", "1.5s s4 remove",
+		"2s s3 ill hang=true slow=2", "3s s3 ill hang=true slow=6", "4s s3 ill hang=true slow=2",
+		"5s s2 up hang=false slow=1 move", "6s s3 ill hang=true slow=1",
+		"7s s1 up hang=true slow=1 move", "9s s1 ill hang=false slow=1", "9s s3 ill hang=false slow=1",
+	}
+	if strings.Join(got, "\n") != strings.Join(want, "\n") {
+		t.Errorf("did\n%s\nwanted\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+	// The hang of s1 while it is out, its second outage, and what meets s4: the
+	// hang, and an outage's beginning and end.
+	if len(tr.Skipped) != 5 {
+		t.Errorf("skipped %q", tr.Skipped)
+	}
+}
+
+func TestPlanFollowsTheSeed(t *testing.T) {
+	s := parse(t, strings.ReplaceAll(troubled, `"s1 s2"`, `"half"`))
+	text := func(seed uint64) string {
+		p, err := Resolve(s, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fmt.Sprint(p.Steps, p.Arrivals)
+	}
+	if text(1) != text(1) {
+		t.Error("one seed, two plans")
+	}
+	if text(1) == text(2) {
+		t.Error("two seeds, one plan")
+	}
+}
+
+// record makes a run in which, second by second, a share is served in time.
+func record(s *Storm, share func(sec int) float64) *Record {
+	rec := &Record{Engine: "virtual"}
+	for sec := range int(s.For / time.Second) {
+		for i := range 100 {
+			x := clients.Sample{At: time.Duration(sec)*time.Second + time.Duration(i)*10*time.Millisecond, Took: 50 * time.Millisecond, OK: float64(i) < 100*share(sec)}
+			if !x.OK {
+				x.End = clients.EndRefused
+			}
+			rec.Samples = append(rec.Samples, x)
+		}
+	}
+	return rec
+}
+
+func TestVerdicts(t *testing.T) {
+	head := strings.Replace(calm, "10s", "30s", 1)
+	fault := "[[fault]]\nkind = \"hang\"\nat = \"10s\"\nfor = \"5s\"\nservers = \"s1\"\n"
+	phase := "[[phase]]\nname = \"late\"\nfrom = \"20s\"\nto = \"30s\"\n"
+	all := func(int) float64 { return 1 }
+	dip := func(to int) func(int) float64 {
+		return func(sec int) float64 {
+			if sec >= 10 && sec < to {
+				return 0.2
+			}
+			return 1
+		}
+	}
+	for _, c := range []struct {
+		name, hold string
+		share      func(int) float64
+		change     func(*Record)
+		want       string
+	}{
+		{"nothing promised", "", all, nil, "kept"},
+		{"promise kept", `"service >= 0.99"`, all, nil, "kept"},
+		{"promise failed", `"service >= 0.99"`, dip(20), nil, "failed"},
+		{"of a phase that was good", `"late: service >= 0.99"`, dip(20), nil, "kept"},
+		{"recovered in time", `"recover_s <= 3"`, dip(18), nil, "kept"},
+		{"recovered too late", `"recover_s <= 3"`, dip(20), nil, "failed"},
+		{"never recovered", `"recover_s <= 100"`, dip(30), nil, "failed"},
+		{"a rule broke", "", all, func(r *Record) { r.Report.Twice = 1 }, "broken"},
+		{"a rule broke in a void run", "", all, func(r *Record) { r.Report.Lost, r.Void = 1, []string{"slow"} }, "broken"},
+		{"clients slower than their load", `"service >= 0.1"`, all, func(r *Record) { r.Void = []string{"the clients were slower than their load"} }, "void"},
+		{"audit full", `"service >= 0.1"`, all, func(r *Record) { r.Report = audit.Report{Unwatched: 1} }, "void"},
+		{"nothing asked in a phase", `"late: service >= 0.1"`, all, func(r *Record) { r.Samples = r.Samples[:1000] }, "void"},
+		{"nothing asked at all", "", all, func(r *Record) { r.Samples = nil }, "void"},
+		{"the budget was passed over", `"budget_over <= 0"`, all, func(r *Record) { r.Counts.BudgetOver = 1 }, "failed"},
+		{"an engine that can't see the budget", `"budget_over <= 0"`, all, func(r *Record) { r.Counts.BudgetOver = -1 }, "kept"},
+	} {
+		s := parse(t, head+"hold = ["+c.hold+"]\n"+fault+phase)
+		rec := record(s, c.share)
+		if c.change != nil {
+			c.change(rec)
+		}
+		if r := Judge(&Plan{Storm: s}, rec, nil); r.Verdict() != c.want {
+			t.Errorf("%s: %s, want %s: %s", c.name, r.Verdict(), c.want, r.Line())
+		}
+	}
+}
--- /dev/null
+++ b/internal/experiment/verdict.go
@@ -0,0 +1,386 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"otterspring/internal/audit"
+	"otterspring/internal/standin/clients"
+)
+
+// Figure is something that a promise may bound.
+type Figure struct {
+	Means     string
+	WholeOnly bool
+}
+
+// Figures are what a run is measured by.
+var Figures = map[string]Figure{
+	"service":        {Means: "worth answered in time against worth asked, retries in their first try"},
+	"figure":         {Means: "0.55 service, 0.35 worst10, 0.10 worst_class, as the site weighs it"},
+	"worst10":        {Means: "service of the worst 10 s (of the worst 3 s where less than 20 s are looked at)"},
+	"worst_class":    {Means: "share answered in time of the class that has least"},
+	"refused":        {Means: "share of the asked that ended refused"},
+	"failed":         {Means: "share of the asked that ended failed or with no answer"},
+	"unanswered":     {Means: "share of the tries that had no answer when the client stopped waiting", WholeOnly: true},
+	"retry_ratio":    {Means: "repeats that came to servers for each first attempt that came"},
+	"p50_ms":         {Means: "median of those served, from the due time"},
+	"p99_ms":         {Means: "99th percentile of those served, from the due time"},
+	"recover_s":      {Means: "seconds from the end of the last trouble until service stays at 0.9 of what it was before the first; 999 for never", WholeOnly: true},
+	"cold_load":      {Means: "the most that a cold server was sent, as a share of what tips it over", WholeOnly: true},
+	"budget_over":    {Means: "repeats that left though the window's budget was spent", WholeOnly: true},
+	"budget_refused": {Means: "requests given up with tries and time left", WholeOnly: true},
+	"ambiguous":      {Means: "requests not safe to repeat that ran and were not served", WholeOnly: true},
+	"own_ends":       {Means: "requests that ended by their own end with an attempt out", WholeOnly: true},
+}
+
+// FigureNames are the names of Figures, in order.
+func FigureNames() []string {
+	var names []string
+	for k := range Figures {
+		names = append(names, k)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Second is what happened in one second of the run.
+type Second struct {
+	Asked, InTime, Late, Refused, Failed, None int // by the time they were due
+	Firsts, Repeats                            int // attempts that came to servers, by when they came
+	Cold                                       float64
+}
+
+// Record is what an engine saw of a run.
+type Record struct {
+	Engine  string
+	Samples []clients.Sample // due times from the start of the run
+	Seconds []audit.Second   // arrivals at servers, from the start of the run
+	Report  audit.Report
+	Counts  Counts
+	Skipped []string
+	Void    []string // why the run shows nothing
+	CPU     time.Duration
+}
+
+// Counts are what an engine's carriers saw. Those that an engine can't see are
+// -1.
+type Counts struct {
+	BudgetOver, BudgetRefused, OwnEnds int
+	Conns, Steps                       int
+}
+
+// Kept is one promise and what came of it.
+type Kept struct {
+	Promise string  `json:"promise"`
+	Found   float64 `json:"found"`
+	Kept    bool    `json:"kept"`
+}
+
+// Result is a run's verdict and figures; it is written as one line of JSON.
+type Result struct {
+	Storm   string             `json:"storm"`
+	Hash    string             `json:"hash"`
+	Engine  string             `json:"engine"`
+	Seed    uint64             `json:"seed"`
+	Set     []string           `json:"set,omitempty"`
+	Version string             `json:"version,omitempty"`
+	Machine string             `json:"machine,omitempty"`
+	Size    string             `json:"size"`
+	Figures map[string]float64 `json:"figures"`
+	Phases  map[string]map[string]float64
+	Classes []clients.ClassService `json:"classes"`
+	Rules   map[string]int         `json:"rules"`
+	Stake   map[string]float64     `json:"stake"`
+	Holds   []Kept                 `json:"holds,omitempty"`
+	Void    []string               `json:"void,omitempty"`
+	Skipped []string               `json:"skipped,omitempty"`
+	Notes   []string               `json:"problems,omitempty"`
+	Series  []Second               `json:"series,omitempty"`
+	Marks   []Mark                 `json:"marks,omitempty"`
+}
+
+// Mark is a fault as it is drawn into a timeline, in seconds.
+type Mark struct {
+	Kind     string
+	From, To float64
+}
+
+// Broken tells whether a rule broke.
+func (r *Result) Broken() bool {
+	for _, n := range r.Rules {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Failed tells whether a promise was not kept.
+func (r *Result) Failed() bool {
+	return slices.ContainsFunc(r.Holds, func(k Kept) bool { return !k.Kept })
+}
+
+// Verdict is one word: void, broken, failed or kept.
+func (r *Result) Verdict() string {
+	switch {
+	case r.Broken():
+		return "broken"
+	case len(r.Void) > 0:
+		return "void"
+	case r.Failed():
+		return "failed"
+	}
+	return "kept"
+}
+
+// Judge holds a run against what its storm says.
+func Judge(p *Plan, rec *Record, set []string) *Result {
+	s := p.Storm
+	rep := &rec.Report
+	res := &Result{
+		Storm: s.Name, Hash: s.Hash, Engine: rec.Engine, Seed: p.Seed, Set: set, Void: slices.Clone(rec.Void), Skipped: rec.Skipped, Notes: rep.Problems,
+		Size:    fmt.Sprintf("%dx%d, %.0f/s, %v", s.World.Instances, s.World.Servers, s.Rate(), s.For),
+		Phases:  map[string]map[string]float64{},
+		Rules:   map[string]int{"lost": rep.Lost, "late": rep.Late, "forged": rep.Forged, "after": rep.After, "twice": rep.Twice, "untrue": rep.Untrue, "late_sends": rep.LateSends, "tipped": rep.Tipped},
+		Figures: figures(s, rec, 0, s.For),
+	}
+	classes := s.ClientClasses()
+	res.Classes = clients.Judge(classes, rec.Samples).Classes
+	res.Figures["recover_s"] = recovered(s, rec)
+	res.Figures["unanswered"] = float64(rep.NoAnswer) / float64(max(1, rep.Asked))
+	res.Figures["cold_load"] = rep.ColdMost
+	res.Figures["ambiguous"] = float64(rep.Ambiguous)
+	whole := map[string]int{"budget_over": rec.Counts.BudgetOver, "budget_refused": rec.Counts.BudgetRefused, "own_ends": rec.Counts.OwnEnds}
+	for name, n := range whole {
+		if n >= 0 {
+			res.Figures[name] = float64(n)
+		}
+	}
+	res.Stake = map[string]float64{"ambiguous": float64(rep.Ambiguous), "cold_load": rep.ColdMost, "told_away": float64(rep.ToldAway),
+		"budget_refused": float64(max(0, rec.Counts.BudgetRefused)), "own_ends": float64(max(0, rec.Counts.OwnEnds)), "held": float64(rep.Held)}
+	if len(rec.Samples) == 0 {
+		res.Void = append(res.Void, "nothing was asked")
+	}
+	for _, ph := range s.Phases {
+		res.Phases[ph.Name] = figures(s, rec, ph.From.On(s.For), ph.To.On(s.For))
+	}
+	if rep.Unwatched > 0 {
+		res.Void = append(res.Void, fmt.Sprintf("the audit was full: %d requests are held against nothing", rep.Unwatched))
+	}
+	res.holds(s)
+	res.Series = series(s, rec)
+	for _, f := range s.Faults {
+		at := f.At.On(s.For)
+		res.Marks = append(res.Marks, Mark{f.Kind, at.Seconds(), min(at+f.For.On(s.For), s.For).Seconds()})
+	}
+	for _, g := range s.Load.Surges {
+		res.Marks = append(res.Marks, Mark{fmt.Sprintf("load x%g", g.Times), g.At.On(s.For).Seconds(), (g.At.On(s.For) + g.For.On(s.For)).Seconds()})
+	}
+	return res
+}
+
+// holds fills in what came of the promises.
+func (r *Result) holds(s *Storm) {
+	for _, h := range s.Holds {
+		of := r.Figures
+		if h.Phase != "" {
+			of = r.Phases[h.Phase]
+			if of["asked"] == 0 {
+				r.Void = append(r.Void, fmt.Sprintf("nothing was asked in phase %s, which %q speaks of", h.Phase, h.String()))
+				continue
+			}
+		}
+		found, seen := of[h.Figure]
+		if !seen {
+			continue // this engine can't see it
+		}
+		kept := found <= h.Bound
+		if h.Least {
+			kept = found >= h.Bound
+		}
+		r.Holds = append(r.Holds, Kept{h.String(), found, kept})
+	}
+}
+
+// figures measures the part of a run that was due from from to to.
+func figures(s *Storm, rec *Record, from, to time.Duration) map[string]float64 {
+	classes := s.ClientClasses()
+	var part []clients.Sample
+	hist := hdrhistogram.New(1, int64(2*time.Minute/time.Microsecond), 3)
+	refused, failed := 0, 0
+	for _, x := range rec.Samples {
+		if x.At < from || x.At >= to {
+			continue
+		}
+		part = append(part, x)
+		switch {
+		case x.OK:
+			hist.RecordValue(max(1, x.Took.Microseconds()))
+		case x.End == clients.EndRefused:
+			refused++
+		default:
+			failed++
+		}
+	}
+	sv := clients.Judge(classes, part)
+	n := float64(max(1, len(part)))
+	out := map[string]float64{
+		"asked": float64(len(part)), "service": sv.Share(), "worst10": worst(classes, part, to-from), "refused": float64(refused) / n, "failed": float64(failed) / n,
+		"p50_ms": float64(hist.ValueAtQuantile(50)) / 1000, "p99_ms": float64(hist.ValueAtQuantile(99)) / 1000,
+	}
+	out["worst_class"] = 1
+	for _, c := range sv.Classes {
+		if c.Asked > 0 {
+			out["worst_class"] = min(out["worst_class"], float64(c.InTime)/float64(c.Asked))
+		}
+	}
+	out["figure"] = 0.55*out["service"] + 0.35*out["worst10"] + 0.10*out["worst_class"]
+	firsts, repeats := 0, 0
+	for i := int(from / time.Second); i < len(rec.Seconds) && time.Duration(i)*time.Second < to; i++ {
+		firsts, repeats = firsts+rec.Seconds[i].Firsts, repeats+rec.Seconds[i].Repeats
+	}
+	out["retry_ratio"] = float64(repeats) / float64(max(1, firsts))
+	return out
+}
+
+// shares is worth asked and earned by second.
+func shares(classes []clients.Class, samples []clients.Sample) (asked, earned []float64) {
+	for _, x := range samples {
+		at := int(x.At / time.Second)
+		for len(asked) <= at {
+			asked, earned = append(asked, 0), append(earned, 0)
+		}
+		c := &classes[x.Class]
+		asked[at] += c.Worth
+		if x.OK && x.Took <= c.Aim {
+			earned[at] += c.Worth
+		}
+	}
+	return asked, earned
+}
+
+// worst is the service of the worst stretch.
+func worst(classes []clients.Class, samples []clients.Sample, length time.Duration) float64 {
+	span := 10
+	if length < 20*time.Second {
+		span = 3
+	}
+	asked, earned := shares(classes, samples)
+	first := 0
+	for first < len(asked) && asked[first] == 0 {
+		first++
+	}
+	least := 1.0
+	for i := first; i < len(asked); i++ {
+		if i+span > len(asked) && i > first {
+			break
+		}
+		a, e := sum(asked, i, span), sum(earned, i, span)
+		if a > 0 {
+			least = min(least, e/a)
+		}
+	}
+	return least
+}
+
+func sum(v []float64, from, n int) float64 {
+	s := 0.0
+	for i := from; i < min(from+n, len(v)); i++ {
+		s += v[i]
+	}
+	return s
+}
+
+// never is recover_s where service does not come back.
+const never = 999
+
+// recovered is how long after the last trouble service stays, over every 3 s
+// from there on, at 0.9 of what it was before the first.
+func recovered(s *Storm, rec *Record) float64 {
+	asked, earned := shares(s.ClientClasses(), rec.Samples)
+	start, end := int(s.FirstStart()/time.Second), int((s.LastEnd()+time.Second-1)/time.Second)
+	base := 1.0
+	if a := sum(asked, 0, start); a > 0 {
+		base = sum(earned, 0, start) / a
+	}
+	const span = 3
+	last := len(asked) - span
+	if last < end {
+		return never
+	}
+	good := last + 1
+	for i := last; i >= end; i-- {
+		if a := sum(asked, i, span); a > 0 && sum(earned, i, span)/a < 0.9*base {
+			break
+		}
+		good = i
+	}
+	if good > last {
+		return never
+	}
+	return math.Max(0, float64(good)-s.LastEnd().Seconds())
+}
+
+// series is the run by seconds.
+func series(s *Storm, rec *Record) []Second {
+	n := int(s.For/time.Second) + 1
+	out := make([]Second, n)
+	classes := s.ClientClasses()
+	for _, x := range rec.Samples {
+		b := &out[min(int(x.At/time.Second), n-1)]
+		b.Asked++
+		switch {
+		case x.OK && x.Took <= classes[x.Class].Aim:
+			b.InTime++
+		case x.OK:
+			b.Late++
+		case x.End == clients.EndRefused:
+			b.Refused++
+		case x.End == clients.EndNone:
+			b.None++
+		default:
+			b.Failed++
+		}
+	}
+	for i, a := range rec.Seconds {
+		if i < n {
+			out[i].Firsts, out[i].Repeats, out[i].Cold = a.Firsts, a.Repeats, a.Cold
+		}
+	}
+	return out
+}
+
+// Line is a result as one line of text.
+func (r *Result) Line() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-16s %-7s seed %-3d %-6s service %.3f worst10 %.3f retries %.3f refused %.3f failed %.3f", r.Storm, r.Engine, r.Seed, r.Verdict(),
+		r.Figures["service"], r.Figures["worst10"], r.Figures["retry_ratio"], r.Figures["refused"], r.Figures["failed"])
+	if v := r.Figures["recover_s"]; v < never {
+		fmt.Fprintf(&b, " recover %.0f s", v)
+	}
+	for _, k := range r.Holds {
+		if !k.Kept {
+			fmt.Fprintf(&b, "; %s: found %.3f", k.Promise, k.Found)
+		}
+	}
+	names := make([]string, 0, len(r.Rules))
+	for name := range r.Rules {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if n := r.Rules[name]; n > 0 {
+			fmt.Fprintf(&b, "; %s=%d", name, n)
+		}
+	}
+	for _, v := range r.Void {
+		fmt.Fprintf(&b, "; void: %s", v)
+	}
+	return b.String()
+}
--- a/internal/strictfile/strictfile.go
+++ b/internal/strictfile/strictfile.go
@@ -149,11 +149,24 @@
 // MostErrors at most. Lines tells where each key of the file stands, for errors
 // that only the caller can see.
 func DecodeAll(name string, text []byte, into any) (Lines, []*Error) {
+	return decode(name, text, into, true)
+}
+
+// Overlay does as Decode, over a struct that a whole file has filled: keys that
+// are needed need not come again.
+func Overlay(name string, text []byte, into any) error {
+	if _, errs := decode(name, text, into, false); len(errs) > 0 {
+		return errs[0]
+	}
+	return nil
+}
+
+func decode(name string, text []byte, into any, need bool) (Lines, []*Error) {
 	values := map[string]any{}
 	if err := toml.Unmarshal(text, &values); err != nil {
 		return nil, []*Error{syntaxError(name, err)}
 	}
-	d := &decoder{file: name, lines: keyLines(text)}
+	d := &decoder{file: name, lines: keyLines(text), need: need}
 	target := reflect.ValueOf(into).Elem()
 	work := reflect.New(target.Type()).Elem()
 	work.Set(target)
@@ -276,6 +289,7 @@
 type decoder struct {
 	file  string
 	lines Lines
+	need  bool // keys that are needed are asked for
 	errs  []*Error
 }
 
@@ -316,7 +330,7 @@
 		d.value(values[key], into.Field(at), into.Type().Field(at).Tag, join(path, key))
 	}
 	for _, key := range known {
-		if _, there := values[key]; !there && into.Type().Field(fields[key]).Tag.Get("need") == "true" {
+		if _, there := values[key]; !there && d.need && into.Type().Field(fields[key]).Tag.Get("need") == "true" {
 			d.fail(path, "no "+key, "it given")
 		}
 	}
