Storms in virtual time: a discrete-event emulation round the real decision module

Need: 2,000 instances on 70 servers can't be played on sockets here, and a run on sockets is never the same twice.

Change: internal/virtual emulates call servers, discovery, clients and a sidecar's carrier on one thread; the module is the real one, the audit the same as on sockets. It sees each send, so it counts repeats that leave though the budget's window is spent.

--- /dev/null
+++ b/internal/virtual/client.go
@@ -0,0 +1,104 @@
+package virtual
+
+import (
+	"time"
+
+	"otterspring/balance"
+	"otterspring/internal/audit"
+	"otterspring/internal/standin/clients"
+)
+
+// ask is one arrival of a client, over all its tries.
+type ask struct {
+	inst  *instance
+	a     clients.Arrival
+	class *clients.Class
+	op    string
+	due   time.Duration
+	end   time.Duration
+	tries int
+}
+
+// try asks once.
+func (k *ask) try() {
+	w := k.inst.w
+	now := w.loop.now
+	wait := min(k.end-now, time.Duration(w.storm.Load.Try*float64(k.class.Deadline)))
+	if wait <= 0 {
+		k.over(clients.EndNone)
+		return
+	}
+	k.tries++
+	p := k.inst.taking()
+	if p == nil {
+		k.again(clients.EndNone, true, 0) // the connection is refused
+		return
+	}
+	id := k.op + "." + itoa(k.tries-1)
+	c := &call{id: id, ask: k, p: p}
+	w.log.Asked(id, k.inst.name, k.class.Effect, now, wait)
+	w.loop.in(wait, func() {
+		if !c.heard {
+			c.heard = true
+			w.log.Gone(id, w.loop.now)
+			p.left(c)
+			k.again(clients.EndNone, k.class.Effect == audit.Repeat, 0)
+		}
+	})
+	p.request(c, balance.Request{ID: id, Class: k.class.Name, Key: k.a.Key, Deadline: now + wait, Again: k.tries > 1})
+}
+
+// answer takes a try's final answer.
+func (k *ask) answer(c *call, kind balance.ActionKind, advice time.Duration) {
+	if c.heard {
+		return
+	}
+	c.heard = true
+	w := k.inst.w
+	switch kind {
+	case balance.Send:
+		w.log.Answered(c.id, audit.Served, true, w.loop.now)
+		k.over(clients.EndServed)
+	case balance.Refuse:
+		w.log.Answered(c.id, audit.Refused, false, w.loop.now)
+		k.again(clients.EndRefused, true, advice)
+	default:
+		w.log.Answered(c.id, audit.Failed, false, w.loop.now)
+		k.again(clients.EndFailed, k.class.Effect == audit.Repeat, 0)
+	}
+}
+
+// broke takes the end of a try's connection without an answer.
+func (k *ask) broke(c *call) {
+	if c.heard {
+		return
+	}
+	c.heard = true
+	k.inst.w.log.Broke(c.id, false, k.inst.w.loop.now)
+	k.again(clients.EndFailed, k.class.Effect != audit.Once, 0)
+}
+
+// again tries once more where that is harmless, there is time and a try left.
+func (k *ask) again(end clients.End, harmless bool, advice time.Duration) {
+	w := k.inst.w
+	if !harmless || k.tries > w.storm.Load.Retries {
+		k.over(end)
+		return
+	}
+	if advice == 0 {
+		n := min(k.tries-1, 4)
+		advice = time.Duration((10 + 70*k.inst.rng.Float64()) * float64(time.Millisecond) * float64(int(1)<<n))
+	}
+	if w.loop.now+advice >= k.end {
+		k.over(end)
+		return
+	}
+	w.loop.in(advice, k.try)
+}
+
+// over ends it.
+func (k *ask) over(end clients.End) {
+	w := k.inst.w
+	w.open--
+	w.samples = append(w.samples, clients.Sample{At: k.due, Took: w.loop.now - k.due, Class: k.a.Class, OK: end == clients.EndServed, Tries: k.tries, End: end})
+}
--- /dev/null
+++ b/internal/virtual/server.go
@@ -0,0 +1,255 @@
+package virtual
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"otterspring/internal/audit"
+	"otterspring/internal/experiment"
+)
+
+// class is a class as a call server sees it.
+type class struct {
+	name   string
+	effect audit.Effect
+	work   time.Duration
+}
+
+// pod drops repeats of keyed requests.
+type pod struct {
+	name string
+	seen map[string]time.Duration
+	last time.Duration
+}
+
+// first tells whether a key has not run within the window, and notes it.
+func (p *pod) first(key string, now, window time.Duration) bool {
+	if now-p.last > window {
+		for k, t := range p.seen {
+			if now-t > window {
+				delete(p.seen, k)
+			}
+		}
+		p.last = now
+	}
+	if t, ok := p.seen[key]; ok && now-t <= window {
+		return false
+	}
+	p.seen[key] = now
+	return true
+}
+
+// job is a request in the waiting room or in work at a server.
+type job struct {
+	id, key, idem string
+	class         *class
+	work          time.Duration
+	state         int // waiting, running, over
+	done          func()
+}
+
+const (
+	waiting = iota
+	running
+	over
+)
+
+type sent struct {
+	at   time.Duration
+	work float64
+}
+
+// server is a call server: the same model as the stand-in on sockets, with the
+// work waited for in virtual time.
+type server struct {
+	w       *world
+	n       int
+	name    string
+	zone    string
+	pod     *pod
+	cfg     *experiment.Server
+	speed   float64
+	rng     *rand.Rand
+	life    int           // starts so far; connections belong to one
+	place   int           // address; changes with a move
+	started time.Duration // latest start; 0 for long ago
+	there   bool          // its process runs
+	gone    bool          // its machine is silent
+	silent  int           // the latest life that fell silent: its connections show no end until they are written to
+	leaving bool
+	ill     experiment.State
+	conns   int
+	busy    int
+	queue   []*job
+	worked  float64
+	cold    bool
+	lately  []sent
+	tipped  bool
+	keys    map[string]time.Duration
+}
+
+func newServer(w *world, n int, seed uint64) *server {
+	s := &server{
+		w: w, n: n, name: "s" + itoa(n+1), zone: "z" + itoa(w.storm.ZoneOf(n)), cfg: &w.storm.World.Server,
+		rng: rand.New(rand.NewPCG(seed, 1)), keys: map[string]time.Duration{}, ill: experiment.State{Slow: 1},
+	}
+	s.speed = s.cfg.Speeds[n%len(s.cfg.Speeds)]
+	return s
+}
+
+// start begins a life.
+func (s *server) start(cold bool) {
+	s.life++
+	s.there, s.gone, s.leaving, s.tipped, s.cold = true, false, false, false, cold
+	s.worked, s.lately, s.busy, s.queue, s.conns = 0, nil, 0, nil, 0
+	clear(s.keys)
+	if cold {
+		s.started = max(s.w.loop.now, s.started+time.Millisecond)
+	}
+	s.w.log.Changed(s.name, s.life, false, s.w.loop.now)
+}
+
+// stop ends the process: connections are reset, what was in work stops.
+func (s *server) stop() {
+	s.there, s.gone = false, false
+	for _, j := range s.queue {
+		j.state = over
+	}
+	s.life++ // jobs and connections of the old one are void
+	s.queue, s.busy, s.conns = nil, 0, 0
+}
+
+// set puts on what is wrong with it.
+func (s *server) set(ill experiment.State) {
+	s.ill = ill
+	s.next()
+}
+
+func (s *server) capacity() float64 {
+	if !s.cold || s.cfg.ColdFrom >= 1 || s.cfg.ColdWork <= 0 {
+		return 1
+	}
+	// It warms by the work that it does, and in ColdTime whatever it does.
+	warmth := s.worked / s.cfg.ColdWork.Seconds()
+	if s.cfg.ColdTime > 0 {
+		warmth = max(warmth, float64(s.w.loop.now-s.started)/float64(s.cfg.ColdTime))
+	}
+	return min(1, s.cfg.ColdFrom+(1-s.cfg.ColdFrom)*warmth)
+}
+
+func (s *server) full() float64 { return float64(s.cfg.Cores) * s.speed }
+
+// strike draws what strikes the next request; "" for nothing.
+func (s *server) strike() string {
+	for _, x := range s.ill.Strikes {
+		if x.Chance >= 1 || s.rng.Float64() < x.Chance {
+			return x.Kind
+		}
+	}
+	return ""
+}
+
+func (s *server) workOf(c *class, key string) time.Duration {
+	w := float64(c.work) * (0.7 + 0.6*s.rng.Float64())
+	if key != "" && s.cfg.KeyMemory > 0 {
+		now := s.w.loop.now
+		if t, ok := s.keys[key]; ok && now-t < s.cfg.KeyMemory {
+			w *= 1 - s.cfg.KeySaves
+		}
+		if len(s.keys) > 2000 {
+			clear(s.keys)
+		}
+		s.keys[key] = now
+	}
+	return time.Duration(w)
+}
+
+// submit takes a request in; nil where it is turned away.
+func (s *server) submit(id, key, idem string, c *class, first time.Duration) *job {
+	now := s.w.loop.now
+	work := s.workOf(c, key)
+	share := s.capacity()
+	s.w.log.Arrived(s.name, s.life, id, first, now, work.Seconds(), share*s.full(), s.full())
+	s.weigh(work.Seconds(), share)
+	if s.tipped || s.leaving || s.busy >= s.cfg.Cores*s.cfg.Slots && len(s.queue) >= s.cfg.Queue {
+		return nil
+	}
+	j := &job{id: id, key: key, idem: idem, class: c, work: work}
+	s.queue = append(s.queue, j)
+	return j
+}
+
+// weigh makes a cold server fall over that is sent too much.
+func (s *server) weigh(work, share float64) {
+	if share >= 1 || s.cfg.TipAt <= 0 {
+		s.lately = nil
+		return
+	}
+	now := s.w.loop.now
+	s.lately = append(s.lately, sent{now, work})
+	sum, keep := 0.0, 0
+	for i := range s.lately {
+		if now-s.lately[i].at > s.cfg.TipFor {
+			keep = i + 1
+			continue
+		}
+		sum += s.lately[i].work
+	}
+	s.lately = s.lately[keep:]
+	if sum-work > s.cfg.TipAt*share*s.full()*s.cfg.TipFor.Seconds() {
+		s.tipped = true
+	}
+}
+
+// next starts work while slots are free.
+func (s *server) next() {
+	for len(s.queue) > 0 && s.busy < s.cfg.Cores*s.cfg.Slots && !s.ill.Hang && s.there {
+		j := s.queue[0]
+		s.queue = s.queue[1:]
+		s.begin(j)
+	}
+}
+
+// begin starts a request's work; its effect counts from here.
+func (s *server) begin(j *job) {
+	j.state = running
+	s.busy++
+	now := s.w.loop.now
+	if j.class.effect == audit.Keyed && j.idem != "" && !s.pod.first(j.idem, now, s.cfg.Window) {
+		j.work /= 10
+	} else {
+		s.w.log.Ran(s.name, s.pod.name, j.id, now)
+	}
+	crowd := max(1, float64(s.busy)/float64(s.cfg.Cores))
+	took := time.Duration(float64(j.work) / s.speed / s.capacity() * max(1, s.ill.Slow) * crowd)
+	life := s.life
+	s.w.loop.in(took, func() {
+		if s.life != life || j.state != running {
+			return
+		}
+		j.state = over
+		s.busy--
+		s.worked += j.work.Seconds()
+		j.done()
+		s.next()
+	})
+}
+
+// cancel stops a request's work: its connection has ended.
+func (s *server) cancel(j *job, life int) {
+	if s.life != life || j.state == over {
+		return
+	}
+	if j.state == running {
+		s.busy--
+	} else {
+		for i, q := range s.queue {
+			if q == j {
+				s.queue = append(s.queue[:i:i], s.queue[i+1:]...)
+				break
+			}
+		}
+	}
+	j.state = over
+	s.next()
+}
--- /dev/null
+++ b/internal/virtual/world.go
@@ -0,0 +1,373 @@
+package virtual
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"otterspring/balance"
+	"otterspring/internal/audit"
+	"otterspring/internal/experiment"
+	"otterspring/internal/standin/clients"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// Options say how a plan is played.
+type Options struct {
+	// Wrap stands between a carrier and its module, to break a rule on purpose;
+	// nil for none. Settings changes what the module is told at its start.
+	Wrap     func(Module) Module
+	Settings func(*balance.Settings)
+	// Progress is called now and then with the time reached; nil for none.
+	Progress func(at time.Duration)
+	// MostSteps bounds the events of a run; 0 takes 200 million.
+	MostSteps int
+}
+
+// world is a running emulation.
+type world struct {
+	storm     *experiment.Storm
+	plan      *experiment.Plan
+	opt       Options
+	loop      loop
+	log       *audit.Log
+	rng       *rand.Rand
+	reg       *registry
+	servers   []*server
+	pods      []*pod
+	instances []*instance
+	classes   []class
+	asked     []clients.Class
+	track     *experiment.Tracker
+	idle      time.Duration // after which a sidecar closes an idle connection
+	open      int           // arrivals that are not over
+	samples   []clients.Sample
+	counts    experiment.Counts
+	void      []string
+}
+
+// warmUp is the time from the start until requests come: lists are asked for
+// meanwhile, spread over the module's two seconds.
+const warmUp = 3 * time.Second
+
+// Play plays a plan and returns what was seen. The same plan and options give
+// the same record.
+func Play(ctx context.Context, plan *experiment.Plan, opt Options) (*experiment.Record, error) {
+	if opt.MostSteps == 0 {
+		opt.MostSteps = 200_000_000
+	}
+	w := newWorld(plan, opt)
+	for _, in := range w.instances {
+		p, err := w.start(in, in.known, 0)
+		if err != nil {
+			return nil, err
+		}
+		p.listening = true
+	}
+	for _, st := range plan.Steps {
+		w.loop.at(warmUp+st.At, func() { w.step(st) })
+	}
+	for i, in := range w.instances {
+		w.feed(in, plan.Arrivals[i], 0)
+	}
+	stop := func() bool {
+		if opt.Progress != nil {
+			opt.Progress(w.loop.now - warmUp)
+		}
+		return ctx.Err() != nil
+	}
+	longest := time.Duration(0)
+	for _, c := range w.asked {
+		longest = max(longest, c.Deadline)
+	}
+	end := warmUp + w.storm.For + longest + time.Second
+	if !w.loop.run(end, opt.MostSteps, stop) {
+		w.void = append(w.void, fmt.Sprintf("stopped after %d events at %v", w.loop.steps, w.loop.now-warmUp))
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	return w.record(), nil
+}
+
+func newWorld(plan *experiment.Plan, opt Options) *world {
+	s := plan.Storm
+	w := &world{
+		storm: s, plan: plan, opt: opt, rng: rand.New(rand.NewPCG(plan.Seed, 0x6e6574)),
+		asked: s.ClientClasses(), track: experiment.NewTracker(s),
+		idle: max(s.World.Server.Idle-idleMargin, s.World.Server.Idle/2),
+	}
+	rules := audit.Delft()
+	rules.TipMultiple, rules.TipFor = s.World.Server.TipAt, s.World.Server.TipFor
+	w.log = audit.NewAt(rules, func() time.Duration { return w.loop.now })
+	for _, c := range s.Load.Classes {
+		w.classes = append(w.classes, class{c.Name, experiment.Effects[c.Effect], c.Work})
+	}
+	w.reg = &registry{w: w, by: map[*server]*entry{}, late: s.World.Discovery.Late}
+	seeds := rand.New(rand.NewPCG(plan.Seed, 0x776f726c64))
+	for i := range s.AllServers() {
+		n := newServer(w, i, seeds.Uint64())
+		for len(w.pods) < s.PodOf(i) {
+			w.pods = append(w.pods, &pod{name: "pod" + itoa(len(w.pods)+1), seen: map[string]time.Duration{}})
+		}
+		n.pod = w.pods[s.PodOf(i)-1]
+		w.servers = append(w.servers, n)
+		if i < s.World.Servers {
+			n.start(false)
+			w.reg.now(n, balance.Ready)
+		}
+	}
+	for i := range s.World.Instances {
+		in := &instance{w: w, n: i, name: "n" + itoa(i+1), rng: rand.New(rand.NewPCG(seeds.Uint64(), 7)), cut: map[int]int{}}
+		in.known = w.list()
+		w.instances = append(w.instances, in)
+	}
+	return w
+}
+
+// list is the list as discovery has it.
+func (w *world) list() []entry {
+	var all []entry
+	for _, e := range w.reg.entries {
+		all = append(all, *e)
+	}
+	return all
+}
+
+// delay draws the time of one message.
+func (w *world) delay() time.Duration {
+	n := &w.storm.World.Network
+	if n.Jitter <= 0 {
+		return n.Delay
+	}
+	return n.Delay + time.Duration(w.rng.Int64N(int64(n.Jitter)))
+}
+
+// settings are what the module is told.
+func (w *world) settings() balance.Settings {
+	c, s := &w.storm.World.Sidecar, &w.storm.World.Server
+	set := balance.Settings{
+		WarmKeys: true, Subscribe: true, MaxAttempts: c.Attempts, CanCancel: true, CanCopy: true, RetryAfter: c.Advice, Round: 2 * time.Millisecond,
+		ColdShare: 0.12, ColdTime: 23 * time.Second, TipMultiple: s.TipAt,
+	}
+	effects := map[audit.Effect]balance.Effect{audit.Repeat: balance.Repeat, audit.Keyed: balance.Keyed, audit.Once: balance.Once}
+	for _, k := range w.asked {
+		b := balance.Class{Name: k.Name, Aim: k.Aim, Deadline: k.Deadline, Worth: k.Worth, Effect: effects[k.Effect]}
+		if k.Effect == audit.Keyed {
+			b.Group, b.Window = balance.GroupCell, s.Window
+		}
+		set.Classes = append(set.Classes, b)
+	}
+	if w.opt.Settings != nil {
+		w.opt.Settings(&set)
+	}
+	return set
+}
+
+// start begins a process of an instance with the list that it is given.
+func (w *world) start(in *instance, known []entry, index int) (*process, error) {
+	bal, err := balance.New(w.settings(), in.rng.Uint64())
+	if err != nil {
+		return nil, err
+	}
+	p := &process{inst: in, epoch: w.log.Epoch(in.name), mod: bal, calls: map[string]*call{}, hosts: map[string]*host{}}
+	if w.opt.Wrap != nil {
+		p.mod = w.opt.Wrap(bal)
+	}
+	in.procs = append(in.procs, p)
+	p.members(balance.ListSaved, known, index)
+	return p, nil
+}
+
+// feed asks what the plan has for an instance, one arrival after the other.
+func (w *world) feed(in *instance, plan []clients.Arrival, i int) {
+	if i >= len(plan) {
+		return
+	}
+	w.loop.at(warmUp+plan[i].At, func() {
+		in.asks++
+		w.open++
+		a := plan[i]
+		k := &ask{inst: in, a: a, class: &w.asked[a.Class], op: in.name + "-" + itoa(in.asks), due: w.loop.now}
+		k.end = k.due + k.class.Deadline
+		k.try()
+		w.feed(in, plan, i+1)
+	})
+}
+
+// step does one step of the plan.
+func (w *world) step(s experiment.Step) {
+	f := &w.storm.Faults[s.Fault]
+	switch s.Do {
+	case experiment.ListBad:
+		w.reg.bad(f.Kind, f.Late)
+		return
+	case experiment.ListGood:
+		w.reg.good()
+		return
+	case experiment.Kill, experiment.Term, experiment.HandOver:
+		w.restart(w.instances[s.Instance], s.Do)
+		return
+	case experiment.Cut, experiment.Heal:
+		way := map[string]int{"to": cutTo, "from": cutFrom}[f.Way]
+		if way == 0 {
+			way = cutTo | cutFrom
+		}
+		in := w.instances[s.Instance]
+		if in.cut[s.Server] |= way; s.Do == experiment.Heal {
+			in.cut[s.Server] &^= way
+		}
+		return
+	}
+	v := w.servers[s.Server]
+	switch do := w.track.Step(s); do.Op {
+	case experiment.Grow:
+		v.start(true)
+		w.reg.set(v, balance.Ready)
+	case experiment.Ill:
+		v.set(do.State)
+	case experiment.Drain:
+		w.reg.set(v, balance.Draining)
+	case experiment.Vanish:
+		v.gone, v.silent = true, v.life
+	case experiment.Crash, experiment.Remove:
+		w.reg.set(v, balance.Gone)
+		w.crash(v)
+	case experiment.Up:
+		if v.there {
+			w.crash(v) // it had vanished: what is still open is reset
+		}
+		if do.Move {
+			v.place++
+		}
+		v.start(true)
+		v.ill = do.State
+		w.reg.set(v, balance.Ready)
+	}
+}
+
+// crash ends a server's process: what is open to it is reset.
+func (w *world) crash(s *server) {
+	life, silent := s.life, s.gone
+	s.stop()
+	if silent {
+		return // the machine was cut off: nobody hears of it until they write
+	}
+	for _, in := range w.instances {
+		for _, p := range in.procs {
+			for _, a := range append([]*attempt(nil), p.out...) {
+				if a.conn != nil && a.host.srv == s && a.conn.life == life {
+					a.broken(a.conn)
+				}
+			}
+		}
+	}
+}
+
+// restart ends an instance's process and starts another.
+func (w *world) restart(in *instance, how experiment.Op) {
+	old := in.taking()
+	if old == nil {
+		return
+	}
+	var known []entry
+	index := 0
+	if how == experiment.HandOver {
+		known, index = w.list(), 0
+	} else {
+		known = in.known
+	}
+	begin := func() {
+		if how != experiment.HandOver {
+			w.log.Restarted(in.name, w.loop.now)
+		}
+		p, err := w.start(in, known, index)
+		if err != nil {
+			panic(err) // the same settings were good at the start
+		}
+		p.listening = true
+		old.listening = false
+	}
+	switch how {
+	case experiment.Kill:
+		old.listening = false
+		w.log.Dying(in.name)
+		old.kill()
+		w.log.Killed(in.name, w.loop.now)
+		w.loop.in(startTakes, begin)
+	case experiment.Term:
+		// It takes no more; what it has it finishes, while its place is empty.
+		old.listening = false
+		w.whenIdle(old, begin)
+	case experiment.HandOver:
+		begin()
+		w.whenIdle(old, func() {})
+	}
+}
+
+// whenIdle ends a process once it has answered all, and goes on a start later.
+func (w *world) whenIdle(p *process, then func()) {
+	w.loop.in(10*time.Millisecond, func() {
+		if len(p.calls) > 0 {
+			w.whenIdle(p, then)
+			return
+		}
+		p.end0()
+		w.loop.in(startTakes, then)
+	})
+}
+
+// kill ends a process at once: all its connections are reset.
+func (p *process) kill() {
+	p.ended = true
+	var open []*call
+	for _, a := range append([]*attempt(nil), p.out...) {
+		if c := a.conn; c != nil {
+			p.hangUp(c, a)
+		}
+	}
+	for _, id := range sortedIDs(p.calls) {
+		open = append(open, p.calls[id])
+	}
+	p.end0()
+	for _, c := range open {
+		if !c.answered {
+			c.answered = true
+			c.ask.broke(c)
+		}
+	}
+}
+
+// end0 ends a process that has nothing open.
+func (p *process) end0() {
+	p.ended, p.listening = true, false
+	for _, s := range p.inst.w.servers {
+		if h := p.hosts[s.name]; h != nil {
+			p.retire(h)
+		}
+	}
+	in := p.inst
+	for i, x := range in.procs {
+		if x == p {
+			in.procs = append(in.procs[:i:i], in.procs[i+1:]...)
+			break
+		}
+	}
+}
+
+// record is what was seen.
+func (w *world) record() *experiment.Record {
+	rec := &experiment.Record{Engine: "virtual", Seconds: w.log.Seconds(warmUp), Report: w.log.Report(), Counts: w.counts, Skipped: w.track.Skipped, Void: w.void}
+	for _, s := range w.samples {
+		s.At -= warmUp
+		rec.Samples = append(rec.Samples, s)
+	}
+	rec.Counts.Steps = w.loop.steps
+	if w.open > 0 && len(w.void) == 0 {
+		rec.Void = append(rec.Void, fmt.Sprintf("%d requests were not over at the end", w.open))
+	}
+	return rec
+}
