--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -27,6 +27,9 @@
 var commands = []command{
 	{"try", "one sidecar, 6 call servers, clients; a hang and a drain within 10 s", runTry},
 	{"fleet", "many sidecars, restarted one by one while requests come", runFleet},
+	{"storm", "storms from files: faults at their times, what must hold, verdicts", runStorm},
+	{"check", "what is wrong with storms' files, a line a fault", runCheck},
+	{"mutants", "breaks the program one line at a time and tells which test and storm notice", runMutants},
 	{"speed", "one sidecar beside net/http/httputil's ReverseProxy, as ratios", runSpeed},
 }
 
@@ -38,7 +41,7 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 // run returns the exit code: 0, 1 where a rule broke or the rig could not be
-// played, 2 for a usage that is none.
+// played, 2 for a usage that is none, 3 for a run that shows nothing.
 func run(args []string) int {
 	if len(args) > 0 && args[0] == sidecarWord {
 		// The rig is its own sidecar where no other program is at hand.
@@ -64,6 +67,14 @@
 		switch {
 		case err == nil, errors.Is(err, flag.ErrHelp):
 			return 0
+		case errors.Is(err, errSaid):
+			if errors.Is(err, errUsage) {
+				return 2
+			}
+			return 1
+		case errors.Is(err, errVoid):
+			fmt.Fprintf(os.Stderr, "rig %s: %v\n", c.name, err)
+			return 3
 		case errors.Is(err, errUsage):
 			fmt.Fprintf(os.Stderr, "rig %s: %v\n", c.name, err)
 			return 2
@@ -71,14 +82,14 @@
 		fmt.Fprintf(os.Stderr, "rig %s: %v\n", c.name, err)
 		return 1
 	}
-	fmt.Fprintf(os.Stderr, "rig: found %q, wanted one of try, fleet, speed; rig help says more\n", args[0])
+	fmt.Fprintf(os.Stderr, "rig: found %q, wanted one of try, fleet, storm, check, mutants, speed; rig help says more\n", args[0])
 	return 2
 }
 
 func help(w io.Writer) {
 	fmt.Fprint(w, "usage: rig COMMAND [FLAGS]\n\nAll on loopback, no root needed. Commands:\n")
 	for _, c := range commands {
-		fmt.Fprintf(w, "  %-7s %s\n", c.name, c.does)
+		fmt.Fprintf(w, "  %-8s %s\n", c.name, c.does)
 	}
 	fmt.Fprint(w, "\nrig COMMAND -help lists its flags. The last line is key=value figures; the exit\ncode is 1 if a rule broke or a promise failed.\n")
 }
--- a/cmd/rig/main_test.go
+++ b/cmd/rig/main_test.go
@@ -3,12 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
+
+	"otterspring/internal/experiment"
 )
 
 // TestMain is the rig itself where it runs itself as a sidecar or a proxy.
@@ -88,6 +92,16 @@
 		{wrap(runFleet), []string{"-mode", "gently"}, "wanted kill, term or handover"},
 		{wrap(runFleet), []string{"-restarts", "51"}, "wanted all, none or 0 to 50"},
 		{wrap(runFleet), []string{"-instances", "4000"}, "-instances: found 4000, wanted 1 to 400"},
+		{wrap(runStorm), nil, "wanted files, or -all"},
+		{wrap(runStorm), []string{"-all", "x.toml"}, "wanted files, or -all"},
+		{wrap(runStorm), []string{"-all", "-dir", "/none"}, "found no storm"},
+		{wrap(runStorm), []string{"x.toml", "-engine", "steam"}, "wanted virtual, sockets or both"},
+		{wrap(runStorm), []string{"x.toml", "-seeds", "5..1"}, "found \"5..1\""},
+		{wrap(runStorm), []string{"x.toml", "-seeds", "1..10001"}, "of 10000 at most"},
+		{wrap(runStorm), []string{"x.toml", "-jobs", "-1"}, "wanted 0 to 64"},
+		{wrap(runMutants), []string{"-only", "dance"}, "wanted the name of a mutant"},
+		{wrap(runMutants), []string{"-within", "1s"}, "-within: found 1s"},
+		{wrap(runMutants), []string{"-tree", "/none", "-only", "no-budget"}, "no such file"},
 		{wrap(runSpeed), []string{"-rounds", "0"}, "-rounds: found 0"},
 		{wrap(runSpeed), []string{"-against", "/none"}, "found no program"},
 	} {
@@ -108,3 +122,105 @@
 func wrap(f func(context.Context, []string, io.Writer) error) func(context.Context, []string, *bytes.Buffer) error {
 	return func(c context.Context, a []string, b *bytes.Buffer) error { return f(c, a, b) }
 }
+
+const calmStorm = "name = \"calm\"\nfor = \"3s\"\n[world]\ninstances = 3\n[load]\ntimes = 0.2\n"
+
+// The exit code tells a kept word from a broken one, and both from a run that
+// shows nothing; what is wrong with a file is a line a fault.
+func TestStormExitCodes(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	good := file("good.toml", calmStorm)
+	failing := file("failing.toml", "hold = [\"service >= 1.5\"]\n"+calmStorm)
+	void := file("void.toml", "hold = [\"end: service >= 0.1\"]\n"+calmStorm+"surge = [{ at = \"1s\", for = \"2s\", times = 0.0 }]\n[[phase]]\nname = \"end\"\nfrom = \"2s\"\nto = \"3s\"\n")
+	bad := file("bad.toml", calmStorm+"speed = 1\nskew = 99\n")
+	for _, c := range []struct {
+		args []string
+		code int
+	}{
+		{[]string{"storm", good}, 0},
+		{[]string{"storm", failing}, 1},
+		{[]string{"storm", void}, 3},
+		{[]string{"storm", good, void, failing}, 1},
+		{[]string{"storm", bad}, 2},
+		{[]string{"storm", good, "-set", "load.tines=1"}, 2},
+		{[]string{"check", good}, 0},
+		{[]string{"check", good, bad}, 1},
+		{[]string{"check"}, 2},
+		{[]string{"check", filepath.Join(dir, "none.toml")}, 1},
+	} {
+		if code := run(c.args); code != c.code {
+			t.Errorf("%v: exit code %d, want %d", c.args, code, c.code)
+		}
+	}
+	var out bytes.Buffer
+	if err := runCheck(ctx(t), []string{bad}, &out); !errors.Is(err, errSaid) || strings.Count(out.String(), "\n") != 2 {
+		t.Errorf("%v:\n%s", err, out.String())
+	}
+}
+
+// A sweep over seeds writes a whole line for each run, and the same call writes
+// the same lines. One that is ended midway leaves whole lines.
+func TestStormResults(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "sweep.toml")
+	if err := os.WriteFile(path, []byte(calmStorm+"[[sweep]]\nkey = \"load.times\"\nvalues = [\"0.2\", \"0.4\"]\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	call := func(c context.Context, name string) (string, string, error) {
+		var out bytes.Buffer
+		err := runStorm(c, []string{path, "-seeds", "1..3", "-o", filepath.Join(dir, name)}, &out)
+		text, _ := os.ReadFile(filepath.Join(dir, name))
+		return out.String(), string(text), err
+	}
+	out, a, err := call(ctx(t), "a.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, b, _ := call(ctx(t), "b.jsonl"); a != b {
+		t.Error("the same call wrote other results")
+	}
+	if n := strings.Count(a, "\n"); n != 6 || !strings.Contains(a, `"set":["load.times=0.4"]`) {
+		t.Errorf("%d lines: %.300s", n, a)
+	}
+	for _, want := range []string{"storms=6", "broken=0", "void=0", "lost=0", "twice=0", "late_sends=0", "tipped=0", "retries=", "budget_refused=", "at_stake="} {
+		if last := out[strings.LastIndexByte(strings.TrimSpace(out), '\n')+1:]; !strings.Contains(last, want) {
+			t.Errorf("no %s in %q", want, last)
+		}
+	}
+	midway, cancel := context.WithCancel(ctx(t))
+	points := 0
+	o := &stormFlags{files: []string{path}, engine: "virtual", seeds: []uint64{1, 2, 3}, jobs: 1}
+	all, err := o.points(io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	to, err := openSink(filepath.Join(dir, "c.jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = o.play(midway, all, progress(os.Stderr, len(all)), func(r *experiment.Result) error {
+		if points++; points == 2 {
+			cancel()
+		}
+		return to.write(r)
+	})
+	to.Close()
+	text, _ := os.ReadFile(filepath.Join(dir, "c.jsonl"))
+	lines := strings.Split(strings.TrimSuffix(string(text), "\n"), "\n")
+	if !errors.Is(err, context.Canceled) || len(lines) < 2 {
+		t.Errorf("ended with %v after %d lines", err, len(lines))
+	}
+	for _, line := range lines {
+		var r experiment.Result
+		if err := json.Unmarshal([]byte(line), &r); err != nil || r.Storm != "calm" {
+			t.Errorf("%v: %.100s", err, line)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/rig/mutants.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	"otterspring/internal/mutant"
+)
+
+// runMutants breaks the program one line at a time and tells what notices.
+func runMutants(ctx context.Context, args []string, out io.Writer) error {
+	f := flag.NewFlagSet("mutants", flag.ContinueOnError)
+	tree := f.String("tree", ".", "root of the sources")
+	only := f.String("only", "", "names of mutants, with commas; empty for all")
+	jobs := f.Int("jobs", 0, "mutants tried at a time, 1 to 64; 0 for half the cores")
+	within := f.Duration("within", 90*time.Second, "how long the tests of one may take, 5s to 10m; one that takes longer hangs")
+	seeds := f.String("seeds", "1..2", "seeds of the storms that each is tried with")
+	output := f.String("o", "", "write the table to this file, as Markdown")
+	if err := parse(f, args, out); err != nil {
+		return err
+	}
+	if err := within2(*within, *jobs); err != nil {
+		return err
+	}
+	if _, err := seedRange(*seeds); err != nil {
+		return err
+	}
+	table, err := choose(*only)
+	if err != nil {
+		return err
+	}
+	if err := mutant.Check(*tree, table); err != nil {
+		return fmt.Errorf("%w: %s", errUsage, strings.ReplaceAll(err.Error(), "\n", "; "))
+	}
+	work, clean, err := scratch()
+	if err != nil {
+		return err
+	}
+	defer clean()
+	if *jobs == 0 {
+		*jobs = max(1, runtime.GOMAXPROCS(0)/2)
+	}
+	r := &mutant.Runner{Tree: *tree, Work: work, Go: "go", Within: *within, Storms: []string{"-all", "-short", "-seeds", *seeds, "-jobs", "2"}}
+	found := tryAll(ctx, r, table, *jobs, out)
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return mutantVerdict(out, *output, found)
+}
+
+func within2(d time.Duration, jobs int) error {
+	if err := within("within", d, 5*time.Second, 10*time.Minute); err != nil {
+		return err
+	}
+	return within("jobs", jobs, 0, 64)
+}
+
+// choose picks mutants by name.
+func choose(only string) ([]mutant.Mutant, error) {
+	if only == "" {
+		return mutant.Table, nil
+	}
+	var some []mutant.Mutant
+	for _, name := range strings.Split(only, ",") {
+		n := len(some)
+		for _, m := range mutant.Table {
+			if m.Name == name {
+				some = append(some, m)
+			}
+		}
+		if len(some) == n {
+			return nil, fmt.Errorf("%w: -only: found %q, wanted the name of a mutant", errUsage, name)
+		}
+	}
+	return some, nil
+}
+
+// tryAll tries mutants, several at a time, and says each as it is done.
+func tryAll(ctx context.Context, r *mutant.Runner, table []mutant.Mutant, jobs int, out io.Writer) []mutant.Finding {
+	found := make([]mutant.Finding, len(table))
+	slots := make(chan bool, jobs)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for i, m := range table {
+		slots <- true
+		if ctx.Err() != nil {
+			break
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f := r.Try(ctx, m)
+			found[i] = f
+			mu.Lock()
+			fmt.Fprintf(out, "%-20s %s\n", m.Name, outcome(&f))
+			mu.Unlock()
+			<-slots
+		}()
+	}
+	wg.Wait()
+	return found
+}
+
+// outcome words what noticed a mutant.
+func outcome(f *mutant.Finding) string {
+	switch {
+	case f.Err != nil:
+		return "could not be tried: " + f.Err.Error()
+	case !f.Noticed() && f.Mutant.Unseen != "":
+		return "unseen: " + f.Mutant.Unseen
+	case !f.Noticed():
+		return "NOT NOTICED"
+	}
+	return fmt.Sprintf("tests: %s; storms: %s", list(f.Tests), list(f.Storms))
+}
+
+func list(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	if len(names) > 4 {
+		return fmt.Sprintf("%s and %d more", strings.Join(names[:4], ", "), len(names)-4)
+	}
+	return strings.Join(names, ", ")
+}
+
+// mutantVerdict writes the table and counts.
+func mutantVerdict(out io.Writer, path string, found []mutant.Finding) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "| mutant | file | what it breaks | tests that notice | storms that notice |\n| --- | --- | --- | --- | --- |\n")
+	byTest, byStorm, by, unseen, missed, failed := 0, 0, 0, 0, 0, 0
+	for i := range found {
+		f := &found[i]
+		tests, storms := list(f.Tests), list(f.Storms)
+		switch {
+		case f.Err != nil:
+			failed++
+			tests = "could not be tried"
+		case f.Noticed():
+			by++
+		case f.Mutant.Unseen != "":
+			unseen++
+			tests = "none: " + f.Mutant.Unseen
+		default:
+			missed++
+			tests = "**none**"
+		}
+		if len(f.Tests) > 0 {
+			byTest++
+		}
+		if len(f.Storms) > 0 {
+			byStorm++
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s |\n", f.Mutant.Name, filepath.ToSlash(f.Mutant.File), f.Mutant.Breaks, tests, storms)
+	}
+	if path != "" {
+		if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(out, "mutants=%d noticed=%d by_tests=%d by_storms=%d unseen=%d missed=%d failed=%d\n", len(found), by, byTest, byStorm, unseen, missed, failed)
+	if missed+failed > 0 {
+		return errRules
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/mutant/run.go
@@ -0,0 +1,219 @@
+package mutant
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Runner tries mutants in copies of a tree.
+type Runner struct {
+	Tree   string        // root of the sources
+	Work   string        // folder for the copies; the caller's to remove
+	Go     string        // the go command
+	Within time.Duration // for each step; one that takes longer hangs, and that is noticed
+	Storms []string      // arguments of `rig storm`; nil plays none
+}
+
+// Finding is what noticed a mutant.
+type Finding struct {
+	Mutant Mutant
+	Tests  []string // tests that failed, or "hangs"
+	Storms []string // storms that broke or failed
+	Err    error    // it could not be tried
+}
+
+// Noticed tells whether anything did.
+func (f *Finding) Noticed() bool { return len(f.Tests)+len(f.Storms) > 0 }
+
+// packages are those whose tests may notice a breakage of a file, by its
+// folder.
+func packages(file string) []string {
+	dir := filepath.ToSlash(filepath.Dir(file))
+	more := map[string][]string{
+		"balance":             {"./internal/mutant"},
+		"internal/sidecar":    {"./internal/daemon"},
+		"internal/membership": {"./internal/sidecar"},
+		"internal/handover":   {"./internal/daemon"},
+		"internal/fleetplan":  {"./internal/fleet"},
+	}[dir]
+	return append([]string{"./" + dir}, more...)
+}
+
+// Apply changes the text of a file; a patch that does not stand there once is
+// an error.
+func (m *Mutant) Apply(text string) (string, error) {
+	if n := strings.Count(text, m.Old); n != 1 {
+		return "", fmt.Errorf("mutant %s: %s: found %q %d times, wanted once", m.Name, m.File, first(m.Old), n)
+	}
+	return strings.Replace(text, m.Old, m.New, 1), nil
+}
+
+func first(s string) string {
+	line, _, _ := strings.Cut(strings.TrimSpace(s), "\n")
+	return line
+}
+
+// Check tells which patches don't apply to a tree.
+func Check(tree string, table []Mutant) error {
+	var errs []error
+	for i := range table {
+		text, err := os.ReadFile(filepath.Join(tree, table[i].File))
+		if err == nil {
+			_, err = table[i].Apply(string(text))
+		}
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
+// Try applies a mutant to a copy of the tree, runs the tests that may notice it
+// and plays the storms.
+func (r *Runner) Try(ctx context.Context, m Mutant) Finding {
+	f := Finding{Mutant: m}
+	dir := filepath.Join(r.Work, m.Name)
+	defer os.RemoveAll(dir)
+	if f.Err = copyTree(r.Tree, dir); f.Err != nil {
+		return f
+	}
+	path := filepath.Join(dir, m.File)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		f.Err = err
+		return f
+	}
+	changed, err := m.Apply(string(text))
+	if err != nil {
+		f.Err = err
+		return f
+	}
+	if f.Err = os.WriteFile(path, []byte(changed), 0o644); f.Err != nil {
+		return f
+	}
+	if out, err := r.run(ctx, dir, "build", "./..."); err != nil {
+		f.Err = fmt.Errorf("mutant %s does not build: %s", m.Name, first(strings.TrimPrefix(out, "#")))
+		return f
+	}
+	f.Tests, f.Err = r.tests(ctx, dir, packages(m.File))
+	if f.Err == nil && len(r.Storms) > 0 {
+		f.Storms, f.Err = r.storms(ctx, dir)
+	}
+	return f
+}
+
+var failLine = regexp.MustCompile(`(?m)^--- FAIL: (\S+)`)
+
+// tests runs packages' tests and names those that failed.
+func (r *Runner) tests(ctx context.Context, dir string, pkgs []string) ([]string, error) {
+	args := append([]string{"test", "-count=1", fmt.Sprintf("-timeout=%v", r.Within)}, pkgs...)
+	out, err := r.run(ctx, dir, args...)
+	if err == nil {
+		return nil, nil
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	var names []string
+	for _, m := range failLine.FindAllStringSubmatch(out, -1) {
+		if !slices.Contains(names, m[1]) {
+			names = append(names, m[1])
+		}
+	}
+	switch {
+	case strings.Contains(out, "panic: test timed out"), errors.Is(err, errHangs):
+		names = append(names, "hangs")
+	case strings.Contains(out, "\npanic: ") || strings.Contains(out, "fatal error: "):
+		names = append(names, "crashes")
+	}
+	if len(names) == 0 {
+		return nil, fmt.Errorf("tests failed and named none: %.300s", out)
+	}
+	return names, nil
+}
+
+var stormLine = regexp.MustCompile(`(?m)^(\S+) +(?:virtual|sockets) +seed \d+ +(broken|failed|void) `)
+
+// storms plays storms with the rig of the copy and names those that noticed.
+func (r *Runner) storms(ctx context.Context, dir string) ([]string, error) {
+	out, err := r.run(ctx, dir, append([]string{"run", "./cmd/rig", "storm"}, r.Storms...)...)
+	if err == nil {
+		return nil, nil
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	var names []string
+	for _, m := range stormLine.FindAllStringSubmatch(out, -1) {
+		if name := m[1]; !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	switch {
+	case errors.Is(err, errHangs):
+		names = append(names, "hangs")
+	case strings.Contains(out, "panic: "):
+		names = append(names, "crashes")
+	}
+	if len(names) == 0 {
+		return nil, fmt.Errorf("storms failed and named none: %.300s", out)
+	}
+	return names, nil
+}
+
+var errHangs = errors.New("it hangs")
+
+// run runs the go command in dir, with a bound on its time and all that it
+// started ended with it.
+func (r *Runner) run(ctx context.Context, dir string, args ...string) (string, error) {
+	bound, cancel := context.WithTimeout(ctx, r.Within+30*time.Second)
+	defer cancel()
+	cmd := exec.CommandContext(bound, r.Go, args...)
+	cmd.Dir = dir
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	cmd.Cancel = func() error { return syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL) }
+	cmd.WaitDelay = 5 * time.Second
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &out
+	err := cmd.Run()
+	if bound.Err() != nil && ctx.Err() == nil {
+		return out.String(), errHangs
+	}
+	return out.String(), err
+}
+
+// copyTree copies the sources of a tree: no history, no programs, no journal.
+func copyTree(from, to string) error {
+	return filepath.WalkDir(from, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		rel, err := filepath.Rel(from, path)
+		if err != nil {
+			return err
+		}
+		if d.IsDir() {
+			if name := d.Name(); rel != "." && (name == ".git" || name == "bin" || name == "journal" || name == "notes") {
+				return filepath.SkipDir
+			}
+			return os.MkdirAll(filepath.Join(to, rel), 0o755)
+		}
+		if !d.Type().IsRegular() {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		return os.WriteFile(filepath.Join(to, rel), text, 0o644)
+	})
+}
--- /dev/null
+++ b/internal/rig/storm.go
@@ -0,0 +1,322 @@
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"otterspring/internal/experiment"
+	"otterspring/internal/standin/callserver"
+	"otterspring/internal/standin/clients"
+	"otterspring/internal/standin/registry"
+	"otterspring/internal/standin/relay"
+)
+
+// StormOptions are the options of a world for a storm on sockets.
+func StormOptions(p *experiment.Plan, program []string, dir string) Options {
+	s := p.Storm
+	o := Options{
+		Seed: p.Seed, Instances: s.World.Instances, Servers: s.World.Servers, PodSize: s.World.Pod, Window: s.World.Server.Window,
+		Program: program, Dir: dir, MemoryMB: s.World.Sidecar.MemoryMB, Sockets: s.World.Sidecar.Sockets, Storm: s,
+		Registry: registry.Config{Lines: s.World.Discovery.Lines, CallLines: s.World.Discovery.CallLines, Late: s.World.Discovery.Late},
+	}
+	for _, st := range p.Steps {
+		if st.Do == experiment.HandOver {
+			o.Operator = func(i int, dir string) string {
+				return fmt.Sprintf("[handover]\nsocket = %q\n", filepath.Join(dir, fmt.Sprintf("n%d.sock", i+1)))
+			}
+		}
+	}
+	return o
+}
+
+// stormServer is a call server as the storm has it.
+func (w *World) stormServer(i int) callserver.Config {
+	v := &w.opt.Storm.World.Server
+	c := callserver.Config{
+		Name: fmt.Sprintf("s%d", i+1), Zone: fmt.Sprintf("z%d", w.opt.Storm.ZoneOf(i)), Group: w.opt.Storm.PodOf(i),
+		Cores: v.Cores, Slots: v.Slots, Speed: v.Speeds[i%len(v.Speeds)], Queue: v.Queue, Cap: v.Cap, Idle: v.Idle, Handshake: v.Handshake,
+		ColdFrom: v.ColdFrom, ColdWork: v.ColdWork, ColdTime: v.ColdTime, TipAt: v.TipAt, TipFor: v.TipFor, KeyMemory: v.KeyMemory, KeySaves: v.KeySaves,
+	}
+	for _, k := range w.opt.Storm.Load.Classes {
+		c.Classes = append(c.Classes, callserver.Class{Name: k.Name, Effect: experiment.Effects[k.Effect], Work: k.Work})
+	}
+	return c
+}
+
+// ways puts a relay between each instance and server that the plan cuts off
+// from each other, and has discovery tell its address.
+func (w *World) ways(p *experiment.Plan) error {
+	by := map[int]map[string]string{}
+	for _, st := range p.Steps {
+		pair := [2]int{st.Instance, st.Server}
+		if st.Do != experiment.Cut || w.relays[pair] != nil {
+			continue
+		}
+		if len(w.relays) >= mostRelays {
+			return fmt.Errorf("rig: a storm that cuts more than %d ways: on sockets each takes descriptors", mostRelays)
+		}
+		v := w.Servers[st.Server]
+		r, err := relay.Start(v.Addr)
+		if err != nil {
+			return err
+		}
+		w.relays[pair] = r
+		if by[st.Instance] == nil {
+			by[st.Instance] = map[string]string{}
+		}
+		by[st.Instance][v.Name()] = r.Addr()
+	}
+	for i, addrs := range by {
+		way := func(e registry.Entry) string {
+			if a := addrs[e.Name]; a != "" {
+				return a
+			}
+			return e.Addr
+		}
+		in := w.Instances[i]
+		in.door.Way(way)
+		in.known = w.Registry.SnapshotFor(way)
+		if err := in.writeConfig(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const mostRelays = 400
+
+// stormRun is a storm that is being played on sockets.
+type stormRun struct {
+	w     *World
+	plan  *experiment.Plan
+	track *experiment.Tracker
+	rng   *rand.Rand
+
+	mu   sync.Mutex
+	errs []error
+}
+
+// PlayStorm plays a plan on sockets and processes; the world's instances are
+// started here. progress is called a few times a second; nil for none.
+func PlayStorm(ctx context.Context, p *experiment.Plan, program []string, dir string, progress func(at time.Duration)) (*experiment.Record, error) {
+	w, err := New(StormOptions(p, program, dir))
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	if err := w.ways(p); err != nil {
+		return nil, err
+	}
+	if err := w.StartAll(ctx, 8); err != nil {
+		return nil, err
+	}
+	run := &stormRun{w: w, plan: p, track: experiment.NewTracker(p.Storm), rng: rand.New(rand.NewPCG(p.Seed, 0x72756e))}
+	// The first lists are asked for within two seconds of the start.
+	if !wait(ctx, 3*time.Second) {
+		return nil, ctx.Err()
+	}
+	start := w.Log.Now()
+	all := make([]*clients.Clients, len(w.Instances))
+	var wg sync.WaitGroup
+	for i, in := range w.Instances {
+		all[i] = w.Clients(in, run.rng.Uint64())
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			all[i].Run(ctx, p.Arrivals[i])
+		}()
+	}
+	stop := report(w, start, progress)
+	run.steps(ctx, start, &wg)
+	wg.Wait()
+	stop()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	return run.record(start, all), nil
+}
+
+// report calls progress until the function returned is called.
+func report(w *World, start time.Duration, progress func(time.Duration)) func() {
+	if progress == nil {
+		return func() {}
+	}
+	end, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		tick := time.NewTicker(300 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-end:
+				return
+			case <-tick.C:
+				progress(w.Log.Now() - start)
+			}
+		}
+	}()
+	return func() { close(end); <-ended }
+}
+
+// steps does the plan's steps at their times. What takes time, the restart of
+// an instance, goes on beside the next.
+func (r *stormRun) steps(ctx context.Context, start time.Duration, wg *sync.WaitGroup) {
+	for _, st := range r.plan.Steps {
+		if !wait(ctx, start+st.At-r.w.Log.Now()) {
+			return
+		}
+		switch st.Do {
+		case experiment.Kill, experiment.Term, experiment.HandOver:
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				r.note(r.restart(ctx, r.w.Instances[st.Instance], st.Do))
+			}()
+		default:
+			r.note(r.step(st))
+		}
+	}
+}
+
+func (r *stormRun) note(err error) {
+	if err != nil {
+		r.mu.Lock()
+		r.errs = append(r.errs, err)
+		r.mu.Unlock()
+	}
+}
+
+func (r *stormRun) restart(ctx context.Context, in *Instance, how experiment.Op) error {
+	if how == experiment.HandOver {
+		return in.HandOver(ctx)
+	}
+	return in.Restart(ctx, how == experiment.Kill)
+}
+
+// step does one step on discovery, the network or a server.
+func (r *stormRun) step(st experiment.Step) error {
+	w, f := r.w, &r.plan.Storm.Faults[st.Fault]
+	switch st.Do {
+	case experiment.ListBad:
+		if f.Kind == "list-late" {
+			w.Registry.Late(f.Late)
+		} else {
+			w.Registry.Down(true, f.Kind == "list-silent")
+		}
+		return nil
+	case experiment.ListGood:
+		w.Registry.Late(r.plan.Storm.World.Discovery.Late)
+		w.Registry.Down(false, false)
+		return nil
+	case experiment.Cut:
+		return w.relays[[2]int{st.Instance, st.Server}].Cut(f.Way != "from", f.Way != "to")
+	case experiment.Heal:
+		return w.relays[[2]int{st.Instance, st.Server}].Cut(false, false)
+	}
+	do := r.track.Step(st)
+	if do.Op == experiment.Grow {
+		v, err := w.addServer(st.Server, r.rng.Uint64())
+		if err == nil {
+			err = w.Return(v)
+		}
+		return err
+	}
+	if do.Op == "" {
+		return nil
+	}
+	return r.serverStep(w.Servers[st.Server], do)
+}
+
+func (r *stormRun) serverStep(v *callserver.Server, do experiment.Do) error {
+	w := r.w
+	switch do.Op {
+	case experiment.Ill:
+		v.Set(r.fault(do.State))
+	case experiment.Drain:
+		w.Drain(v)
+	case experiment.Vanish:
+		return v.Vanish()
+	case experiment.Crash, experiment.Remove:
+		w.Remove(v)
+	case experiment.Up:
+		addr := ""
+		if do.Move {
+			addr = "127.0.0.1:0"
+		}
+		if err := v.Restart(addr); err != nil {
+			return err
+		}
+		v.Set(r.fault(do.State))
+		w.Registry.Set(w.entry(v, "active"))
+	}
+	return nil
+}
+
+// spoils are the ways to spoil an answer that a sidecar can tell.
+var spoils = []callserver.Spoil{callserver.Noise, callserver.OpenHead, callserver.Short, callserver.Negative, callserver.Endless}
+
+// fault is a state in the stand-in's words.
+func (r *stormRun) fault(st experiment.State) callserver.Fault {
+	f := callserver.Fault{Hang: st.Hang, Slow: st.Slow}
+	for i, x := range st.Strikes {
+		s := callserver.Fault{Slow: st.Slow, Chance: x.Chance}
+		switch x.Kind {
+		case "refuse":
+			s.Refuse = true
+		case "error":
+			s.Error = true
+		case "spoilt":
+			s.Spoil = spoils[r.rng.IntN(len(spoils))]
+		case "reset-before":
+			s.ResetAt = 1
+		case "reset-after":
+			s.ResetRunning = true
+		case "reset-answer":
+			s.ResetAnswerAt = 20
+		}
+		if i == 0 {
+			s.Hang = st.Hang
+			f = s
+			continue
+		}
+		f.Also = append(f.Also, s)
+	}
+	return f
+}
+
+// record is what was seen.
+func (r *stormRun) record(start time.Duration, all []*clients.Clients) *experiment.Record {
+	rec := &experiment.Record{
+		Engine: "sockets", Seconds: r.w.Log.Seconds(start), Report: r.w.Log.Report(), Skipped: r.track.Skipped,
+		Counts: experiment.Counts{BudgetOver: -1, BudgetRefused: -1, OwnEnds: -1},
+	}
+	overflow, late := 0, 0
+	for i, c := range all {
+		for _, s := range c.Samples() {
+			s.At -= start
+			rec.Samples = append(rec.Samples, s)
+		}
+		overflow += c.Overflow()
+		late += c.Late()
+		_, cpu := r.w.Instances[i].Usage()
+		rec.CPU += cpu
+	}
+	n := len(rec.Samples)
+	if most := n / 100; overflow > most || late > most {
+		rec.Void = append(rec.Void, fmt.Sprintf("the clients were slower than their load: of %d arrivals %d began late and %d found no connection", n, late, overflow))
+	}
+	for _, err := range r.errs {
+		if errors.Is(err, ErrCrashed) {
+			rec.Report.Lost++
+			rec.Report.Problems = append(rec.Report.Problems, err.Error())
+			continue
+		}
+		rec.Void = append(rec.Void, err.Error())
+	}
+	return rec
+}
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -15,9 +15,11 @@
 	"time"
 
 	"otterspring/internal/audit"
+	"otterspring/internal/experiment"
 	"otterspring/internal/standin/callserver"
 	"otterspring/internal/standin/clients"
 	"otterspring/internal/standin/registry"
+	"otterspring/internal/standin/relay"
 )
 
 // Options describe a world. Zero values take the usual ones.
@@ -39,6 +41,7 @@
 	Sockets   int
 	Limit     int                                   // on each process's descriptors; 0 for none but the system's
 	Operator  func(instance int, dir string) string // text of each instance's operator's file; nil for none
+	Storm     *experiment.Storm                     // the world is this one's; it goes before what stands above
 }
 
 func (o *Options) defaults() {
@@ -76,8 +79,9 @@
 	Classes   []clients.Class
 	pods      []*callserver.Pod
 
-	mu   sync.Mutex
-	regs []*registry.Registry // those that a move left behind, too
+	mu     sync.Mutex
+	regs   []*registry.Registry // those that a move left behind, too
+	relays map[[2]int]*relay.Relay
 }
 
 // Classes are the classes of the site, stretched.
@@ -117,7 +121,11 @@
 	if o.Grace > 0 {
 		rules.Grace = o.Grace
 	}
-	w := &World{opt: o, Log: audit.New(rules), Classes: Classes(o.Stretch)}
+	w := &World{opt: o, Log: audit.New(rules), Classes: Classes(o.Stretch), relays: map[[2]int]*relay.Relay{}}
+	if s := o.Storm; s != nil {
+		rules.TipMultiple, rules.TipFor = s.World.Server.TipAt, s.World.Server.TipFor
+		w.Log, w.Classes = audit.New(rules), s.ClientClasses()
+	}
 	w.Registry = registry.New(o.Registry, w.Log, 1)
 	w.regs = []*registry.Registry{w.Registry}
 	rng := rand.New(rand.NewPCG(o.Seed, 0x776f726c64))
@@ -132,15 +140,11 @@
 		o.Servers = 0
 	}
 	for i := range o.Servers {
-		if i%o.PodSize == 0 {
-			w.pods = append(w.pods, callserver.NewPod(fmt.Sprintf("pod%d", len(w.pods)+1), o.Window))
-		}
-		s, err := callserver.Start(w.serverConfig(i), w.pods[len(w.pods)-1], w.Log, rng.Uint64())
+		s, err := w.addServer(i, rng.Uint64())
 		if err != nil {
 			w.Close()
 			return nil, err
 		}
-		w.Servers = append(w.Servers, s)
 		w.Registry.SetNow(w.entry(s, "active"))
 	}
 	base := 1 + rng.IntN(200)
@@ -155,10 +159,26 @@
 	return w, nil
 }
 
+// addServer starts a call server, warm, with its pod where that is new.
+func (w *World) addServer(i int, seed uint64) (*callserver.Server, error) {
+	if i%w.opt.PodSize == 0 {
+		w.pods = append(w.pods, callserver.NewPod(fmt.Sprintf("pod%d", len(w.pods)+1), w.opt.Window))
+	}
+	cfg := w.serverConfig(i)
+	if w.opt.Storm != nil {
+		cfg = w.stormServer(i)
+	}
+	s, err := callserver.Start(cfg, w.pods[len(w.pods)-1], w.Log, seed)
+	if err == nil {
+		w.Servers = append(w.Servers, s)
+	}
+	return s, err
+}
+
 func (w *World) serverConfig(i int) callserver.Config {
 	c := callserver.Config{
 		Name: fmt.Sprintf("s%d", i+1), Zone: "delft-dc", Group: len(w.pods), Speed: speeds[i%len(speeds)],
-		Cap: 450, Idle: 5 * time.Second, Handshake: time.Millisecond, ColdFrom: 0.2, ColdWork: w.opt.Cold,
+		Cap: 450, Idle: 5 * time.Second, Handshake: time.Millisecond, ColdFrom: 0.2, ColdWork: w.opt.Cold, ColdTime: 23 * time.Second,
 		TipAt: 3, TipFor: 3 * time.Second, KeyMemory: 5 * time.Second, KeySaves: 0.4,
 	}
 	for _, k := range w.Classes {
@@ -208,6 +228,9 @@
 	for _, s := range w.Servers {
 		s.Close()
 	}
+	for _, r := range w.relays {
+		r.Close()
+	}
 }
 
 // StartAll starts the instances, at most lanes of them at a time, and waits
@@ -233,10 +256,14 @@
 
 // Clients returns the clients of an instance.
 func (w *World) Clients(in *Instance, seed uint64) *clients.Clients {
-	return clients.New(clients.Config{
+	c := clients.Config{
 		Instance: in.Name, Addr: in.Addr, Classes: w.Classes, Retries: 2, TryShare: 0.7, Body: 200,
 		Most: w.opt.Sockets / 3, Seed: seed,
-	}, w.Log)
+	}
+	if s := w.opt.Storm; s != nil {
+		c.Retries, c.TryShare, c.Body, c.Kept = s.Load.Retries, s.Load.Try, s.Load.Body, s.Load.Kept
+	}
+	return clients.New(c, w.Log)
 }
 
 // configText is the configuration of an instance.
@@ -251,14 +278,35 @@
 		classes = append(classes, fmt.Sprintf(`{"name":%q,"aim-us":%d,"deadline-us":%d,"worth":%g,%s}`,
 			c.Name, c.Aim.Microseconds(), c.Deadline.Microseconds(), c.Worth, effect))
 	}
+	advice, attempts, dial := time.Second, 3, 100*time.Millisecond
+	if s := w.opt.Storm; s != nil {
+		advice, attempts, dial = s.World.Sidecar.Advice, s.World.Sidecar.Attempts, s.World.Sidecar.Dial
+	}
 	return fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x",
 "limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},
 "known":%s,
 "settings":{"discovery":"subscribe","extra":{"warm-keys":true},"round-us":2000,
- "limits":{"try-limit":3,"cancel":true,"second-copies":true,"retry-after":true,"max-retry-after-us":1000000,"conn-idle-us":5000000,"dial-timeout-us":100000},
- "rules":{"cold-from":0.12,"cold-us":23000000,"tip-multiple":3},
+ "limits":{"try-limit":%d,"cancel":true,"second-copies":true,"retry-after":%v,"max-retry-after-us":%d,"conn-idle-us":%d,"dial-timeout-us":%d},
+ "rules":{"cold-from":0.12,"cold-us":23000000,"tip-multiple":%g},
  "classes":[%s]}}
-`, in.Name, in.Addr, discovery, seed, w.opt.MemoryMB, w.opt.Sockets, known, strings.Join(classes, ","))
+`, in.Name, in.Addr, discovery, seed, w.opt.MemoryMB, w.opt.Sockets, known,
+		attempts, advice > 0, advice.Microseconds(), w.idle().Microseconds(), dial.Microseconds(), w.tipAt(), strings.Join(classes, ","))
+}
+
+// idle is after what call servers close an idle connection, tipAt the multiple
+// at which a cold one falls over.
+func (w *World) idle() time.Duration {
+	if w.opt.Storm != nil {
+		return w.opt.Storm.World.Server.Idle
+	}
+	return 5 * time.Second
+}
+
+func (w *World) tipAt() float64 {
+	if w.opt.Storm != nil {
+		return w.opt.Storm.World.Server.TipAt
+	}
+	return 3
 }
 
 // write replaces a file as a whole.
