Attempts that are given up end with a reset, so nothing runs when a cut way is whole again

The sidecar gave the attempts up with a plain close; the kernel goes on sending what was not delivered, and when the way was whole the server ran what had long been answered, behind the 4 s in which its pod drops repeats.

Change: a connection whose attempt is not over at the upstream is closed with a reset, which drops what is undelivered. The relay holds what a cut way holds, as a sender's kernel would, and drops it where the sender has reset the connection.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -187,6 +187,18 @@
 	p.mu.Unlock()
 }
 
+// abandon closes a connection whose attempt is not over at the upstream, with a
+// reset: what the kernel has not delivered yet is dropped. A plain close goes on
+// sending it for minutes where the way is cut, and a request that was given up,
+// answered, even run elsewhere since, would run when the way is whole again. It
+// guards also against upstreams that stop reading for a while. It might harm an
+// upstream that takes a reset for its own fault; work stops there as it does on
+// a close.
+func (p *pool) abandon(c *conn) {
+	c.Conn.(*net.TCPConn).SetLinger(0)
+	p.discard(c)
+}
+
 // reserve makes room for one more connection, if need be by closing the one
 // that has been idle longest.
 func (p *pool) reserve() bool {
@@ -385,7 +397,7 @@
 		if a.eng.end(a, balance.Unwritten, nil) {
 			a.eng.pool.learn(c.rested, true)
 		}
-		a.eng.pool.discard(c)
+		a.eng.pool.abandon(c)
 		return
 	}
 	resp := fasthttp.AcquireResponse()
@@ -402,12 +414,15 @@
 	if ok {
 		a.eng.pool.learn(c.rested, err != nil && !c.begun)
 	}
-	if clean && ok {
+	switch {
+	case clean && ok:
 		c.SetReadDeadline(time.Time{})
 		a.eng.pool.put(c)
-		return
+	case err != nil:
+		a.eng.pool.abandon(c)
+	default:
+		a.eng.pool.discard(c)
 	}
-	a.eng.pool.discard(c)
 }
 
 // answerStatus is how an attempt ended with that answer, or that error.
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -62,13 +62,14 @@
 	r.mu.Lock()
 	was := r.to || r.from
 	r.to, r.from = to, from
-	fill := r.fill
 	cut := to || from
-	if !cut {
-		r.fill = nil
-	}
 	if cut {
 		r.ln.SetDeadline(time.Unix(1, 0)) // ends the pending Accept
+	} else {
+		for _, c := range r.fill {
+			c.Close()
+		}
+		r.fill = nil
 	}
 	r.open.Broadcast()
 	r.mu.Unlock()
@@ -76,9 +77,6 @@
 	case cut && !was:
 		return r.deafen()
 	case !cut && was:
-		for _, c := range fill {
-			c.Close()
-		}
 		return r.backlog(128)
 	}
 	return nil
@@ -89,11 +87,14 @@
 	if err := r.backlog(0); err != nil {
 		return err
 	}
-	for range 8 {
+	// One failure may be a slow machine's; two in a row mean that it is full.
+	for n, failed := 0, 0; n < 12 && failed < 2; n++ {
 		c, err := net.DialTimeout("tcp", r.Addr(), 50*time.Millisecond)
 		if err != nil {
-			return nil // full
+			failed++
+			continue
 		}
+		failed = 0
 		r.mu.Lock()
 		r.fill = append(r.fill, c)
 		r.mu.Unlock()
@@ -197,6 +198,9 @@
 	if !r.whole(func() bool { return r.to || r.from }) {
 		return
 	}
+	if wasClosed(c) {
+		return
+	}
 	up, err := net.DialTimeout("tcp", r.target(), time.Second)
 	if err != nil || !r.note(up) {
 		c.SetLinger(0)
@@ -210,6 +214,32 @@
 	<-done
 }
 
+// peek looks at what a connection has next, without taking it.
+func peek(c *net.TCPConn) (n int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	ctl := raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n, errors.Join(err, ctl)
+}
+
+// wasReset tells whether the other side of a connection has reset it.
+func wasReset(c *net.TCPConn) bool {
+	_, err := peek(c)
+	return errors.Is(err, syscall.ECONNRESET)
+}
+
+// wasClosed tells whether the other side has closed it with nothing sent: what
+// filled the queue of a way that was cut.
+func wasClosed(c *net.TCPConn) bool {
+	n, err := peek(c)
+	return n == 0 && err == nil
+}
+
 // copy passes one direction on; a reset comes through as one.
 func (r *Relay) copy(to, from *net.TCPConn, held func() bool, done chan<- bool) {
 	defer r.wg.Done()
@@ -217,10 +247,16 @@
 	buf := make([]byte, chunk)
 	for {
 		n, err := from.Read(buf)
-		// What is read while the way is cut waits, news of an end as well.
+		// What is read while the way is cut waits, news of an end as well: the
+		// sender's kernel would repeat it until the way is whole. Not so where
+		// the sender has reset the connection meanwhile: it repeats nothing then.
 		if !r.whole(held) {
 			return
 		}
+		if n > 0 && wasReset(from) {
+			to.SetLinger(0)
+			return
+		}
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
 				from.SetLinger(0)
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -105,6 +105,54 @@
 	}
 }
 
+// What a sender gave up with a reset while the way was cut never arrives; what
+// it only closed behind does.
+func TestGivenUpWhileCut(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	r, err := Start(func() string { return ln.Addr().String() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	for _, reset := range []bool{true, false} {
+		c, _ := dial(t, r)
+		up, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		ubr := bufio.NewReader(up)
+		fmt.Fprintln(c, "first")
+		if got := hear(up, ubr, 5*time.Second); got != "first" {
+			t.Fatalf("heard %q", got)
+		}
+		if err := r.Cut(true, true); err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintln(c, "late")
+		if got := hear(up, ubr, 50*time.Millisecond); got != "silent" {
+			t.Fatalf("through the cut came %q", got)
+		}
+		if reset {
+			c.(*net.TCPConn).SetLinger(0)
+		}
+		c.Close()
+		time.Sleep(20 * time.Millisecond)
+		if err := r.Cut(false, false); err != nil {
+			t.Fatal(err)
+		}
+		want := map[bool]string{true: "ended", false: "late"}[reset]
+		if got := hear(up, ubr, 5*time.Second); got != want {
+			t.Errorf("reset %v: heard %q, want %q", reset, got, want)
+		}
+		up.Close()
+	}
+}
+
 func TestLoopbackOnly(t *testing.T) {
 	if _, err := Start(func() string { return "192.0.2.1:80" }); err == nil || !strings.Contains(err.Error(), "wanted a loopback address") {
 		t.Error(err)
