rig speed tells 2 % from noise where it can: drawn order, intervals, until narrow enough

Latency is an HdrHistogram from the due time.

Not yet run for ten minutes: the width that this machine reaches is not known.

--- a/cmd/rig/speed.go
+++ b/cmd/rig/speed.go
@@ -17,7 +17,6 @@
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +24,7 @@
 	"syscall"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
@@ -32,6 +32,7 @@
 	"otterspring/internal/rig"
 	"otterspring/internal/standin/callserver"
 	"otterspring/internal/standin/clients"
+	"otterspring/internal/stats"
 )
 
 // speedOptions are the flags of rig speed.
@@ -39,6 +40,8 @@
 	seed     uint64
 	phase    time.Duration
 	rounds   int
+	width    float64
+	within   time.Duration
 	program  string
 	against  string
 	operator string
@@ -52,7 +55,9 @@
 	var o speedOptions
 	f.Uint64Var(&o.seed, "seed", 1, "where all chance comes from")
 	f.DurationVar(&o.phase, "for", 4*time.Second, "length of each phase, 1s to 5m; there are three of them a round and a side")
-	f.IntVar(&o.rounds, "rounds", 3, "rounds, 1 to 50; each plays both sides, in alternating order")
+	f.IntVar(&o.rounds, "rounds", 3, "rounds at most, 1 to 500; each plays both sides, in drawn order")
+	f.Float64Var(&o.width, "width", 0, "stop once the 95 % intervals of CPU a request are this narrow, 0.02 for 2 %; 0 plays all rounds")
+	f.DurationVar(&o.within, "within", 10*time.Minute, "begin no round after this, 1s to 2h")
 	f.StringVar(&o.program, "program", "", "the sidecar to run; empty for the one beside this program")
 	f.StringVar(&o.against, "against", "", "another build of the sidecar to compare with; empty for net/http/httputil's ReverseProxy")
 	f.StringVar(&o.operator, "operator", "", "operator's file for the sidecar, not for the other side")
@@ -61,7 +66,8 @@
 		return err
 	}
 	for _, err := range []error{
-		within("for", o.phase, time.Second, 5*time.Minute), within("rounds", o.rounds, 1, 50), within("conns", o.conns, 1, 200),
+		within("for", o.phase, time.Second, 5*time.Minute), within("rounds", o.rounds, 1, 500), within("conns", o.conns, 1, 200),
+		within("width", o.width, 0, 1), within("within", o.within, time.Second, 2*time.Hour),
 	} {
 		if err != nil {
 			return err
@@ -237,13 +243,21 @@
 	return 1
 }
 
-// play plays the rounds and prints the table.
+// play plays the rounds and prints the table. Which side of a round goes first
+// is drawn in blocks, so that what changes slowly on the machine strikes both.
 func (s *speed) play(ctx context.Context, out io.Writer) error {
 	split := pinSelf()
-	fmt.Fprintf(out, "%d cores (%s), %d call servers that answer at once, %d rounds of %v a phase\n", runtime.NumCPU(), split, upstreams, s.opt.rounds, s.opt.phase)
-	for round := range s.opt.rounds {
+	fmt.Fprintf(out, "%d cores (%s), %d call servers that answer at once, up to %d rounds of %v a phase\n", runtime.NumCPU(), split, upstreams, s.opt.rounds, s.opt.phase)
+	began := time.Now()
+	for round, second := range stats.Order(s.opt.rounds, s.opt.seed) {
+		if round > 0 && time.Since(began) > s.opt.within {
+			break
+		}
 		for k := range 2 {
-			sd := &s.sides[(round+k)%2]
+			if second {
+				k = 1 - k
+			}
+			sd := &s.sides[k]
 			m, err := s.measure(ctx, sd)
 			if err != nil {
 				return fmt.Errorf("%s: %w", sd.name, err)
@@ -252,42 +266,70 @@
 			fmt.Fprintf(out, "round %d  %-14s %7.0f/s at the limit  CPU a request %4.0f and %4.0f us  p50 %5.2f and %5.2f ms  p99 %6.2f and %6.2f ms  peak %5.1f MB  failed %d\n",
 				round+1, sd.name, m.limit, us(m.cpu[0]), us(m.cpu[1]), ms(m.p50[0]), ms(m.p50[1]), ms(m.p99[0]), ms(m.p99[1]), float64(m.peak)/(1<<20), m.failed)
 		}
+		if s.opt.width > 0 && stats.Enough(s.ratio(cpuAt(0)), s.opt.width) && stats.Enough(s.ratio(cpuAt(1)), s.opt.width) {
+			break
+		}
 	}
 	return s.verdict(out)
 }
 
 func us(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
 
-// verdict prints the ratios: the median of those of the rounds, since both
-// sides of a round were played right behind one another.
-func (s *speed) verdict(out io.Writer) error {
-	ratio := func(of func(measured) float64) float64 {
-		var list []float64
-		for i := range s.sides[0].runs {
-			list = append(list, of(s.sides[0].runs[i])/max(of(s.sides[1].runs[i]), 1e-9))
-		}
-		slices.Sort(list)
-		return list[len(list)/2]
-	}
-	diff := func(of func(measured) float64) float64 {
-		var list []float64
-		for i := range s.sides[0].runs {
-			list = append(list, of(s.sides[0].runs[i])-of(s.sides[1].runs[i]))
-		}
-		slices.Sort(list)
-		return list[len(list)/2]
+func cpuAt(rate int) func(measured) float64 {
+	return func(m measured) float64 { return us(m.cpu[rate]) }
+}
+
+// ratio is a figure of the first side over that of the second, round by round:
+// both of a round were played right behind one another.
+func (s *speed) ratio(of func(measured) float64) stats.Interval {
+	var a, b []float64
+	for i := range s.sides[0].runs {
+		a, b = append(a, of(s.sides[1].runs[i])), append(b, of(s.sides[0].runs[i]))
+	}
+	return stats.Ratios(a, b, s.opt.seed)
+}
+
+// more is how much larger a figure is, in its own unit.
+func (s *speed) more(of func(measured) float64) stats.Interval {
+	var d []float64
+	for i := range s.sides[0].runs {
+		d = append(d, of(s.sides[0].runs[i])-of(s.sides[1].runs[i]))
 	}
+	return stats.Bootstrap(d, s.opt.seed)
+}
+
+// verdict prints the ratios with their intervals, and the medians as the last
+// line.
+func (s *speed) verdict(out io.Writer) error {
 	failed := 0
 	for _, m := range s.sides[0].runs {
 		failed += m.failed
 	}
-	fmt.Fprintf(out, "\n%s to %s, median of the rounds:\n", s.sides[0].name, s.sides[1].name)
-	fmt.Fprintf(out, "limit_ratio=%.3f cpu300_ratio=%.3f cpu2400_ratio=%.3f p50_300_more_ms=%.2f p50_2400_more_ms=%.2f p99_300_ratio=%.2f p99_2400_ratio=%.2f memory_ratio=%.2f failed=%d\n",
-		ratio(func(m measured) float64 { return m.limit }),
-		ratio(func(m measured) float64 { return us(m.cpu[0]) }), ratio(func(m measured) float64 { return us(m.cpu[1]) }),
-		diff(func(m measured) float64 { return ms(m.p50[0]) }), diff(func(m measured) float64 { return ms(m.p50[1]) }),
-		ratio(func(m measured) float64 { return ms(m.p99[0]) }), ratio(func(m measured) float64 { return ms(m.p99[1]) }),
-		ratio(func(m measured) float64 { return float64(m.peak) }), failed)
+	figures := []struct {
+		name string
+		iv   stats.Interval
+		unit string // empty for a ratio
+	}{
+		{"limit_ratio", s.ratio(func(m measured) float64 { return m.limit }), ""},
+		{"cpu300_ratio", s.ratio(cpuAt(0)), ""},
+		{"cpu2400_ratio", s.ratio(cpuAt(1)), ""},
+		{"p50_300_more_ms", s.more(func(m measured) float64 { return ms(m.p50[0]) }), "ms"},
+		{"p50_2400_more_ms", s.more(func(m measured) float64 { return ms(m.p50[1]) }), "ms"},
+		{"p99_300_ratio", s.ratio(func(m measured) float64 { return ms(m.p99[0]) }), ""},
+		{"p99_2400_ratio", s.ratio(func(m measured) float64 { return ms(m.p99[1]) }), ""},
+		{"memory_ratio", s.ratio(func(m measured) float64 { return float64(m.peak) }), ""},
+	}
+	fmt.Fprintf(out, "\n%s to %s, median of %d rounds with its 95 %% interval:\n", s.sides[0].name, s.sides[1].name, len(s.sides[0].runs))
+	last := ""
+	for _, f := range figures {
+		said := ""
+		if f.unit == "" {
+			said = fmt.Sprintf("at 2 %%: %s", stats.Judge(f.iv, 0.02))
+		}
+		fmt.Fprintf(out, "%-18s %s  %s\n", f.name, f.iv, said)
+		last += fmt.Sprintf("%s=%.3f ", f.name, f.iv.Median)
+	}
+	fmt.Fprintf(out, "%srounds=%d cpu300_width=%.3f cpu2400_width=%.3f failed=%d\n", last, len(s.sides[0].runs), figures[1].iv.Width(), figures[2].iv.Width(), failed)
 	return nil
 }
 
@@ -377,19 +419,21 @@
 	before := cpuTime(pid)
 	cl.Run(ctx, plan)
 	used := cpuTime(pid) - before
-	var took []time.Duration
+	// Latency counts from the due time, in microseconds to three figures.
+	took := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
 	for _, x := range cl.Samples() {
 		if x.OK {
-			took = append(took, x.Took)
+			took.RecordValue(max(1, x.Took.Microseconds()))
 		} else {
 			m.failed++
 		}
 	}
-	if len(took) == 0 {
+	if took.TotalCount() == 0 {
 		return fmt.Errorf("nothing was served at %.0f a second", rate)
 	}
-	m.cpu[at] = used / time.Duration(len(took))
-	m.p50[at], m.p99[at] = clients.Quantile(took, 0.5), clients.Quantile(took, 0.99)
+	m.cpu[at] = used / time.Duration(took.TotalCount())
+	m.p50[at] = time.Duration(took.ValueAtQuantile(50)) * time.Microsecond
+	m.p99[at] = time.Duration(took.ValueAtQuantile(99)) * time.Microsecond
 	return nil
 }
 
