--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -29,6 +29,7 @@
 	{"fleet", "many sidecars, restarted one by one while requests come", runFleet},
 	{"storm", "storms from files: faults at their times, what must hold, verdicts", runStorm},
 	{"check", "what is wrong with storms' files, a line a fault", runCheck},
+	{"report", "one page of storms' results, with plots", runReport},
 	{"mutants", "breaks the program one line at a time and tells which test and storm notice", runMutants},
 	{"speed", "one sidecar beside net/http/httputil's ReverseProxy, as ratios", runSpeed},
 }
@@ -82,7 +83,7 @@
 		fmt.Fprintf(os.Stderr, "rig %s: %v\n", c.name, err)
 		return 1
 	}
-	fmt.Fprintf(os.Stderr, "rig: found %q, wanted one of try, fleet, storm, check, mutants, speed; rig help says more\n", args[0])
+	fmt.Fprintf(os.Stderr, "rig: found %q, wanted one of try, fleet, storm, check, report, mutants, speed; rig help says more\n", args[0])
 	return 2
 }
 
--- a/cmd/rig/mutants.go
+++ b/cmd/rig/mutants.go
@@ -49,6 +49,15 @@
 		*jobs = max(1, runtime.GOMAXPROCS(0)/2)
 	}
 	r := &mutant.Runner{Tree: *tree, Work: work, Go: "go", Within: *within, Storms: []string{"-all", "-short", "-seeds", *seeds, "-jobs", "2"}}
+	// What notices a tree in which nothing was broken notices nothing.
+	for _, f := range tryAll(ctx, r, mutant.Controls, *jobs, out) {
+		if f.Err != nil {
+			return f.Err
+		}
+		if f.Noticed() {
+			return fmt.Errorf("%w: %s fails with nothing broken (%s)", errVoid, f.Mutant.Name, outcome(&f))
+		}
+	}
 	found := tryAll(ctx, r, table, *jobs, out)
 	if err := ctx.Err(); err != nil {
 		return err
@@ -114,6 +123,8 @@
 	switch {
 	case f.Err != nil:
 		return "could not be tried: " + f.Err.Error()
+	case !f.Noticed() && f.Mutant.Breaks == "nothing":
+		return "kept, as it should be"
 	case !f.Noticed() && f.Mutant.Unseen != "":
 		return "unseen: " + f.Mutant.Unseen
 	case !f.Noticed():
--- a/internal/experiment/verdict.go
+++ b/internal/experiment/verdict.go
@@ -54,6 +54,8 @@
 	Asked, InTime, Late, Refused, Failed, None int // by the time they were due
 	Firsts, Repeats                            int // attempts that came to servers, by when they came
 	Cold                                       float64
+	Out                                        int      // servers away by the plan
+	Classes                                    [][4]int `json:",omitempty"` // of each class: asked, in time, refused, all else
 }
 
 // Record is what an engine saw of a run.
@@ -175,6 +177,7 @@
 	}
 	res.holds(s)
 	res.Series = series(s, rec)
+	out(p, res.Series)
 	for _, f := range s.Faults {
 		at := f.At.On(s.For)
 		res.Marks = append(res.Marks, Mark{f.Kind, at.Seconds(), min(at+f.For.On(s.For), s.For).Seconds()})
@@ -327,6 +330,25 @@
 	return math.Max(0, float64(good)-s.LastEnd().Seconds())
 }
 
+// out counts the servers that are away by the plan, second by second.
+func out(p *Plan, series []Second) {
+	t := NewTracker(p.Storm)
+	next := 0
+	for i := range series {
+		for next < len(p.Steps) && p.Steps[next].At < time.Duration(i+1)*time.Second {
+			if st := p.Steps[next]; st.Server >= 0 && st.Do != Cut && st.Do != Heal {
+				t.Step(st)
+			}
+			next++
+		}
+		for k := range t.servers {
+			if v := &t.servers[k]; v.there && v.away() {
+				series[i].Out++
+			}
+		}
+	}
+}
+
 // series is the run by seconds.
 func series(s *Storm, rec *Record) []Second {
 	n := int(s.For/time.Second) + 1
@@ -335,6 +357,19 @@
 	for _, x := range rec.Samples {
 		b := &out[min(int(x.At/time.Second), n-1)]
 		b.Asked++
+		if b.Classes == nil {
+			b.Classes = make([][4]int, len(classes))
+		}
+		of := &b.Classes[x.Class]
+		of[0]++
+		switch {
+		case x.OK && x.Took <= classes[x.Class].Aim:
+			of[1]++
+		case !x.OK && x.End == clients.EndRefused:
+			of[2]++
+		default:
+			of[3]++
+		}
 		switch {
 		case x.OK && x.Took <= classes[x.Class].Aim:
 			b.InTime++
--- a/internal/mutant/table.go
+++ b/internal/mutant/table.go
@@ -10,6 +10,12 @@
 	Unseen string // why it can't be seen from outside; empty where it must be noticed
 }
 
+// Controls change nothing: a run in which one of them is noticed shows nothing.
+var Controls = []Mutant{
+	{Name: "unchanged-module", File: "balance/balance.go", Breaks: "nothing", Old: "package balance\n", New: "package balance\n"},
+	{Name: "unchanged-sidecar", File: "internal/sidecar/upstream.go", Breaks: "nothing", Old: "package sidecar\n", New: "package sidecar\n"},
+}
+
 // Table are the breakages that `rig mutants` tries.
 var Table = []Mutant{
 	// The five that were tried when no rig and no storm noticed them.
--- /dev/null
+++ b/internal/report/report_test.go
@@ -0,0 +1,145 @@
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"encoding/xml"
+	"fmt"
+	"strings"
+	"testing"
+
+	"otterspring/internal/experiment"
+)
+
+func result(storm, engine string, seed uint64, service float64) *experiment.Result {
+	r := &experiment.Result{
+		Storm: storm, Engine: engine, Seed: seed, Version: "v", Machine: "m", Size: "1x1",
+		Figures: map[string]float64{"service": service, "retry_ratio": 0.1, "p99_ms": 100, "recover_s": 999},
+		Rules:   map[string]int{"lost": 0}, Marks: []experiment.Mark{{Kind: "hang <&>", From: 1, To: 2}, {Kind: "kill", From: 2, To: 2}},
+	}
+	for i := range 5 {
+		r.Series = append(r.Series, experiment.Second{Asked: 10 + i, InTime: 9, Firsts: 10, Repeats: 1, Cold: 0.5})
+	}
+	return r
+}
+
+func lines(results []*experiment.Result) string {
+	var b bytes.Buffer
+	for _, r := range results {
+		text, _ := json.Marshal(r)
+		b.Write(append(text, '\n'))
+	}
+	return b.String()
+}
+
+// A page of 300 results names all, draws the worst, is well formed and asks for
+// nothing from outside.
+func TestThreeHundredResults(t *testing.T) {
+	var all []*experiment.Result
+	for i := range 300 {
+		r := result(fmt.Sprintf("storm%d", i%13), "virtual", uint64(i), 0.9)
+		switch i {
+		case 250:
+			r.Rules["lost"] = 3
+		case 251:
+			r.Void = []string{"slow <b>"}
+		case 252:
+			r.Holds = []experiment.Kept{{Promise: "service >= 1", Found: 0.9}}
+		}
+		all = append(all, r)
+	}
+	got, cut, err := Read(strings.NewReader(lines(all)), "r")
+	if err != nil || cut != "" || len(got) != 300 {
+		t.Fatal(len(got), cut, err)
+	}
+	var page bytes.Buffer
+	if err := HTML(&page, got, nil); err != nil {
+		t.Fatal(err)
+	}
+	text := page.String()
+	if n := strings.Count(text, "<tr>"); n != 301 {
+		t.Errorf("%d rows", n)
+	}
+	if n := strings.Count(text, "<h3>storm"); n != MostTimelines {
+		t.Errorf("%d runs are drawn", n)
+	}
+	drawn := text[strings.Index(text, "<h2>Runs"):]
+	for _, want := range []string{"seed 250 ", "seed 252 ", "seed 251 "} {
+		at := strings.Index(drawn, want)
+		if at < 0 {
+			t.Fatalf("%s is not drawn", want)
+		}
+		drawn = drawn[at:]
+	}
+	for _, bad := range []string{"<b>slow", "slow <b>", "src=", "href=", "url(http", "@import"} {
+		if strings.Contains(strings.ReplaceAll(text, "xlink:href", ""), bad) {
+			t.Errorf("the page holds %q", bad)
+		}
+	}
+	if page.Len() > 16<<20 {
+		t.Errorf("%d bytes", page.Len())
+	}
+	// Each plot is whole XML.
+	svg := text[strings.Index(text, "<svg"):]
+	svg = svg[:strings.Index(svg, "</svg>")+6]
+	if err := xml.Unmarshal([]byte(svg), new(struct{})); err != nil {
+		t.Errorf("a plot is no XML: %v", err)
+	}
+}
+
+func TestReading(t *testing.T) {
+	two := lines([]*experiment.Result{result("a", "virtual", 1, 0.9), result("a", "virtual", 2, 0.9)})
+	got, cut, err := Read(strings.NewReader(two+two[:len(two)/3]), "r.jsonl")
+	if err != nil || len(got) != 2 || !strings.Contains(cut, "r.jsonl:3: the last line is cut short") {
+		t.Errorf("%d %q %v", len(got), cut, err)
+	}
+	for _, bad := range []string{"{}\n", "x\n" + two, `{"storm":3}` + "\n"} {
+		if _, _, err := Read(strings.NewReader(bad), "r.jsonl"); err == nil || !strings.Contains(err.Error(), "r.jsonl:1: found") {
+			t.Errorf("%.20q: %v", bad, err)
+		}
+	}
+	if got, _, err := Read(strings.NewReader(""), "r"); err != nil || len(got) != 0 {
+		t.Error(got, err)
+	}
+}
+
+func TestPairsAndSweeps(t *testing.T) {
+	var all []*experiment.Result
+	for seed := range uint64(8) {
+		noise := 1 + 0.001*float64(seed)
+		all = append(all, result("a", "virtual", seed, 0.9*noise), result("a", "sockets", seed, 0.8*noise))
+	}
+	for _, v := range []string{"0.5", "1.0", "1.5"} {
+		for seed := range uint64(3) {
+			r := result("b", "virtual", seed, 0.9)
+			r.Set = []string{"load.times=" + v}
+			all = append(all, r)
+		}
+	}
+	var md bytes.Buffer
+	if err := Markdown(&md, all, []string{"cut"}); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"| a | service | 0.889 (0.889 to 0.889, 8 pairs) | less |", "| b (virtual): load.times | service |", "| 1.5 | 0.900 (0.900 to 0.900, 3 runs) |", "25 runs: 25 kept", "never"} {
+		if !strings.Contains(md.String(), want) {
+			t.Errorf("no %q in\n%s", want, md.String())
+		}
+	}
+	var page bytes.Buffer
+	if err := HTML(&page, all, nil); err != nil || !strings.Contains(page.String(), "b (virtual): service over load.times") {
+		t.Error(err)
+	}
+}
+
+func TestNumbers(t *testing.T) {
+	for text, want := range map[string]float64{"3": 3, "0.5": 0.5, "250ms": 0.25, "2s": 2, "30%": 30, "2m": 120} {
+		if v, ok := number(text); !ok || v != want {
+			t.Errorf("%s: %v %v", text, v, ok)
+		}
+	}
+	for _, text := range []string{"half", "s1", "", "1x"} {
+		if v, ok := number(text); ok {
+			t.Errorf("%q: %v", text, v)
+		}
+	}
+}
