--- /dev/null
+++ b/internal/sidecar/pool_test.go
@@ -0,0 +1,68 @@
+package sidecar
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"otterspring/balance"
+	"otterspring/internal/wire"
+)
+
+// A kept connection is out of use some time before its upstream closes it: a
+// request that crosses the close may have run.
+func TestPoolRestsLessThanUpstreamsAllow(t *testing.T) {
+	for set, want := range map[time.Duration]time.Duration{5 * time.Second: 4600 * time.Millisecond, 500 * time.Millisecond: 250 * time.Millisecond} {
+		if got := newPool(wire.Conns{Idle: set}, 8).idle; got != want {
+			t.Errorf("upstreams close after %v: kept for %v, want %v", set, got, want)
+		}
+	}
+}
+
+// A connection to an upstream that moved or started anew is not kept, also one
+// that comes back after that.
+func TestRetiredHostsKeepNothing(t *testing.T) {
+	ln := listen(t)
+	p := newPool(wire.Conns{Idle: 5 * time.Second}, 8)
+	h := &host{addr: ln.Addr().String()}
+	open := func() *conn {
+		nc, err := net.Dial("tcp", h.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := newConn(nc, h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.open++
+		return c
+	}
+	before, after := open(), open()
+	p.put(before)
+	p.retire(h)
+	p.put(after)
+	for _, c := range []*conn{before, after} {
+		if _, err := c.Write([]byte("x")); err == nil {
+			t.Error("a connection to an upstream that moved is still open")
+		}
+	}
+	if len(h.idle) != 0 || p.open != 0 {
+		t.Errorf("%d are kept, %d counted", len(h.idle), p.open)
+	}
+}
+
+// How an attempt ends whose time is up: what was written may run, and its
+// upstream is slow or hangs; what had no time to connect says nothing.
+func TestLateStatus(t *testing.T) {
+	eng := &engine{pool: newPool(wire.Conns{Idle: time.Second, Dial: 100 * time.Millisecond}, 8)}
+	for _, c := range []struct {
+		written bool
+		after   time.Duration
+		want    balance.Status
+	}{{true, time.Millisecond, balance.Timeout}, {true, time.Second, balance.Timeout}, {false, 200 * time.Millisecond, balance.ConnectFailed}, {false, 50 * time.Millisecond, balance.NeverSent}} {
+		a := &attempt{eng: eng, written: c.written, sent: time.Minute}
+		if got := a.lateStatus(time.Minute + c.after); got != c.want {
+			t.Errorf("written %v, after %v: %v, want %v", c.written, c.after, got, c.want)
+		}
+	}
+}
--- a/internal/sidecar/unwritten_test.go
+++ b/internal/sidecar/unwritten_test.go
@@ -88,3 +88,15 @@
 		})
 	}
 }
+
+// The last byte is held back in a sidecar as it starts: the tests above set
+// their own time.
+func TestLastByteIsHeldByDefault(t *testing.T) {
+	t.Parallel()
+	s := startSidecar(t, startUpstream(t, good).addr())
+	s.eng.mu.Lock()
+	defer s.eng.mu.Unlock()
+	if hold := s.eng.pool.hold; hold < 500*time.Microsecond || hold > 5*time.Millisecond {
+		t.Errorf("the last byte is held for %v, want about 1ms", hold)
+	}
+}
