--- a/internal/experiment/storm.go
+++ b/internal/experiment/storm.go
@@ -67,7 +67,11 @@
 	TipFor    time.Duration `toml:"tip_for" min:"100ms" max:"1m"`
 	KeyMemory time.Duration `toml:"key_memory" min:"0s" max:"1m"`
 	KeySaves  float64       `toml:"key_saves" min:"0" max:"0.95"`
-	Window    time.Duration `toml:"window" min:"100ms" max:"1m"` // in which a pod drops a repeated key
+	WorksOn   bool          `toml:"works_on"` // work goes on though its connection has ended
+	// ErrorsAfter makes a server answer 500, the work done, where a request took
+	// longer there: its own time limit, or that of what it depends on. 0 for none.
+	ErrorsAfter time.Duration `toml:"errors_after" min:"0s" max:"1m"`
+	Window      time.Duration `toml:"window" min:"100ms" max:"1m"` // in which a pod drops a repeated key
 }
 
 // Discovery is how good the list is.
--- a/internal/experiment/verdict.go
+++ b/internal/experiment/verdict.go
@@ -351,7 +351,7 @@
 
 // series is the run by seconds.
 func series(s *Storm, rec *Record) []Second {
-	n := int(s.For/time.Second) + 1
+	n := max(1, int((s.For+time.Second-1)/time.Second))
 	out := make([]Second, n)
 	classes := s.ClientClasses()
 	for _, x := range rec.Samples {
--- a/internal/rig/storm.go
+++ b/internal/rig/storm.go
@@ -40,7 +40,7 @@
 	c := callserver.Config{
 		Name: fmt.Sprintf("s%d", i+1), Zone: fmt.Sprintf("z%d", w.opt.Storm.ZoneOf(i)), Group: w.opt.Storm.PodOf(i),
 		Cores: v.Cores, Slots: v.Slots, Speed: v.Speeds[i%len(v.Speeds)], Queue: v.Queue, Cap: v.Cap, Idle: v.Idle, Handshake: v.Handshake,
-		ColdFrom: v.ColdFrom, ColdWork: v.ColdWork, ColdTime: v.ColdTime, TipAt: v.TipAt, TipFor: v.TipFor, KeyMemory: v.KeyMemory, KeySaves: v.KeySaves,
+		ColdFrom: v.ColdFrom, ColdWork: v.ColdWork, ColdTime: v.ColdTime, TipAt: v.TipAt, TipFor: v.TipFor, KeyMemory: v.KeyMemory, KeySaves: v.KeySaves, WorksOn: v.WorksOn, ErrorsAfter: v.ErrorsAfter,
 	}
 	for _, k := range w.opt.Storm.Load.Classes {
 		c.Classes = append(c.Classes, callserver.Class{Name: k.Name, Effect: experiment.Effects[k.Effect], Work: k.Work})
--- a/internal/standin/callserver/callserver.go
+++ b/internal/standin/callserver/callserver.go
@@ -26,25 +26,27 @@
 // Config describes one call server. The zero values of Slots, Queue, Cap, Idle
 // and Speed take the site's usual ones.
 type Config struct {
-	Name      string
-	Zone      string
-	Group     int // pod
-	Listen    string
-	Cores     int
-	Speed     float64       // of a core
-	Slots     int           // requests in work at a time, for each core
-	Queue     int           // waiting room
-	Cap       int           // open connections
-	Idle      time.Duration // a connection idle this long is closed
-	Handshake time.Duration // work that a new connection costs
-	ColdFrom  float64       // share of its capacity that a fresh start has; 1 or 0 for warm at once
-	ColdWork  time.Duration // work after which it is warm, at full speed of all cores
-	ColdTime  time.Duration // and it is warm after this whatever it did; 0 for never
-	TipAt     float64       // falls over when sent this multiple of what it can do
-	TipFor    time.Duration // for this long
-	KeyMemory time.Duration // a key met within this costs less
-	KeySaves  float64       // share of the work that it saves
-	Classes   []Class
+	Name        string
+	Zone        string
+	Group       int // pod
+	Listen      string
+	Cores       int
+	Speed       float64       // of a core
+	Slots       int           // requests in work at a time, for each core
+	Queue       int           // waiting room
+	Cap         int           // open connections
+	Idle        time.Duration // a connection idle this long is closed
+	Handshake   time.Duration // work that a new connection costs
+	ColdFrom    float64       // share of its capacity that a fresh start has; 1 or 0 for warm at once
+	ColdWork    time.Duration // work after which it is warm, at full speed of all cores
+	ColdTime    time.Duration // and it is warm after this whatever it did; 0 for never
+	TipAt       float64       // falls over when sent this multiple of what it can do
+	TipFor      time.Duration // for this long
+	KeyMemory   time.Duration // a key met within this costs less
+	KeySaves    float64       // share of the work that it saves
+	ErrorsAfter time.Duration // a request that took longer here is answered 500, the work done; 0 for none
+	WorksOn     bool          // work goes on though its connection has ended
+	Classes     []Class
 }
 
 func (c *Config) defaults() {
@@ -420,6 +422,9 @@
 
 // cancel stops a request's work: its connection has ended.
 func (s *Server) cancel(j *job) {
+	if s.cfg.WorksOn {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch j.state {
--- a/internal/standin/callserver/conn.go
+++ b/internal/standin/callserver/conn.go
@@ -187,6 +187,7 @@
 	}
 	// A connection that ends stops the work: read on meanwhile. The peer sends
 	// nothing before its answer, so whatever comes is the end.
+	came := time.Now()
 	stop := make(chan struct{})
 	watched := make(chan bool, 1)
 	go func() {
@@ -200,6 +201,9 @@
 		<-stop
 		<-watched
 		c.nc.SetReadDeadline(time.Time{})
+		if most := c.srv.cfg.ErrorsAfter; most > 0 && time.Since(came) > most {
+			f = Fault{Error: true}
+		}
 		return c.answer(in, f)
 	case <-stop:
 		c.srv.cancel(j)
--- a/internal/virtual/attempt.go
+++ b/internal/virtual/attempt.go
@@ -221,8 +221,12 @@
 		return
 	}
 	a.job, a.life = j, s.life
+	came := s.w.loop.now
 	j.done = func() {
 		a.job = nil
+		if most := s.cfg.ErrorsAfter; most > 0 && s.w.loop.now-came > most {
+			strike = "error"
+		}
 		switch strike {
 		case "error":
 			a.answer(c, balance.Error, true, 0)
--- a/internal/virtual/server.go
+++ b/internal/virtual/server.go
@@ -237,7 +237,7 @@
 
 // cancel stops a request's work: its connection has ended.
 func (s *server) cancel(j *job, life int) {
-	if s.life != life || j.state == over {
+	if s.life != life || j.state == over || s.cfg.WorksOn {
 		return
 	}
 	if j.state == running {
