--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -79,7 +79,8 @@
 		all = append(all, line)
 		p.Legend.Add(l.name, line)
 	}
-	top = max(top*1.1, 1e-3)
+	top = max(top*1.5, 1) // room for the legend and the faults' names
+	var labels []plot.Plotter
 	for i, m := range r.Marks {
 		to := max(m.To, m.From+0.15)
 		box, err := plotter.NewPolygon(plotter.XYs{{X: m.From, Y: 0}, {X: to, Y: 0}, {X: to, Y: top}, {X: m.From, Y: top}})
@@ -88,23 +89,37 @@
 		}
 		box.Color, box.LineStyle.Width = shade, 0
 		p.Add(box)
-		label, err := plotter.NewLabels(plotter.XYLabels{XYs: plotter.XYs{{X: m.From, Y: top * (0.97 - 0.07*float64(i%6))}}, Labels: []string{m.Kind}})
+		label, err := plotter.NewLabels(plotter.XYLabels{XYs: plotter.XYs{{X: m.From, Y: top * (0.94 - 0.065*float64(i%5))}}, Labels: []string{m.Kind}})
 		if err != nil {
 			return "", err
 		}
 		label.TextStyle[0].Font.Size = vg.Points(8)
-		defer p.Add(label)
+		labels = append(labels, label)
 	}
 	for _, l := range all {
 		p.Add(l)
 	}
+	for _, l := range labels {
+		p.Add(l)
+	}
 	p.Y.Max = top
 	p.X.Min, p.X.Max = 0, float64(len(r.Series))
-	p.Legend.Top = true
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Legend.Padding, p.Legend.ThumbnailWidth = vg.Points(2), vg.Points(18)
 	p.Legend.TextStyle.Font.Size = vg.Points(8)
 	return svg(p)
 }
 
+// flat tells whether a plot's first line is 0 all along.
+func flat(seconds []experiment.Second, lines []series) bool {
+	for _, s := range seconds {
+		if lines[0].at(s) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // drawRun draws a run: what became of the requests, retries against the budget,
 // servers out and cold servers' load, and each class.
 func drawRun(r *experiment.Result) (timeline, error) {
@@ -154,6 +169,9 @@
 		}{c.Name, "a second", []series{{"asked", grey, of(0), true}, {"in time", green, of(1), false}, {"refused", orange, of(2), false}, {"failed, late, no answer", red, of(3), false}}})
 	}
 	for _, x := range plots {
+		if flat(r.Series, x.lines) {
+			continue // nothing of that kind happened
+		}
 		s, err := timeplot(r, x.title, x.unit, x.lines)
 		if err != nil {
 			return t, err
