--- /dev/null
+++ b/internal/sidecar/discovery_test.go
@@ -0,0 +1,131 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// A list with one entry that can't be read is refused whole: with that entry
+// left out its server would be dropped.
+func TestListsAreTakenWhole(t *testing.T) {
+	const good = `{"name":"a","address":"127.0.0.1:1","zone":"z","group":1,"status":"active","since_ms":0}`
+	if l, err := parseHeld([]byte(`{"index":3,"snapshot":true,"endpoints":[` + good + `]}`)); err != nil || len(l.entries) != 1 {
+		t.Fatal(l, err)
+	}
+	for _, bad := range []string{
+		`{"name":"b","address":"127.0.0.1:2","status":"sleeping"}`, `{"address":"127.0.0.1:2","status":"active"}`,
+		`{"name":"b","address":"nowhere","status":"active"}`, `{"name":"b","address":"127.0.0.1:2","status":"active","since_ms":-1}`, `7`,
+	} {
+		if l, err := parseHeld([]byte(`{"index":3,"snapshot":true,"endpoints":[` + good + "," + bad + `]}`)); err == nil || !strings.Contains(err.Error(), "endpoint 1") {
+			t.Errorf("%s: %d entries, %v", bad, len(l.entries), err)
+		}
+	}
+}
+
+// withDiscovery starts a sidecar whose discovery is a handler of the test's; it
+// knows one upstream.
+func withDiscovery(t *testing.T, h http.HandlerFunc) (*Sidecar, *upstreamServer) {
+	t.Helper()
+	up := startUpstream(t, good)
+	d := httptest.NewServer(h)
+	t.Cleanup(d.CloseClientConnections)
+	cfg, err := parseConfig([]byte(configText(d.Listener.Addr().String(), up.addr())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Start(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Drain)
+	return s, up
+}
+
+// A change of an older version than the list's is not taken, and the whole list
+// is asked for next.
+func TestOlderChangeIsNotTaken(t *testing.T) {
+	t.Parallel()
+	var calls atomic.Int64
+	again := make(chan string, 64)
+	var up *upstreamServer
+	ready := make(chan struct{})
+	s, u := withDiscovery(t, func(w http.ResponseWriter, r *http.Request) {
+		<-ready
+		switch calls.Add(1) {
+		case 1:
+			io.WriteString(w, listText(9, up.addr()))
+		case 2:
+			fmt.Fprintf(w, `{"index":5,"snapshot":false,"endpoints":[{"name":"s-%s","address":%q,"zone":"a","group":1,"status":"left","since_ms":0}]}`, up.addr(), up.addr())
+		default:
+			again <- r.URL.RawQuery
+			<-r.Context().Done()
+		}
+	})
+	up = u
+	close(ready)
+	select {
+	case query := <-again:
+		if query != "" {
+			t.Errorf("the next call asked for %q, want the whole list", query)
+		}
+	case <-time.After(patience):
+		t.Fatal("no further call")
+	}
+	wantServed(t, s)
+}
+
+// Discovery that takes a call and says nothing is called again in the end.
+func TestSilentDiscoveryIsCalledAgain(t *testing.T) {
+	t.Parallel()
+	var calls atomic.Int64
+	again := make(chan struct{}, 64)
+	withDiscovery(t, func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) > 1 {
+			again <- struct{}{}
+		}
+		<-r.Context().Done()
+	})
+	// Up to 2 s until it is asked at all, 6 for the call, then the module's pause.
+	for range 4 {
+		select {
+		case <-again:
+			return
+		case <-time.After(patience):
+		}
+	}
+	t.Error("no second call")
+}
+
+// A client that goes away ends the work that was begun for it, long before the
+// request's own end.
+func TestWorkEndsWithItsClient(t *testing.T) {
+	t.Parallel()
+	begun, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+	up := startUpstream(t, func(c net.Conn, r *http.Request, _ int64) bool {
+		io.Copy(io.Discard, r.Body)
+		begun <- struct{}{}
+		c.Read(make([]byte, 1))
+		ended <- struct{}{}
+		return false
+	})
+	s := startSidecar(t, up.addr())
+	c := dialClient(t, s)
+	_, text := unsafeRequest("byte")
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	c.Close()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second): // its own end is at 6 s
+		t.Error("the work went on without its client")
+	}
+}
