Given-up attempts end their sending first and are reset 50 ms later

On that release many attempts are given up; an upstream that sees a reset in place of an end may go on with the work.

Change: a connection that is given up ends its sending at once, as the protocol has it, and is reset 50 ms later, which still drops what a cut way has not delivered. The relay knows a reset behind an end of sending by the state that the kernel holds the connection in.

TestGivenUpAttemptsAreReset holds both halves.

--- a/internal/mutant/table.go
+++ b/internal/mutant/table.go
@@ -91,7 +91,7 @@
 	{Name: "whole-at-once", File: "internal/sidecar/upstream.go", Breaks: "the last byte is not held back",
 		Old: "lastByteAfter = time.Millisecond", New: "lastByteAfter = 0 * time.Millisecond"},
 	{Name: "polite-close", File: "internal/sidecar/upstream.go", Breaks: "what was given up is still delivered when a cut way is whole again",
-		Old: "\tc.Conn.(*net.TCPConn).SetLinger(0)\n", New: ""},
+		Old: "\t\ttcp.SetLinger(0)\n", New: ""},
 	{Name: "reset-never-ran", File: "internal/sidecar/upstream.go", Breaks: "a break behind the last byte counts as one before it",
 		Old: "\tcase err != nil:\n\t\treturn balance.Reset\n", New: "\tcase err != nil:\n\t\treturn balance.Unwritten\n"},
 	{Name: "spoilt-served", File: "internal/sidecar/upstream.go", Breaks: "an answer that can't be read is served",
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -27,6 +27,9 @@
 	// not belong to its last answer, and the news that the upstream closed it,
 	// come right behind the answer: by then they show.
 	restFor = 5 * time.Millisecond
+	// resetAfter is how long the end of sending goes ahead of the reset of a
+	// connection that is given up.
+	resetAfter = 50 * time.Millisecond
 	// mostAnswer is the protocol's bound on a body.
 	mostAnswer = 64 << 10
 	// stall is how long an upstream may pause within an answer. It guards
@@ -187,16 +190,23 @@
 	p.mu.Unlock()
 }
 
-// abandon closes a connection whose attempt is not over at the upstream, with a
-// reset: what the kernel has not delivered yet is dropped. A plain close goes on
-// sending it for minutes where the way is cut, and a request that was given up,
-// answered, even run elsewhere since, would run when the way is whole again. It
-// guards also against upstreams that stop reading for a while. It might harm an
-// upstream that takes a reset for its own fault; work stops there as it does on
-// a close.
+// abandon gives up a connection whose attempt is not over at the upstream: its
+// sending ends at once, which stops the work there, and a moment later it is
+// reset, which drops what the kernel has not delivered. A plain close goes on
+// sending that for minutes where the way is cut, and a request that was given
+// up, answered, even run elsewhere since, would run when the way is whole again.
+// It guards also against upstreams that stop reading for a while. It might harm
+// where the way takes longer than the moment: the upstream sees a reset then.
 func (p *pool) abandon(c *conn) {
-	c.Conn.(*net.TCPConn).SetLinger(0)
-	p.discard(c)
+	tcp := c.Conn.(*net.TCPConn)
+	if tcp.CloseWrite() != nil {
+		p.discard(c) // it has ended already
+		return
+	}
+	time.AfterFunc(resetAfter, func() {
+		tcp.SetLinger(0)
+		p.discard(c)
+	})
 }
 
 // reserve makes room for one more connection, if need be by closing the one
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -227,10 +229,21 @@
 	return n, errors.Join(err, ctl)
 }
 
-// wasReset tells whether the other side of a connection has reset it.
+// wasReset tells whether the other side of a connection has reset it, also
+// behind its end of sending, where no read would tell: the kernel holds it to be
+// closed though this side has not closed it.
 func wasReset(c *net.TCPConn) bool {
-	_, err := peek(c)
-	return errors.Is(err, syscall.ECONNRESET)
+	const tcpClose = 7 // TCP_CLOSE of linux/tcp_states.h
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	reset := false
+	raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == tcpClose
+	})
+	return reset
 }
 
 // wasClosed tells whether the other side has closed it with nothing sent: what
