cobra beneath otterspring and rig: completion, help, one kind of usage error

Need: both programs read their words by hand, each in its own way, with no completion.

Change: spf13/cobra; internal/cli holds what both share: flags with one dash or two, usage errors in one line, exit codes as before. rig's flags are declared by set functions; otterspring fleet's verbs are commands with flags of their own. sandhinge keeps the standard flag package.

--- a/cmd/otterspring/check.go
+++ b/cmd/otterspring/check.go
@@ -5,29 +5,30 @@
 	"io"
 	"strings"
 
+	"github.com/spf13/cobra"
+
 	"otterspring/internal/operator"
 )
 
-const checkHelp = `usage: otterspring check FILE...
-
-Reads operators' files (deploy/operator.toml) as sandhinge does and says all that
-is wrong with each, a line a fault: file, line, key, what was found and what is
-wanted. Nothing is started. Exit codes: 0 all are good, 1 one is not, 2 usage.
-`
+// checkCommand is `otterspring check`.
+func checkCommand(out io.Writer) *cobra.Command {
+	return &cobra.Command{
+		Use: "check FILE...", Short: "check operators' files without starting anything",
+		Long: "check reads operators' files (deploy/operator.toml) as sandhinge does and says all that\n" +
+			"is wrong with each, a line a fault: file, line, key, what was found and what is wanted.\n" +
+			"Nothing is started. Exit codes: 0 all are good, 1 one is not, 2 usage.",
+		DisableFlagsInUseLine: true,
+		RunE:                  func(_ *cobra.Command, files []string) error { return check(files, out) },
+	}
+}
 
 // check reads operators' files and says what is wrong with them.
-func check(args []string, out io.Writer) error {
-	if len(args) == 0 {
-		return fmt.Errorf("%w: wanted a file", errUsage)
+func check(files []string, out io.Writer) error {
+	if len(files) == 0 {
+		return fmt.Errorf("%w: check: wanted a file", errUsage)
 	}
 	bad := false
-	for _, path := range args {
-		if strings.HasPrefix(path, "-") {
-			if path == "-h" || path == "-help" || path == "--help" {
-				return errHelp
-			}
-			return fmt.Errorf("%w: found %q, wanted files", errUsage, path)
-		}
+	for _, path := range files {
 		f, errs := operator.LoadAll(path)
 		if len(errs) > 0 {
 			for _, err := range errs {
--- a/cmd/otterspring/fleet.go
+++ b/cmd/otterspring/fleet.go
@@ -11,67 +11,93 @@
 	"syscall"
 	"time"
 
+	"github.com/spf13/cobra"
+
+	"otterspring/internal/cli"
 	"otterspring/internal/fleet"
 )
 
-const fleetHelp = `usage: otterspring fleet run FILE
-       otterspring fleet check FILE
-       otterspring fleet status|resume|cancel|stop FILE
-       otterspring fleet restart FILE [-wait] [-program PATH] [NAME...]
-       otterspring fleet reload FILE [-wait] [NAME...]
+// fleetCommand is `otterspring fleet` with its verbs.
+func fleetCommand(out io.Writer) *cobra.Command {
+	fleetOf := cli.Root("fleet", "run many sidecars on a host, restart and reload them",
+		"fleet supervises the instances that a file describes (docs/operate/fleet.md). run does so\n"+
+			"until SIGTERM or SIGINT, and then stops them; the other verbs ask the supervisor that\n"+
+			"runs, over its control socket. If it is killed the instances live on; the next one\n"+
+			"adopts them. Exit codes: 0 done, 1 it could not be done, 2 usage.",
+		verb("run", "supervise until a signal, then stop all", func(f *fleet.File, _ string) error { return fleetRun(f, out) }),
+		verb("check", "say what is wrong with a file, start nothing", func(f *fleet.File, path string) error { return fleetCheck(f, path, out) }),
+		asks("status", "what each instance does", out), asks("resume", "go on with a roll that has paused", out),
+		asks("cancel", "end a roll", out), asks("stop", "stop all instances and the supervisor", out),
+		rolls("restart", "restart all instances, or those named, at most restart.at_once at a time", out),
+		rolls("reload", "reload all instances, or those named", out))
+	return fleetOf
+}
 
-run supervises the instances that FILE describes (docs/operate/fleet.md) until
-SIGTERM or SIGINT, and then stops them. The other verbs ask the supervisor that
-runs, over its control socket. restart and reload roll through all instances, or
-those named, at most restart.at_once at a time; -wait returns when that is over.
-If the supervisor is killed the instances live on; the next one adopts them.
-Exit codes: 0 done, 1 it could not be done, 2 usage.
-`
+// verb is a verb that takes a file and nothing behind it.
+func verb(name, does string, do func(f *fleet.File, path string) error) *cobra.Command {
+	return &cobra.Command{Use: name + " FILE", Short: does, DisableFlagsInUseLine: true, RunE: func(_ *cobra.Command, args []string) error {
+		switch len(args) {
+		case 0:
+			return fmt.Errorf("%w: fleet %s: wanted a file", errUsage, name)
+		case 1:
+		default:
+			return fmt.Errorf("%w: fleet %s: found %q, wanted nothing behind the file", errUsage, name, args[1])
+		}
+		f, err := fleet.LoadFile(args[0])
+		if err != nil {
+			return err
+		}
+		return do(f, args[0])
+	}}
+}
 
-// fleetCommand runs a fleet or asks the supervisor of one.
-func fleetCommand(args []string, out io.Writer) error {
-	if len(args) > 0 && (args[0] == "-h" || args[0] == "-help" || args[0] == "--help" || args[0] == "help") {
-		return errHelp
-	}
-	if len(args) < 2 {
-		return fmt.Errorf("%w: wanted a verb and a file", errUsage)
-	}
-	verb, path, rest := args[0], args[1], args[2:]
-	switch verb {
-	case "run", "check", "status", "restart", "reload", "resume", "cancel", "stop":
-	default:
-		return fmt.Errorf("%w: found %q, wanted run, check, status, restart, reload, resume, cancel or stop", errUsage, verb)
-	}
-	if len(rest) > 0 && verb != "restart" && verb != "reload" {
-		return fmt.Errorf("%w: found %q, wanted nothing behind the file", errUsage, rest[0])
-	}
-	f, err := fleet.LoadFile(path)
-	if err != nil {
-		return err
-	}
-	switch verb {
-	case "run":
-		return fleetRun(f, out)
-	case "check":
-		specs, err := f.Specs()
-		if err == nil {
-			fmt.Fprintf(out, "%s: good; %s\n", path, plural(len(specs), "instance", "instances"))
+// asks is a verb that only asks the supervisor.
+func asks(name, does string, out io.Writer) *cobra.Command {
+	return verb(name, does, func(f *fleet.File, _ string) error { return ask(f, out, name) })
+}
+
+// rolls is a verb that rolls through instances.
+func rolls(name, does string, out io.Writer) *cobra.Command {
+	var wait bool
+	var program string
+	c := &cobra.Command{Use: name + " [flags] FILE [NAME...]", Short: does, DisableFlagsInUseLine: true, RunE: func(_ *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return fmt.Errorf("%w: fleet %s: wanted a file", errUsage, name)
 		}
-		return err
-	}
-	wait := len(rest) > 0 && rest[0] == "-wait"
-	if wait {
-		rest = rest[1:]
+		f, err := fleet.LoadFile(args[0])
+		if err != nil {
+			return err
+		}
+		words := []string{name}
+		if program != "" {
+			words = append(words, "-program", program)
+		}
+		if err := ask(f, out, append(words, args[1:]...)...); err != nil || !wait {
+			return err
+		}
+		return fleetWait(f, out)
+	}}
+	c.Flags().BoolVar(&wait, "wait", false, "return when the roll is over")
+	if name == "restart" {
+		c.Flags().StringVar(&program, "program", "", "the program to roll out; empty for the one that runs")
 	}
-	answer, err := fleet.Ask(f.Control, append([]string{verb}, rest...)...)
-	if err != nil {
-		return err
+	return c
+}
+
+func ask(f *fleet.File, out io.Writer, words ...string) error {
+	answer, err := fleet.Ask(f.Control, words...)
+	if err == nil {
+		_, err = io.WriteString(out, answer)
 	}
-	io.WriteString(out, answer)
-	if wait {
-		return fleetWait(f, out)
+	return err
+}
+
+func fleetCheck(f *fleet.File, path string, out io.Writer) error {
+	specs, err := f.Specs()
+	if err == nil {
+		fmt.Fprintf(out, "%s: good; %s\n", path, plural(len(specs), "instance", "instances"))
 	}
-	return nil
+	return err
 }
 
 // fleetRun supervises until a signal.
--- a/cmd/rig/fleet.go
+++ b/cmd/rig/fleet.go
@@ -13,9 +13,8 @@
 	"otterspring/internal/standin/registry"
 )
 
-// runFleet restarts the instances of a fleet while requests come.
-func runFleet(ctx context.Context, args []string, out io.Writer) error {
-	f := flag.NewFlagSet("fleet", flag.ContinueOnError)
+// setFleet is `rig fleet`: it restarts the instances of a fleet while requests come.
+func setFleet(f *flag.FlagSet) runner {
 	seed := f.Uint64("seed", 1, "where all chance comes from")
 	length := f.Duration("for", 60*time.Second, "how long requests come, 3s to 30m")
 	instances := f.Int("instances", 50, "sidecars, 1 to 400")
@@ -28,63 +27,62 @@
 	hang := f.Bool("hang", false, "a server takes requests and answers none for a while")
 	prog := f.String("program", "", "the sidecar to run; empty for the one beside this program")
 	memory := f.Int("memory", 64, "MB that each sidecar is told it has, 32 to 1024")
-	if err := parse(f, args, out); err != nil {
-		return err
-	}
-	count, err := restartCount(*restarts, *instances)
-	if err != nil {
-		return err
-	}
-	if *mode != "kill" && *mode != "term" && *mode != "handover" {
-		return fmt.Errorf("%w: -mode: found %q, wanted kill, term or handover", errUsage, *mode)
-	}
-	for _, err := range []error{
-		within("for", *length, 3*time.Second, 30*time.Minute), within("instances", *instances, 1, 400), within("servers", *servers, 2, 100),
-		within("rate", *rate, 0, 20000), within("surge", *surge, 1, 5), within("lines", *lines, 0, 1e9), within("memory", *memory, 32, 1024),
-	} {
+	return func(ctx context.Context, _ []string, out io.Writer) error {
+		count, err := restartCount(*restarts, *instances)
 		if err != nil {
 			return err
 		}
-	}
-	argv, err := program(*prog)
-	if err != nil {
-		return err
-	}
-	dir, clean, err := scratch()
-	if err != nil {
-		return err
-	}
-	defer clean()
-	opt := rig.Options{
-		Seed: *seed, Instances: *instances, Servers: *servers, Program: argv, Dir: dir, MemoryMB: *memory,
-		// The site's discovery is made for over a hundred sidecars.
-		Registry: registry.Config{Lines: *lines * max(1, float64(*instances)/50), CallLines: 23, Late: 500 * time.Millisecond},
-	}
-	if *mode == "handover" {
-		opt.Operator = func(i int, dir string) string {
-			return fmt.Sprintf("[handover]\nsocket = %q\n", filepath.Join(dir, fmt.Sprintf("n%d.sock", i+1)))
+		if *mode != "kill" && *mode != "term" && *mode != "handover" {
+			return fmt.Errorf("%w: -mode: found %q, wanted kill, term or handover", errUsage, *mode)
 		}
+		for _, err := range []error{
+			within("for", *length, 3*time.Second, 30*time.Minute), within("instances", *instances, 1, 400), within("servers", *servers, 2, 100),
+			within("rate", *rate, 0, 20000), within("surge", *surge, 1, 5), within("lines", *lines, 0, 1e9), within("memory", *memory, 32, 1024),
+		} {
+			if err != nil {
+				return err
+			}
+		}
+		argv, err := program(*prog)
+		if err != nil {
+			return err
+		}
+		dir, clean, err := scratch()
+		if err != nil {
+			return err
+		}
+		defer clean()
+		opt := rig.Options{
+			Seed: *seed, Instances: *instances, Servers: *servers, Program: argv, Dir: dir, MemoryMB: *memory,
+			// The site's discovery is made for over a hundred sidecars.
+			Registry: registry.Config{Lines: *lines * max(1, float64(*instances)/50), CallLines: 23, Late: 500 * time.Millisecond},
+		}
+		if *mode == "handover" {
+			opt.Operator = func(i int, dir string) string {
+				return fmt.Sprintf("[handover]\nsocket = %q\n", filepath.Join(dir, fmt.Sprintf("n%d.sock", i+1)))
+			}
+		}
+		if *rate == 0 {
+			*rate = rig.Capacity(*servers) / 2
+		}
+		w, err := rig.New(opt)
+		if err != nil {
+			return err
+		}
+		defer w.Close()
+		began := time.Now()
+		if err := w.StartAll(ctx, 8); err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%d sidecars up in %.1f s, %d call servers (about %.0f requests a second), %.0f asked a second, %d restarts by %s\n",
+			*instances, time.Since(began).Seconds(), *servers, rig.Capacity(*servers), *rate, count, *mode)
+		run := rig.FleetRun{Rate: *rate, For: *length, Surge: *surge, Restarts: count, Mode: rig.Mode(*mode), Drain: true, Hang: *hang, Seed: *seed, Live: out}
+		res, err := run.Run(ctx, w)
+		if err != nil {
+			return err
+		}
+		return fleetVerdict(out, w, res, *length, *mode)
 	}
-	if *rate == 0 {
-		*rate = rig.Capacity(*servers) / 2
-	}
-	w, err := rig.New(opt)
-	if err != nil {
-		return err
-	}
-	defer w.Close()
-	began := time.Now()
-	if err := w.StartAll(ctx, 8); err != nil {
-		return err
-	}
-	fmt.Fprintf(out, "%d sidecars up in %.1f s, %d call servers (about %.0f requests a second), %.0f asked a second, %d restarts by %s\n",
-		*instances, time.Since(began).Seconds(), *servers, rig.Capacity(*servers), *rate, count, *mode)
-	run := rig.FleetRun{Rate: *rate, For: *length, Surge: *surge, Restarts: count, Mode: rig.Mode(*mode), Drain: true, Hang: *hang, Seed: *seed, Live: out}
-	res, err := run.Run(ctx, w)
-	if err != nil {
-		return err
-	}
-	return fleetVerdict(out, w, res, *length, *mode)
 }
 
 // restartCount reads -restarts.
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -12,31 +12,39 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
+	"github.com/spf13/cobra"
+
+	"otterspring/internal/cli"
 	"otterspring/internal/daemon"
 )
 
-// command is one rig.
+// runner plays a rig whose flags have been read; files are the words behind
+// them.
+type runner func(ctx context.Context, files []string, out io.Writer) error
+
+// command is one rig. set declares its flags and returns what plays it.
 type command struct {
-	name, does string
-	run        func(ctx context.Context, args []string, out io.Writer) error
+	name, files, does string
+	set               func(f *flag.FlagSet) runner
 }
 
 var commands = []command{
-	{"try", "one sidecar, 6 call servers, clients; a hang and a drain within 10 s", runTry},
-	{"fleet", "many sidecars, restarted one by one while requests come", runFleet},
-	{"storm", "storms from files: faults at their times, what must hold, verdicts", runStorm},
-	{"check", "what is wrong with storms' files, a line a fault", runCheck},
-	{"report", "one page of storms' results, with plots", runReport},
-	{"mutants", "breaks the program one line at a time and tells which test and storm notice", runMutants},
-	{"speed", "one sidecar beside net/http/httputil's ReverseProxy, as ratios", runSpeed},
+	{"try", "", "one sidecar, 6 call servers, clients; a hang and a drain within 10 s", setTry},
+	{"fleet", "", "many sidecars, restarted one by one while requests come", setFleet},
+	{"storm", "FILE...", "storms from files: faults at their times, what must hold, verdicts", setStorm},
+	{"check", "FILE...", "what is wrong with storms' files, a line a fault", setCheck},
+	{"report", "FILE...", "one page of storms' results, with plots", setReport},
+	{"mutants", "", "breaks the program one line at a time and tells which test and storm notice", setMutants},
+	{"speed", "", "one sidecar beside net/http/httputil's ReverseProxy, as ratios", setSpeed},
 }
 
 var (
 	errRules = errors.New("a rule broke or a promise failed")
-	errUsage = errors.New("usage")
+	errUsage = cli.ErrUsage
 )
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -51,48 +59,61 @@
 	if len(args) > 0 && args[0] == proxyWord {
 		return runProxy(args[1:])
 	}
-	if len(args) == 0 || args[0] == "help" || args[0] == "-help" || args[0] == "--help" || args[0] == "-h" {
-		help(os.Stdout)
-		if len(args) == 0 {
-			return 2
-		}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := execute(ctx, args, os.Stdout, os.Stderr)
+	code := 1
+	switch {
+	case err == nil:
 		return 0
+	case errors.Is(err, errUsage):
+		code = 2
+	case errors.Is(err, errVoid):
+		code = 3
 	}
-	for _, c := range commands {
-		if c.name != args[0] {
-			continue
-		}
-		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-		defer stop()
-		err := c.run(ctx, args[1:], os.Stdout)
-		switch {
-		case err == nil, errors.Is(err, flag.ErrHelp):
-			return 0
-		case errors.Is(err, errSaid):
-			if errors.Is(err, errUsage) {
-				return 2
-			}
-			return 1
-		case errors.Is(err, errVoid):
-			fmt.Fprintf(os.Stderr, "rig %s: %v\n", c.name, err)
-			return 3
-		case errors.Is(err, errUsage):
-			fmt.Fprintf(os.Stderr, "rig %s: %v\n", c.name, err)
-			return 2
-		}
-		fmt.Fprintf(os.Stderr, "rig %s: %v\n", c.name, err)
-		return 1
+	if !errors.Is(err, errSaid) {
+		fmt.Fprintf(os.Stderr, "rig: %v\n", err)
 	}
-	fmt.Fprintf(os.Stderr, "rig: found %q, wanted one of try, fleet, storm, check, report, mutants, speed; rig help says more\n", args[0])
-	return 2
+	return code
 }
 
-func help(w io.Writer) {
-	fmt.Fprint(w, "usage: rig COMMAND [FLAGS]\n\nAll on loopback, no root needed. Commands:\n")
-	for _, c := range commands {
-		fmt.Fprintf(w, "  %-8s %s\n", c.name, c.does)
+// execute runs the command that args name.
+func execute(ctx context.Context, args []string, out, errw io.Writer) error {
+	var subs []*cobra.Command
+	for i := range commands {
+		subs = append(subs, commands[i].cobra(out))
 	}
-	fmt.Fprint(w, "\nrig COMMAND -help lists its flags. The last line is key=value figures; the exit\ncode is 1 if a rule broke or a promise failed.\n")
+	root := cli.Root("rig", "plays otterspring's own rigs, all on loopback, no root needed",
+		"rig plays otterspring's own rigs: all on loopback, no root needed. The last line is\n"+
+			"key=value figures. Exit codes: 0 kept, 1 a rule broke or a promise failed, 2 usage,\n"+
+			"3 a run that shows nothing. Flags may have one dash or two.", subs...)
+	root.SetOut(out)
+	root.SetErr(errw)
+	root.SetArgs(cli.TwoDashes(args))
+	return root.ExecuteContext(ctx)
+}
+
+// cobra makes the command that reads its flags and plays it.
+func (c *command) cobra(out io.Writer) *cobra.Command {
+	flags := flag.NewFlagSet(c.name, flag.ContinueOnError)
+	play := c.set(flags)
+	cmd := &cobra.Command{
+		Use: strings.TrimSpace(c.name + " [flags] " + c.files), Short: c.does, DisableFlagsInUseLine: true,
+		Args: func(_ *cobra.Command, args []string) error {
+			if c.files == "" && len(args) > 0 {
+				return fmt.Errorf("%w: %s: found %q, wanted flags only", errUsage, c.name, args[0])
+			}
+			return nil
+		},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := play(cmd.Context(), args, out); err != nil {
+				return fmt.Errorf("%s: %w", c.name, err)
+			}
+			return nil
+		},
+	}
+	cmd.Flags().AddGoFlagSet(flags)
+	return cmd
 }
 
 // sidecarWord makes the rig run as a sidecar, proxyWord as the reverse proxy
@@ -102,24 +123,6 @@
 	proxyWord   = "run-proxy"
 )
 
-// parse reads flags; what is wrong is a usage error in one line.
-func parse(f *flag.FlagSet, args []string, out io.Writer) error {
-	f.SetOutput(io.Discard)
-	err := f.Parse(args)
-	switch {
-	case errors.Is(err, flag.ErrHelp):
-		fmt.Fprintf(out, "usage: rig %s [FLAGS]\n", f.Name())
-		f.SetOutput(out)
-		f.PrintDefaults()
-		return err
-	case err != nil:
-		return fmt.Errorf("%w: %v", errUsage, err)
-	case f.NArg() > 0:
-		return fmt.Errorf("%w: found %q, wanted flags only", errUsage, f.Arg(0))
-	}
-	return nil
-}
-
 // within holds a flag's value against its bounds.
 func within[T int | float64 | time.Duration](name string, v, least, most T) error {
 	if v < least || v > most {
--- a/cmd/rig/main_test.go
+++ b/cmd/rig/main_test.go
@@ -33,7 +33,7 @@
 // the figures.
 func TestTry(t *testing.T) {
 	var out bytes.Buffer
-	err := runTry(ctx(t), []string{"-for", "3s", "-rate", "40"}, &out)
+	err := rigged(ctx(t), []string{"try", "-for", "3s", "-rate", "40"}, &out)
 	if err != nil && !errors.Is(err, errRules) {
 		t.Fatal(err)
 	}
@@ -54,7 +54,7 @@
 
 func TestFleetByHandOver(t *testing.T) {
 	var out bytes.Buffer
-	err := runFleet(ctx(t), []string{"-instances", "3", "-servers", "3", "-for", "3s", "-mode", "handover", "-rate", "30"}, &out)
+	err := rigged(ctx(t), []string{"fleet", "-instances", "3", "-servers", "3", "-for", "3s", "-mode", "handover", "-rate", "30"}, &out)
 	if err != nil && !errors.Is(err, errRules) {
 		t.Fatal(err)
 	}
@@ -67,7 +67,7 @@
 
 func TestSpeed(t *testing.T) {
 	var out bytes.Buffer
-	if err := runSpeed(ctx(t), []string{"-rounds", "1", "-for", "1s", "-conns", "2"}, &out); err != nil {
+	if err := rigged(ctx(t), []string{"speed", "-rounds", "1", "-for", "1s", "-conns", "2"}, &out); err != nil {
 		t.Fatal(err)
 	}
 	for _, want := range []string{"limit_ratio=", "cpu2400_ratio=", "memory_ratio=", "ReverseProxy"} {
@@ -80,33 +80,32 @@
 // Wrong words are a usage error in one line, before anything starts.
 func TestUsage(t *testing.T) {
 	for _, c := range []struct {
-		run  func(context.Context, []string, *bytes.Buffer) error
 		args []string
 		want string
 	}{
-		{wrap(runTry), []string{"-for", "1h"}, "-for: found 1h0m0s, wanted 2s to 10m0s"},
-		{wrap(runTry), []string{"-rate", "0"}, "-rate: found 0, wanted 1 to 2000"},
-		{wrap(runTry), []string{"-program", "/none"}, "found no program"},
-		{wrap(runTry), []string{"now"}, "wanted flags only"},
-		{wrap(runTry), []string{"-colour"}, "flag provided but not defined"},
-		{wrap(runFleet), []string{"-mode", "gently"}, "wanted kill, term or handover"},
-		{wrap(runFleet), []string{"-restarts", "51"}, "wanted all, none or 0 to 50"},
-		{wrap(runFleet), []string{"-instances", "4000"}, "-instances: found 4000, wanted 1 to 400"},
-		{wrap(runStorm), nil, "wanted files, or -all"},
-		{wrap(runStorm), []string{"-all", "x.toml"}, "wanted files, or -all"},
-		{wrap(runStorm), []string{"-all", "-dir", "/none"}, "found no storm"},
-		{wrap(runStorm), []string{"x.toml", "-engine", "steam"}, "wanted virtual, sockets or both"},
-		{wrap(runStorm), []string{"x.toml", "-seeds", "5..1"}, "found \"5..1\""},
-		{wrap(runStorm), []string{"x.toml", "-seeds", "1..10001"}, "of 10000 at most"},
-		{wrap(runStorm), []string{"x.toml", "-jobs", "-1"}, "wanted 0 to 64"},
-		{wrap(runMutants), []string{"-only", "dance"}, "wanted the name of a mutant"},
-		{wrap(runMutants), []string{"-within", "1s"}, "-within: found 1s"},
-		{wrap(runMutants), []string{"-tree", "/none", "-only", "no-budget"}, "no such file"},
-		{wrap(runSpeed), []string{"-rounds", "0"}, "-rounds: found 0"},
-		{wrap(runSpeed), []string{"-against", "/none"}, "found no program"},
+		{[]string{"try", "-for", "1h"}, "-for: found 1h0m0s, wanted 2s to 10m0s"},
+		{[]string{"try", "-rate", "0"}, "-rate: found 0, wanted 1 to 2000"},
+		{[]string{"try", "-program", "/none"}, "found no program"},
+		{[]string{"try", "now"}, "wanted flags only"},
+		{[]string{"try", "-colour"}, "unknown flag: --colour"},
+		{[]string{"fleet", "-mode", "gently"}, "wanted kill, term or handover"},
+		{[]string{"fleet", "-restarts", "51"}, "wanted all, none or 0 to 50"},
+		{[]string{"fleet", "-instances", "4000"}, "-instances: found 4000, wanted 1 to 400"},
+		{[]string{"storm"}, "wanted files, or -all"},
+		{[]string{"storm", "-all", "x.toml"}, "wanted files, or -all"},
+		{[]string{"storm", "-all", "-dir", "/none"}, "found no storm"},
+		{[]string{"storm", "x.toml", "-engine", "steam"}, "wanted virtual, sockets or both"},
+		{[]string{"storm", "x.toml", "-seeds", "5..1"}, "found \"5..1\""},
+		{[]string{"storm", "x.toml", "-seeds", "1..10001"}, "of 10000 at most"},
+		{[]string{"storm", "x.toml", "-jobs", "-1"}, "wanted 0 to 64"},
+		{[]string{"mutants", "-only", "dance"}, "wanted the name of a mutant"},
+		{[]string{"mutants", "-within", "1s"}, "-within: found 1s"},
+		{[]string{"mutants", "-tree", "/none", "-only", "no-budget"}, "no such file"},
+		{[]string{"speed", "-rounds", "0"}, "-rounds: found 0"},
+		{[]string{"speed", "-against", "/none"}, "found no program"},
 	} {
 		var out bytes.Buffer
-		err := c.run(ctx(t), c.args, &out)
+		err := rigged(ctx(t), c.args, &out)
 		if !errors.Is(err, errUsage) || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%v: %v, want %s", c.args, err, c.want)
 		}
@@ -119,8 +118,22 @@
 	}
 }
 
-func wrap(f func(context.Context, []string, io.Writer) error) func(context.Context, []string, *bytes.Buffer) error {
-	return func(c context.Context, a []string, b *bytes.Buffer) error { return f(c, a, b) }
+func rigged(c context.Context, args []string, out io.Writer) error {
+	return execute(c, args, out, io.Discard)
+}
+
+// Each rig has its help, and shells complete its flags.
+func TestHelp(t *testing.T) {
+	var out bytes.Buffer
+	if err := rigged(ctx(t), []string{"__complete", "storm", "--sh"}, &out); err != nil || !strings.Contains(out.String(), "--short") {
+		t.Errorf("%v: %s", err, out.String())
+	}
+	for _, c := range commands {
+		out.Reset()
+		if err := rigged(ctx(t), []string{c.name, "-help"}, &out); err != nil || !strings.Contains(out.String(), "rig "+c.name) {
+			t.Errorf("help of %s: %v: %s", c.name, err, out.String())
+		}
+	}
 }
 
 const calmStorm = "name = \"calm\"\nfor = \"3s\"\n[world]\ninstances = 3\n[load]\ntimes = 0.2\n"
@@ -160,7 +173,7 @@
 		}
 	}
 	var out bytes.Buffer
-	if err := runCheck(ctx(t), []string{bad}, &out); !errors.Is(err, errSaid) || strings.Count(out.String(), "\n") != 2 {
+	if err := rigged(ctx(t), []string{"check", bad}, &out); !errors.Is(err, errSaid) || strings.Count(out.String(), "\n") != 2 {
 		t.Errorf("%v:\n%s", err, out.String())
 	}
 }
@@ -175,7 +188,7 @@
 	}
 	call := func(c context.Context, name string) (string, string, error) {
 		var out bytes.Buffer
-		err := runStorm(c, []string{path, "-seeds", "1..3", "-o", filepath.Join(dir, name)}, &out)
+		err := rigged(c, []string{"storm", path, "-seeds", "1..3", "-o", filepath.Join(dir, name)}, &out)
 		text, _ := os.ReadFile(filepath.Join(dir, name))
 		return out.String(), string(text), err
 	}
--- a/cmd/rig/mutants.go
+++ b/cmd/rig/mutants.go
@@ -15,54 +15,52 @@
 	"otterspring/internal/mutant"
 )
 
-// runMutants breaks the program one line at a time and tells what notices.
-func runMutants(ctx context.Context, args []string, out io.Writer) error {
-	f := flag.NewFlagSet("mutants", flag.ContinueOnError)
+// setMutants is `rig mutants`: it breaks the program one line at a time and tells what notices.
+func setMutants(f *flag.FlagSet) runner {
 	tree := f.String("tree", ".", "root of the sources")
 	only := f.String("only", "", "names of mutants, with commas; empty for all")
 	jobs := f.Int("jobs", 0, "mutants tried at a time, 1 to 64; 0 for half the cores")
 	within := f.Duration("within", 90*time.Second, "how long the tests of one may take, 5s to 10m; one that takes longer hangs")
 	seeds := f.String("seeds", "1..2", "seeds of the storms that each is tried with")
 	output := f.String("o", "", "write the table to this file, as Markdown")
-	if err := parse(f, args, out); err != nil {
-		return err
-	}
-	if err := within2(*within, *jobs); err != nil {
-		return err
-	}
-	if _, err := seedRange(*seeds); err != nil {
-		return err
-	}
-	table, err := choose(*only)
-	if err != nil {
-		return err
-	}
-	if err := mutant.Check(*tree, table); err != nil {
-		return fmt.Errorf("%w: %s", errUsage, strings.ReplaceAll(err.Error(), "\n", "; "))
-	}
-	work, clean, err := scratch()
-	if err != nil {
-		return err
-	}
-	defer clean()
-	if *jobs == 0 {
-		*jobs = max(1, runtime.GOMAXPROCS(0)/2)
-	}
-	r := &mutant.Runner{Tree: *tree, Work: work, Go: "go", Within: *within, Storms: []string{"-all", "-short", "-seeds", *seeds, "-jobs", "2"}}
-	// What notices a tree in which nothing was broken notices nothing.
-	for _, f := range tryAll(ctx, r, mutant.Controls, *jobs, out) {
-		if f.Err != nil {
-			return f.Err
+	return func(ctx context.Context, _ []string, out io.Writer) error {
+		if err := within2(*within, *jobs); err != nil {
+			return err
 		}
-		if f.Noticed() {
-			return fmt.Errorf("%w: %s fails with nothing broken (%s)", errVoid, f.Mutant.Name, outcome(&f))
+		if _, err := seedRange(*seeds); err != nil {
+			return err
 		}
+		table, err := choose(*only)
+		if err != nil {
+			return err
+		}
+		if err := mutant.Check(*tree, table); err != nil {
+			return fmt.Errorf("%w: %s", errUsage, strings.ReplaceAll(err.Error(), "\n", "; "))
+		}
+		work, clean, err := scratch()
+		if err != nil {
+			return err
+		}
+		defer clean()
+		if *jobs == 0 {
+			*jobs = max(1, runtime.GOMAXPROCS(0)/2)
+		}
+		r := &mutant.Runner{Tree: *tree, Work: work, Go: "go", Within: *within, Storms: []string{"-all", "-short", "-seeds", *seeds, "-jobs", "2"}}
+		// What notices a tree in which nothing was broken notices nothing.
+		for _, f := range tryAll(ctx, r, mutant.Controls, *jobs, out) {
+			if f.Err != nil {
+				return f.Err
+			}
+			if f.Noticed() {
+				return fmt.Errorf("%w: %s fails with nothing broken (%s)", errVoid, f.Mutant.Name, outcome(&f))
+			}
+		}
+		found := tryAll(ctx, r, table, *jobs, out)
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		return mutantVerdict(out, *output, found)
 	}
-	found := tryAll(ctx, r, table, *jobs, out)
-	if err := ctx.Err(); err != nil {
-		return err
-	}
-	return mutantVerdict(out, *output, found)
 }
 
 func within2(d time.Duration, jobs int) error {
--- a/cmd/rig/speed.go
+++ b/cmd/rig/speed.go
@@ -48,10 +48,9 @@
 	conns    int
 }
 
-// runSpeed compares a sidecar with a reverse proxy, or with another build of
+// setSpeed is `rig speed`: it compares a sidecar with a reverse proxy, or with another build of
 // the sidecar, in turn and in one run.
-func runSpeed(ctx context.Context, args []string, out io.Writer) error {
-	f := flag.NewFlagSet("speed", flag.ContinueOnError)
+func setSpeed(f *flag.FlagSet) runner {
 	var o speedOptions
 	f.Uint64Var(&o.seed, "seed", 1, "where all chance comes from")
 	f.DurationVar(&o.phase, "for", 4*time.Second, "length of each phase, 1s to 5m; there are three of them a round and a side")
@@ -62,32 +61,31 @@
 	f.StringVar(&o.against, "against", "", "another build of the sidecar to compare with; empty for net/http/httputil's ReverseProxy")
 	f.StringVar(&o.operator, "operator", "", "operator's file for the sidecar, not for the other side")
 	f.IntVar(&o.conns, "conns", 128, "connections at the limit, 1 to 200")
-	if err := parse(f, args, out); err != nil {
-		return err
-	}
-	for _, err := range []error{
-		within("for", o.phase, time.Second, 5*time.Minute), within("rounds", o.rounds, 1, 500), within("conns", o.conns, 1, 200),
-		within("width", o.width, 0, 1), within("within", o.within, time.Second, 2*time.Hour),
-	} {
+	return func(ctx context.Context, _ []string, out io.Writer) error {
+		for _, err := range []error{
+			within("for", o.phase, time.Second, 5*time.Minute), within("rounds", o.rounds, 1, 500), within("conns", o.conns, 1, 200),
+			within("width", o.width, 0, 1), within("within", o.within, time.Second, 2*time.Hour),
+		} {
+			if err != nil {
+				return err
+			}
+		}
+		argv, err := program(o.program)
 		if err != nil {
 			return err
 		}
+		dir, clean, err := scratch()
+		if err != nil {
+			return err
+		}
+		defer clean()
+		s, err := newSpeed(o, argv, dir)
+		if err != nil {
+			return err
+		}
+		defer s.close()
+		return s.play(ctx, out)
 	}
-	argv, err := program(o.program)
-	if err != nil {
-		return err
-	}
-	dir, clean, err := scratch()
-	if err != nil {
-		return err
-	}
-	defer clean()
-	s, err := newSpeed(o, argv, dir)
-	if err != nil {
-		return err
-	}
-	defer s.close()
-	return s.play(ctx, out)
 }
 
 // speed is a run: call servers that answer at once, and two sides.
--- a/cmd/rig/storm.go
+++ b/cmd/rig/storm.go
@@ -19,6 +19,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"otterspring/internal/cli"
 	"otterspring/internal/experiment"
 	"otterspring/internal/rig"
 	"otterspring/internal/virtual"
@@ -28,13 +29,14 @@
 // output already.
 var (
 	errVoid = errors.New("a run is void: it shows nothing")
-	errSaid = errors.New("said")
+	errSaid = cli.ErrSaid
 )
 
 // words collects a flag that may come several times.
 type words []string
 
 func (w *words) String() string     { return strings.Join(*w, " ") }
+func (w *words) Type() string       { return "key=value" }
 func (w *words) Set(s string) error { *w = append(*w, s); return nil }
 
 // stormFlags are what `rig storm` is told.
@@ -49,7 +51,6 @@
 	jobs    int
 	output  string
 	program string
-	promise bool
 }
 
 // point is one run to make.
@@ -60,12 +61,29 @@
 	engine string
 }
 
-// runStorm plays storms from files.
-func runStorm(ctx context.Context, args []string, out io.Writer) error {
-	o, err := stormArgs(args, out)
-	if err != nil {
-		return err
+// setStorm is `rig storm`: it plays storms from files.
+func setStorm(f *flag.FlagSet) runner {
+	o := &stormFlags{}
+	f.BoolVar(&o.all, "all", false, "all files of -dir")
+	f.BoolVar(&o.short, "short", false, "the short form that each file gives")
+	f.StringVar(&o.dir, "dir", "experiments", "where the storms are")
+	f.StringVar(&o.engine, "engine", "virtual", "virtual, sockets or both")
+	f.Var(&o.set, "set", "a setting over the file's, key=value; may come several times")
+	seeds := f.String("seeds", "1", "a seed, or a range like 1..20")
+	f.IntVar(&o.jobs, "jobs", 0, "runs at a time in virtual time; 0 for one a core")
+	f.StringVar(&o.output, "o", "", "write results to this file, a line of JSON each")
+	f.StringVar(&o.program, "program", "", "the sidecar to run on sockets; empty for the one beside this program")
+	return func(ctx context.Context, files []string, out io.Writer) error {
+		o.files = files
+		if err := o.check(*seeds); err != nil {
+			return err
+		}
+		return o.run(ctx, out)
 	}
+}
+
+// run makes the runs and prints a line each, and the sums as the last.
+func (o *stormFlags) run(ctx context.Context, out io.Writer) error {
 	points, err := o.points(out)
 	if err != nil {
 		return err
@@ -100,64 +118,26 @@
 	return nil
 }
 
-func stormArgs(args []string, out io.Writer) (*stormFlags, error) {
-	o := &stormFlags{}
-	f := flag.NewFlagSet("storm", flag.ContinueOnError)
-	f.BoolVar(&o.all, "all", false, "all files of -dir")
-	f.BoolVar(&o.short, "short", false, "the short form that each file gives")
-	f.StringVar(&o.dir, "dir", "experiments", "where the storms are")
-	f.StringVar(&o.engine, "engine", "virtual", "virtual, sockets or both")
-	f.Var(&o.set, "set", "a setting over the file's, key=value; may come several times")
-	seeds := f.String("seeds", "1", "a seed, or a range like 1..20")
-	f.IntVar(&o.jobs, "jobs", 0, "runs at a time in virtual time; 0 for one a core")
-	f.StringVar(&o.output, "o", "", "write results to this file, a line of JSON each")
-	f.StringVar(&o.program, "program", "", "the sidecar to run on sockets; empty for the one beside this program")
-	if err := parseFiles(f, args, out, &o.files); err != nil {
-		return nil, err
-	}
-	if o.all == (len(o.files) > 0) {
-		return nil, fmt.Errorf("%w: wanted files, or -all", errUsage)
-	}
-	if !slices.Contains([]string{"virtual", "sockets", "both"}, o.engine) {
-		return nil, fmt.Errorf("%w: -engine: found %q, wanted virtual, sockets or both", errUsage, o.engine)
-	}
-	if o.jobs < 0 || o.jobs > 64 {
-		return nil, fmt.Errorf("%w: -jobs: found %d, wanted 0 to 64", errUsage, o.jobs)
-	}
-	if o.jobs == 0 {
+// check holds the flags against each other and fills in what they leave out.
+func (o *stormFlags) check(seeds string) (err error) {
+	switch {
+	case o.all == (len(o.files) > 0):
+		return fmt.Errorf("%w: wanted files, or -all", errUsage)
+	case !slices.Contains([]string{"virtual", "sockets", "both"}, o.engine):
+		return fmt.Errorf("%w: -engine: found %q, wanted virtual, sockets or both", errUsage, o.engine)
+	case o.jobs < 0 || o.jobs > 64:
+		return fmt.Errorf("%w: -jobs: found %d, wanted 0 to 64", errUsage, o.jobs)
+	case o.jobs == 0:
 		o.jobs = runtime.GOMAXPROCS(0)
 	}
 	if o.all {
 		o.files, _ = filepath.Glob(filepath.Join(o.dir, "*.toml"))
 		if len(o.files) == 0 {
-			return nil, fmt.Errorf("%w: -dir: found no storm in %q", errUsage, o.dir)
-		}
-	}
-	var err error
-	o.seeds, err = seedRange(*seeds)
-	return o, err
-}
-
-// parseFiles reads flags and files in any order.
-func parseFiles(f *flag.FlagSet, args []string, out io.Writer, files *[]string) error {
-	f.SetOutput(io.Discard)
-	for {
-		err := f.Parse(args)
-		switch {
-		case errors.Is(err, flag.ErrHelp):
-			fmt.Fprintf(out, "usage: rig %s [FLAGS] FILE...\n", f.Name())
-			f.SetOutput(out)
-			f.PrintDefaults()
-			return err
-		case err != nil:
-			return fmt.Errorf("%w: %v", errUsage, err)
+			return fmt.Errorf("%w: -dir: found no storm in %q", errUsage, o.dir)
 		}
-		if args = f.Args(); len(args) == 0 {
-			return nil
-		}
-		*files = append(*files, args[0])
-		args = args[1:]
 	}
+	o.seeds, err = seedRange(seeds)
+	return err
 }
 
 // seedRange reads "3" or "1..20".
@@ -452,29 +432,26 @@
 	}
 }
 
-// runCheck says what is wrong with storms.
-func runCheck(_ context.Context, args []string, out io.Writer) error {
-	var files []string
-	f := flag.NewFlagSet("check", flag.ContinueOnError)
-	if err := parseFiles(f, args, out, &files); err != nil {
-		return err
-	}
-	if len(files) == 0 {
-		return fmt.Errorf("%w: wanted a file", errUsage)
-	}
-	bad := false
-	for _, file := range files {
-		s, errs := experiment.LoadFile(file, false, nil)
-		for _, err := range errs {
-			fmt.Fprintln(out, err)
-			bad = true
+// setCheck is `rig check`: it says what is wrong with storms.
+func setCheck(f *flag.FlagSet) runner {
+	return func(ctx context.Context, files []string, out io.Writer) error {
+		if len(files) == 0 {
+			return fmt.Errorf("%w: wanted a file", errUsage)
 		}
-		if len(errs) == 0 {
-			fmt.Fprintf(out, "%s: good; %d faults, %d promises, %d points\n", file, len(s.Faults), len(s.Holds), len(s.Points()))
+		bad := false
+		for _, file := range files {
+			s, errs := experiment.LoadFile(file, false, nil)
+			for _, err := range errs {
+				fmt.Fprintln(out, err)
+				bad = true
+			}
+			if len(errs) == 0 {
+				fmt.Fprintf(out, "%s: good; %d faults, %d promises, %d points\n", file, len(s.Faults), len(s.Holds), len(s.Points()))
+			}
 		}
+		if bad {
+			return errSaid
+		}
+		return nil
 	}
-	if bad {
-		return errSaid
-	}
-	return nil
 }
--- a/cmd/rig/try.go
+++ b/cmd/rig/try.go
@@ -12,55 +12,53 @@
 	"otterspring/internal/standin/clients"
 )
 
-// runTry shows the sidecar's main job to a newcomer.
-func runTry(ctx context.Context, args []string, out io.Writer) error {
-	f := flag.NewFlagSet("try", flag.ContinueOnError)
+// setTry is `rig try`: it shows the sidecar's main job to a newcomer.
+func setTry(f *flag.FlagSet) runner {
 	seed := f.Uint64("seed", 1, "where all chance comes from")
 	length := f.Duration("for", 10*time.Second, "how long requests come, 2s to 10m")
 	rate := f.Float64("rate", 150, "requests a second, 1 to 2000")
 	prog := f.String("program", "", "the sidecar to run; empty for the one beside this program")
-	if err := parse(f, args, out); err != nil {
-		return err
-	}
-	if err := within("for", *length, 2*time.Second, 10*time.Minute); err != nil {
-		return err
-	}
-	if err := within("rate", *rate, 1, 2000); err != nil {
-		return err
-	}
-	argv, err := program(*prog)
-	if err != nil {
-		return err
-	}
-	dir, clean, err := scratch()
-	if err != nil {
-		return err
-	}
-	defer clean()
-	w, err := rig.New(rig.Options{Seed: *seed, Instances: 1, Servers: 6, PodSize: 3, Program: argv, Dir: dir})
-	if err != nil {
-		return err
-	}
-	defer w.Close()
-	if err := w.StartAll(ctx, 1); err != nil {
-		return err
-	}
-	fmt.Fprintf(out, "discovery, 6 call servers (about %.0f requests a second together), 1 sidecar on %s, clients at %.0f a second\n",
-		rig.Capacity(6), w.Instances[0].Addr, *rate)
-	fmt.Fprintf(out, "%s hangs from %v to %v, %s drains from %v on\n", w.Servers[2].Name(), *length*3/10, *length*4/10, w.Servers[3].Name(), *length/2)
-	run := rig.FleetRun{Rate: *rate, For: *length, Drain: true, Hang: true, Seed: *seed, Live: out}
-	res, err := run.Run(ctx, w)
-	if err != nil {
-		return err
-	}
-	rep := w.Log.Report()
-	printService(out, &res.Service)
-	printRules(out, &rep)
-	fmt.Fprintf(out, "%s refused_conns=%d service=%.3f\n", rep.Line(), res.RefusedConns, res.Service.Figure())
-	if rep.Broken() {
-		return errRules
+	return func(ctx context.Context, _ []string, out io.Writer) error {
+		if err := within("for", *length, 2*time.Second, 10*time.Minute); err != nil {
+			return err
+		}
+		if err := within("rate", *rate, 1, 2000); err != nil {
+			return err
+		}
+		argv, err := program(*prog)
+		if err != nil {
+			return err
+		}
+		dir, clean, err := scratch()
+		if err != nil {
+			return err
+		}
+		defer clean()
+		w, err := rig.New(rig.Options{Seed: *seed, Instances: 1, Servers: 6, PodSize: 3, Program: argv, Dir: dir})
+		if err != nil {
+			return err
+		}
+		defer w.Close()
+		if err := w.StartAll(ctx, 1); err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "discovery, 6 call servers (about %.0f requests a second together), 1 sidecar on %s, clients at %.0f a second\n",
+			rig.Capacity(6), w.Instances[0].Addr, *rate)
+		fmt.Fprintf(out, "%s hangs from %v to %v, %s drains from %v on\n", w.Servers[2].Name(), *length*3/10, *length*4/10, w.Servers[3].Name(), *length/2)
+		run := rig.FleetRun{Rate: *rate, For: *length, Drain: true, Hang: true, Seed: *seed, Live: out}
+		res, err := run.Run(ctx, w)
+		if err != nil {
+			return err
+		}
+		rep := w.Log.Report()
+		printService(out, &res.Service)
+		printRules(out, &rep)
+		fmt.Fprintf(out, "%s refused_conns=%d service=%.3f\n", rep.Line(), res.RefusedConns, res.Service.Figure())
+		if rep.Broken() {
+			return errRules
+		}
+		return nil
 	}
-	return nil
 }
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
