--- a/cmd/rig/fleet.go
+++ b/cmd/rig/fleet.go
@@ -43,11 +43,7 @@
 				return err
 			}
 		}
-		argv, err := program(*prog)
-		if err != nil {
-			return err
-		}
-		dir, clean, err := scratch()
+		argv, dir, clean, err := ready(*prog)
 		if err != nil {
 			return err
 		}
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -153,6 +153,15 @@
 	return []string{self, sidecarWord}, nil
 }
 
+// ready returns the sidecar to run, as program does, and the folder of a run.
+func ready(named string) (argv []string, dir string, clean func(), err error) {
+	if argv, err = program(named); err != nil {
+		return nil, "", nil, err
+	}
+	dir, clean, err = scratch()
+	return argv, dir, clean, err
+}
+
 // scratch makes the folder of a run; the function returned removes it.
 func scratch() (string, func(), error) {
 	dir, err := os.MkdirTemp("", "rig")
--- a/cmd/rig/speed.go
+++ b/cmd/rig/speed.go
@@ -70,11 +70,7 @@
 				return err
 			}
 		}
-		argv, err := program(o.program)
-		if err != nil {
-			return err
-		}
-		dir, clean, err := scratch()
+		argv, dir, clean, err := ready(o.program)
 		if err != nil {
 			return err
 		}
--- a/cmd/rig/storm.go
+++ b/cmd/rig/storm.go
@@ -272,15 +272,11 @@
 }
 
 func (o *stormFlags) playSockets(ctx context.Context, p point, show *bar) (*experiment.Result, error) {
-	argv, err := program(o.program)
-	if err != nil {
-		return nil, err
-	}
 	plan, err := experiment.Resolve(p.storm, p.seed)
 	if err != nil {
 		return nil, err
 	}
-	dir, clean, err := scratch()
+	argv, dir, clean, err := ready(o.program)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/rig/try.go
+++ b/cmd/rig/try.go
@@ -25,11 +25,7 @@
 		if err := within("rate", *rate, 1, 2000); err != nil {
 			return err
 		}
-		argv, err := program(*prog)
-		if err != nil {
-			return err
-		}
-		dir, clean, err := scratch()
+		argv, dir, clean, err := ready(*prog)
 		if err != nil {
 			return err
 		}
