Unix sockets get their mode without the process's mask

Supervisor and hand-over set the mask of the whole process to 0177 for the moment of a bind; two binds at once can each take the other's mask for the old one and leave it set for good, and every file that another goroutine writes meanwhile loses its bits.

Change: internal/unixsocket sets the mode on the socket before the bind; Linux makes the file with it. Both callers use it.

--- a/internal/fleet/supervisor.go
+++ b/internal/fleet/supervisor.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"otterspring/internal/fleetplan"
+	"otterspring/internal/unixsocket"
 )
 
 // Supervisor runs a fleet. All its state belongs to the goroutine of Run;
@@ -101,9 +102,7 @@
 		}
 		os.Remove(path) // the lock is held: nobody else is there
 	}
-	old := unix.Umask(0o177)
-	defer unix.Umask(old)
-	return net.Listen("unix", path)
+	return unixsocket.Listen(path)
 }
 
 func (s *Supervisor) now() time.Duration { return time.Since(s.origin) }
--- a/internal/handover/offer.go
+++ b/internal/handover/offer.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"otterspring/internal/unixsocket"
 )
 
 // Source is what an offering process has to give.
@@ -61,13 +63,10 @@
 	if info, err := os.Lstat(o.path); err == nil && info.Mode().Type() != os.ModeSocket {
 		return fmt.Errorf("handover: %s: found a file that is no socket, wanted a free path", o.path)
 	}
-	old := unix.Umask(0o177) // mode 0600 from the first moment
-	ln, err := net.Listen("unix", tmp)
-	unix.Umask(old)
+	u, err := unixsocket.Listen(tmp)
 	if err != nil {
 		return fmt.Errorf("handover: %s: %w", o.path, err)
 	}
-	u := ln.(*net.UnixListener)
 	u.SetUnlinkOnClose(false)
 	if err := os.Rename(tmp, o.path); err != nil {
 		u.Close()
--- a/internal/standin/callserver/callserver.go
+++ b/internal/standin/callserver/callserver.go
@@ -152,7 +152,8 @@
 	fault   Fault
 	leaving bool
 	keys    map[string]time.Time
-	fill    []net.Conn // fill the accept queue while vanished
+	fill    []net.Conn    // fill the accept queue while vanished
+	parked  chan struct{} // closed once nothing is being accepted; nil if nobody waits for that
 	stopped bool
 	wg      sync.WaitGroup
 	counts  Counts
--- a/internal/standin/callserver/conn.go
+++ b/internal/standin/callserver/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 // serverConn is a connection of a sidecar.
@@ -30,6 +31,7 @@
 	for {
 		nc, err := ln.AcceptTCP()
 		if err != nil {
+			s.park()
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
@@ -54,6 +56,16 @@
 	}
 }
 
+// park tells Vanish that nothing is being accepted.
+func (s *Server) park() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.parked != nil {
+		close(s.parked)
+		s.parked = nil
+	}
+}
+
 // reset ends a connection with a reset.
 func (c *serverConn) reset() {
 	c.nc.SetLinger(0)
@@ -303,3 +315,22 @@
 	}
 	return e
 }
+
+// queueFull tells whether the kernel drops what comes up at ln: for a listener
+// TCP_INFO counts the connections that wait to be accepted (unacked) and the
+// backlog (sacked); Linux takes one more than the backlog.
+func queueFull(ln *net.TCPListener) (bool, error) {
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	var info *unix.TCPInfo
+	var e error
+	if err := raw.Control(func(fd uintptr) { info, e = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil {
+		return false, err
+	}
+	if e != nil {
+		return false, e
+	}
+	return info.Unacked > info.Sacked, nil
+}
--- a/internal/standin/callserver/fault.go
+++ b/internal/standin/callserver/fault.go
@@ -1,6 +1,7 @@
 package callserver
 
 import (
+	"fmt"
 	"net"
 	"time"
 )
@@ -91,24 +92,36 @@
 func (s *Server) Vanish() error {
 	s.mu.Lock()
 	ln := s.ln
+	parked := make(chan struct{})
+	s.parked = parked
 	s.fault.Vanish = true
 	s.mu.Unlock()
 	if err := backlog(ln, 0); err != nil {
 		return err
 	}
-	// Stop accepting: the deadline ends the pending Accept over and over, and
-	// accept sleeps in between, so the queue is filled from here.
+	// Stop accepting: past its deadline an Accept fails before it asks the kernel.
+	// One that was asking already may still take a connection, so wait for the
+	// first that failed; from then on the queue is filled from here alone.
 	ln.SetDeadline(time.Unix(1, 0))
-	for range 4 {
-		nc, err := net.DialTimeout("tcp", ln.Addr().String(), 50*time.Millisecond)
+	select {
+	case <-parked:
+	case <-time.After(10 * time.Second):
+		return fmt.Errorf("call server %s: it goes on accepting, wanted it to stop", s.cfg.Name)
+	}
+	for range 16 {
+		full, err := queueFull(ln)
+		if err != nil || full {
+			return err
+		}
+		nc, err := net.DialTimeout("tcp", ln.Addr().String(), time.Second)
 		if err != nil {
-			break // full
+			continue // the machine is busy: what the kernel counts decides
 		}
 		s.mu.Lock()
 		s.fill = append(s.fill, nc)
 		s.mu.Unlock()
 	}
-	return nil
+	return fmt.Errorf("call server %s: its queue takes 16 connections and more, wanted a full one", s.cfg.Name)
 }
 
 // Return brings a vanished machine back under addr ("" for the same): old
