Stand-ins that fall silent: the kernel's count decides; ways that are slow and lose

A dial of 50 ms that failed counted as a full queue; on a busy machine it may have come up, and an accept that was under way made room again.

Change: internal/standin/deaf waits for no clock: the accepting side says that it has stopped, and TCP_INFO says when the queue is full. Call server and relay share it. The relay can delay each direction, keep the bytes' order, and reset at a request's first bytes by chance, for storms with a network.

--- a/internal/standin/callserver/conn.go
+++ b/internal/standin/callserver/conn.go
@@ -8,11 +8,9 @@
 	"net"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 )
 
 // serverConn is a connection of a sidecar.
@@ -302,35 +300,3 @@
 	defer s.mu.Unlock()
 	return s.fault.Hang
 }
-
-// backlog sets how many connections the kernel holds ready for accept.
-func backlog(ln *net.TCPListener, n int) error {
-	raw, err := ln.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var e error
-	if err := raw.Control(func(fd uintptr) { e = syscall.Listen(int(fd), n) }); err != nil {
-		return err
-	}
-	return e
-}
-
-// queueFull tells whether the kernel drops what comes up at ln: for a listener
-// TCP_INFO counts the connections that wait to be accepted (unacked) and the
-// backlog (sacked); Linux takes one more than the backlog.
-func queueFull(ln *net.TCPListener) (bool, error) {
-	raw, err := ln.SyscallConn()
-	if err != nil {
-		return false, err
-	}
-	var info *unix.TCPInfo
-	var e error
-	if err := raw.Control(func(fd uintptr) { info, e = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil {
-		return false, err
-	}
-	if e != nil {
-		return false, e
-	}
-	return info.Unacked > info.Sacked, nil
-}
--- a/internal/standin/callserver/fault.go
+++ b/internal/standin/callserver/fault.go
@@ -2,8 +2,9 @@
 
 import (
 	"fmt"
-	"net"
 	"time"
+
+	"otterspring/internal/standin/deaf"
 )
 
 // Spoil is a way to spoil an answer whose request has run.
@@ -96,9 +97,6 @@
 	s.parked = parked
 	s.fault.Vanish = true
 	s.mu.Unlock()
-	if err := backlog(ln, 0); err != nil {
-		return err
-	}
 	// Stop accepting: past its deadline an Accept fails before it asks the kernel.
 	// One that was asking already may still take a connection, so wait for the
 	// first that failed; from then on the queue is filled from here alone.
@@ -108,20 +106,11 @@
 	case <-time.After(10 * time.Second):
 		return fmt.Errorf("call server %s: it goes on accepting, wanted it to stop", s.cfg.Name)
 	}
-	for range 16 {
-		full, err := queueFull(ln)
-		if err != nil || full {
-			return err
-		}
-		nc, err := net.DialTimeout("tcp", ln.Addr().String(), time.Second)
-		if err != nil {
-			continue // the machine is busy: what the kernel counts decides
-		}
-		s.mu.Lock()
-		s.fill = append(s.fill, nc)
-		s.mu.Unlock()
-	}
-	return fmt.Errorf("call server %s: its queue takes 16 connections and more, wanted a full one", s.cfg.Name)
+	fill, err := deaf.Make(ln)
+	s.mu.Lock()
+	s.fill = fill
+	s.mu.Unlock()
+	return err
 }
 
 // Return brings a vanished machine back under addr ("" for the same): old
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -8,13 +8,17 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"otterspring/internal/standin/deaf"
 )
 
 const (
@@ -23,10 +27,26 @@
 	chunk     = 16 << 10
 )
 
+// Way is what a way is like while it is whole.
+type Way struct {
+	Delay  time.Duration // of each direction
+	Jitter time.Duration // up to this more; bytes stay in their order
+	Loss   float64       // chance that a request's first bytes reset their connection
+	Seed   uint64
+}
+
+// mostLag bounds the pieces of one direction that are on their way at a time;
+// with more the sender is not read.
+const mostLag = 64
+
 // Relay is one way.
 type Relay struct {
 	ln     *net.TCPListener
 	target func() string
+	way    Way
+
+	dice sync.Mutex
+	rng  *rand.Rand // of dice
 
 	mu     sync.Mutex
 	open   *sync.Cond // a cut has ended, or the relay
@@ -34,12 +54,16 @@
 	from   bool       // what the server sends is held
 	fill   []net.Conn
 	conns  map[net.Conn]bool
+	parked bool // nothing is being accepted
 	closed bool
 	wg     sync.WaitGroup
 }
 
 // Start opens a relay to the address that target names when a connection comes.
-func Start(target func() string) (*Relay, error) {
+func Start(target func() string) (*Relay, error) { return StartWay(target, Way{}) }
+
+// StartWay opens a relay whose way delays and loses.
+func StartWay(target func() string, way Way) (*Relay, error) {
 	if a, err := netip.ParseAddrPort(target()); err != nil || !a.Addr().IsLoopback() {
 		return nil, fmt.Errorf("relay: found %q, wanted a loopback address and a port", target())
 	}
@@ -47,7 +71,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	r := &Relay{ln: ln.(*net.TCPListener), target: target, conns: map[net.Conn]bool{}}
+	r := &Relay{ln: ln.(*net.TCPListener), target: target, way: way, rng: rand.New(rand.NewPCG(way.Seed, 0x776179)), conns: map[net.Conn]bool{}}
 	r.open = sync.NewCond(&r.mu)
 	r.wg.Add(1)
 	go r.accept()
@@ -67,6 +91,10 @@
 	cut := to || from
 	if cut {
 		r.ln.SetDeadline(time.Unix(1, 0)) // ends the pending Accept
+		r.open.Broadcast()
+		for !r.parked && !r.closed {
+			r.open.Wait()
+		}
 	} else {
 		for _, c := range r.fill {
 			c.Close()
@@ -79,41 +107,18 @@
 	case cut && !was:
 		return r.deafen()
 	case !cut && was:
-		return r.backlog(128)
+		return deaf.Backlog(r.ln, 128)
 	}
 	return nil
 }
 
-// deafen fills the kernel's queue of connections, which then drops what knocks.
+// deafen makes new connections never come up.
 func (r *Relay) deafen() error {
-	if err := r.backlog(0); err != nil {
-		return err
-	}
-	// One failure may be a slow machine's; two in a row mean that it is full.
-	for n, failed := 0, 0; n < 12 && failed < 2; n++ {
-		c, err := net.DialTimeout("tcp", r.Addr(), 50*time.Millisecond)
-		if err != nil {
-			failed++
-			continue
-		}
-		failed = 0
-		r.mu.Lock()
-		r.fill = append(r.fill, c)
-		r.mu.Unlock()
-	}
-	return nil
-}
-
-func (r *Relay) backlog(n int) error {
-	raw, err := r.ln.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var listen error
-	if err := raw.Control(func(fd uintptr) { listen = syscall.Listen(int(fd), n) }); err != nil {
-		return err
-	}
-	return listen
+	fill, err := deaf.Make(r.ln)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fill = append(r.fill, fill...)
+	return err
 }
 
 // Close ends the relay and all that passes through it.
@@ -151,8 +156,11 @@
 		// own on again.
 		r.mu.Lock()
 		for (r.to || r.from) && !r.closed {
+			r.parked = true
+			r.open.Broadcast()
 			r.open.Wait()
 		}
+		r.parked = false
 		closed := r.closed
 		if !closed {
 			r.ln.SetDeadline(time.Time{})
@@ -209,13 +217,25 @@
 		return
 	}
 	defer r.forget(up)
+	// fresh is set while the next bytes to the server are a request's first.
+	var fresh atomic.Bool
+	fresh.Store(true)
+	there := &direction{r: r, from: c, to: up.(*net.TCPConn), held: func() bool { return r.to }, lost: func() bool { return fresh.Swap(false) && r.draw() < r.way.Loss }}
+	back := &direction{r: r, from: there.to, to: c, held: func() bool { return r.from }, lost: func() bool { fresh.Store(true); return false }}
 	done := make(chan bool, 2)
 	r.wg.Add(2)
-	go r.copy(up.(*net.TCPConn), c, func() bool { return r.to }, done)
-	go r.copy(c, up.(*net.TCPConn), func() bool { return r.from }, done)
+	go there.run(done)
+	go back.run(done)
 	<-done
 }
 
+// draw draws from 0 to 1.
+func (r *Relay) draw() float64 {
+	r.dice.Lock()
+	defer r.dice.Unlock()
+	return r.rng.Float64()
+}
+
 // peek looks at what a connection has next, without taking it.
 func peek(c *net.TCPConn) (n int, err error) {
 	raw, err := c.SyscallConn()
@@ -253,34 +273,101 @@
 	return n == 0 && err == nil
 }
 
-// copy passes one direction on; a reset comes through as one.
-func (r *Relay) copy(to, from *net.TCPConn, held func() bool, done chan<- bool) {
-	defer r.wg.Done()
+// direction passes one direction of a connection on.
+type direction struct {
+	r        *Relay
+	from, to *net.TCPConn
+	held     func() bool // under the relay's mutex: the direction is cut
+	lost     func() bool // the bytes that were just read break the connection
+}
+
+// piece is what was read at once, on its way until due.
+type piece struct {
+	text []byte
+	err  error
+	due  time.Time
+}
+
+func (d *direction) run(done chan<- bool) {
+	defer d.r.wg.Done()
 	defer func() { done <- true }()
+	if d.r.way.Delay > 0 || d.r.way.Jitter > 0 {
+		d.lag()
+		return
+	}
 	buf := make([]byte, chunk)
 	for {
-		n, err := from.Read(buf)
-		// What is read while the way is cut waits, news of an end as well: the
-		// sender's kernel would repeat it until the way is whole. Not so where
-		// the sender has reset the connection meanwhile: it repeats nothing then.
-		if !r.whole(held) {
+		n, err := d.from.Read(buf)
+		if !d.deliver(buf[:n], err) {
 			return
 		}
-		if n > 0 && wasReset(from) {
-			to.SetLinger(0)
+	}
+}
+
+// lag passes on what its reader has sent on its way, each piece when it is due.
+func (d *direction) lag() {
+	way, end := make(chan piece, mostLag), make(chan struct{})
+	defer close(end)
+	d.r.wg.Add(1)
+	go d.read(way, end)
+	for p := range way {
+		time.Sleep(time.Until(p.due))
+		if !d.deliver(p.text, p.err) {
 			return
 		}
-		if n > 0 {
-			if _, err := to.Write(buf[:n]); err != nil {
-				from.SetLinger(0)
-				return
-			}
+	}
+}
+
+// read ends with the connection, which pass closes when either direction ends.
+func (d *direction) read(way chan<- piece, end <-chan struct{}) {
+	defer d.r.wg.Done()
+	defer close(way)
+	last := time.Time{}
+	for {
+		buf := make([]byte, chunk)
+		n, err := d.from.Read(buf)
+		p := piece{buf[:n:n], err, time.Now().Add(d.r.way.Delay + time.Duration(d.r.draw()*float64(d.r.way.Jitter)))}
+		if p.due.Before(last) {
+			p.due = last
+		}
+		last = p.due
+		select {
+		case way <- p:
+		case <-end:
+			return
 		}
 		if err != nil {
-			if !errors.Is(err, io.EOF) {
-				to.SetLinger(0)
-			}
 			return
 		}
 	}
 }
+
+// deliver passes on what was read, and its end; a reset comes through as one.
+// It returns false at the end.
+func (d *direction) deliver(text []byte, err error) bool {
+	// What is read while the way is cut waits, news of an end as well: the
+	// sender's kernel would repeat it until the way is whole. Not so where the
+	// sender has reset the connection meanwhile: it repeats nothing then.
+	if !d.r.whole(d.held) {
+		return false
+	}
+	if len(text) > 0 && wasReset(d.from) {
+		d.to.SetLinger(0)
+		return false
+	}
+	if len(text) > 0 && d.lost() {
+		d.from.SetLinger(0)
+		d.to.SetLinger(0)
+		return false
+	}
+	if len(text) > 0 {
+		if _, err := d.to.Write(text); err != nil {
+			d.from.SetLinger(0)
+			return false
+		}
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		d.to.SetLinger(0)
+	}
+	return err == nil
+}
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -158,3 +158,55 @@
 		t.Error(err)
 	}
 }
+
+// A way that is slow delays each direction, passes all bytes in their order and
+// ends when either side does; one that loses resets at a request's first bytes,
+// and only there.
+func TestSlowAndLossyWays(t *testing.T) {
+	t.Parallel()
+	target := echo(t)
+	start := func(w Way) *Relay {
+		r, err := StartWay(func() string { return target }, w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(r.Close)
+		return r
+	}
+	const delay = 20 * time.Millisecond
+	c, br := dial(t, start(Way{Delay: delay, Jitter: delay, Seed: 5}))
+	before := time.Now()
+	if got := say(c, br, "one", 10*time.Second); got != "one" {
+		t.Fatalf("heard %q", got)
+	}
+	if took := time.Since(before); took < 2*delay {
+		t.Errorf("there and back took %v, less than %v", took, 2*delay)
+	}
+	go func() {
+		for i := range 200 {
+			fmt.Fprintf(c, "line %d\n", i)
+		}
+	}()
+	for i := range 200 {
+		if got, want := hear(c, br, 10*time.Second), fmt.Sprintf("line %d", i); got != want {
+			t.Fatalf("heard %q, want %q", got, want)
+		}
+	}
+	if got := say(c, br, "reset", 10*time.Second); got != "ended" {
+		t.Errorf("a reset came through as %q", got)
+	}
+
+	if c, br := dial(t, start(Way{Loss: 1})); say(c, br, "one", 10*time.Second) != "ended" {
+		t.Error("a way that loses all passed a request on")
+	}
+	lossy := start(Way{Loss: 0.5, Seed: 9})
+	ends := 0
+	for range 40 {
+		if c, br := dial(t, lossy); say(c, br, "one", 10*time.Second) == "ended" {
+			ends++
+		}
+	}
+	if ends < 8 || ends > 32 {
+		t.Errorf("of 40 first requests %d were lost at a chance of a half", ends)
+	}
+}
