Storms: tenants, rude clients, reloads with bad files, networks, surges of a class

Need: the issue names them and the files could not say them.

Change: load.tenant with quotas and the figure worst_tenant; load.surge of one class or tenant; faults reload, reload-bad and rude (on sockets; virtual time names what it does not play); world.network on sockets, through relays; the storms tenants, rude and far; `rig storm -stakes`, a table of how near each storm came to each rule.

A rude client that is left, or served what no one can read, shows in its counts (tests with such servers).

--- a/cmd/rig/storm.go
+++ b/cmd/rig/storm.go
@@ -50,6 +50,7 @@
 	seeds   []uint64
 	jobs    int
 	output  string
+	stakes  bool
 	program string
 }
 
@@ -72,6 +73,7 @@
 	seeds := f.String("seeds", "1", "a seed, or a range like 1..20")
 	f.IntVar(&o.jobs, "jobs", 0, "runs at a time in virtual time; 0 for one a core")
 	f.StringVar(&o.output, "o", "", "write results to this file, a line of JSON each")
+	f.BoolVar(&o.stakes, "stakes", false, "print a table of how near each storm came to each rule and limit")
 	f.StringVar(&o.program, "program", "", "the sidecar to run on sockets; empty for the one beside this program")
 	return func(ctx context.Context, files []string, out io.Writer) error {
 		o.files = files
@@ -94,6 +96,7 @@
 	}
 	defer sink.Close()
 	t := totals{}
+	var all []*experiment.Result
 	show := progress(os.Stderr, len(points))
 	err = o.play(ctx, points, show, func(r *experiment.Result) error {
 		show.clear()
@@ -102,12 +105,18 @@
 			fmt.Fprintln(out, "  "+n)
 		}
 		t.add(r)
+		if o.stakes {
+			all = append(all, &experiment.Result{Storm: r.Storm, Engine: r.Engine, Seed: r.Seed, Stake: r.Stake})
+		}
 		return sink.write(r)
 	})
 	show.clear()
 	if err != nil {
 		return err
 	}
+	if o.stakes {
+		stakes(out, all)
+	}
 	fmt.Fprintln(out, t.line())
 	switch {
 	case t.broken+t.failed > 0:
@@ -118,6 +127,29 @@
 	return nil
 }
 
+// stakeNames are the rules and limits that a run may come near, in the order of
+// their columns.
+var stakeNames = []string{"ambiguous", "cold_load", "told_away", "budget_refused", "own_ends", "held"}
+
+// stakes prints how near each run came; a dash is a rule that was not near.
+func stakes(out io.Writer, all []*experiment.Result) {
+	fmt.Fprintf(out, "| storm | engine, seed | %s |\n| --- | --- |%s\n", strings.Join(stakeNames, " | "), strings.Repeat(" --- |", len(stakeNames)))
+	for _, r := range all {
+		fmt.Fprintf(out, "| %s | %s, %d |", r.Storm, r.Engine, r.Seed)
+		for _, name := range stakeNames {
+			switch v := r.Stake[name]; {
+			case v == 0:
+				fmt.Fprint(out, " - |")
+			case name == "cold_load":
+				fmt.Fprintf(out, " %.2f |", v)
+			default:
+				fmt.Fprintf(out, " %.0f |", v)
+			}
+		}
+		fmt.Fprintln(out)
+	}
+}
+
 // check holds the flags against each other and fills in what they leave out.
 func (o *stormFlags) check(seeds string) (err error) {
 	switch {
--- a/internal/experiment/check.go
+++ b/internal/experiment/check.go
@@ -17,6 +17,7 @@
 	Chance    bool   // it strikes each request with a chance
 	Factor    bool
 	NeedCount bool
+	Sockets   bool // it shows on sockets only; in virtual time it does nothing and is named
 }
 
 // Kinds are the faults that a file may name.
@@ -42,6 +43,9 @@
 	"kill":          {Does: "the sidecar is killed and started anew", On: "instances"},
 	"term":          {Does: "the sidecar drains, ends and is started anew", On: "instances"},
 	"handover":      {Does: "a new process takes the sidecar's listener over", On: "instances"},
+	"reload":        {Does: "the sidecar reads its configuration anew", On: "instances", Sockets: true},
+	"reload-bad":    {Does: "the sidecar is told to read a configuration that is no good", On: "instances", Sockets: true},
+	"rude":          {Does: "count clients at each instance send what can't be used", On: "instances", Lasts: true, NeedCount: true, Sockets: true},
 	"roll-handover": {Does: "the instances are handed over one by one", On: "instances", Lasts: true},
 }
 
@@ -90,6 +94,7 @@
 			c.bad("world.server.speeds", fmt.Sprintf("%g at place %d", v, i+1), "0.01 to 100")
 		}
 	}
+	c.tenants()
 	names, shares := map[string]bool{}, 0.0
 	for i, k := range s.Load.Classes {
 		key := fmt.Sprintf("load.class[%d]", i+1)
@@ -112,14 +117,38 @@
 		c.bad("load.times", "it beside rate", "one of them")
 	}
 	times := 1.0
-	for _, g := range s.Load.Surges {
+	for i, g := range s.Load.Surges {
 		times = max(times, g.Times)
+		key := fmt.Sprintf("load.surge[%d]", i+1)
+		if g.Class != "" && !names[g.Class] {
+			c.bad(key+".class", strconv.Quote(g.Class), "a class of the file")
+		}
+		if g.Tenant != "" && !slices.ContainsFunc(s.Load.Tenants, func(t Tenant) bool { return t.Name == g.Tenant }) {
+			c.bad(key+".tenant", strconv.Quote(g.Tenant), "a tenant of the file")
+		}
+		if g.Class != "" && g.Tenant != "" {
+			c.bad(key, "class and tenant", "one of them")
+		}
 	}
 	if n := s.Rate() * s.For.Seconds() * times; n > 4_000_000 {
 		c.bad("load", fmt.Sprintf("up to %.0f requests", n), "4000000 at most")
 	}
 }
 
+func (c *checker) tenants() {
+	names, shares, quotas := map[string]bool{}, 0.0, 0.0
+	for i, t := range c.s.Load.Tenants {
+		if names[t.Name] || t.Name == "" {
+			c.bad(fmt.Sprintf("load.tenant[%d].name", i+1), strconv.Quote(t.Name), "a name that no other tenant has")
+		}
+		names[t.Name] = true
+		shares, quotas = shares+t.Share, quotas+t.Quota
+	}
+	if len(names) > 0 && (shares <= 0 || quotas <= 0) {
+		c.bad("load.tenant", "shares or quotas that are all 0", "one above")
+	}
+}
+
 func (c *checker) fault(key string, f *Fault) {
 	s := c.s
 	k, ok := Kinds[f.Kind]
@@ -152,10 +181,16 @@
 	if f.Move {
 		wants(true, f.Kind == "vanish" || f.Kind == "crash", "move", "")
 	}
+	if n := f.Count * s.World.Instances; f.Kind == "rude" && n > mostRude {
+		c.bad(key+".count", fmt.Sprintf("up to %d rude clients", n), fmt.Sprintf("%d at most over all instances", mostRude))
+	}
 	c.set(key+".servers", f.Servers, 's', s.AllServers())
 	c.set(key+".instances", f.Instances, 'n', s.World.Instances)
 }
 
+// mostRude bounds the rude clients of a fault.
+const mostRude = 2000
+
 // set holds a set against how many there are.
 func (c *checker) set(key string, set Set, letter byte, n int) {
 	if set.Text == "" {
--- a/internal/experiment/plan.go
+++ b/internal/experiment/plan.go
@@ -33,6 +33,9 @@
 	Kill     Op = "kill"
 	Term     Op = "term"
 	HandOver Op = "handover"
+	Reload   Op = "reload"
+	BadFile  Op = "reload-bad"
+	Rude     Op = "rude"
 )
 
 // Step is one thing to do at its time. Server and Instance are numbers from 0,
@@ -75,13 +78,10 @@
 		sum += w
 	}
 	classes := s.ClientClasses()
-	var surges []clients.Surge
-	for _, g := range s.Load.Surges {
-		surges = append(surges, clients.Surge{At: g.At.On(s.For), For: g.For.On(s.For), Times: g.Times})
-	}
+	surges, tenants := s.surges(), s.ClientTenants()
 	for i := range p.Weights {
 		p.Weights[i] /= sum
-		shape := clients.Shape{Rate: s.Rate() * p.Weights[i], For: s.For, Surges: surges, Keys: s.Load.Keys, Skew: s.Load.KeySkew}
+		shape := clients.Shape{Rate: s.Rate() * p.Weights[i], For: s.For, Surges: surges, Tenants: tenants, Keys: s.Load.Keys, Skew: s.Load.KeySkew}
 		arrivals, err := clients.Draw(shape, classes, rng.Uint64())
 		if err != nil {
 			return nil, err
@@ -137,6 +137,10 @@
 		for _, in := range instances {
 			add(at, map[string]Op{"kill": Kill, "term": Term, "handover": HandOver}[f.Kind], -1, in)
 		}
+	case "reload", "reload-bad", "rude":
+		for _, in := range instances {
+			add(at, map[string]Op{"reload": Reload, "reload-bad": BadFile, "rude": Rude}[f.Kind], -1, in)
+		}
 	case "roll-handover":
 		for j, in := range instances {
 			add(at+(end-at)*time.Duration(j)/time.Duration(len(instances)), HandOver, -1, in)
@@ -266,6 +270,14 @@
 	return t
 }
 
+// Unseen notes that an engine can't play a step; once a fault.
+func (t *Tracker) Unseen(s Step) {
+	why := fmt.Sprintf("fault[%d] (%s): not played: it shows on sockets only", s.Fault+1, t.storm.Faults[s.Fault].Kind)
+	if !slices.Contains(t.Skipped, why) {
+		t.Skipped = append(t.Skipped, why)
+	}
+}
+
 // Do is what an engine is to do for a step.
 type Do struct {
 	Op    Op // "" for nothing
--- a/internal/experiment/storm.go
+++ b/internal/experiment/storm.go
@@ -96,6 +96,9 @@
 	Dial     time.Duration `toml:"dial" min:"10ms" max:"10s"`
 	Attempts int           `toml:"attempts" min:"1" max:"5"`
 	Advice   time.Duration `toml:"advice" min:"0s" max:"10s"` // longest Retry-After; 0 for none
+	// OverShare is the worth of a request above its tenant's share of the
+	// traffic, against one within it.
+	OverShare float64 `toml:"over_share" min:"0" max:"1"`
 }
 
 // Load is how requests come: an open loop, never slowed by the answers.
@@ -111,6 +114,7 @@
 	Try     float64       `toml:"try_share" min:"0.05" max:"1"`
 	Body    int           `toml:"body" min:"0" max:"65536"`
 	Classes []Class       `toml:"class" max:"10"`
+	Tenants []Tenant      `toml:"tenant" max:"20"`
 	Surges  []Surge       `toml:"surge" max:"20"`
 	Kept    time.Duration `toml:"kept" min:"100ms" max:"1m"` // clients keep idle connections this long
 }
@@ -126,11 +130,20 @@
 	Worth    float64       `toml:"worth" need:"true" min:"0" max:"1000"`
 }
 
-// Surge multiplies the rate for a while.
+// Tenant is a customer of the application, with the rate that was agreed.
+type Tenant struct {
+	Name  string  `toml:"name" need:"true"`
+	Share float64 `toml:"share" need:"true" min:"0" max:"1000"`    // of the requests
+	Quota float64 `toml:"quota" need:"true" min:"0" max:"1000000"` // a second over all instances; only how they compare counts
+}
+
+// Surge multiplies the rate for a while: of all, or of one class or tenant.
 type Surge struct {
-	At    Moment  `toml:"at" need:"true"`
-	For   Moment  `toml:"for" need:"true"`
-	Times float64 `toml:"times" need:"true" min:"0" max:"20"`
+	At     Moment  `toml:"at" need:"true"`
+	For    Moment  `toml:"for" need:"true"`
+	Times  float64 `toml:"times" need:"true" min:"0" max:"20"`
+	Class  string  `toml:"class"`
+	Tenant string  `toml:"tenant"`
 }
 
 // Fault is something that goes wrong for a while. Which keys it takes follows
@@ -264,7 +277,7 @@
 			},
 			Discovery: Discovery{Lines: 400, CallLines: 23, Late: 500 * time.Millisecond},
 			Network:   Network{Delay: 50 * time.Microsecond, Jitter: 50 * time.Microsecond},
-			Sidecar:   Sidecar{MemoryMB: 64, Sockets: 512, Dial: 100 * time.Millisecond, Attempts: 3, Advice: time.Second},
+			Sidecar:   Sidecar{MemoryMB: 64, Sockets: 512, Dial: 100 * time.Millisecond, Attempts: 3, Advice: time.Second, OverShare: 0.3},
 		},
 		Load: Load{Times: 0.5, Skew: 0.7, Keys: 3000, KeySkew: 0.7, Retries: 2, Try: 0.7, Body: 200, Kept: 2 * time.Second},
 	}
@@ -292,6 +305,28 @@
 	return all
 }
 
+// ClientTenants are the tenants as clients see them.
+func (s *Storm) ClientTenants() []clients.Tenant {
+	var all []clients.Tenant
+	for _, t := range s.Load.Tenants {
+		all = append(all, clients.Tenant{Name: t.Name, Share: t.Share, Quota: t.Quota})
+	}
+	return all
+}
+
+// surges are the surges as clients see them.
+func (s *Storm) surges() []clients.Surge {
+	var all []clients.Surge
+	for _, g := range s.Load.Surges {
+		all = append(all, clients.Surge{
+			At: g.At.On(s.For), For: g.For.On(s.For), Times: g.Times,
+			Class:  1 + slices.IndexFunc(s.Load.Classes, func(c Class) bool { return c.Name == g.Class }),
+			Tenant: 1 + slices.IndexFunc(s.Load.Tenants, func(t Tenant) bool { return t.Name == g.Tenant }),
+		})
+	}
+	return all
+}
+
 // Capacity is how many requests a second the servers of the start can serve,
 // about, with no key met before.
 func (s *Storm) Capacity() float64 {
@@ -375,12 +410,12 @@
 // clone copies a storm so that settings on the copy leave the first alone.
 func (s *Storm) clone() Storm {
 	c := *s
-	c.Load.Classes, c.Load.Surges = slices.Clone(s.Load.Classes), slices.Clone(s.Load.Surges)
+	c.Load.Classes, c.Load.Surges, c.Load.Tenants = slices.Clone(s.Load.Classes), slices.Clone(s.Load.Surges), slices.Clone(s.Load.Tenants)
 	c.Faults, c.Phases, c.Holds, c.Sweeps = slices.Clone(s.Faults), slices.Clone(s.Phases), slices.Clone(s.Holds), slices.Clone(s.Sweeps)
 	return c
 }
 
-var indexed = regexp.MustCompile(`^(fault|phase|load\.class|load\.surge)\[([1-9][0-9]*)\]\.(.+)$`)
+var indexed = regexp.MustCompile(`^(fault|phase|load\.class|load\.surge|load\.tenant)\[([1-9][0-9]*)\]\.(.+)$`)
 
 // Set takes one setting, key=value, as -set and sweeps name it: a key of the
 // file with its tables, and fault[2].chance for the second of several.
@@ -392,7 +427,7 @@
 	var into any = s
 	if m := indexed.FindStringSubmatch(key); m != nil {
 		n, _ := strconv.Atoi(m[2])
-		lens := map[string]int{"fault": len(s.Faults), "phase": len(s.Phases), "load.class": len(s.Load.Classes), "load.surge": len(s.Load.Surges)}
+		lens := map[string]int{"fault": len(s.Faults), "phase": len(s.Phases), "load.class": len(s.Load.Classes), "load.surge": len(s.Load.Surges), "load.tenant": len(s.Load.Tenants)}
 		if n > lens[m[1]] {
 			return fmt.Errorf("%s of 1 to %d", m[1], lens[m[1]])
 		}
@@ -405,6 +440,8 @@
 			into = &s.Load.Classes[n-1]
 		case "load.surge":
 			into = &s.Load.Surges[n-1]
+		case "load.tenant":
+			into = &s.Load.Tenants[n-1]
 		}
 	}
 	err := setOne(key, value, into)
--- a/internal/experiment/verdict.go
+++ b/internal/experiment/verdict.go
@@ -24,6 +24,7 @@
 	"service":        {Means: "worth answered in time against worth asked, retries in their first try"},
 	"figure":         {Means: "0.55 service, 0.35 worst10, 0.10 worst_class, as the site weighs it"},
 	"worst10":        {Means: "service of the worst 10 s (of the worst 3 s where less than 20 s are looked at)"},
+	"worst_tenant":   {Means: "service of the tenant that has least, of those that ask for no more than their quota's part"},
 	"worst_class":    {Means: "share answered in time of the class that has least"},
 	"refused":        {Means: "share of the asked that ended refused"},
 	"failed":         {Means: "share of the asked that ended failed or with no answer"},
@@ -36,6 +37,7 @@
 	"budget_over":    {Means: "repeats that left though the window's budget was spent", WholeOnly: true},
 	"budget_refused": {Means: "requests given up with tries and time left", WholeOnly: true},
 	"ambiguous":      {Means: "requests not safe to repeat that ran and were not served", WholeOnly: true},
+	"rude_left":      {Means: "share of the rude clients' connections with neither answer nor close in 3 s; sockets only", WholeOnly: true},
 	"own_ends":       {Means: "requests that ended by their own end with an attempt out", WholeOnly: true},
 }
 
@@ -74,6 +76,7 @@
 type Counts struct {
 	BudgetOver, BudgetRefused, OwnEnds int
 	Conns, Steps                       int
+	Rude                               *clients.RudeCount // nil where there were none
 }
 
 // Kept is one promise and what came of it.
@@ -163,6 +166,9 @@
 			res.Figures[name] = float64(n)
 		}
 	}
+	if r := rec.Counts.Rude; r != nil && r.Sent > 0 {
+		res.Figures["rude_left"] = float64(r.Left) / float64(r.Sent)
+	}
 	res.Stake = map[string]float64{"ambiguous": float64(rep.Ambiguous), "cold_load": rep.ColdMost, "told_away": float64(rep.ToldAway),
 		"budget_refused": float64(max(0, rec.Counts.BudgetRefused)), "own_ends": float64(max(0, rec.Counts.OwnEnds)), "held": float64(rep.Held)}
 	if len(rec.Samples) == 0 {
@@ -242,6 +248,9 @@
 			out["worst_class"] = min(out["worst_class"], float64(c.InTime)/float64(c.Asked))
 		}
 	}
+	if len(s.Load.Tenants) > 0 {
+		out["worst_tenant"] = worstTenant(s, classes, part)
+	}
 	out["figure"] = 0.55*out["service"] + 0.35*out["worst10"] + 0.10*out["worst_class"]
 	firsts, repeats := 0, 0
 	for i := int(from / time.Second); i < len(rec.Seconds) && time.Duration(i)*time.Second < to; i++ {
@@ -251,6 +260,32 @@
 	return out
 }
 
+// worstTenant is the service of the tenant that has least, of those whose part
+// of what was asked was no larger than that of their quota, by a tenth.
+func worstTenant(s *Storm, classes []clients.Class, part []clients.Sample) float64 {
+	n := len(s.Load.Tenants)
+	count, asked, earned := make([]float64, n), make([]float64, n), make([]float64, n)
+	quotas := 0.0
+	for _, t := range s.Load.Tenants {
+		quotas += t.Quota
+	}
+	for _, x := range part {
+		c := &classes[x.Class]
+		count[x.Tenant-1]++
+		asked[x.Tenant-1] += c.Worth
+		if x.OK && x.Took <= c.Aim {
+			earned[x.Tenant-1] += c.Worth
+		}
+	}
+	least := 1.0
+	for i, t := range s.Load.Tenants {
+		if asked[i] > 0 && count[i] <= 1.1*t.Quota/quotas*float64(len(part)) {
+			least = min(least, earned[i]/asked[i])
+		}
+	}
+	return least
+}
+
 // shares is worth asked and earned by second.
 func shares(classes []clients.Class, samples []clients.Sample) (asked, earned []float64) {
 	for _, x := range samples {
--- a/internal/mutant/wrap.go
+++ b/internal/mutant/wrap.go
@@ -39,6 +39,15 @@
 	{Name: "never-ran", Breaks: "rule 2: resets and errors count as proof that nothing ran", Storm: "reset-storm", Wrap: func(m virtual.Module) virtual.Module { return &neverRan{Module: m} }},
 	{Name: "no-budget", Breaks: "the design: the retry budget never refuses", Storm: "retry-storm", Wrap: func(m virtual.Module) virtual.Module { return newUnbudgeted(m) }},
 	{Name: "drain-ignored", Breaks: "rule 3: a server that drains stays in use", Storm: "hang-and-drain", Wrap: func(m virtual.Module) virtual.Module { return &undrained{Module: m} }},
+	{Name: "tenant-blind", Breaks: "limits: whose request it is does not count", Storm: "tenants", Wrap: func(m virtual.Module) virtual.Module { return &tenantBlind{Module: m} }},
+}
+
+// tenantBlind hides whose requests they are.
+type tenantBlind struct{ virtual.Module }
+
+func (b *tenantBlind) Request(now time.Duration, q balance.Request, acts []balance.Action) []balance.Action {
+	q.Tenant = ""
+	return b.Module.Request(now, q, acts)
 }
 
 // warm tells the module that every server started long ago.
--- a/internal/rig/instance.go
+++ b/internal/rig/instance.go
@@ -307,6 +307,84 @@
 	return in.Start(ctx)
 }
 
+// badFiles are configurations that a sidecar must not take, by turns.
+var badFiles = []func(good string) string{
+	func(string) string { return "" },
+	func(good string) string { return good[:len(good)/2] },
+	func(good string) string { return strings.Replace(good, `"sockets":`, `"sockets":-`, 1) },
+	func(good string) string { return strings.Replace(good, `"discovery":"127`, `"discovery":"nowhere`, 1) },
+}
+
+// Reload has the newest process read its configuration anew and waits until it
+// says that it has; with bad, one that is no good, which must be turned down. A
+// good one stands there afterwards.
+func (in *Instance) Reload(ctx context.Context, bad bool) error {
+	if err := in.writeConfig(); err != nil {
+		return err
+	}
+	good, err := os.ReadFile(in.config)
+	if err != nil {
+		return err
+	}
+	if bad {
+		in.mu.Lock()
+		text := badFiles[in.rng.IntN(len(badFiles))](string(good))
+		in.mu.Unlock()
+		if err := write(in.config, text); err != nil {
+			return err
+		}
+		defer write(in.config, string(good))
+	}
+	procs := in.running()
+	if len(procs) == 0 {
+		return fmt.Errorf("instance %s: no process to reload", in.Name)
+	}
+	p := procs[len(procs)-1]
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	took, refused, err := in.reloads(ctx)
+	if err != nil {
+		return err
+	}
+	if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		return fmt.Errorf("instance %s: %w", in.Name, err)
+	}
+	for {
+		select {
+		case <-p.done:
+			return fmt.Errorf("instance %s: ended on SIGHUP with %v: %s: %w", in.Name, p.err, strings.TrimSpace(p.tail.String()), ErrCrashed)
+		case <-ctx.Done():
+			return fmt.Errorf("instance %s: no word of its reload: %w", in.Name, ctx.Err())
+		case <-time.After(10 * time.Millisecond):
+		}
+		nowTook, nowRefused, err := in.reloads(ctx)
+		switch {
+		case err != nil || nowTook == took && nowRefused == refused:
+		case bad != (nowRefused > refused):
+			return fmt.Errorf("instance %s: a configuration, bad=%v, was taken otherwise: %w", in.Name, bad, ErrCrashed)
+		default:
+			return nil
+		}
+	}
+}
+
+// reloads are how many reloads the instance says went well, and how many not.
+func (in *Instance) reloads(ctx context.Context) (took, refused int, err error) {
+	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+in.Addr+"/up", nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	r, err := upClient.Do(req)
+	if err != nil {
+		return 0, 0, fmt.Errorf("instance %s: %w", in.Name, err)
+	}
+	r.Body.Close()
+	if _, err := fmt.Sscanf(r.Header.Get("X-Reloads"), "%d/%d", &took, &refused); err != nil {
+		return 0, 0, fmt.Errorf("instance %s: found X-Reloads %q, wanted two numbers", in.Name, r.Header.Get("X-Reloads"))
+	}
+	return took, refused, nil
+}
+
 // HandOver starts a new process that takes the listener over, and waits until
 // the old one has ended.
 func (in *Instance) HandOver(ctx context.Context) error {
--- a/internal/rig/storm.go
+++ b/internal/rig/storm.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,37 +50,34 @@
 	return c
 }
 
+// slow tells whether the storm's network is other than loopback's own.
+func slow(n *experiment.Network) bool {
+	return n.Delay >= time.Millisecond || n.Jitter >= time.Millisecond || n.Loss > 0
+}
+
 // ways puts a relay between each instance and server that the plan cuts off
-// from each other, and has discovery tell its address.
+// from each other, or between all where the network is slow or loses, and has
+// discovery tell its address.
 func (w *World) ways(p *experiment.Plan) error {
-	by := map[int]map[string]string{}
 	for _, st := range p.Steps {
-		pair := [2]int{st.Instance, st.Server}
-		if st.Do != experiment.Cut || w.relays[pair] != nil {
-			continue
-		}
-		if len(w.relays) >= mostRelays {
-			return fmt.Errorf("rig: a storm that cuts more than %d ways: on sockets each takes descriptors", mostRelays)
-		}
-		v := w.Servers[st.Server]
-		r, err := relay.Start(v.Addr)
-		if err != nil {
-			return err
-		}
-		w.relays[pair] = r
-		if by[st.Instance] == nil {
-			by[st.Instance] = map[string]string{}
+		if st.Do == experiment.Cut {
+			if err := w.way(st.Instance, st.Server); err != nil {
+				return err
+			}
 		}
-		by[st.Instance][v.Name()] = r.Addr()
 	}
-	for i, addrs := range by {
-		way := func(e registry.Entry) string {
-			if a := addrs[e.Name]; a != "" {
-				return a
+	if slow(&p.Storm.World.Network) {
+		for n := range w.Servers {
+			if err := w.waysTo(n); err != nil {
+				return err
 			}
-			return e.Addr
 		}
-		in := w.Instances[i]
+	}
+	if len(w.relays) == 0 {
+		return nil
+	}
+	for i, in := range w.Instances {
+		way := func(e registry.Entry) string { return w.wayOf(i, e) }
 		in.door.Way(way)
 		in.known = w.Registry.SnapshotFor(way)
 		if err := in.writeConfig(); err != nil {
@@ -88,7 +87,51 @@
 	return nil
 }
 
-const mostRelays = 400
+// waysTo puts a relay between a server and each instance.
+func (w *World) waysTo(server int) error {
+	for i := range w.Instances {
+		if err := w.way(i, server); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// way puts a relay between an instance and a server, where there is none.
+func (w *World) way(instance, server int) error {
+	pair := [2]int{instance, server}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.relays[pair] != nil {
+		return nil
+	}
+	if len(w.relays) >= mostRelays {
+		return fmt.Errorf("rig: a storm with more than %d ways of its own: on sockets each takes descriptors", mostRelays)
+	}
+	n := &w.opt.Storm.World.Network
+	way := relay.Way{Seed: w.opt.Seed ^ uint64(instance)<<32 ^ uint64(server)<<8}
+	if slow(n) {
+		way.Delay, way.Jitter, way.Loss = n.Delay, n.Jitter, n.Loss
+	}
+	r, err := relay.StartWay(w.Servers[server].Addr, way)
+	if err == nil {
+		w.relays[pair] = r
+	}
+	return err
+}
+
+// wayOf is the address at which an instance finds a server.
+func (w *World) wayOf(instance int, e registry.Entry) string {
+	n, err := strconv.Atoi(strings.TrimPrefix(e.Name, "s"))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r := w.relays[[2]int{instance, n - 1}]; err == nil && r != nil {
+		return r.Addr()
+	}
+	return e.Addr
+}
+
+const mostRelays = 600
 
 // stormRun is a storm that is being played on sockets.
 type stormRun struct {
@@ -97,8 +140,11 @@
 	track *experiment.Tracker
 	rng   *rand.Rand
 
+	turns []sync.Mutex // of each instance: restarts and reloads, one at a time
+
 	mu   sync.Mutex
 	errs []error
+	rude *clients.RudeCount
 }
 
 // PlayStorm plays a plan on sockets and processes; the world's instances are
@@ -115,7 +161,7 @@
 	if err := w.StartAll(ctx, 8); err != nil {
 		return nil, err
 	}
-	run := &stormRun{w: w, plan: p, track: experiment.NewTracker(p.Storm), rng: rand.New(rand.NewPCG(p.Seed, 0x72756e))}
+	run := &stormRun{w: w, plan: p, track: experiment.NewTracker(p.Storm), rng: rand.New(rand.NewPCG(p.Seed, 0x72756e)), turns: make([]sync.Mutex, len(w.Instances))}
 	// The first lists are asked for within two seconds of the start.
 	if !wait(ctx, 3*time.Second) {
 		return nil, ctx.Err()
@@ -171,12 +217,11 @@
 			return
 		}
 		switch st.Do {
-		case experiment.Kill, experiment.Term, experiment.HandOver:
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				r.note(r.restart(ctx, r.w.Instances[st.Instance], st.Do))
-			}()
+		case experiment.Kill, experiment.Term, experiment.HandOver, experiment.Reload, experiment.BadFile:
+			wg.Go(func() { r.note(r.restart(ctx, st.Instance, st.Do)) })
+		case experiment.Rude:
+			seed := r.rng.Uint64()
+			wg.Go(func() { r.rudeness(ctx, st, seed) })
 		default:
 			r.note(r.step(st))
 		}
@@ -191,13 +236,35 @@
 	}
 }
 
-func (r *stormRun) restart(ctx context.Context, in *Instance, how experiment.Op) error {
-	if how == experiment.HandOver {
+func (r *stormRun) restart(ctx context.Context, n int, how experiment.Op) error {
+	r.turns[n].Lock()
+	defer r.turns[n].Unlock()
+	in := r.w.Instances[n]
+	switch how {
+	case experiment.HandOver:
 		return in.HandOver(ctx)
+	case experiment.Reload, experiment.BadFile:
+		return in.Reload(ctx, how == experiment.BadFile)
 	}
 	return in.Restart(ctx, how == experiment.Kill)
 }
 
+// rudeness lets rude clients at an instance for as long as their fault lasts.
+func (r *stormRun) rudeness(ctx context.Context, st experiment.Step, seed uint64) {
+	s := r.plan.Storm
+	f := &s.Faults[st.Fault]
+	ctx, cancel := context.WithTimeout(ctx, min(f.For.On(s.For), s.For-st.At))
+	defer cancel()
+	rude := clients.Rude{Addr: r.w.Instances[st.Instance].Addr, Count: f.Count, Seed: seed}
+	got := rude.Run(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.rude == nil {
+		r.rude = &clients.RudeCount{}
+	}
+	r.rude.Add(got)
+}
+
 // step does one step on discovery, the network or a server.
 func (r *stormRun) step(st experiment.Step) error {
 	w, f := r.w, &r.plan.Storm.Faults[st.Fault]
@@ -221,6 +288,9 @@
 	do := r.track.Step(st)
 	if do.Op == experiment.Grow {
 		v, err := w.addServer(st.Server, r.rng.Uint64())
+		if err == nil && slow(&r.plan.Storm.World.Network) {
+			err = w.waysTo(st.Server)
+		}
 		if err == nil {
 			err = w.Return(v)
 		}
@@ -295,6 +365,11 @@
 		Engine: "sockets", Seconds: r.w.Log.Seconds(start), Report: r.w.Log.Report(), Skipped: r.track.Skipped,
 		Counts: experiment.Counts{BudgetOver: -1, BudgetRefused: -1, OwnEnds: -1},
 	}
+	if r.rude != nil {
+		rec.Counts.Rude = r.rude
+		rec.Report.Forged += r.rude.Served
+		rec.Report.Problems = append(rec.Report.Problems, r.rude.Problems...)
+	}
 	overflow, late := 0, 0
 	for _, c := range all {
 		for _, s := range c.Samples() {
--- /dev/null
+++ b/internal/rig/storm_test.go
@@ -0,0 +1,161 @@
+package rig
+
+import (
+	"context"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"otterspring/internal/experiment"
+	"otterspring/internal/standin/clients"
+)
+
+func playSockets(t *testing.T, text string) *experiment.Result {
+	t.Helper()
+	s, errs := experiment.Parse("x.toml", []byte("name = \"x\"\nfor = \"4s\"\n"+text), false, nil)
+	if len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	p, err := experiment.Resolve(s, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	t.Setenv("TEST_RUNS_PROGRAM", "sidecar")
+	rec, err := PlayStorm(ctx, p, []string{os.Args[0]}, t.TempDir(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return experiment.Judge(p, rec, nil)
+}
+
+// Reloads, bad ones among them, and rude clients beside good ones: no rule
+// breaks and no rude client is served. The times are not judged here.
+func TestRudeAndReloads(t *testing.T) {
+	r := playSockets(t, `
+[world]
+instances = 3
+servers = 4
+[load]
+rate = 30
+[[fault]]
+kind = "rude"
+at = "0s"
+for = "4s"
+instances = "all"
+count = 4
+[[fault]]
+kind = "reload"
+at = "500ms"
+instances = "all"
+[[fault]]
+kind = "reload-bad"
+at = "1s"
+instances = "all"
+[[fault]]
+kind = "kill"
+at = "2s"
+instances = "n1"
+[[fault]]
+kind = "reload-bad"
+at = "2s"
+instances = "n1"
+`)
+	t.Log(r.Line())
+	if r.Broken() {
+		t.Errorf("a rule broke: %s %v", r.Line(), r.Notes)
+	}
+	if _, seen := r.Figures["rude_left"]; !seen {
+		t.Error("no rude client came")
+	}
+	for _, v := range r.Void {
+		if !strings.Contains(v, "slower than their load") {
+			t.Errorf("void: %s", v)
+		}
+	}
+}
+
+// A network that is slow and loses is played on sockets, too: no rule breaks,
+// and no answer is faster than the way there and back.
+func TestFarOnSockets(t *testing.T) {
+	r := playSockets(t, `
+[world]
+instances = 2
+servers = 3
+network = { delay = "20ms", jitter = "5ms", loss = 0.05 }
+[load]
+rate = 20
+[[fault]]
+kind = "grow"
+at = "1s"
+count = 1
+`)
+	t.Log(r.Line())
+	if r.Broken() {
+		t.Errorf("a rule broke: %s %v", r.Line(), r.Notes)
+	}
+	if p := r.Figures["p50_ms"]; p < 40 {
+		t.Errorf("half of the answers came within %.1f ms over a way of 20 ms each way", p)
+	}
+}
+
+// What a rude client finds is told apart: a server that says nothing, one that
+// serves what it can't have read, and one that answers as it should.
+func TestRudeClientsTellWhatTheyFind(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		answer string
+		shows  func(n clients.RudeCount) bool
+	}{
+		"silent": {"", func(n clients.RudeCount) bool { return n.Left > 0 && n.Answered+n.Served == 0 }},
+		"serves": {"HTTP/1.1 200 OK\r\n\r\n", func(n clients.RudeCount) bool { return n.Served > 0 }},
+		"errors": {"HTTP/1.1 400 Bad Request\r\n\r\n", func(n clients.RudeCount) bool { return n.Answered > 0 && n.Left+n.Served == 0 }},
+		"closes": {"close", func(n clients.RudeCount) bool { return n.Closed > 0 && n.Left+n.Served+n.Answered == 0 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			held := make(chan net.Conn, 1000)
+			go func() {
+				for {
+					nc, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					switch c.answer {
+					case "close":
+						nc.Close()
+						continue
+					default:
+						nc.Write([]byte(c.answer))
+					}
+					select {
+					case held <- nc:
+					default:
+						nc.Close()
+					}
+				}
+			}()
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			defer cancel()
+			owed := 30 * time.Second
+			if name == "silent" {
+				owed = 100 * time.Millisecond
+			}
+			n := (&clients.Rude{Addr: ln.Addr().String(), Count: 12, Owed: owed, Pause: time.Millisecond, Seed: 1}).Run(ctx)
+			if !c.shows(n) {
+				t.Errorf("%+v", n)
+			}
+			for len(held) > 0 {
+				(<-held).Close()
+			}
+		})
+	}
+}
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -262,6 +262,7 @@
 	}
 	if s := w.opt.Storm; s != nil {
 		c.Retries, c.TryShare, c.Body, c.Kept = s.Load.Retries, s.Load.Try, s.Load.Body, s.Load.Kept
+		c.Tenants = s.ClientTenants()
 	}
 	return clients.New(c, w.Log)
 }
@@ -278,19 +279,32 @@
 		classes = append(classes, fmt.Sprintf(`{"name":%q,"aim-us":%d,"deadline-us":%d,"worth":%g,%s}`,
 			c.Name, c.Aim.Microseconds(), c.Deadline.Microseconds(), c.Worth, effect))
 	}
-	advice, attempts, dial := time.Second, 3, 100*time.Millisecond
+	advice, attempts, dial, tenants := time.Second, 3, 100*time.Millisecond, ""
 	if s := w.opt.Storm; s != nil {
 		advice, attempts, dial = s.World.Sidecar.Advice, s.World.Sidecar.Attempts, s.World.Sidecar.Dial
+		tenants = tenantText(s)
 	}
 	return fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x",
 "limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},
 "known":%s,
 "settings":{"discovery":"subscribe","extra":{"warm-keys":true},"round-us":2000,
  "limits":{"try-limit":%d,"cancel":true,"second-copies":true,"retry-after":%v,"max-retry-after-us":%d,"conn-idle-us":%d,"dial-timeout-us":%d},
- "rules":{"cold-from":0.12,"cold-us":23000000,"tip-multiple":%g},
+ "rules":{"cold-from":0.12,"cold-us":23000000,"tip-multiple":%g},%s
  "classes":[%s]}}
 `, in.Name, in.Addr, discovery, seed, w.opt.MemoryMB, w.opt.Sockets, known,
-		attempts, advice > 0, advice.Microseconds(), w.idle().Microseconds(), dial.Microseconds(), w.tipAt(), strings.Join(classes, ","))
+		attempts, advice > 0, advice.Microseconds(), w.idle().Microseconds(), dial.Microseconds(), w.tipAt(), tenants, strings.Join(classes, ","))
+}
+
+// tenantText is what a configuration says of a storm's tenants.
+func tenantText(s *experiment.Storm) string {
+	var all []string
+	for _, t := range s.Load.Tenants {
+		all = append(all, fmt.Sprintf(`{"name":%q,"quota-per-s":%g}`, t.Name, t.Quota))
+	}
+	if len(all) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("\n \"over-share-worth\":%g,\"tenants\":[%s],", s.World.Sidecar.OverShare, strings.Join(all, ","))
 }
 
 // idle is after what call servers close an idle connection, tipAt the multiple
--- a/internal/standin/clients/clients.go
+++ b/internal/standin/clients/clients.go
@@ -26,6 +26,7 @@
 	Instance string
 	Addr     string
 	Classes  []Class
+	Tenants  []Tenant
 	Retries  int     // tries after the first
 	TryShare float64 // a try is given up after this share of the deadline; 0 takes all of it
 	Most     int     // connections at a time; 0 takes 300
@@ -36,12 +37,13 @@
 
 // Sample is what became of one arrival, over all its tries.
 type Sample struct {
-	At    time.Duration // when it was due, on the log's clock
-	Took  time.Duration // from then to the last byte of its answer, or its end
-	Class int
-	OK    bool // served
-	Tries int
-	End   End // how its last try ended
+	At     time.Duration // when it was due, on the log's clock
+	Took   time.Duration // from then to the last byte of its answer, or its end
+	Class  int
+	Tenant int  // of the list, from 1; 0 for none
+	OK     bool // served
+	Tries  int
+	End    End // how its last try ended
 }
 
 // End is how an arrival ended.
@@ -183,7 +185,7 @@
 		c.late.Add(1)
 	}
 	op := fmt.Sprintf("%s-%d-%d", c.cfg.Instance, c.own, c.ids.Add(1))
-	s := Sample{At: due, Class: a.Class}
+	s := Sample{At: due, Class: a.Class, Tenant: a.Tenant}
 	for try := 0; ; try++ {
 		s.Tries++
 		left := end - c.log.Now()
@@ -314,6 +316,9 @@
 	if a.Key != "" {
 		b = fmt.Appendf(b, "X-Key: %s\r\n", a.Key)
 	}
+	if a.Tenant > 0 {
+		b = fmt.Appendf(b, "X-Tenant: %s\r\n", c.cfg.Tenants[a.Tenant-1].Name)
+	}
 	if n > 0 {
 		b = append(b, "X-Retry: 1\r\n"...)
 	}
--- a/internal/standin/clients/clients_test.go
+++ b/internal/standin/clients/clients_test.go
@@ -177,3 +177,33 @@
 		t.Errorf("worst 10 s: %v", s.Worst)
 	}
 }
+
+// A surge of one class or tenant multiplies that one, and the others come as
+// before.
+func TestSurgesOfOneClassAndTenant(t *testing.T) {
+	t.Parallel()
+	classes := []Class{{Name: "a", Share: 1}, {Name: "b", Share: 3}}
+	shape := Shape{
+		Rate: 1000, For: 20 * time.Second, Tenants: []Tenant{{Name: "x", Share: 1}, {Name: "y", Share: 1}},
+		Surges: []Surge{{At: 0, For: 10 * time.Second, Times: 5, Class: 1}, {At: 10 * time.Second, For: 10 * time.Second, Times: 4, Tenant: 2}},
+	}
+	plan, err := Draw(shape, classes, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got [2][2][2]float64 // half, class, tenant
+	for _, a := range plan {
+		got[int(a.At/(10*time.Second))][a.Class][a.Tenant-1] += 1. / 10_000
+	}
+	// Of 1,000 a second a quarter is of class a; each tenant has half of all.
+	want := [2][2][2]float64{{{0.625, 0.625}, {0.375, 0.375}}, {{0.125, 0.5}, {0.375, 1.5}}}
+	for h := range want {
+		for c := range want[h] {
+			for n := range want[h][c] {
+				if g, w := got[h][c][n], want[h][c][n]; g < 0.9*w || g > 1.1*w {
+					t.Errorf("half %d, class %d, tenant %d: %.3f of the rate, want %.3f", h, c, n, g, w)
+				}
+			}
+		}
+	}
+}
--- a/internal/standin/clients/plan.go
+++ b/internal/standin/clients/plan.go
@@ -24,10 +24,20 @@
 	Worth    float64
 }
 
-// Surge multiplies the rate for a while.
+// Tenant is a customer of the application.
+type Tenant struct {
+	Name  string
+	Share float64 // of the requests
+	Quota float64 // agreed requests a second, against those of the others
+}
+
+// Surge multiplies the rate for a while: of everything, or of one class or
+// tenant.
 type Surge struct {
 	At, For time.Duration
 	Times   float64
+	Class   int // of the list, from 1; 0 for all
+	Tenant  int // likewise
 }
 
 // Shape is how requests come.
@@ -35,15 +45,18 @@
 	Rate   float64 // a second, outside surges
 	For    time.Duration
 	Surges []Surge
-	Keys   int     // distinct keys; 0 for none
-	Skew   float64 // exponent of their popularity
+	// Tenants are whose requests they are; empty for none.
+	Tenants []Tenant
+	Keys    int     // distinct keys; 0 for none
+	Skew    float64 // exponent of their popularity
 }
 
 // Arrival is one request to come.
 type Arrival struct {
-	At    time.Duration // from the start of the run
-	Class int
-	Key   string
+	At     time.Duration // from the start of the run
+	Class  int
+	Tenant int // of the list, from 1; 0 for none
+	Key    string
 }
 
 // MostArrivals bounds a plan.
@@ -62,10 +75,7 @@
 	}
 	rng := rand.New(rand.NewPCG(seed, 0x636c69656e7473))
 	keys := popularity(s.Keys, s.Skew)
-	total := 0.0
-	for _, c := range classes {
-		total += c.Share
-	}
+	by := newMix(&s, classes)
 	var plan []Arrival
 	// Thinning: drawn at the highest rate, kept with the share of the present.
 	peak := s.Rate * s.mostTimes()
@@ -75,12 +85,13 @@
 		if t >= s.For {
 			break
 		}
-		if rng.Float64()*peak >= s.Rate*s.times(t) {
+		class, tenant, all := by.at(t)
+		if rng.Float64()*peak >= s.Rate*s.times(t)*all {
 			continue
 		}
-		a := Arrival{At: t}
-		for x := rng.Float64() * total; a.Class < len(classes)-1 && x >= classes[a.Class].Share; a.Class++ {
-			x -= classes[a.Class].Share
+		a := Arrival{At: t, Class: pick(class, rng)}
+		if len(tenant) > 0 {
+			a.Tenant = 1 + pick(tenant, rng)
 		}
 		if len(keys) > 0 {
 			n, _ := slices.BinarySearchFunc(keys, rng.Float64()*keys[len(keys)-1], func(a, b float64) int { return cmp.Compare(a, b) })
@@ -91,18 +102,77 @@
 	return plan, nil
 }
 
-// times is by how much the surges multiply the rate at t.
+// mix is how the requests are made up of classes and tenants.
+type mix struct {
+	shape         *Shape
+	class, tenant []float64 // shares outside surges
+	nowC, nowT    []float64 // those of the moment
+}
+
+func newMix(s *Shape, classes []Class) *mix {
+	m := &mix{shape: s}
+	for _, c := range classes {
+		m.class = append(m.class, c.Share)
+	}
+	for _, t := range s.Tenants {
+		m.tenant = append(m.tenant, t.Share)
+	}
+	m.nowC, m.nowT = make([]float64, len(m.class)), make([]float64, len(m.tenant))
+	return m
+}
+
+// at gives the shares at a time, and by how much surges of single classes and
+// tenants multiply the whole. Valid until the next call.
+func (m *mix) at(t time.Duration) (class, tenant []float64, all float64) {
+	copy(m.nowC, m.class)
+	copy(m.nowT, m.tenant)
+	for _, g := range m.shape.Surges {
+		if t < g.At || t >= g.At+g.For {
+			continue
+		}
+		if g.Class > 0 {
+			m.nowC[g.Class-1] *= g.Times
+		}
+		if g.Tenant > 0 {
+			m.nowT[g.Tenant-1] *= g.Times
+		}
+	}
+	all = sum(m.nowC) / sum(m.class)
+	if len(m.tenant) > 0 {
+		all *= sum(m.nowT) / sum(m.tenant)
+	}
+	return m.nowC, m.nowT, all
+}
+
+func sum(v []float64) float64 {
+	s := 0.0
+	for _, x := range v {
+		s += x
+	}
+	return s
+}
+
+// pick draws an index by weights.
+func pick(weights []float64, rng *rand.Rand) int {
+	i := 0
+	for x := rng.Float64() * sum(weights); i < len(weights)-1 && x >= weights[i]; i++ {
+		x -= weights[i]
+	}
+	return i
+}
+
+// times is by how much the surges of everything multiply the rate at t.
 func (s *Shape) times(t time.Duration) float64 {
 	m := 1.0
 	for _, g := range s.Surges {
-		if t >= g.At && t < g.At+g.For {
+		if g.Class == 0 && g.Tenant == 0 && t >= g.At && t < g.At+g.For {
 			m *= g.Times
 		}
 	}
 	return m
 }
 
-// mostTimes bounds times.
+// mostTimes bounds times with what mix multiplies it by.
 func (s *Shape) mostTimes() float64 {
 	m := 1.0
 	for _, g := range s.Surges {
--- a/internal/virtual/client.go
+++ b/internal/virtual/client.go
@@ -45,7 +45,15 @@
 			k.again(clients.EndNone, k.class.Effect == audit.Repeat, 0)
 		}
 	})
-	p.request(c, balance.Request{ID: id, Class: k.class.Name, Key: k.a.Key, Deadline: now + wait, Again: k.tries > 1})
+	p.request(c, balance.Request{ID: id, Class: k.class.Name, Tenant: k.tenant(), Key: k.a.Key, Deadline: now + wait, Again: k.tries > 1})
+}
+
+// tenant is whose request it is; empty for nobody's.
+func (k *ask) tenant() string {
+	if k.a.Tenant == 0 {
+		return ""
+	}
+	return k.inst.w.storm.Load.Tenants[k.a.Tenant-1].Name
 }
 
 // answer takes a try's final answer.
@@ -100,5 +108,5 @@
 func (k *ask) over(end clients.End) {
 	w := k.inst.w
 	w.open--
-	w.samples = append(w.samples, clients.Sample{At: k.due, Took: w.loop.now - k.due, Class: k.a.Class, OK: end == clients.EndServed, Tries: k.tries, End: end})
+	w.samples = append(w.samples, clients.Sample{At: k.due, Took: w.loop.now - k.due, Class: k.a.Class, Tenant: k.a.Tenant, OK: end == clients.EndServed, Tries: k.tries, End: end})
 }
--- a/internal/virtual/virtual_test.go
+++ b/internal/virtual/virtual_test.go
@@ -135,7 +135,7 @@
 		})
 	}
 	for _, kind := range experiment.KindNames() {
-		if !tried[kind] {
+		if !tried[kind] && !experiment.Kinds[kind].Sockets {
 			t.Errorf("%s: no case shows that it does anything", kind)
 		}
 	}
--- a/internal/virtual/world.go
+++ b/internal/virtual/world.go
@@ -161,6 +161,10 @@
 		}
 		set.Classes = append(set.Classes, b)
 	}
+	for _, t := range w.storm.Load.Tenants {
+		set.Tenants = append(set.Tenants, balance.Tenant{Name: t.Name, Quota: t.Quota})
+	}
+	set.OverShare = c.OverShare
 	if w.opt.Settings != nil {
 		w.opt.Settings(&set)
 	}
@@ -208,6 +212,9 @@
 	case experiment.ListGood:
 		w.reg.good()
 		return
+	case experiment.Reload, experiment.BadFile, experiment.Rude:
+		w.track.Unseen(s)
+		return
 	case experiment.Kill, experiment.Term, experiment.HandOver:
 		w.restart(w.instances[s.Instance], s.Do)
 		return
