log/slog in all programs, with a bound on how often one cause is said

Need: lines of key=value or JSON with fields, and a log that a fault which comes without end can't fill.

Change: internal/logs (standard library only) counts lines by cause, writes five within 10 s and tells with the next how many it left out; at most 256 causes are told apart. sandhinge, wirehost, otterspring and rig use it: -log-format text or json, -log-level. The sidecar says no more than before; "reload: discovery at X" is now msg="reload: taken" discovery=X.

--- a/cmd/otterspring/fleet.go
+++ b/cmd/otterspring/fleet.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"os/signal"
 	"strings"
@@ -18,13 +19,13 @@
 )
 
 // fleetCommand is `otterspring fleet` with its verbs.
-func fleetCommand(out io.Writer) *cobra.Command {
+func fleetCommand(out io.Writer, log func() *slog.Logger) *cobra.Command {
 	fleetOf := cli.Root("fleet", "run many sidecars on a host, restart and reload them",
 		"fleet supervises the instances that a file describes (docs/operate/fleet.md). run does so\n"+
 			"until SIGTERM or SIGINT, and then stops them; the other verbs ask the supervisor that\n"+
 			"runs, over its control socket. If it is killed the instances live on; the next one\n"+
 			"adopts them. Exit codes: 0 done, 1 it could not be done, 2 usage.",
-		verb("run", "supervise until a signal, then stop all", func(f *fleet.File, _ string) error { return fleetRun(f, out) }),
+		verb("run", "supervise until a signal, then stop all", func(f *fleet.File, _ string) error { return fleetRun(f, log()) }),
 		verb("check", "say what is wrong with a file, start nothing", func(f *fleet.File, path string) error { return fleetCheck(f, path, out) }),
 		asks("status", "what each instance does", out), asks("resume", "go on with a roll that has paused", out),
 		asks("cancel", "end a roll", out), asks("stop", "stop all instances and the supervisor", out),
@@ -101,10 +102,10 @@
 }
 
 // fleetRun supervises until a signal.
-func fleetRun(f *fleet.File, out io.Writer) error {
+func fleetRun(f *fleet.File, log *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	s, err := fleet.New(f, out)
+	s, err := fleet.New(f, log)
 	if err != nil {
 		return err
 	}
--- a/cmd/otterspring/main.go
+++ b/cmd/otterspring/main.go
@@ -4,11 +4,12 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
+	"log/slog"
 	"os"
 
 	"otterspring/internal/cli"
+	"otterspring/internal/logs"
 )
 
 var (
@@ -21,10 +22,12 @@
 // run returns the exit code: 0, 1 where a check failed, 2 for a usage that is
 // none.
 func run(args []string, out, errw io.Writer) int {
+	var log *logs.Options
 	root := cli.Root("otterspring", "the operators' command",
 		"otterspring checks files before they are used and runs fleets of sidecars. Exit codes:\n"+
 			"0 done, 1 a check failed or it could not be done, 2 usage. Flags may have one dash or two.",
-		checkCommand(out), fleetCommand(out))
+		checkCommand(out), fleetCommand(out, func() *slog.Logger { return logs.New(out, *log) }))
+	log = cli.LogFlags(root)
 	root.SetOut(out)
 	root.SetErr(errw)
 	root.SetArgs(cli.TwoDashes(args))
@@ -35,7 +38,7 @@
 	case errors.Is(err, errSaid):
 		return 1
 	}
-	fmt.Fprintf(errw, "otterspring: %v\n", err)
+	cli.Fail(errw, "otterspring", log, err)
 	if errors.Is(err, errUsage) {
 		return 2
 	}
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -20,6 +20,7 @@
 
 	"otterspring/internal/cli"
 	"otterspring/internal/daemon"
+	"otterspring/internal/logs"
 )
 
 // runner plays a rig whose flags have been read; files are the words behind
@@ -61,7 +62,8 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	err := execute(ctx, args, os.Stdout, os.Stderr)
+	var log logs.Options
+	err := execute(ctx, args, os.Stdout, os.Stderr, &log)
 	code := 1
 	switch {
 	case err == nil:
@@ -72,13 +74,13 @@
 		code = 3
 	}
 	if !errors.Is(err, errSaid) {
-		fmt.Fprintf(os.Stderr, "rig: %v\n", err)
+		cli.Fail(os.Stderr, "rig", &log, err)
 	}
 	return code
 }
 
 // execute runs the command that args name.
-func execute(ctx context.Context, args []string, out, errw io.Writer) error {
+func execute(ctx context.Context, args []string, out, errw io.Writer, log *logs.Options) error {
 	var subs []*cobra.Command
 	for i := range commands {
 		subs = append(subs, commands[i].cobra(out))
@@ -87,6 +89,8 @@
 		"rig plays otterspring's own rigs: all on loopback, no root needed. The last line is\n"+
 			"key=value figures. Exit codes: 0 kept, 1 a rule broke or a promise failed, 2 usage,\n"+
 			"3 a run that shows nothing. Flags may have one dash or two.", subs...)
+	flags := cli.LogFlags(root)
+	defer func() { *log = *flags }()
 	root.SetOut(out)
 	root.SetErr(errw)
 	root.SetArgs(cli.TwoDashes(args))
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -3,15 +3,15 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
+	"otterspring/internal/logs"
 	"otterspring/internal/wire"
 )
 
 func main() {
 	if err := wire.Serve(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		logs.New(os.Stderr, logs.Options{}).Error("wirehost ends", "why", err)
 		os.Exit(1)
 	}
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -4,11 +4,15 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
+	"io"
 	"regexp"
 	"strings"
 
 	"github.com/spf13/cobra"
+
+	"otterspring/internal/logs"
 )
 
 // ErrUsage is a call whose words are off; ErrSaid a fault that stands in the
@@ -66,3 +70,22 @@
 	}})
 	return root
 }
+
+// LogFlags gives a program and all its commands -log-format and -log-level.
+func LogFlags(root *cobra.Command) *logs.Options {
+	o := &logs.Options{}
+	f := flag.NewFlagSet("", flag.ContinueOnError)
+	o.Flags(f)
+	root.PersistentFlags().AddGoFlagSet(f)
+	return o
+}
+
+// Fail says why a program ends: a plain line for a person, an object where the
+// log is one of objects.
+func Fail(errw io.Writer, program string, o *logs.Options, err error) {
+	if o.JSON {
+		logs.New(errw, *o).Error(program+" ends", "why", err)
+		return
+	}
+	fmt.Fprintf(errw, "%s: %v\n", program, err)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,7 +8,7 @@
 	"flag"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"os"
 	"os/signal"
 	"strings"
@@ -16,16 +16,18 @@
 	"time"
 
 	"otterspring/internal/handover"
+	"otterspring/internal/logs"
 	"otterspring/internal/notify"
 	"otterspring/internal/operator"
 	"otterspring/internal/sidecar"
 )
 
-const usage = `usage: sandhinge [-operator FILE]
+const usage = `usage: sandhinge [-operator FILE] [-log-format text|json] [-log-level LEVEL]
 
 The sidecar. It reads the configuration that RELAY_CONFIG names and, with
 -operator, the operator's file (docs/operate). Without one everything in it is
-off. Signals: SIGTERM and SIGINT drain and end, SIGHUP reads both files again.
+off. The log goes to standard error, lines of key=value or JSON, from the level
+on: debug, info (the default), warn or error. Signals: SIGTERM and SIGINT drain and end, SIGHUP reads both files again.
 `
 
 // Main runs the program with its arguments, and returns its exit code: 0 after
@@ -34,6 +36,8 @@
 	flags := flag.NewFlagSet("sandhinge", flag.ContinueOnError)
 	flags.SetOutput(io.Discard)
 	path := flags.String("operator", "", "")
+	var form logs.Options
+	form.Flags(flags)
 	if err := flags.Parse(args); err != nil || flags.NArg() > 0 {
 		if errors.Is(err, flag.ErrHelp) {
 			fmt.Fprint(stderr, usage)
@@ -49,8 +53,9 @@
 	d := &daemon{path: *path, reload: make(chan os.Signal, 1), stop: make(chan os.Signal, 1)}
 	signal.Notify(d.reload, syscall.SIGHUP)
 	signal.Notify(d.stop, syscall.SIGTERM, syscall.SIGINT)
+	slog.SetDefault(logs.New(stderr, form))
 	if err := d.run(); err != nil {
-		fmt.Fprintln(stderr, "sandhinge:", err)
+		slog.Error("sandhinge ends", "why", err)
 		return 1
 	}
 	return 0
@@ -83,6 +88,7 @@
 			return err
 		}
 	}
+	slog.SetDefault(slog.Default().With("instance", cfg.Name))
 	if err := d.start(cfg); err != nil {
 		return err
 	}
@@ -134,7 +140,7 @@
 			s.Retire(nil) // what it has accepted by now
 			return err
 		}
-		log.Printf("handover: taken over on %s", cfg.Listen)
+		slog.Info("handover: taken over", "listen", cfg.Listen)
 		s.OnList(d.taking.Tell)
 		go d.await(d.taking)
 	}
@@ -187,7 +193,7 @@
 // giveAway drains for the process that has taken over. It returns false if that
 // one ended meanwhile and this one goes on.
 func (d *daemon) giveAway(g *handover.Giving) bool {
-	log.Print("handover: given to another process; draining")
+	slog.Info("handover: given to another process; draining")
 	d.settle()
 	d.offer.Close()
 	d.side.OnList(g.Tell)
@@ -198,9 +204,9 @@
 	}
 	d.side.OffList()
 	g.Drop()
-	log.Print("handover: the new process ended before this one had; this one goes on")
+	slog.Warn("handover: the new process ended before this one had; this one goes on")
 	if err := d.offer.Open(); err != nil {
-		log.Print(err)
+		slog.Error("handover: no longer offered", "why", err)
 	}
 	d.tell(d.notify.Ready()) // the main process again
 	return false
@@ -211,19 +217,19 @@
 func (d *daemon) reloadAll() {
 	cfg, err := sidecar.Load(os.Getenv("RELAY_CONFIG"))
 	if err != nil {
-		log.Printf("reload: the old configuration stays: %v", err)
+		slog.Error("reload: the old configuration stays", "why", err)
 		d.side.NoteReload(false)
 		return
 	}
 	f, err := operator.Load(d.path)
 	if err != nil {
-		log.Printf("reload: the old configuration and operator's file stay: %v", err)
+		slog.Error("reload: the old configuration and operator's file stay", "why", err)
 		d.side.NoteReload(false)
 		return
 	}
 	d.side.Reload(cfg)
 	if later := d.settings.WaitsForStart(&f); len(later) > 0 {
-		log.Printf("reload: operator's file: changed but used from the next start on only: %s", strings.Join(later, ", "))
+		slog.Warn("reload: operator's file: changed but used from the next start on only", "keys", strings.Join(later, ", "))
 	}
 	d.settings.Drain = f.Drain
 	d.side.SetFinish(f.Drain.Finish)
@@ -233,7 +239,7 @@
 // tell notes in the log that a supervisor could not be told.
 func (d *daemon) tell(err error) {
 	if err != nil {
-		log.Print(err)
+		slog.Warn("the supervisor could not be told", "why", err)
 	}
 }
 
--- a/internal/fleet/supervisor.go
+++ b/internal/fleet/supervisor.go
@@ -7,7 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"otterspring/internal/fleetplan"
+	"otterspring/internal/logs"
 	"otterspring/internal/unixsocket"
 )
 
@@ -39,7 +40,7 @@
 	ctx     context.Context // ends with Run: what waits for a process does, too
 	end     context.CancelFunc
 	said    []string // the latest words, for status
-	log     *log.Logger
+	log     *slog.Logger
 }
 
 // release is what a roll brings.
@@ -59,8 +60,8 @@
 }
 
 // New prepares the fleet of a file. It takes hold of the directory: a second
-// supervisor is turned away.
-func New(f *File, out io.Writer) (*Supervisor, error) {
+// supervisor is turned away. What happens is said in log.
+func New(f *File, log *slog.Logger) (*Supervisor, error) {
 	specs, err := f.Specs()
 	if err != nil {
 		return nil, err
@@ -70,7 +71,7 @@
 	}
 	s := &Supervisor{
 		file: f, specs: specs, program: f.Program, origin: time.Now(),
-		events: make(chan func(time.Duration) []fleetplan.Action), log: log.New(out, "", log.LstdFlags),
+		events: make(chan func(time.Duration) []fleetplan.Action), log: log,
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	for range specs {
@@ -136,6 +137,15 @@
 	return nil
 }
 
+// cause is what a line is said for: its form and the instance that it speaks of
+// first, so that one instance which crashes without end does not fill the log.
+func cause(format string, args []any) string {
+	if len(args) == 0 {
+		return format
+	}
+	return fmt.Sprintf("%s %v", format, args[0])
+}
+
 // send hands an event to Run; it is dropped once that has returned.
 func (s *Supervisor) send(ctx context.Context, f func(time.Duration) []fleetplan.Action) {
 	select {
@@ -146,7 +156,7 @@
 
 func (s *Supervisor) say(format string, args ...any) {
 	line := fmt.Sprintf(format, args...)
-	s.log.Print(line)
+	s.log.Info(line, logs.Cause(cause(format, args)))
 	s.said = append(s.said, time.Now().Format("15:04:05 ")+line)
 	if n := len(s.said) - mostSaid; n > 0 {
 		s.said = s.said[n:]
--- a/internal/handover/offer.go
+++ b/internal/handover/offer.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
@@ -119,11 +119,11 @@
 		}
 		go func() {
 			if err := o.give(c); err != nil {
-				log.Printf("handover: given up, this process goes on: %v", err)
+				slog.Warn("handover: given up, this process goes on", "why", err)
 				c.Close()
 				// The new process may have the path by now.
 				if err := o.Open(); err != nil {
-					log.Print(err)
+					slog.Error("handover: no longer offered", "why", err)
 					o.free()
 				}
 			}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -5,7 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"net/netip"
 	"sync"
@@ -221,7 +221,7 @@
 			continue
 		}
 		tries = 0
-		log.Printf("discovery: %v", err)
+		slog.Warn("discovery failed", "why", err)
 		d.eng.members(balance.ListFailed, list{}, moves)
 		if d.pushed {
 			pause(ctx, retryPushed)
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"strconv"
 	"time"
@@ -97,11 +97,11 @@
 		now := time.Now()
 		if !handed && !now.Before(end) {
 			handed = true
-			log.Printf("drain: its time is over: %d requests handed back", s.eng.handBack())
+			slog.Warn("drain: its time is over", "handed_back", s.eng.handBack())
 		}
 		if now.After(end.Add(flushFor)) {
 			if n := s.front.abandon(); n > 0 {
-				log.Printf("drain: %d connections cut that did not read their answers", n)
+				slog.Warn("drain: connections cut that did not read their answers", "connections", n)
 			}
 			time.Sleep(drainStep)
 			return true
@@ -128,7 +128,7 @@
 func (s *Sidecar) Hear(text []byte) {
 	l, err := parseHeld(text)
 	if err != nil {
-		log.Printf("handover: list: %v", err)
+		slog.Warn("handover: a list that can't be read", "why", err)
 		return
 	}
 	s.eng.mu.Lock()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"math"
 	"net"
 	"os"
@@ -168,7 +168,7 @@
 	go s.front.sweep(ctx.Done())
 	go func() {
 		if err := s.srv.Serve(s.front); err != nil {
-			log.Printf("serve: %v", err)
+			slog.Error("serving ended", "why", err)
 		}
 	}()
 	return s, nil
@@ -191,11 +191,10 @@
 // It must not be called by two at a time.
 func (s *Sidecar) Reload(cfg Config) {
 	s.disc.move(cfg.Discovery)
-	line := "reload: discovery at " + cfg.Discovery
+	slog.Info("reload: taken", "discovery", cfg.Discovery)
 	if later := s.cfg.differs(&cfg); len(later) > 0 {
-		line += "; changed but used from the next start on only: " + strings.Join(later, ", ")
+		slog.Warn("reload: changed but used from the next start on only", "keys", strings.Join(later, ", "))
 	}
-	log.Print(line)
 	s.cfg.Discovery = cfg.Discovery
 }
 
