--- a/internal/mutant/table.go
+++ b/internal/mutant/table.go
@@ -163,4 +163,16 @@
 		Old: `"ABORTED": balance.Reset`, New: `"ABORTED": balance.Unwritten`},
 	{Name: "wire-state", File: "internal/wire/wire.go", Breaks: "a server in a state that is not known is used",
 		Old: "state = balance.Draining\n", New: "state = balance.Ready\n"},
+
+	// What the programs share.
+	{Name: "log-unbounded", File: "internal/logs/logs.go", Breaks: "a fault without end fills the log",
+		Old: "if c.said >= t.opt.Burst {", New: "if c.said < 0 {"},
+	{Name: "causes-unbounded", File: "internal/logs/logs.go", Breaks: "the table of causes grows without end",
+		Old: "\tif len(t.causes) >= mostCauses {\n\t\tname = \"\"\n\t}\n", New: ""},
+	{Name: "open-socket", File: "internal/unixsocket/unixsocket.go", Breaks: "every user may speak to a control socket",
+		Old: "0o600) })", New: "0o666) })"},
+	{Name: "mask-of-all", File: "internal/unixsocket/unixsocket.go", Breaks: "files written while a socket is bound lose their bits",
+		Old: "\tln, err := config.Listen(", New: "\told := unix.Umask(0o177)\n\tdefer unix.Umask(old)\n\tln, err := config.Listen("},
+	{Name: "tenants-alike", File: "balance/budget.go", Breaks: "a tenant above its part crowds the others out",
+		Old: "return mine / quota * (1 - quota) / rest / overSlack", New: "return min(1, mine/quota*(1-quota)/rest/overSlack)"},
 }
