The engine is a package that knows no protocol

Need: CoAP wants a seam; engine, attempts and client connections knew each other.

Change: internal/engine has the calls, attempts, lists and bodies. A front hands in a Call with a link whose reads end with the answer; an upstream runs attempts and says how they ended (Dialing, Attach, Commit, Arm, End). HTTP/1.1's request head travels as the call's form, its answer behind Response. What the module is told, and when, is as before.

--- a/internal/sidecar/body.go
+++ b/internal/engine/body.go
@@ -1,4 +1,4 @@
-package sidecar
+package engine
 
 import (
 	"errors"
@@ -8,30 +8,36 @@
 )
 
 const (
-	mostBody = 64 << 10 // the protocol's bound
+	// MostBody is the protocol's bound on a body, in bytes.
+	MostBody = 64 << 10
 	chunk    = 8 << 10
 )
 
+// Why a body is turned away.
 var (
-	errTooLarge = errors.New("body over 64 KiB")
-	errNoRoom   = errors.New("no memory for another body")
+	ErrTooLarge = errors.New("body over 64 KiB")
+	ErrNoRoom   = errors.New("no memory for another body")
 )
 
-// budget bounds the bytes of all request bodies held. When it is used up, a
+// Budget bounds the bytes of all request bodies held. When it is used up, a
 // request is refused at once: a reader that waits for room holds its own part
 // meanwhile, and those that wait for one another never end. It guards against
 // any crowd of large or slow bodies; it might harm where bodies of the full
 // size are the rule and memory is scarce.
-type budget struct{ left atomic.Int64 }
+type Budget struct{ left atomic.Int64 }
 
-func newBudget(size int) *budget {
-	b := &budget{}
+// NewBudget returns a budget of size bytes.
+func NewBudget(size int) *Budget {
+	b := &Budget{}
 	b.left.Store(int64(size))
 	return b
 }
 
+// Left is how many bytes may still be taken.
+func (b *Budget) Left() int { return int(b.left.Load()) }
+
 // take takes n bytes, or none and returns false.
-func (b *budget) take(n int) bool {
+func (b *Budget) take(n int) bool {
 	if b.left.Add(int64(-n)) < 0 {
 		b.give(n)
 		return false
@@ -40,11 +46,11 @@
 }
 
 // give returns bytes.
-func (b *budget) give(n int) { b.left.Add(int64(n)) }
+func (b *Budget) give(n int) { b.left.Add(int64(n)) }
 
-// body is a request's body, whole in memory, since an attempt may be repeated.
-type body struct {
-	budget *budget
+// Body is a request's body, whole in memory, since an attempt may be repeated.
+type Body struct {
+	budget *Budget
 	came   *atomic.Int64 // counts the bytes that have come
 	chunks [][]byte
 	size   int
@@ -54,12 +60,12 @@
 
 var chunkPool = sync.Pool{New: func() any { return new([chunk]byte) }}
 
-// readFrom reads a body of the given length, -1 for chunked. The budget is
+// Fill reads a body of the given length, -1 for chunked. The budget is
 // taken as the bytes arrive, so that a length that is only announced costs
 // next to nothing.
-func (y *body) readFrom(r io.Reader, length int) error {
-	if length > mostBody {
-		return errTooLarge
+func (y *Body) Fill(r io.Reader, length int) error {
+	if length > MostBody {
+		return ErrTooLarge
 	}
 	for {
 		want := chunk
@@ -70,14 +76,14 @@
 			}
 		}
 		if !y.budget.take(want) {
-			return errNoRoom
+			return ErrNoRoom
 		}
 		y.taken += want
 		n, err := y.readChunk(r, want)
 		y.size += n
 		switch {
-		case y.size > mostBody:
-			return errTooLarge
+		case y.size > MostBody:
+			return ErrTooLarge
 		case err == nil:
 		case length < 0 && (err == io.EOF || err == errEnded):
 			return nil
@@ -92,7 +98,7 @@
 var errEnded = errors.New("body ended")
 
 // readChunk reads the next want bytes of a body, fewer with an error.
-func (y *body) readChunk(r io.Reader, want int) (n int, err error) {
+func (y *Body) readChunk(r io.Reader, want int) (n int, err error) {
 	var buf []byte
 	if want == chunk {
 		buf = chunkPool.Get().(*[chunk]byte)[:]
@@ -115,21 +121,39 @@
 	return n, err
 }
 
-func (y *body) len() int {
+// NewBody returns an empty body that is read within a budget; came counts the
+// bytes as they come. Its maker holds it.
+func NewBody(b *Budget, came *atomic.Int64) *Body {
+	y := &Body{budget: b, came: came}
+	y.Hold()
+	return y
+}
+
+// Chunks are the bytes, to be read only, and only while the body is held.
+func (y *Body) Chunks() [][]byte {
+	if y == nil {
+		return nil
+	}
+	return y.chunks
+}
+
+// Len is how many bytes have come; 0 for no body.
+func (y *Body) Len() int {
 	if y == nil {
 		return 0
 	}
 	return y.size
 }
 
-// hold and release count who still uses the body.
-func (y *body) hold() {
+// Hold and Release count who still uses the body; with the last one its memory
+// goes back. Both do nothing on no body.
+func (y *Body) Hold() {
 	if y != nil {
 		y.users.Add(1)
 	}
 }
 
-func (y *body) release() {
+func (y *Body) Release() {
 	if y == nil || y.users.Add(-1) > 0 {
 		return
 	}
--- a/internal/mutant/run.go
+++ b/internal/mutant/run.go
@@ -42,6 +42,7 @@
 	dir := filepath.ToSlash(filepath.Dir(file))
 	more := map[string][]string{
 		"balance":             {"./internal/mutant"},
+		"internal/engine":     {"./internal/sidecar", "./internal/daemon"},
 		"internal/sidecar":    {"./internal/daemon"},
 		"internal/membership": {"./internal/sidecar"},
 		"internal/handover":   {"./internal/daemon"},
--- a/internal/sidecar/check.go
+++ b/internal/sidecar/check.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"otterspring/balance"
+	"otterspring/internal/engine"
 )
 
 const (
@@ -40,7 +41,7 @@
 		Tenant: string(h.Peek("X-Tenant")), Key: string(h.Peek("X-Key")),
 		Work: parseHint(h.Peek("X-Cost-Hint")), Again: string(h.Peek("X-Retry")) == "1",
 	}
-	class := s.eng.class(q.Class)
+	class := s.eng.Class(q.Class)
 	switch {
 	case !plain(h.RequestURI()):
 		return q, badRequest("path: unreadable")
@@ -81,8 +82,8 @@
 	case class.Effect == balance.Keyed && len(h.Peek("Idempotency-Key")) == 0:
 		// Its repeats would run again.
 		return badRequest("Idempotency-Key: missing")
-	case h.ContentLength() > mostBody:
-		return &fault{fasthttp.StatusRequestEntityTooLarge, errTooLarge.Error()}
+	case h.ContentLength() > engine.MostBody:
+		return &fault{fasthttp.StatusRequestEntityTooLarge, engine.ErrTooLarge.Error()}
 	}
 	return nil
 }
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fastjson"
 
 	"otterspring/balance"
+	"otterspring/internal/engine"
 	"otterspring/internal/wire"
 )
 
@@ -26,7 +27,7 @@
 	Cores     float64
 	Memory    int // bytes
 	Sockets   int
-	Known     list
+	Known     engine.List
 	Settings  balance.Settings
 	Conns     wire.Conns
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -22,6 +22,7 @@
 	"github.com/valyala/fasthttp"
 
 	"otterspring/balance"
+	"otterspring/internal/engine"
 )
 
 const (
@@ -67,10 +68,11 @@
 
 // Sidecar is a running sidecar.
 type Sidecar struct {
-	eng    *engine
+	eng    *engine.Engine
+	pool   *pool
 	srv    fasthttp.Server
 	front  *front
-	bodies *budget
+	bodies *engine.Budget
 	disc   *discovery
 	cfg    Config // as last loaded; only Reload touches it
 	stop   context.CancelFunc
@@ -120,10 +122,13 @@
 	debug.SetMemoryLimit(int64(cfg.Memory) * 6 / 10)
 	debug.SetGCPercent(100)
 
-	eng, err := newEngine(&cfg)
+	p := newPool(cfg.Conns, upstreamShare(cfg.Sockets))
+	d := &discovery{addr: cfg.Discovery, pushed: !cfg.Settings.Subscribe, index: cfg.Known.Index, asked: make(chan struct{}, 1)}
+	eng, err := engine.New(engine.Settings{Balance: cfg.Settings, Seed: cfg.Seed, Dial: cfg.Conns.Dial, Open: p.host}, d.ask)
 	if err != nil {
 		return nil, err
 	}
+	d.eng = eng
 	ln := opt.Listener
 	if ln == nil {
 		if ln, err = listenTCP(cfg.Listen); err != nil {
@@ -133,8 +138,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Sidecar{
 		eng:    eng,
+		pool:   p,
+		disc:   d,
 		front:  newFront(ln, cfg.Sockets),
-		bodies: newBudget(cfg.Memory / 8),
+		bodies: engine.NewBudget(cfg.Memory / 8),
 		cfg:    cfg,
 		stop:   stop,
 	}
@@ -151,10 +158,7 @@
 		LazyRequestTime:              true,
 		Logger:                       quietLog{},
 	}
-	d := &discovery{eng: eng, addr: cfg.Discovery, pushed: !cfg.Settings.Subscribe, index: cfg.Known.index, asked: make(chan struct{}, 1)}
-	s.disc = d
-	eng.watch = d.ask
-	eng.members(balance.ListSaved, cfg.Known, 0)
+	eng.Members(balance.ListSaved, cfg.Known, 0)
 	if opt.Paused {
 		s.front.pause()
 	}
@@ -164,7 +168,7 @@
 		d.ask()
 	}
 	go d.run(ctx)
-	go eng.pool.sweep(ctx.Done())
+	go p.sweep(ctx.Done())
 	go s.front.sweep(ctx.Done())
 	go func() {
 		if err := s.srv.Serve(s.front); err != nil {
@@ -238,9 +242,9 @@
 // rejectBody answers a request whose body could not be read.
 func rejectBody(ctx *fasthttp.RequestCtx, err error) {
 	switch {
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, engine.ErrNoRoom):
 		busy(ctx, err.Error())
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, engine.ErrTooLarge):
 		unread(ctx, fasthttp.StatusRequestEntityTooLarge, err.Error())
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		unread(ctx, fasthttp.StatusRequestTimeout, "body: too slow")
@@ -279,56 +283,55 @@
 		return
 	}
 	bodiless := ctx.IsGet()
-	c := &call{id: q.ID, conn: cc, done: make(chan struct{})}
+	c := &engine.Call{ID: q.ID, Conn: cc, Done: make(chan struct{})}
 	if length := h.ContentLength(); !bodiless && length != 0 && ctx.RequestBodyStream() != nil {
-		c.body = &body{budget: s.bodies, came: &cc.body}
-		c.body.hold()
-		defer c.body.release()
-		if err := c.body.readFrom(ctx.RequestBodyStream(), length); err != nil {
+		c.Body = engine.NewBody(s.bodies, &cc.body)
+		defer c.Body.Release()
+		if err := c.Body.Fill(ctx.RequestBodyStream(), length); err != nil {
 			rejectBody(ctx, err)
 			return
 		}
 	}
-	c.head = requestHead(h, c.body.len(), bodiless)
+	c.Form = requestHead(h, c.Body.Len(), bodiless)
 	cc.busy()
-	if !s.eng.request(c, q) {
+	if !s.eng.Request(c, q) {
 		unread(ctx, fasthttp.StatusConflict, "X-Request-Id: in use or used before")
 		return
 	}
-	if gone := cc.await(c.done); gone {
-		s.eng.left(c)
+	if gone := cc.await(c.Done); gone {
+		s.eng.Left(c)
 		unread(ctx, fasthttp.StatusBadRequest, "client gone")
 		return
 	}
 	cc.SetReadDeadline(time.Time{})
-	respond(ctx, &c.answer)
+	respond(ctx, &c.Answer)
 }
 
 // respond writes the answer that the module decided on.
-func respond(ctx *fasthttp.RequestCtx, a *answer) {
+func respond(ctx *fasthttp.RequestCtx, a *engine.Answer) {
 	switch {
-	case a.kind == balance.Refuse:
+	case a.Kind == balance.Refuse:
 		reject(ctx, fasthttp.StatusServiceUnavailable, "refused")
-		if a.wait > 0 {
-			ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(a.wait.Seconds(), 'f', 3, 64))
+		if a.Wait > 0 {
+			ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(a.Wait.Seconds(), 'f', 3, 64))
 		}
-	case a.kind == balance.Fail:
+	case a.Kind == balance.Fail:
 		reject(ctx, fasthttp.StatusBadGateway, "failed")
 	default:
-		r := a.resp
+		r := (*fasthttp.Response)(a.Response.(*response))
 		r.Header.CopyTo(&ctx.Response.Header)
 		for _, name := range []string{"Connection", "Keep-Alive", "Trailer", "X-Not-Run"} {
 			ctx.Response.Header.Del(name)
 		}
 		ctx.Response.Header.ResetConnectionClose()
 		ctx.Response.SetBody(r.Body())
-		fasthttp.ReleaseResponse(r)
+		a.Response.Release()
 	}
 }
 
 // requestHead returns the head that goes on to upstreams, without X-Deadline
 // and the empty line that each attempt adds.
-func requestHead(h *fasthttp.RequestHeader, size int, bodiless bool) []byte {
+func requestHead(h *fasthttp.RequestHeader, size int, bodiless bool) head {
 	for _, name := range []string{"Connection", "Keep-Alive", "Expect", "TE", "Trailer", "Upgrade", "X-Deadline"} {
 		h.Del(name)
 	}
@@ -338,8 +341,8 @@
 	if !bodiless {
 		h.SetContentLength(size)
 	}
-	head := h.AppendBytes(make([]byte, 0, 512))
-	return head[:len(head)-2]
+	text := h.AppendBytes(make([]byte, 0, 512))
+	return text[:len(text)-2]
 }
 
 // The phases of a client's connection.
@@ -653,7 +656,7 @@
 	if !c.phase.CompareAndSwap(phaseIdle, phaseClosing) {
 		return false
 	}
-	c.SetReadDeadline(past)
+	c.SetReadDeadline(engine.Past)
 	return true
 }
 
@@ -671,7 +674,7 @@
 	for c := range f.conns {
 		if c.phase.Load() <= latest {
 			c.over.Store(true)
-			c.SetReadDeadline(past)
+			c.SetReadDeadline(engine.Past)
 		}
 	}
 }
@@ -703,7 +706,7 @@
 	f.mu.Lock()
 	f.paused = true
 	f.mu.Unlock()
-	f.ln.SetDeadline(past)
+	f.ln.SetDeadline(engine.Past)
 }
 
 // resume accepts again.
@@ -720,7 +723,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
-		c.SetDeadline(past)
+		c.SetDeadline(engine.Past)
 	}
 	return len(f.conns)
 }
@@ -747,10 +750,10 @@
 		f.mu.Lock()
 		for c := range f.conns {
 			if c.overdue(now) && !c.giveUp() && c.phase.Load() == phaseReading {
-				c.SetReadDeadline(past)
+				c.SetReadDeadline(engine.Past)
 			}
 			if w := c.wrote.Load(); w > 0 && now-w > writeStall.Milliseconds() {
-				c.SetWriteDeadline(past)
+				c.SetWriteDeadline(engine.Past)
 			}
 		}
 		f.mu.Unlock()
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"otterspring/balance"
+	"otterspring/internal/engine"
 	"otterspring/internal/wire"
 )
 
@@ -51,8 +52,8 @@
 // host is an upstream at one address since one start. One that moved or
 // started anew is another host.
 type host struct {
+	pool    *pool
 	addr    string
-	since   int64
 	idle    []*conn // oldest first
 	retired bool
 }
@@ -287,11 +288,26 @@
 	}
 }
 
+// open makes an upstream.
+func (p *pool) host(addr string, _ int64) engine.Upstream { return &host{pool: p, addr: addr} }
+
+// CloseIdle closes the idle connections.
+func (h *host) CloseIdle() { h.pool.closeIdle(h) }
+
+// Retire closes them and keeps no further ones.
+func (h *host) Retire() { h.pool.retire(h) }
+
+// attempt is an attempt over HTTP/1.1.
+type attempt struct {
+	*engine.Attempt
+	host *host
+}
+
 // connect returns a kept connection or opens one. If there is none it says how
 // the attempt ended: for want of the sidecar's own descriptors, which says
 // nothing of the upstream, or because the upstream is not there.
 func (a *attempt) connect() (*conn, balance.Status) {
-	p := a.eng.pool
+	p := a.host.pool
 	if c := p.take(a.host, true); c != nil {
 		return c, 0
 	}
@@ -312,9 +328,9 @@
 
 // dial opens a connection within the time for it; nil if none comes up.
 func (a *attempt) dial() *conn {
-	ctx, cancel := context.WithTimeout(context.Background(), a.eng.pool.dial)
+	ctx, cancel := context.WithTimeout(context.Background(), a.host.pool.dial)
 	defer cancel()
-	if !a.eng.dialing(a, cancel) {
+	if !a.Dialing(cancel) {
 		return nil
 	}
 	d := net.Dialer{KeepAlive: -1}
@@ -329,27 +345,26 @@
 	return c
 }
 
-// run carries out the attempt and reports its end, unless the engine has ended
-// it before.
-func (a *attempt) run() {
-	defer a.call.body.release()
+// Run carries out an attempt.
+func (h *host) Run(at *engine.Attempt) {
+	a := &attempt{at, h}
 	c, status := a.connect()
 	if c == nil {
-		a.eng.end(a, status, nil)
+		a.End(status, nil)
 		return
 	}
-	left, ok := a.eng.attach(a, c)
+	left, ok := a.Attach(c)
 	if !ok {
 		// Nothing was written on it: put would take one that has rested for
 		// fresh, though the upstream closes it as soon as ever.
 		if c.rested > 0 {
-			a.eng.pool.discard(c)
+			h.pool.discard(c)
 		} else {
-			a.eng.pool.put(c)
+			h.pool.put(c)
 		}
 		return
 	}
-	c.arm = func() bool { return a.eng.arm(a, c, stall) }
+	c.arm = func() bool { return a.Arm(stall) }
 	a.receive(c, a.write(c, left))
 }
 
@@ -364,13 +379,13 @@
 	if _, err := front.WriteTo(c.Conn); err != nil {
 		return false
 	}
-	if !a.eng.arm(a, c, a.eng.pool.hold) {
+	if !a.Arm(a.host.pool.hold) {
 		return false
 	}
 	if _, err := c.br.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
 	}
-	if !a.eng.commit(a, c) {
+	if !a.Commit() {
 		return false
 	}
 	// Of one byte the kernel takes all or, with an error, nothing.
@@ -380,15 +395,13 @@
 
 // text is the request as it is written: all but its last byte, and that one.
 func (a *attempt) text(left time.Duration) (front net.Buffers, last []byte) {
-	head := make([]byte, 0, len(a.call.head)+64)
-	head = append(head, a.call.head...)
-	head = append(head, "X-Deadline: "...)
-	head = strconv.AppendFloat(head, max(left.Seconds(), 0.001), 'f', 4, 64)
-	head = append(head, "\r\n\r\n"...)
-	front = net.Buffers{head}
-	if a.call.body != nil {
-		front = append(front, a.call.body.chunks...)
-	}
+	form, _ := a.Call.Form.(head)
+	text := make([]byte, 0, len(form)+64)
+	text = append(text, form...)
+	text = append(text, "X-Deadline: "...)
+	text = strconv.AppendFloat(text, max(left.Seconds(), 0.001), 'f', 4, 64)
+	text = append(text, "\r\n\r\n"...)
+	front = append(net.Buffers{text}, a.Call.Body.Chunks()...)
 	end := len(front) - 1
 	for len(front[end]) == 0 {
 		end--
@@ -404,10 +417,10 @@
 // answer, the request may have run, and the connection is of no further use.
 func (a *attempt) receive(c *conn, written bool) {
 	if !written {
-		if a.eng.end(a, balance.Unwritten, nil) {
-			a.eng.pool.learn(c.rested, true)
+		if a.End(balance.Unwritten, nil) {
+			a.host.pool.learn(c.rested, true)
 		}
-		a.eng.pool.abandon(c)
+		a.host.pool.abandon(c)
 		return
 	}
 	resp := fasthttp.AcquireResponse()
@@ -420,21 +433,38 @@
 		fasthttp.ReleaseResponse(resp)
 		resp = nil
 	}
-	ok := a.eng.end(a, status, resp)
+	var answer engine.Response
+	if resp != nil {
+		answer = (*response)(resp)
+	}
+	ok := a.End(status, answer)
 	if ok {
-		a.eng.pool.learn(c.rested, err != nil && !c.begun)
+		a.host.pool.learn(c.rested, err != nil && !c.begun)
 	}
 	switch {
 	case clean && ok:
 		c.SetReadDeadline(time.Time{})
-		a.eng.pool.put(c)
+		a.host.pool.put(c)
 	case err != nil:
-		a.eng.pool.abandon(c)
+		a.host.pool.abandon(c)
 	default:
-		a.eng.pool.discard(c)
+		a.host.pool.discard(c)
 	}
 }
 
+// head is the rendering of a call that HTTP/1.1's front makes and its upstreams
+// send: the request's head, but for X-Deadline and the empty line.
+type head []byte
+
+// response is an answer that came over HTTP/1.1.
+type response fasthttp.Response
+
+func (r *response) Body() []byte { return (*fasthttp.Response)(r).Body() }
+func (r *response) ContentType() []byte {
+	return (*fasthttp.Response)(r).Header.Peek("Content-Type")
+}
+func (r *response) Release() { fasthttp.ReleaseResponse((*fasthttp.Response)(r)) }
+
 // answerStatus is how an attempt ended with that answer, or that error.
 func answerStatus(resp *fasthttp.Response, err error) balance.Status {
 	var spoilt *spoiltError
