Attempts and connections over HTTP/1.1 are a package of their own

Change: internal/httpupstream holds the pool, the attempts and what is learnt of stale connections. Moves and exported names only; the test of the own share of descriptors asks the pool without a sidecar round it.

--- a/internal/sidecar/upstream.go
+++ b/internal/httpupstream/attempt.go
@@ -1,4 +1,7 @@
-package sidecar
+// Package httpupstream carries out attempts over HTTP/1.1: a pool of connections
+// to the upstreams, one request at a time on each, and what the end of each says
+// of whether the request has run.
+package httpupstream
 
 import (
 	"bufio"
@@ -52,7 +55,7 @@
 // host is an upstream at one address since one start. One that moved or
 // started anew is another host.
 type host struct {
-	pool    *pool
+	pool    *Pool
 	addr    string
 	idle    []*conn // oldest first
 	retired bool
@@ -107,8 +110,8 @@
 	return err == nil && quiet
 }
 
-// pool keeps the idle connections to the upstreams and counts all of them.
-type pool struct {
+// Pool keeps the idle connections to the upstreams and counts all of them.
+type Pool struct {
 	mu    sync.Mutex
 	hosts map[*host]bool // those with idle connections
 	open  int
@@ -116,16 +119,29 @@
 	idle  time.Duration // the longest rest, by the settings
 	stale staleness     // and by what was seen
 	dial  time.Duration
-	hold  time.Duration // of a request's last byte
+	// Hold is for how long a request's last byte is held back. It is set before
+	// the first attempt.
+	Hold time.Duration
 }
 
-func newPool(set wire.Conns, most int) *pool {
-	return &pool{hosts: map[*host]bool{}, most: most, idle: max(set.Idle-idleMargin, set.Idle/2), dial: set.Dial, hold: lastByteAfter}
+// New returns a pool of at most so many connections.
+func New(set wire.Conns, most int) *Pool {
+	return &Pool{hosts: map[*host]bool{}, most: most, idle: max(set.Idle-idleMargin, set.Idle/2), dial: set.Dial, Hold: lastByteAfter}
+}
+
+// Counts are how many connections are open, and how many of them idle.
+func (p *Pool) Counts() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for h := range p.hosts {
+		idle += len(h.idle)
+	}
+	return p.open, idle
 }
 
 // take returns the idle connection to h that was used last, of those that have
 // rested; one that has not only if rested is false. It may return nil.
-func (p *pool) take(h *host, rested bool) *conn {
+func (p *Pool) take(h *host, rested bool) *conn {
 	for {
 		p.mu.Lock()
 		now := time.Now()
@@ -149,7 +165,7 @@
 }
 
 // remove takes the i-th idle connection out. The caller holds the mutex.
-func (p *pool) remove(h *host, i int) {
+func (p *Pool) remove(h *host, i int) {
 	copy(h.idle[i:], h.idle[i+1:])
 	h.idle[len(h.idle)-1] = nil
 	h.idle = h.idle[:len(h.idle)-1]
@@ -159,7 +175,7 @@
 }
 
 // put returns a connection whose attempt ended clean.
-func (p *pool) put(c *conn) {
+func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	h := c.host
 	if h.retired {
@@ -174,7 +190,7 @@
 }
 
 // learn takes down how the use of a connection ended, if it was a rested one.
-func (p *pool) learn(rested time.Duration, dead bool) {
+func (p *Pool) learn(rested time.Duration, dead bool) {
 	if rested == 0 {
 		return
 	}
@@ -184,7 +200,7 @@
 }
 
 // discard closes a connection.
-func (p *pool) discard(c *conn) {
+func (p *Pool) discard(c *conn) {
 	c.Close()
 	p.mu.Lock()
 	p.open--
@@ -198,7 +214,7 @@
 // up, answered, even run elsewhere since, would run when the way is whole again.
 // It guards also against upstreams that stop reading for a while. It might harm
 // where the way takes longer than the moment: the upstream sees a reset then.
-func (p *pool) abandon(c *conn) {
+func (p *Pool) abandon(c *conn) {
 	tcp := c.Conn.(*net.TCPConn)
 	if tcp.CloseWrite() != nil {
 		p.discard(c) // it has ended already
@@ -212,7 +228,7 @@
 
 // reserve makes room for one more connection, if need be by closing the one
 // that has been idle longest.
-func (p *pool) reserve() bool {
+func (p *Pool) reserve() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open < p.most {
@@ -235,7 +251,7 @@
 }
 
 // drop closes the idle connections that stale picks.
-func (p *pool) drop(h *host, stale func(*conn) bool) {
+func (p *Pool) drop(h *host, stale func(*conn) bool) {
 	var closing []*conn
 	p.mu.Lock()
 	for i := 0; i < len(h.idle); {
@@ -255,18 +271,18 @@
 func always(*conn) bool { return true }
 
 // closeIdle closes the idle connections to h.
-func (p *pool) closeIdle(h *host) { p.drop(h, always) }
+func (p *Pool) closeIdle(h *host) { p.drop(h, always) }
 
 // retire closes them and keeps no further ones.
-func (p *pool) retire(h *host) {
+func (p *Pool) retire(h *host) {
 	p.mu.Lock()
 	h.retired = true
 	p.mu.Unlock()
 	p.drop(h, always)
 }
 
-// sweep closes the connections that have been idle too long, until stop.
-func (p *pool) sweep(stop <-chan struct{}) {
+// Sweep closes the connections that have been idle too long, until stop.
+func (p *Pool) Sweep(stop <-chan struct{}) {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
 	for {
@@ -288,8 +304,9 @@
 	}
 }
 
-// open makes an upstream.
-func (p *pool) host(addr string, _ int64) engine.Upstream { return &host{pool: p, addr: addr} }
+// Open makes an upstream: the engine's way to one at an address. Nothing is
+// connected yet.
+func (p *Pool) Open(addr string, _ int64) engine.Upstream { return &host{pool: p, addr: addr} }
 
 // CloseIdle closes the idle connections.
 func (h *host) CloseIdle() { h.pool.closeIdle(h) }
@@ -379,7 +396,7 @@
 	if _, err := front.WriteTo(c.Conn); err != nil {
 		return false
 	}
-	if !a.Arm(a.host.pool.hold) {
+	if !a.Arm(a.host.pool.Hold) {
 		return false
 	}
 	if _, err := c.br.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -395,7 +412,7 @@
 
 // text is the request as it is written: all but its last byte, and that one.
 func (a *attempt) text(left time.Duration) (front net.Buffers, last []byte) {
-	form, _ := a.Call.Form.(head)
+	form, _ := a.Call.Form.(Head)
 	text := make([]byte, 0, len(form)+64)
 	text = append(text, form...)
 	text = append(text, "X-Deadline: "...)
@@ -435,7 +452,7 @@
 	}
 	var answer engine.Response
 	if resp != nil {
-		answer = (*response)(resp)
+		answer = (*Response)(resp)
 	}
 	ok := a.End(status, answer)
 	if ok {
@@ -452,18 +469,22 @@
 	}
 }
 
-// head is the rendering of a call that HTTP/1.1's front makes and its upstreams
+// Head is the rendering of a call that HTTP/1.1's front makes and its upstreams
 // send: the request's head, but for X-Deadline and the empty line.
-type head []byte
+type Head []byte
+
+// Response is an answer that came over HTTP/1.1.
+type Response fasthttp.Response
 
-// response is an answer that came over HTTP/1.1.
-type response fasthttp.Response
+// HTTP is the answer with its head.
+func (r *Response) HTTP() *fasthttp.Response { return (*fasthttp.Response)(r) }
 
-func (r *response) Body() []byte { return (*fasthttp.Response)(r).Body() }
-func (r *response) ContentType() []byte {
+// Body, ContentType and Release are what every protocol's answers have.
+func (r *Response) Body() []byte { return (*fasthttp.Response)(r).Body() }
+func (r *Response) ContentType() []byte {
 	return (*fasthttp.Response)(r).Header.Peek("Content-Type")
 }
-func (r *response) Release() { fasthttp.ReleaseResponse((*fasthttp.Response)(r)) }
+func (r *Response) Release() { fasthttp.ReleaseResponse((*fasthttp.Response)(r)) }
 
 // answerStatus is how an attempt ended with that answer, or that error.
 func answerStatus(resp *fasthttp.Response, err error) balance.Status {
--- a/internal/sidecar/stale.go
+++ b/internal/httpupstream/stale.go
@@ -1,4 +1,4 @@
-package sidecar
+package httpupstream
 
 import (
 	"math"
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -30,6 +30,7 @@
 	wholeWithin  = 6 * time.Second // the same for a call that does not wait
 	dialWithin   = time.Second
 	mostList     = 8 << 20 // bytes of a list
+	readBuffer   = 8 << 10
 	// rest is the least time of a watch that brings nothing, so that an agent
 	// which does not wait is not called without end. A watch goes on if it is
 	// called again within 200 ms.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -23,6 +23,7 @@
 
 	"otterspring/balance"
 	"otterspring/internal/engine"
+	"otterspring/internal/httpupstream"
 )
 
 const (
@@ -69,7 +70,7 @@
 // Sidecar is a running sidecar.
 type Sidecar struct {
 	eng    *engine.Engine
-	pool   *pool
+	pool   *httpupstream.Pool
 	srv    fasthttp.Server
 	front  *front
 	bodies *engine.Budget
@@ -122,9 +123,9 @@
 	debug.SetMemoryLimit(int64(cfg.Memory) * 6 / 10)
 	debug.SetGCPercent(100)
 
-	p := newPool(cfg.Conns, upstreamShare(cfg.Sockets))
+	p := httpupstream.New(cfg.Conns, upstreamShare(cfg.Sockets))
 	d := &discovery{addr: cfg.Discovery, pushed: !cfg.Settings.Subscribe, index: cfg.Known.Index, asked: make(chan struct{}, 1)}
-	eng, err := engine.New(engine.Settings{Balance: cfg.Settings, Seed: cfg.Seed, Dial: cfg.Conns.Dial, Open: p.host}, d.ask)
+	eng, err := engine.New(engine.Settings{Balance: cfg.Settings, Seed: cfg.Seed, Dial: cfg.Conns.Dial, Open: p.Open}, d.ask)
 	if err != nil {
 		return nil, err
 	}
@@ -168,7 +169,7 @@
 		d.ask()
 	}
 	go d.run(ctx)
-	go p.sweep(ctx.Done())
+	go p.Sweep(ctx.Done())
 	go s.front.sweep(ctx.Done())
 	go func() {
 		if err := s.srv.Serve(s.front); err != nil {
@@ -318,7 +319,7 @@
 	case a.Kind == balance.Fail:
 		reject(ctx, fasthttp.StatusBadGateway, "failed")
 	default:
-		r := (*fasthttp.Response)(a.Response.(*response))
+		r := a.Response.(*httpupstream.Response).HTTP()
 		r.Header.CopyTo(&ctx.Response.Header)
 		for _, name := range []string{"Connection", "Keep-Alive", "Trailer", "X-Not-Run"} {
 			ctx.Response.Header.Del(name)
@@ -331,7 +332,7 @@
 
 // requestHead returns the head that goes on to upstreams, without X-Deadline
 // and the empty line that each attempt adds.
-func requestHead(h *fasthttp.RequestHeader, size int, bodiless bool) head {
+func requestHead(h *fasthttp.RequestHeader, size int, bodiless bool) httpupstream.Head {
 	for _, name := range []string{"Connection", "Keep-Alive", "Expect", "TE", "Trailer", "Upgrade", "X-Deadline"} {
 		h.Del(name)
 	}
