The clients' side over HTTP/1.1 is a package of its own

Change: internal/httpfront holds connections, their bounds in number and time, the checks against the protocol and the answers; internal/sidecar is left with the start, the shares of descriptors, drain and discovery. Moves and exported names; a front gets its bounds as settings.

--- a/internal/sidecar/check.go
+++ b/internal/httpfront/check.go
@@ -1,4 +1,4 @@
-package sidecar
+package httpfront
 
 import (
 	"bytes"
@@ -13,9 +13,9 @@
 
 const (
 	mostID = 256 // bytes of a request's id
-	// deadlineSlack is how many times its class's deadline a request may ask
+	// DeadlineSlack is how many times its class's deadline a request may ask
 	// for. The module would plan for hours if told so.
-	deadlineSlack = 4
+	DeadlineSlack = 4
 )
 
 // fault is why a request is turned away unread.
@@ -35,13 +35,13 @@
 // could read in another way than the sidecar does must not reach them, nor what
 // they would turn away after it has cost a connection. It might harm a client
 // that is older or newer than the protocol; it is told in words what is wrong.
-func (s *Sidecar) check(h *fasthttp.RequestHeader) (balance.Request, *fault) {
+func (f *Front) check(h *fasthttp.RequestHeader) (balance.Request, *fault) {
 	q := balance.Request{
 		ID: string(h.Peek("X-Request-Id")), Class: string(classOf(h.RequestURI())),
 		Tenant: string(h.Peek("X-Tenant")), Key: string(h.Peek("X-Key")),
 		Work: parseHint(h.Peek("X-Cost-Hint")), Again: string(h.Peek("X-Retry")) == "1",
 	}
-	class := s.eng.Class(q.Class)
+	class := f.eng.Class(q.Class)
 	switch {
 	case !plain(h.RequestURI()):
 		return q, badRequest("path: unreadable")
@@ -63,7 +63,7 @@
 	q.Deadline = class.Deadline
 	if text := h.Peek("X-Deadline"); text != nil {
 		wait, ok := parseDeadline(text)
-		if !ok || wait > deadlineSlack*class.Deadline {
+		if !ok || wait > DeadlineSlack*class.Deadline {
 			return q, badRequest("X-Deadline: expected seconds, in the measure of the class")
 		}
 		q.Deadline = wait
--- a/internal/mutant/run.go
+++ b/internal/mutant/run.go
@@ -43,6 +43,7 @@
 	more := map[string][]string{
 		"balance":               {"./internal/mutant"},
 		"internal/httpupstream": {"./internal/sidecar", "./internal/daemon"},
+		"internal/httpfront":    {"./internal/sidecar", "./internal/daemon"},
 		"internal/engine":       {"./internal/sidecar", "./internal/daemon"},
 		"internal/sidecar":      {"./internal/daemon"},
 		"internal/membership":   {"./internal/sidecar"},
--- a/internal/mutant/table.go
+++ b/internal/mutant/table.go
@@ -112,14 +112,14 @@
 		Old: "\tif !c.answered {\n\t\tc.answered = true\n\t\te.carry(e.bal.Left", New: "\tif !c.answered && c.ID == \"\" {\n\t\tc.answered = true\n\t\te.carry(e.bal.Left"},
 	{Name: "drain-taken-back", File: "internal/engine/engine.go", Breaks: "a list that lags behind takes a drain back",
 		Old: "\t\te.keepDrains(l, moves)\n", New: ""},
-	{Name: "two-lengths", File: "internal/sidecar/check.go", Breaks: "a request may hide another in its body",
+	{Name: "two-lengths", File: "internal/httpfront/check.go", Breaks: "a request may hide another in its body",
 		Old: "return lengths+codings <= 1 &&", New: "return lengths+codings <= 9 &&"},
 	{Name: "drain-in-a-hurry", File: "internal/sidecar/drain.go", Breaks: "a drain does not wait for what is open",
 		Old: "\ts.drainUntil(end, nil)\n\ts.stop()\n", New: "\t_ = end\n\ts.front.abandon()\n\ts.stop()\n"},
 	{Name: "drain-unbounded", File: "internal/sidecar/drain.go", Breaks: "a drain never hands back",
 		Old: "if !handed && !now.Before(end) {", New: "if !handed && now.Before(time.Unix(0, 0)) {"},
 	{Name: "resume-deaf", File: "internal/sidecar/drain.go", Breaks: "after a hand-over that failed the old process takes nothing more",
-		Old: "\ts.front.draining.Store(false)\n\ts.front.resume()\n\treturn false", New: "\ts.front.draining.Store(false)\n\treturn false"},
+		Old: "\ts.front.SetDraining(false)\n\ts.front.Resume()\n\treturn false", New: "\ts.front.SetDraining(false)\n\treturn false"},
 
 	// Discovery.
 	{Name: "older-change", File: "internal/sidecar/discovery.go", Breaks: "a change of an older version is taken",
--- a/internal/sidecar/counts_test.go
+++ b/internal/sidecar/counts_test.go
@@ -67,8 +67,8 @@
 		n := idleConns(s)
 		return poolOpen(s) == n && up.live.Load() == int64(n)
 	})
-	eventually(t, "the budget is whole", func() bool { return int64(s.bodies.Left()) == 8<<20 })
-	eventually(t, "no client is kept", s.front.empty)
+	eventually(t, "the budget is whole", func() bool { return int64(s.front.Bodies()) == 8<<20 })
+	eventually(t, "no client is kept", s.front.Empty)
 
 	// An upstream that leaves takes its connections along.
 	s.eng.Members(balance.ListFull, engine.List{Full: true}, 0)
@@ -97,7 +97,7 @@
 	<-asked
 	ended := make(chan bool)
 	go func() { s.Drain(); close(ended) }()
-	eventually(t, "the drain begins", s.front.draining.Load)
+	eventually(t, "the drain begins", s.front.Draining)
 	late := dialClient(t, s)
 	io.WriteString(late, readRequest(ids[2]))
 	io.WriteString(half, text[20:])
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -11,9 +11,17 @@
 
 	"otterspring/balance"
 	"otterspring/internal/engine"
+	"otterspring/internal/httpfront"
 )
 
 const (
+	// At a planned restart connections come for another 0.4 s, and those that
+	// the kernel accepted are the sidecar's. Idle connections are closed after
+	// that: a client whose request crosses the close sends it once more on a
+	// new one. What is not whole by cutAt never counts as taken.
+	closeIdleAt = 480 * time.Millisecond
+	cutAt       = 660 * time.Millisecond
+
 	drainStep = 10 * time.Millisecond
 	// flushFor is how long clients may take to read what was handed back to
 	// them; after it their connections are cut.
@@ -37,7 +45,7 @@
 	for _, c := range s.cfg.Settings.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	return cutAt + deadlineSlack*longest + time.Second
+	return cutAt + httpfront.DeadlineSlack*longest + time.Second
 }
 
 // Drain ends the service at a planned restart. It returns when every request
@@ -47,11 +55,11 @@
 func (s *Sidecar) Drain() {
 	began := time.Now()
 	end := began.Add(s.drainBound())
-	s.front.draining.Store(true)
+	s.front.SetDraining(true)
 	time.Sleep(closeIdleAt)
-	s.front.cut(phaseIdle)
+	s.front.CutIdle()
 	time.Sleep(cutAt - time.Since(began))
-	s.front.shut()
+	s.front.Shut()
 	s.drainUntil(end, nil)
 	s.stop()
 }
@@ -62,20 +70,20 @@
 // the other process has ended, and this one serves on.
 func (s *Sidecar) Retire(abort <-chan struct{}) bool {
 	end := time.Now().Add(s.drainBound())
-	s.front.pause()
-	s.front.draining.Store(true)
+	s.front.Pause()
+	s.front.SetDraining(true)
 	// Connections that are asked on meanwhile get their answer and are closed
 	// with it. The rest are closed between requests.
 	if waitFor(closeIdleAt, abort) {
-		s.front.cut(phaseIdle)
+		s.front.CutIdle()
 		if waitFor(cutAt-closeIdleAt, abort) && s.drainUntil(end, abort) {
-			s.front.leave()
+			s.front.Leave()
 			s.stop()
 			return true
 		}
 	}
-	s.front.draining.Store(false)
-	s.front.resume()
+	s.front.SetDraining(false)
+	s.front.Resume()
 	return false
 }
 
@@ -93,15 +101,15 @@
 // first. At end what is open is handed back, and a little later cut off.
 func (s *Sidecar) drainUntil(end time.Time, abort <-chan struct{}) bool {
 	handed := false
-	for !s.front.empty() {
-		s.front.cut(phaseReading)
+	for !s.front.Empty() {
+		s.front.CutReading()
 		now := time.Now()
 		if !handed && !now.Before(end) {
 			handed = true
 			slog.Warn("drain: its time is over", "handed_back", s.eng.HandBack())
 		}
 		if now.After(end.Add(flushFor)) {
-			if n := s.front.abandon(); n > 0 {
+			if n := s.front.Abandon(); n > 0 {
 				slog.Warn("drain: connections cut that did not read their answers", "connections", n)
 			}
 			time.Sleep(drainStep)
@@ -115,10 +123,10 @@
 }
 
 // Resume accepts connections, after a start that was paused.
-func (s *Sidecar) Resume() { s.front.resume() }
+func (s *Sidecar) Resume() { s.front.Resume() }
 
 // Listener is the listening socket, for a process that takes over.
-func (s *Sidecar) Listener() *net.TCPListener { return s.front.ln }
+func (s *Sidecar) Listener() *net.TCPListener { return s.front.Listener() }
 
 // Held is the list as this process holds it, in discovery's form, for a process
 // that takes over.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -146,7 +146,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { s.front.ln.Close(); s.stop() })
+	t.Cleanup(func() { s.front.Listener().Close(); s.stop() })
 	return s
 }
 
@@ -223,7 +223,8 @@
 	t.Parallel()
 	up := startUpstream(t, good)
 	s := startSidecar(t, up.addr())
-	most := s.front.serve + s.front.refuse
+	serve, refuse := clientShares(s.cfg.Sockets)
+	most := serve + refuse
 	for range 3 * most {
 		dialClient(t, s)
 	}
@@ -253,11 +254,12 @@
 			t.Fatalf("answered %v %q", r, body)
 		}
 	}
-	for range s.front.spare + 1 {
+	spare := s.cfg.Sockets / 6
+	for range spare + 1 {
 		c := dialClient(t, s)
 		ask(c)
 		all = append(all, c)
-		eventually(t, "it is idle", func() bool { return idleClients(s) >= min(len(all), s.front.spare) })
+		eventually(t, "it is idle", func() bool { return idleClients(s) >= min(len(all), spare) })
 	}
 	if n, err := io.Copy(io.Discard, all[0]); n > 0 || err != nil {
 		t.Errorf("the first one was told %d bytes, %v", n, err)
@@ -269,15 +271,7 @@
 
 // idleClients counts the connections that asked and are idle.
 func idleClients(s *Sidecar) int {
-	s.front.mu.Lock()
-	defer s.front.mu.Unlock()
-	n := 0
-	for c := range s.front.conns {
-		if c.phase.Load() == phaseIdle && c.asked.Load() {
-			n++
-		}
-	}
-	return n
+	return s.front.Idle()
 }
 
 // A client that says nothing, or half of something, is let go.
@@ -303,7 +297,7 @@
 	if n := up.seen.Load(); n > 0 {
 		t.Errorf("%d requests reached the upstream", n)
 	}
-	eventually(t, "no connection is kept", s.front.empty)
+	eventually(t, "no connection is kept", s.front.Empty)
 }
 
 // A slow client that makes progress is not cut off.
@@ -341,7 +335,7 @@
 	if n := up.seen.Load(); n > 0 {
 		t.Errorf("%d requests reached the upstream", n)
 	}
-	eventually(t, "the budget is whole again", func() bool { return int64(s.bodies.Left()) == 8<<20 })
+	eventually(t, "the budget is whole again", func() bool { return int64(s.front.Bodies()) == 8<<20 })
 	wantServed(t, s)
 }
 
