Discovery is a package of its own; internal/sidecar is what joins the parts

Change: internal/discovery reads and writes lists and follows them; the engine is handed to it when it starts to run. No decision and no byte on a socket is another.

Result: vet and the tests concerned pass.

--- a/internal/sidecar/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,6 @@
-package sidecar
+// Package discovery follows the platform's list of upstreams and hands every
+// change to the engine.
+package discovery
 
 import (
 	"bufio"
@@ -8,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -46,9 +49,9 @@
 
 var states = map[string]balance.ServerState{"active": balance.Ready, "leaving": balance.Draining, "left": balance.Gone}
 
-// parseList reads a list strictly: what is not understood may be any nonsense,
+// Parse reads a list strictly: what is not understood may be any nonsense,
 // and a list half read could drop upstreams that are there.
-func parseList(v *fastjson.Value) (engine.List, error) {
+func Parse(v *fastjson.Value) (engine.List, error) {
 	if v.Type() != fastjson.TypeObject {
 		return engine.List{}, fmt.Errorf("list: expected an object, found %s", v.Type())
 	}
@@ -108,8 +111,8 @@
 	return 0, fmt.Errorf("%s: expected a whole number", key)
 }
 
-// discovery follows the list of upstreams.
-type discovery struct {
+// Follower follows the list of upstreams.
+type Follower struct {
 	eng    *engine.Engine
 	pushed bool // lists come without being asked for
 	index  int64
@@ -124,10 +127,16 @@
 	cut   context.CancelFunc // ends the calls to addr
 }
 
-// move turns to another address. The list stays; the next call asks for the
+// New returns a Follower of the service at addr that has been told everything up
+// to the version index. pushed says that lists come without being asked for.
+func New(addr string, pushed bool, index int64) *Follower {
+	return &Follower{addr: addr, pushed: pushed, index: index, asked: make(chan struct{}, 1)}
+}
+
+// Move turns to another address. The list stays; the next call asks for the
 // whole one, since the versions of another service may count anew. It never
 // blocks, and a later move overtakes one that has not succeeded yet.
-func (d *discovery) move(addr string) {
+func (d *Follower) Move(addr string) {
 	d.mu.Lock()
 	moved := addr != d.addr
 	if moved {
@@ -139,13 +148,13 @@
 	}
 	d.mu.Unlock()
 	if moved {
-		d.ask()
+		d.Ask()
 	}
 }
 
 // turn returns the present address, how often it changed, and a context that
 // ends with the next change.
-func (d *discovery) turn(ctx context.Context) (addr string, moves int, until context.Context, done context.CancelFunc) {
+func (d *Follower) turn(ctx context.Context) (addr string, moves int, until context.Context, done context.CancelFunc) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	until, done = context.WithCancel(ctx)
@@ -153,8 +162,8 @@
 	return d.addr, d.moves, until, done
 }
 
-// ask notes that the module wants the list; it never blocks.
-func (d *discovery) ask() {
+// Ask notes that the module wants the list; it never blocks.
+func (d *Follower) Ask() {
 	select {
 	case d.asked <- struct{}{}:
 	default:
@@ -162,16 +171,18 @@
 }
 
 // unask takes back what was asked.
-func (d *discovery) unask() {
+func (d *Follower) unask() {
 	select {
 	case <-d.asked:
 	default:
 	}
 }
 
-// run calls discovery when the module asks, and watches on until a call fails.
-func (d *discovery) run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, d.ask)
+// Run hands the engine every list until ctx ends: it calls discovery when the
+// module asks, and watches on until a call fails.
+func (d *Follower) Run(ctx context.Context, eng *engine.Engine) {
+	d.eng = eng
+	stop := context.AfterFunc(ctx, d.Ask)
 	defer stop()
 	defer d.hangUp()
 	moves, tries := 0, 0 // tries left of a move
@@ -227,7 +238,7 @@
 
 // watch hands every change to the engine until a call fails. It tells whether
 // any call before that was answered.
-func (d *discovery) watch(ctx context.Context, addr string, moves int) (heard bool, err error) {
+func (d *Follower) watch(ctx context.Context, addr string, moves int) (heard bool, err error) {
 	for {
 		began := time.Now()
 		l, err := d.call(ctx, addr)
@@ -256,7 +267,7 @@
 }
 
 // hangUp closes the connection, if there is one.
-func (d *discovery) hangUp() {
+func (d *Follower) hangUp() {
 	if d.conn != nil {
 		d.conn.Close()
 		d.conn = nil
@@ -265,7 +276,7 @@
 
 // call makes one call. Every step of it is bounded in time: discovery may fall
 // silent with the connection up.
-func (d *discovery) call(ctx context.Context, addr string) (engine.List, error) {
+func (d *Follower) call(ctx context.Context, addr string) (engine.List, error) {
 	path, wait := "/discovery/hosts", wholeWithin-answerWithin
 	if d.index > 0 {
 		wait = watchFor
@@ -303,5 +314,37 @@
 	if err != nil {
 		return engine.List{}, fmt.Errorf("not JSON: %w", err)
 	}
-	return parseList(v)
+	return Parse(v)
 }
+
+// ParseText reads a list in discovery's form.
+func ParseText(text []byte) (engine.List, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return engine.List{}, fmt.Errorf("not JSON: %w", err)
+	}
+	return Parse(v)
+}
+
+// Text is a list in discovery's form.
+func Text(l engine.List) []byte {
+	var a fastjson.Arena
+	ends := a.NewArray()
+	for i, n := range l.Entries {
+		e := a.NewObject()
+		e.Set("name", a.NewString(n.ID))
+		e.Set("address", a.NewString(n.Addr))
+		e.Set("zone", a.NewString(n.Zone))
+		e.Set("group", a.NewNumberInt(n.Cell))
+		e.Set("status", a.NewString(statusWords[n.State]))
+		e.Set("since_ms", a.NewNumberString(strconv.FormatInt(n.Since, 10)))
+		ends.SetArrayItem(i, e)
+	}
+	out := a.NewObject()
+	out.Set("index", a.NewNumberString(strconv.FormatInt(l.Index, 10)))
+	out.Set("snapshot", a.NewTrue())
+	out.Set("endpoints", ends)
+	return out.MarshalTo(nil)
+}
+
+var statusWords = map[balance.ServerState]string{balance.Ready: "active", balance.Draining: "leaving", balance.Gone: "left"}
--- a/internal/mutant/run.go
+++ b/internal/mutant/run.go
@@ -44,6 +44,7 @@
 		"balance":               {"./internal/mutant"},
 		"internal/httpupstream": {"./internal/sidecar", "./internal/daemon"},
 		"internal/httpfront":    {"./internal/sidecar", "./internal/daemon"},
+		"internal/discovery":    {"./internal/sidecar", "./internal/daemon"},
 		"internal/engine":       {"./internal/sidecar", "./internal/daemon"},
 		"internal/sidecar":      {"./internal/daemon"},
 		"internal/membership":   {"./internal/sidecar"},
--- a/internal/mutant/table.go
+++ b/internal/mutant/table.go
@@ -122,13 +122,13 @@
 		Old: "\ts.front.SetDraining(false)\n\ts.front.Resume()\n\treturn false", New: "\ts.front.SetDraining(false)\n\treturn false"},
 
 	// Discovery.
-	{Name: "older-change", File: "internal/sidecar/discovery.go", Breaks: "a change of an older version is taken",
+	{Name: "older-change", File: "internal/discovery/discovery.go", Breaks: "a change of an older version is taken",
 		Old: "} else if l.Index < d.index {", New: "} else if l.index < 0 {"},
-	{Name: "silence-endless", File: "internal/sidecar/discovery.go", Breaks: "a call to a silent discovery never ends",
+	{Name: "silence-endless", File: "internal/discovery/discovery.go", Breaks: "a call to a silent discovery never ends",
 		Old: "conn.SetDeadline(time.Now().Add(wait + answerWithin))", New: "conn.SetDeadline(time.Now().Add(100 * (wait + answerWithin)))"},
-	{Name: "half-a-list", File: "internal/sidecar/discovery.go", Breaks: "an entry that can't be read is skipped, and its server dropped",
+	{Name: "half-a-list", File: "internal/discovery/discovery.go", Breaks: "an entry that can't be read is skipped, and its server dropped",
 		Old: "\t\t\treturn engine.List{}, fmt.Errorf(\"endpoint %d: %w\", i, err)\n", New: "\t\t\t_ = i\n\t\t\tcontinue\n"},
-	{Name: "move-unnoticed", File: "internal/sidecar/discovery.go", Breaks: "after a move the old address's version goes on counting",
+	{Name: "move-unnoticed", File: "internal/discovery/discovery.go", Breaks: "after a move the old address's version goes on counting",
 		Old: "moves, tries, d.index = n, moveTries, 0", New: "moves, tries = n, moveTries"},
 
 	// Membership.
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -1,15 +1,12 @@
 package sidecar
 
 import (
-	"fmt"
 	"log/slog"
 	"net"
-	"strconv"
 	"time"
 
-	"github.com/valyala/fastjson"
-
 	"otterspring/balance"
+	"otterspring/internal/discovery"
 	"otterspring/internal/engine"
 	"otterspring/internal/httpfront"
 )
@@ -130,12 +127,12 @@
 
 // Held is the list as this process holds it, in discovery's form, for a process
 // that takes over.
-func (s *Sidecar) Held() []byte { return textOf(s.eng.List()) }
+func (s *Sidecar) Held() []byte { return discovery.Text(s.eng.List()) }
 
 // Hear takes the list that the other process of a hand-over holds, if it is
 // newer than the own one: the versions are of the same discovery.
 func (s *Sidecar) Hear(text []byte) {
-	l, err := parseHeld(text)
+	l, err := discovery.ParseText(text)
 	if err != nil {
 		slog.Warn("handover: a list that can't be read", "why", err)
 		return
@@ -148,7 +145,7 @@
 // OnList has every list that discovery tells from now on passed to f too, until
 // OffList or the next OnList.
 func (s *Sidecar) OnList(f func([]byte)) {
-	s.eng.OnList(func(l engine.List) { f(textOf(l)) })
+	s.eng.OnList(func(l engine.List) { f(discovery.Text(l)) })
 }
 
 // OffList ends OnList.
@@ -169,35 +166,3 @@
 		return false
 	}
 }
-
-// parseHeld reads a list in discovery's form.
-func parseHeld(text []byte) (engine.List, error) {
-	v, err := fastjson.ParseBytes(text)
-	if err != nil {
-		return engine.List{}, fmt.Errorf("not JSON: %w", err)
-	}
-	return parseList(v)
-}
-
-// textOf is a list in discovery's form.
-func textOf(l engine.List) []byte {
-	var a fastjson.Arena
-	ends := a.NewArray()
-	for i, n := range l.Entries {
-		e := a.NewObject()
-		e.Set("name", a.NewString(n.ID))
-		e.Set("address", a.NewString(n.Addr))
-		e.Set("zone", a.NewString(n.Zone))
-		e.Set("group", a.NewNumberInt(n.Cell))
-		e.Set("status", a.NewString(statusWords[n.State]))
-		e.Set("since_ms", a.NewNumberString(strconv.FormatInt(n.Since, 10)))
-		ends.SetArrayItem(i, e)
-	}
-	out := a.NewObject()
-	out.Set("index", a.NewNumberString(strconv.FormatInt(l.Index, 10)))
-	out.Set("snapshot", a.NewTrue())
-	out.Set("endpoints", ends)
-	return out.MarshalTo(nil)
-}
-
-var statusWords = map[balance.ServerState]string{balance.Ready: "active", balance.Draining: "leaving", balance.Gone: "left"}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 
 	"otterspring/balance"
+	"otterspring/internal/discovery"
 	"otterspring/internal/engine"
 	"otterspring/internal/httpfront"
 	"otterspring/internal/httpupstream"
@@ -37,7 +38,7 @@
 	eng    *engine.Engine
 	pool   *httpupstream.Pool
 	front  *httpfront.Front
-	disc   *discovery
+	disc   *discovery.Follower
 	cfg    Config // as last loaded; only Reload touches it
 	stop   context.CancelFunc
 	finish atomic.Int64 // bound of the drain, in nanoseconds; 0 for the usual one
@@ -77,7 +78,7 @@
 // StartWith starts with what the process before has handed over.
 func StartWith(cfg Config, opt Options) (*Sidecar, error) {
 	if opt.Held != nil {
-		held, err := parseHeld(opt.Held)
+		held, err := discovery.ParseText(opt.Held)
 		if err != nil {
 			return nil, fmt.Errorf("list handed over: %w", err)
 		}
@@ -90,12 +91,11 @@
 	debug.SetGCPercent(100)
 
 	p := httpupstream.New(cfg.Conns, upstreamShare(cfg.Sockets))
-	d := &discovery{addr: cfg.Discovery, pushed: !cfg.Settings.Subscribe, index: cfg.Known.Index, asked: make(chan struct{}, 1)}
-	eng, err := engine.New(engine.Settings{Balance: cfg.Settings, Seed: cfg.Seed, Dial: cfg.Conns.Dial, Open: p.Open}, d.ask)
+	d := discovery.New(cfg.Discovery, !cfg.Settings.Subscribe, cfg.Known.Index)
+	eng, err := engine.New(engine.Settings{Balance: cfg.Settings, Seed: cfg.Seed, Dial: cfg.Conns.Dial, Open: p.Open}, d.Ask)
 	if err != nil {
 		return nil, err
 	}
-	d.eng = eng
 	ln := opt.Listener
 	if ln == nil {
 		if ln, err = listenTCP(cfg.Listen); err != nil {
@@ -115,9 +115,9 @@
 	if opt.Held != nil {
 		// The process before was on a watch: what it is told from now on this one
 		// must know, too. The module would ask later, spread over seconds.
-		d.ask()
+		d.Ask()
 	}
-	go d.run(ctx)
+	go d.Run(ctx, eng)
 	go p.Sweep(ctx.Done())
 	go s.front.Sweep(ctx.Done())
 	go func() {
@@ -144,7 +144,7 @@
 // at once; what else differs holds from the next start on, and the log says so.
 // It must not be called by two at a time.
 func (s *Sidecar) Reload(cfg Config) {
-	s.disc.move(cfg.Discovery)
+	s.disc.Move(cfg.Discovery)
 	slog.Info("reload: taken", "discovery", cfg.Discovery)
 	if later := s.cfg.differs(&cfg); len(later) > 0 {
 		slog.Warn("reload: changed but used from the next start on only", "keys", strings.Join(later, ", "))
