coap/gate: the side of CoAP that clients ask, pure

Need: a front for CoAP whose decisions can be played without sockets: what runs, what is a repeat, what an earlier life may have run, what is turned away.

Change: internal/coap/gate over message, exchange, block and echo: mapping of requests and answers, block transfers, observe by asking anew, a directory of classes, drain. Unsafe requests run without an Echo unless this process began less than EXCHANGE_LIFETIME after a kill.

--- a/internal/coap/exchange/server.go
+++ b/internal/coap/exchange/server.go
@@ -35,6 +35,7 @@
 	sending   bool // tx waits for its acknowledgement
 	timer     *timer[*serverExchange]
 	rejected  bool
+	note      bool            // a notification: a message of its own that no request of this exchange asked for
 	oldest    *serverExchange // neighbours among the kept ones of its kind
 	newest    *serverExchange
 	forgotten bool
@@ -78,6 +79,7 @@
 	handle map[uint64]*serverExchange
 	kept   [2]line // answered ones: safe to run again, and not
 	open   int
+	notes  int // notifications that wait for their acknowledgement
 	bytes  int
 	last   uint64
 	ids    uint16
@@ -162,12 +164,56 @@
 		x.rejected = true
 		s.acts = append(s.acts, Action{Kind: Canceled, Handle: x.handle, Peer: peer})
 	}
+	if x.note {
+		s.dropNote(x)
+		return
+	}
 	if x.sending {
 		x.sending = false
 		s.plan(x, x.born+s.lifetime(x))
 	}
 }
 
+// ErrNotes is a notification for which there is no room.
+var ErrNotes = errors.New("exchange: too many notifications are out")
+
+// Notify sends a confirmable message of its own to a client, under the token of
+// an observation (RFC 7641, section 4.2). It returns the name under which a
+// Reset, or that nobody takes it, is told as Canceled.
+func (s *Server) Notify(now time.Duration, peer Peer, token []byte, m message.Message, acts []Action) ([]Action, uint64, error) {
+	s.acts = acts
+	if s.notes >= s.lim.Open {
+		s.counts.TurnedAway++
+		return s.done(), 0, ErrNotes
+	}
+	m.Type, m.ID, m.Token = message.Confirmable, s.nextID(peer), token
+	text, err := m.Append(nil)
+	if err != nil {
+		return s.done(), 0, err
+	}
+	s.last++
+	s.notes++
+	x := &serverExchange{key: key{peer: peer}, handle: s.last, note: true, own: m.ID, tx: s.p.begin(s.rng, text, now), sending: true}
+	s.byOwn[key{peer, m.ID}], s.handle[x.handle] = x, x
+	s.plan(x, x.tx.due)
+	s.send(peer, text)
+	return s.done(), x.handle, nil
+}
+
+// Pending tells whether a notification waits for its acknowledgement.
+func (s *Server) Pending(handle uint64) bool {
+	x := s.handle[handle]
+	return x != nil && x.sending
+}
+
+// dropNote forgets a notification.
+func (s *Server) dropNote(x *serverExchange) {
+	s.timers.cancel(&x.timer)
+	s.notes--
+	delete(s.byOwn, key{x.peer, x.own})
+	delete(s.handle, x.handle)
+}
+
 // lifetime is how long a repeat of an exchange's request may come.
 func (s *Server) lifetime(x *serverExchange) time.Duration {
 	if x.confirm {
@@ -265,9 +311,16 @@
 // error means that it can't be written as a message; the exchange stays open
 // then.
 func (s *Server) Answer(now time.Duration, handle uint64, r message.Message, acts []Action) ([]Action, error) {
+	return s.AnswerWithin(now, handle, r, 0, acts)
+}
+
+// AnswerWithin is Answer with a bound on the bytes of all transmissions of the
+// answer together, for a client whose address may be forged (RFC 9175, section
+// 2.4); 0 for none. It is sent at least once.
+func (s *Server) AnswerWithin(now time.Duration, handle uint64, r message.Message, bytes int, acts []Action) ([]Action, error) {
 	s.acts = acts
 	x := s.handle[handle]
-	if x == nil || x.answered {
+	if x == nil || x.answered || x.note {
 		return s.done(), nil
 	}
 	r.Token = x.token
@@ -298,6 +351,9 @@
 	}
 	if r.Type == message.Confirmable {
 		x.tx, x.sending = s.p.begin(s.rng, text, now), true
+		if bytes > 0 {
+			x.tx.sent = max(1, s.p.MaxRetransmit+2-max(1, bytes/len(text)))
+		}
 		s.plan(x, x.tx.due)
 	} else {
 		s.plan(x, x.born+s.lifetime(x))
@@ -347,6 +403,14 @@
 	for len(s.timers) > 0 && s.timers[0].at <= now {
 		x := s.timers[0].x
 		switch {
+		case x.note && !x.tx.again(&s.p):
+			// Nobody takes it: the observer has gone (RFC 7641, section 4.5).
+			s.acts = append(s.acts, Action{Kind: Canceled, Handle: x.handle, Peer: x.peer})
+			s.dropNote(x)
+		case x.note:
+			s.counts.Retransmits++
+			s.send(x.peer, x.tx.datagram)
+			s.plan(x, x.tx.due)
 		case !x.answered && !x.acked:
 			x.acked = true
 			s.send(x.peer, plain(message.Acknowledgement, x.id))
--- a/internal/mutant/run.go
+++ b/internal/mutant/run.go
@@ -45,6 +45,7 @@
 		"internal/httpupstream": {"./internal/sidecar", "./internal/daemon"},
 		"internal/httpfront":    {"./internal/sidecar", "./internal/daemon"},
 		"internal/discovery":    {"./internal/sidecar", "./internal/daemon"},
+		"internal/coap/exchange": {"./internal/coap/gate"},
 		"internal/engine":       {"./internal/sidecar", "./internal/daemon"},
 		"internal/sidecar":      {"./internal/daemon"},
 		"internal/membership":   {"./internal/sidecar"},
--- a/internal/mutant/table.go
+++ b/internal/mutant/table.go
@@ -175,4 +175,22 @@
 		Old: "\tln, err := config.Listen(", New: "\told := unix.Umask(0o177)\n\tdefer unix.Umask(old)\n\tln, err := config.Listen("},
 	{Name: "tenants-alike", File: "balance/budget.go", Breaks: "a tenant above its part crowds the others out",
 		Old: "return mine / quota * (1 - quota) / rest / overSlack", New: "return min(1, mine/quota*(1-quota)/rest/overSlack)"},
+
+	// CoAP.
+	{Name: "echo-unasked", File: "internal/coap/gate/gate.go", Breaks: "after a kill a repeated request that an earlier life ran runs again",
+		Old: "return g.set.Clean || x.echoed || now-g.born >=", New: "return true || now-g.born >="},
+	{Name: "echo-for-ever", File: "internal/coap/gate/gate.go", Breaks: "a client without Echo is never served after a kill",
+		Old: "return g.set.Clean || x.echoed || now-g.born >=", New: "return g.set.Clean || x.echoed || now-g.born > 1000*"},
+	{Name: "rerun-for-the-rest", File: "internal/coap/gate/gate.go", Breaks: "an unsafe request runs again for the rest of its answer",
+		Old: "\t\tif x.class.Effect != Repeat {\n\t\t\t// The rest", New: "\t\tif x.class.Effect != Repeat && b.Size == 0 {\n\t\t\t// The rest"},
+	{Name: "amplifier", File: "internal/coap/gate/gate.go", Breaks: "a forged source has others sent thirty times its bytes",
+		Old: "\tspread = 3\n", New: "\tspread = 30\n"},
+	{Name: "amplifier-by-repeats", File: "internal/coap/exchange/server.go", Breaks: "repeats of an answer to a forged source are not counted",
+		Old: "\t\tif bytes > 0 {\n\t\t\tx.tx.sent", New: "\t\tif bytes < 0 {\n\t\t\tx.tx.sent"},
+	{Name: "two-notes", File: "internal/coap/gate/observe.go", Breaks: "notifications go out while one waits for its acknowledgement",
+		Old: "if o.note != 0 && g.ex.Pending(o.note) {", New: "if o.note != 0 && !g.ex.Pending(o.note) {"},
+	{Name: "observed-by-anyone", File: "internal/coap/gate/observe.go", Breaks: "a forged source has another told of every change",
+		Old: "if !x.echoed && !g.trusted(x.peer) || len(", New: "if len("},
+	{Name: "unsafe-forgotten", File: "internal/coap/exchange/server.go", Breaks: "an unsafe exchange makes room for new ones while it may be repeated",
+		Old: "\tx := s.kept[0].first\n", New: "\tx := s.kept[0].first\n\tif x == nil {\n\t\tx = s.kept[1].first\n\t}\n"},
 }
