--- a/internal/mutant/run.go
+++ b/internal/mutant/run.go
@@ -41,16 +41,16 @@
 func packages(file string) []string {
 	dir := filepath.ToSlash(filepath.Dir(file))
 	more := map[string][]string{
-		"balance":               {"./internal/mutant"},
-		"internal/httpupstream": {"./internal/sidecar", "./internal/daemon"},
-		"internal/httpfront":    {"./internal/sidecar", "./internal/daemon"},
-		"internal/discovery":    {"./internal/sidecar", "./internal/daemon"},
+		"balance":                {"./internal/mutant"},
+		"internal/httpupstream":  {"./internal/sidecar", "./internal/daemon"},
+		"internal/httpfront":     {"./internal/sidecar", "./internal/daemon"},
+		"internal/discovery":     {"./internal/sidecar", "./internal/daemon"},
 		"internal/coap/exchange": {"./internal/coap/gate"},
-		"internal/engine":       {"./internal/sidecar", "./internal/daemon"},
-		"internal/sidecar":      {"./internal/daemon"},
-		"internal/membership":   {"./internal/sidecar"},
-		"internal/handover":     {"./internal/daemon"},
-		"internal/fleetplan":    {"./internal/fleet"},
+		"internal/engine":        {"./internal/sidecar", "./internal/daemon"},
+		"internal/sidecar":       {"./internal/daemon"},
+		"internal/membership":    {"./internal/sidecar"},
+		"internal/handover":      {"./internal/daemon"},
+		"internal/fleetplan":     {"./internal/fleet"},
 	}[dir]
 	return append([]string{"./" + dir}, more...)
 }
