--- a/internal/coap/gate/gate.go
+++ b/internal/coap/gate/gate.go
@@ -112,6 +112,7 @@
 	Tenant        string
 	Key           string
 	Again         bool
+	Safe          bool          // a GET
 	Deadline      time.Duration // from now
 	Body          []byte
 	ContentFormat int // -1 for none
@@ -122,10 +123,11 @@
 
 // The outcomes.
 const (
-	Served  Outcome = iota
-	Refused         // trying again is harmless
-	Limited         // refused for this client's own rate (RFC 8516)
-	Failed          // it may have run
+	Served      Outcome = iota
+	Refused             // trying again is harmless
+	Limited             // refused for this client's own rate (RFC 8516)
+	Failed              // it may have run
+	Conflicting         // its id is in use, or was used before
 )
 
 // Answer is what the decision module answers.
@@ -453,6 +455,8 @@
 		return refusal(message.TooManyRequests, a.Wait)
 	case Failed:
 		return message.Message{Code: message.BadGateway, Payload: []byte("failed")}
+	case Conflicting:
+		return message.Message{Code: message.Conflict, Payload: []byte("option 65001: in use or used before")}
 	}
 	m := message.Message{Code: message.Changed, Payload: a.Body}
 	if x.class.Effect == Repeat {
@@ -565,8 +569,8 @@
 
 // String names an outcome.
 func (o Outcome) String() string {
-	if o < Served || o > Failed {
+	if o < Served || o > Conflicting {
 		return fmt.Sprintf("Outcome(%d)", int(o))
 	}
-	return [...]string{"served", "refused", "limited", "failed"}[o]
+	return [...]string{"served", "refused", "limited", "failed", "conflicting"}[o]
 }
--- a/internal/coap/gate/read.go
+++ b/internal/coap/gate/read.go
@@ -49,6 +49,7 @@
 	if x.class.Effect == Keyed && r.Idempotency == "" {
 		return r, bad("option 65005: missing: its repeats would run again")
 	}
+	r.Safe = x.class.Effect == Repeat
 	r.Deadline = x.class.Deadline
 	if _, there := m.Get(OptDeadline); there {
 		ms, good := m.Uint(OptDeadline)
--- /dev/null
+++ b/internal/coapfront/front.go
@@ -0,0 +1,266 @@
+// Package coapfront takes the application's requests over CoAP: a socket and its
+// clock round the decisions of package gate, joined to the engine. It decides
+// nothing.
+package coapfront
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"otterspring/balance"
+	"otterspring/internal/coap/format"
+	"otterspring/internal/coap/gate"
+	"otterspring/internal/coap/message"
+	"otterspring/internal/engine"
+)
+
+// Front is a CoAP server's socket. Its goroutines are one that reads, one that
+// answers and the timer's; all end with Close.
+type Front struct {
+	conn   *net.UDPConn
+	eng    *engine.Engine
+	bodies *engine.Budget
+	start  time.Time
+
+	mu    sync.Mutex // gate, open and rng
+	gate  *gate.Gate
+	open  map[uint64]*request
+	timer *time.Timer
+	rng   *rand.Rand
+
+	answered chan *request // holds every open request at most once
+	ended    chan struct{}
+	once     sync.Once
+	wg       sync.WaitGroup
+	unsent   atomic.Int64
+}
+
+// request is one that the engine has.
+type request struct {
+	front *Front
+	call  engine.Call
+	asked gate.Request
+	came  atomic.Int64
+}
+
+// SetReadDeadline wakes the goroutine that answers: the engine calls it once the
+// answer stands. It never blocks, since the channel has room for every open
+// request.
+func (r *request) SetReadDeadline(time.Time) error {
+	select {
+	case r.front.answered <- r:
+	default:
+	}
+	return nil
+}
+
+// SetDeadline is never called: nobody writes to a request.
+func (r *request) SetDeadline(time.Time) error { return nil }
+
+// Neutral is the request for upstreams of any protocol.
+func (r *request) Neutral() engine.Message {
+	q := &r.asked
+	m := engine.Message{Target: q.Target, ID: r.call.ID, Idempotency: q.Idempotency, Tenant: q.Tenant, Key: q.Key, Again: q.Again, Safe: q.Safe}
+	if q.ContentFormat >= 0 {
+		m.ContentType, _ = format.Type(q.ContentFormat)
+	}
+	return m
+}
+
+// Settings are a front's bounds and what it is joined to.
+type Settings struct {
+	Listen string // an address of one machine: multicast is never answered
+	Gate   gate.Settings
+	Bodies *engine.Budget // of all request bodies, those of other fronts among them
+}
+
+// Listen opens the socket. Nothing is read before Serve.
+func Listen(set Settings, eng *engine.Engine) (*Front, error) {
+	addr, err := netip.ParseAddrPort(set.Listen)
+	if err != nil || addr.Addr().IsMulticast() || addr.Addr().IsUnspecified() {
+		// On an unspecified address a multicast datagram could not be told from one
+		// that is meant for this machine (RFC 7252, section 8.1).
+		return nil, fmt.Errorf("coap: listen: found %q, wanted one machine's IP address and a port", set.Listen)
+	}
+	g, err := gate.New(set.Gate)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, fmt.Errorf("coap: listen: %w", err)
+	}
+	f := &Front{
+		conn: conn, eng: eng, bodies: set.Bodies, start: time.Now(), gate: g, open: map[uint64]*request{},
+		rng: rand.New(rand.NewPCG(set.Gate.Seed, 0x636f6170)), answered: make(chan *request, set.Gate.Limits.Open+set.Gate.Observers), ended: make(chan struct{}),
+	}
+	f.timer = time.AfterFunc(time.Hour, f.tick)
+	return f, nil
+}
+
+// Addr is where it listens.
+func (f *Front) Addr() string { return f.conn.LocalAddr().String() }
+
+// Counts are what the gate did, and how many datagrams the kernel did not take.
+func (f *Front) Counts() (c gate.Counts, unsent int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gate.Counts(), f.unsent.Load()
+}
+
+// Open is how many requests have no answer yet.
+func (f *Front) Open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gate.Open()
+}
+
+func (f *Front) now() time.Duration { return time.Since(f.start) }
+
+// Serve answers until Close.
+func (f *Front) Serve() {
+	f.wg.Add(1)
+	go f.answer()
+	buf := make([]byte, message.MostDatagram+1)
+	for {
+		n, peer, err := f.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
+		if err != nil {
+			continue // what an earlier datagram met: an ICMP refusal, say
+		}
+		// Without the zone of the address: it is the same client with and without.
+		peer = netip.AddrPortFrom(peer.Addr().Unmap().WithZone(""), peer.Port())
+		f.mu.Lock()
+		f.carry(f.gate.Receive(f.now(), peer, buf[:n], nil))
+	}
+	f.wg.Wait()
+}
+
+// tick is called when the gate has something to do.
+func (f *Front) tick() {
+	f.mu.Lock()
+	f.carry(f.gate.Tick(f.now(), nil))
+}
+
+// carry does what the gate decided. It is called with the mutex, which it gives
+// back before it sends or asks.
+func (f *Front) carry(acts []gate.Action) {
+	if at, ok := f.gate.Next(); ok {
+		f.timer.Reset(max(0, at-f.now()))
+	}
+	var asks []*request
+	for i := range acts {
+		if acts[i].Kind == gate.Ask {
+			r := &request{front: f, asked: acts[i].Request}
+			f.open[r.asked.Handle] = r
+			r.call.ID = r.asked.ID
+			if r.call.ID == "" {
+				r.call.ID = fmt.Sprintf("coap-%016x", f.rng.Uint64())
+			}
+			asks = append(asks, r)
+		}
+	}
+	f.mu.Unlock()
+	for i := range acts {
+		if acts[i].Kind == gate.Send {
+			if _, err := f.conn.WriteToUDPAddrPort(acts[i].Datagram, acts[i].Peer); err != nil {
+				f.unsent.Add(1) // as good as lost on its way
+			}
+		}
+	}
+	for _, r := range asks {
+		f.ask(r)
+	}
+}
+
+// ask hands a request to the engine.
+func (f *Front) ask(r *request) {
+	q := &r.asked
+	r.call.Form, r.call.Conn, r.call.Done = r, r, make(chan struct{})
+	if len(q.Body) > 0 {
+		r.call.Body = engine.NewBody(f.bodies, &r.came)
+		if err := r.call.Body.Fill(bytes.NewReader(q.Body), len(q.Body)); err != nil {
+			r.call.Body.Release()
+			f.finish(r, gate.Answer{Outcome: gate.Refused, Wait: time.Second})
+			return
+		}
+	}
+	held := r.call.Body // until the answer stands, the front holds it, too
+	if !f.eng.Request(&r.call, balance.Request{
+		ID: r.call.ID, Class: q.Class, Tenant: q.Tenant, Key: q.Key, Again: q.Again, Deadline: q.Deadline,
+	}) {
+		held.Release()
+		f.finish(r, gate.Answer{Outcome: gate.Conflicting})
+	}
+}
+
+// answer hands on the answers as they stand.
+func (f *Front) answer() {
+	defer f.wg.Done()
+	for {
+		select {
+		case r := <-f.answered:
+			r.call.Body.Release()
+			f.finish(r, answerOf(&r.call.Answer))
+		case <-f.ended:
+			return
+		}
+	}
+}
+
+// finish gives a request its answer.
+func (f *Front) finish(r *request, a gate.Answer) {
+	f.mu.Lock()
+	delete(f.open, r.asked.Handle)
+	f.carry(f.gate.Answer(f.now(), r.asked.Handle, a, nil))
+}
+
+// answerOf is an engine's answer in the gate's words. It releases the response.
+func answerOf(a *engine.Answer) gate.Answer {
+	switch a.Kind {
+	case balance.Refuse:
+		return gate.Answer{Outcome: gate.Refused, Wait: a.Wait}
+	case balance.Fail:
+		return gate.Answer{Outcome: gate.Failed}
+	}
+	out := gate.Answer{Outcome: gate.Served, Body: bytes.Clone(a.Response.Body()), ContentFormat: -1}
+	if t := a.Response.ContentType(); len(t) > 0 {
+		out.ContentFormat = format.Number(strings.Clone(string(t)))
+	}
+	a.Response.Release()
+	return out
+}
+
+// Refuse turns away what is new; what is open gets its answer.
+func (f *Front) Refuse() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gate.Drain()
+}
+
+// Resume takes new requests again.
+func (f *Front) Resume() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gate.Resume()
+}
+
+// Close ends it. Requests that have no answer yet get none.
+func (f *Front) Close() {
+	f.once.Do(func() {
+		close(f.ended)
+		f.timer.Stop()
+		f.conn.Close()
+	})
+	f.wg.Wait()
+}
--- /dev/null
+++ b/internal/coapfront/front_test.go
@@ -0,0 +1,263 @@
+package coapfront
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"otterspring/balance"
+	"otterspring/internal/coap/block"
+	"otterspring/internal/coap/exchange"
+	"otterspring/internal/coap/gate"
+	"otterspring/internal/coap/message"
+	"otterspring/internal/engine"
+	"otterspring/internal/standin/coapclient"
+	"otterspring/internal/standin/lossylink"
+)
+
+const patience = 60 * time.Second
+
+// upstream is a call server of no protocol: it answers each attempt after a
+// while with what it was asked, and counts what ran.
+type upstream struct {
+	mu    sync.Mutex
+	ran   map[string]int
+	delay func() time.Duration
+	body  []byte // of every answer; nil for the request's id
+}
+
+type response []byte
+
+func (r response) Body() []byte        { return r }
+func (r response) ContentType() []byte { return []byte("text/plain") }
+func (r response) Release()            {}
+
+func (u *upstream) Run(a *engine.Attempt) {
+	m := a.Call.Form.Neutral()
+	u.mu.Lock()
+	u.ran[m.ID]++
+	u.mu.Unlock()
+	time.Sleep(u.delay())
+	body := u.body
+	if body == nil {
+		body = []byte(m.ID)
+	}
+	a.End(balance.OK, response(body))
+}
+func (u *upstream) CloseIdle() {}
+func (u *upstream) Retire()    {}
+
+func start(t *testing.T, up *upstream, change func(*Settings)) *Front {
+	t.Helper()
+	classes := []balance.Class{
+		{Name: "roster", Aim: 20 * time.Second, Deadline: 30 * time.Second, Worth: 3, Effect: balance.Repeat},
+		{Name: "start-rec", Aim: 20 * time.Second, Deadline: 30 * time.Second, Worth: 5, Effect: balance.Once},
+	}
+	eng, err := engine.New(engine.Settings{
+		Balance: balance.Settings{MaxAttempts: 3, Classes: classes, ColdShare: 0.12, ColdTime: 23 * time.Second, TipMultiple: 3, Round: 2 * time.Millisecond}, Seed: 1, Dial: time.Second,
+		Open: func(string, int64) engine.Upstream { return up },
+	}, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	eng.Members(balance.ListFull, engine.List{Index: 1, Full: true, Entries: []engine.Entry{{Server: balance.Server{ID: "s1", State: balance.Ready}, Addr: "127.0.0.1:1"}}}, 0)
+	p := exchange.Defaults()
+	p.AckTimeout, p.AckAfter = 200*time.Millisecond, 50*time.Millisecond
+	set := Settings{Listen: "127.0.0.1:0", Bodies: engine.NewBudget(8 << 20), Gate: gate.Settings{
+		Params: p, Limits: exchange.Limits{Open: 256, Kept: 4096, KeptBytes: 1 << 20},
+		Blocks:  block.Limits{Transfers: 16, Body: 64 << 10, Bytes: 1 << 20, Idle: patience, Size: 1024},
+		Classes: map[string]gate.Class{"roster": {Effect: gate.Repeat, Deadline: 30 * time.Second}, "start-rec": {Effect: gate.Once, Deadline: 30 * time.Second}},
+
+		DeadlineTimes: 4, Observers: 8, ObserveEvery: 50 * time.Millisecond, Trusted: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")},
+		Clean: true, EchoKey: []byte("0123456789abcdef"), EchoAge: time.Minute, Seed: 1,
+	}}
+	if change != nil {
+		change(&set)
+	}
+	f, err := Listen(set, eng)
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan bool)
+	go func() { f.Serve(); close(served) }()
+	t.Cleanup(func() { f.Close(); <-served })
+	return f
+}
+
+func dial(t *testing.T, to string, change func(*coapclient.Config)) *coapclient.Client {
+	t.Helper()
+	p := exchange.Defaults()
+	p.AckTimeout, p.AckAfter, p.NStart = 200*time.Millisecond, 50*time.Millisecond, 64
+	cfg := coapclient.Config{Server: to, Params: p, Seed: rand.Uint64()}
+	if change != nil {
+		change(&cfg)
+	}
+	c, err := coapclient.Dial(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func coapRequest(code message.Code, path, id string) message.Message {
+	m := message.Message{Type: message.Confirmable, Code: code}
+	for _, p := range strings.Split(path, "/") {
+		m.Add(message.URIPath, []byte(p))
+	}
+	if id != "" {
+		m.Add(gate.OptRequestID, []byte(id))
+	}
+	return m
+}
+
+func ctx(t *testing.T) context.Context {
+	c, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	return c
+}
+
+// Every third datagram is lost, and others come twice and out of order: each
+// request is answered once, with its own answer, and none runs twice. Answers
+// come with the acknowledgement and by themselves.
+func TestEveryThirdDatagramIsLost(t *testing.T) {
+	t.Parallel()
+	const seed = 5
+	t.Logf("seed %d", seed)
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, 1))
+	up := &upstream{ran: map[string]int{}, delay: func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return time.Duration(rng.IntN(150)) * time.Millisecond
+	}}
+	f := start(t, up, nil)
+	link, err := lossylink.Start(netip.MustParseAddrPort(f.Addr()), lossylink.Faults{Every: 3, Double: 0.1, Delay: 20 * time.Millisecond}, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	var wg sync.WaitGroup
+	lost := 0
+	for n := range 5 {
+		c := dial(t, link.Addr().String(), nil)
+		for i := range 20 {
+			wg.Go(func() {
+				id := fmt.Sprintf("c%d-%d", n, i)
+				code, path := message.POST, "start-rec"
+				if i%3 == 0 {
+					code, path = message.GET, "roster/7"
+				}
+				r, err := c.Do(ctx(t), coapRequest(code, path, id), nil)
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err != nil:
+					lost++ // five of five on a third: nothing is known then
+				case r.Code.Class() != 2 || string(r.Payload) != id:
+					t.Errorf("%s: answered %v %q", id, r.Code, r.Payload)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	for id, n := range up.ran {
+		if n > 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+	c, _ := f.Counts()
+	t.Logf("%d lost, %+v", lost, c)
+	if lost > 20 || c.DedupHits == 0 {
+		t.Errorf("%d of 100 without an answer, %d repeats met", lost, c.DedupHits)
+	}
+	if f.Open() != 0 {
+		t.Errorf("%d are open", f.Open())
+	}
+}
+
+// A repeat that comes by another port, as behind a router that forgot, is known
+// by its request's id: it does not run again.
+func TestRepeatFromAnotherPort(t *testing.T) {
+	t.Parallel()
+	up := &upstream{ran: map[string]int{}, delay: func() time.Duration { return 0 }}
+	f := start(t, up, nil)
+	one, two := dial(t, f.Addr(), nil), dial(t, f.Addr(), nil)
+	if r, err := one.Exchange(ctx(t), coapRequest(message.POST, "start-rec", "same")); err != nil || r.Code != message.Changed {
+		t.Fatal(r.Code, err)
+	}
+	if r, err := two.Exchange(ctx(t), coapRequest(message.POST, "start-rec", "same")); err != nil || r.Code != message.Conflict {
+		t.Errorf("from another port: %v %v", r.Code, err)
+	}
+	if up.ran["same"] != 1 {
+		t.Errorf("it ran %d times", up.ran["same"])
+	}
+}
+
+// 64 KiB there and back in blocks, over a link that loses.
+func TestLargeBodiesOverALossyLink(t *testing.T) {
+	t.Parallel()
+	body := make([]byte, 64<<10)
+	for i := range body {
+		body[i] = byte(i * 31)
+	}
+	up := &upstream{ran: map[string]int{}, delay: func() time.Duration { return 0 }, body: body}
+	f := start(t, up, nil)
+	link, err := lossylink.Start(netip.MustParseAddrPort(f.Addr()), lossylink.Faults{Every: 11}, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	c := dial(t, link.Addr().String(), nil)
+	r, err := c.Do(ctx(t), coapRequest(message.POST, "start-rec", "large"), body)
+	if err != nil || r.Code != message.Changed || string(r.Payload) != string(body) {
+		t.Errorf("%v, %d bytes, %v", r.Code, len(r.Payload), err)
+	}
+	if up.ran["large"] != 1 {
+		t.Errorf("it ran %d times", up.ran["large"])
+	}
+}
+
+// A drain answers what is open and turns away what comes; a
+// request without an id has one made for it.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	hold := make(chan struct{})
+	up := &upstream{ran: map[string]int{}, delay: func() time.Duration { <-hold; return 0 }}
+	f := start(t, up, nil)
+	c := dial(t, f.Addr(), nil)
+	got := make(chan message.Message, 1)
+	go func() {
+		r, _ := c.Exchange(ctx(t), coapRequest(message.POST, "start-rec", ""))
+		got <- r
+	}()
+	for end := time.Now().Add(patience); f.Open() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never asked")
+		}
+	}
+	f.Refuse()
+	if r, err := c.Exchange(ctx(t), coapRequest(message.POST, "start-rec", "late")); err != nil || r.Code != message.ServiceUnavailable {
+		t.Errorf("in the drain: %v %v", r.Code, err)
+	}
+	close(hold)
+	if r := <-got; r.Code != message.Changed || !strings.HasPrefix(string(r.Payload), "coap-") {
+		t.Errorf("what was open: %v %q", r.Code, r.Payload)
+	}
+	if n := f.Open(); n != 0 {
+		t.Errorf("%d are open after their answers", n)
+	}
+}
+
+func TestAddresses(t *testing.T) {
+	for _, bad := range []string{"", "nowhere", "224.0.1.187:5683", "0.0.0.0:5683", "[ff02::fd]:5683"} {
+		if _, err := Listen(Settings{Listen: bad}, nil); err == nil || !strings.Contains(err.Error(), "wanted one machine's IP address") {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coapfront/settings.go
@@ -0,0 +1,46 @@
+package coapfront
+
+import (
+	"crypto/rand"
+	"net/netip"
+	"time"
+
+	"otterspring/balance"
+	"otterspring/internal/coap/block"
+	"otterspring/internal/coap/exchange"
+	"otterspring/internal/coap/gate"
+	"otterspring/internal/engine"
+	"otterspring/internal/operator"
+)
+
+const (
+	// blockIdle is how long a block transfer may pause. It is as long as a message
+	// may be repeated: a client that is slower than that has given up.
+	blockIdle = 93 * time.Second
+	// echoAge is how long an Echo value proves what it says.
+	echoAge = 10 * time.Minute
+)
+
+// FromOperator are the settings that the operator's file gives, for the classes
+// that the platform gives. deadlineTimes bounds a request's own deadline as a
+// multiple of its class's.
+func FromOperator(o *operator.CoAP, all []balance.Class, deadlineTimes float64, seed uint64, bodies *engine.Budget) Settings {
+	key := make([]byte, 32)
+	rand.Read(key) // it never fails
+	effects := map[balance.Effect]gate.Effect{balance.Repeat: gate.Repeat, balance.Keyed: gate.Keyed, balance.Once: gate.Once}
+	classes := map[string]gate.Class{}
+	for _, c := range all {
+		classes[c.Name] = gate.Class{Effect: effects[c.Effect], Deadline: c.Deadline}
+	}
+	var trusted []netip.Prefix
+	for _, n := range o.Trusted {
+		trusted = append(trusted, n.Prefix)
+	}
+	return Settings{Listen: o.Listen, Bodies: bodies, Gate: gate.Settings{
+		Params:  exchange.Defaults(),
+		Limits:  exchange.Limits{Open: o.Open, Kept: o.Kept, KeptBytes: int(o.KeptBytes)},
+		Blocks:  block.Limits{Transfers: o.Transfers, Body: engine.MostBody, Bytes: int(o.TransferBytes), Idle: blockIdle, Size: 1024},
+		Classes: classes, DeadlineTimes: deadlineTimes, Observers: o.Observers, ObserveEvery: o.ObserveEvery,
+		Trusted: trusted, Clean: o.First, EchoKey: key, EchoAge: echoAge, Seed: seed ^ 0x636f6170,
+	}}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -96,7 +96,7 @@
 // Answer once Done is closed.
 type Call struct {
 	ID   string
-	Form any // the front's own rendering of the request, for upstreams that speak the same
+	Form Form
 	Body *Body
 	Conn Link // its reads are ended when the call is answered
 	Done chan struct{}
@@ -108,6 +108,22 @@
 	answered bool
 }
 
+// Form is a request as its front has it. An upstream that speaks the same protocol
+// may know the type and send what is there; any other takes the neutral form.
+type Form interface{ Neutral() Message }
+
+// Message is a request in no protocol's words. Whether it is safe to repeat goes
+// with the class, its time with each attempt.
+type Message struct {
+	Target      string // path and query, escaped as in HTTP; it begins with /
+	ID          string
+	Idempotency string // empty for none
+	Tenant, Key string // likewise
+	ContentType string // likewise
+	Safe        bool   // a GET, without a body
+	Again       bool   // a client's own retry
+}
+
 // Answer is what a client gets: an upstream's response, or a refusal, or a
 // failure.
 type Answer struct {
--- a/internal/httpupstream/attempt.go
+++ b/internal/httpupstream/attempt.go
@@ -7,10 +7,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -412,7 +414,10 @@
 
 // text is the request as it is written: all but its last byte, and that one.
 func (a *attempt) text(left time.Duration) (front net.Buffers, last []byte) {
-	form, _ := a.Call.Form.(Head)
+	form, ok := a.Call.Form.(Head)
+	if !ok {
+		form = headOf(a.Call.Form.Neutral(), a.Call.Body.Len())
+	}
 	text := make([]byte, 0, len(form)+64)
 	text = append(text, form...)
 	text = append(text, "X-Deadline: "...)
@@ -473,6 +478,59 @@
 // send: the request's head, but for X-Deadline and the empty line.
 type Head []byte
 
+// Neutral reads the head back, for upstreams that speak something else.
+func (h Head) Neutral() engine.Message {
+	var m engine.Message
+	for i, line := range strings.Split(string(h), "\r\n") {
+		if i == 0 {
+			method, rest, _ := strings.Cut(line, " ")
+			m.Target, _, _ = strings.Cut(rest, " ")
+			m.Safe = method == fasthttp.MethodGet
+			continue
+		}
+		name, value, _ := strings.Cut(line, ":")
+		value = strings.TrimSpace(value)
+		switch strings.ToLower(name) {
+		case "x-request-id":
+			m.ID = value
+		case "idempotency-key":
+			m.Idempotency = value
+		case "x-tenant":
+			m.Tenant = value
+		case "x-key":
+			m.Key = value
+		case "content-type":
+			m.ContentType = value
+		case "x-retry":
+			m.Again = value == "1"
+		}
+	}
+	return m
+}
+
+// headOf is the head of a request that came over another protocol. Its fields
+// were held against the protocol by their front: none has a line end.
+func headOf(m engine.Message, size int) Head {
+	b := make([]byte, 0, 512)
+	method := fasthttp.MethodPost
+	if m.Safe {
+		method = fasthttp.MethodGet
+	}
+	b = fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: %s\r\n", method, m.Target, m.ID)
+	for _, f := range []struct{ name, value string }{{"Idempotency-Key", m.Idempotency}, {"X-Tenant", m.Tenant}, {"X-Key", m.Key}, {"Content-Type", m.ContentType}} {
+		if f.value != "" {
+			b = fmt.Appendf(b, "%s: %s\r\n", f.name, f.value)
+		}
+	}
+	if m.Again {
+		b = append(b, "X-Retry: 1\r\n"...)
+	}
+	if !m.Safe {
+		b = fmt.Appendf(b, "Content-Length: %d\r\n", size)
+	}
+	return b
+}
+
 // Response is an answer that came over HTTP/1.1.
 type Response fasthttp.Response
 
