[coap] in the operator's file: CoAP clients beside those over HTTP, off by default

Need: other installations switch it on; the platform's own line stays as it is.

Change: the section with bounds and defaults; sidecar and daemon start the front, a drain refuses what is new over CoAP and waits for what is open. With [handover] it is refused in one line: what CoAP remembers is not handed over yet.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,6 +113,9 @@
 			opt = sidecar.Options{Listener: t.Listener, Held: t.Held, Paused: true}
 		}
 	}
+	if d.settings.CoAP.Listen != "" {
+		opt.CoAP = &d.settings.CoAP
+	}
 	s, err := sidecar.StartWith(cfg, opt)
 	if err != nil {
 		return err
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -401,6 +401,9 @@
 // Listener is the listening socket, for a process that takes over.
 func (f *Front) Listener() *net.TCPListener { return f.ln }
 
+// Budget is that of the request bodies, for fronts that share it.
+func (f *Front) Budget() *engine.Budget { return f.bodies }
+
 // Bodies is how many bytes request bodies may still take.
 func (f *Front) Bodies() int { return f.bodies.Left() }
 
--- a/internal/mutant/table.go
+++ b/internal/mutant/table.go
@@ -115,11 +115,11 @@
 	{Name: "two-lengths", File: "internal/httpfront/check.go", Breaks: "a request may hide another in its body",
 		Old: "return lengths+codings <= 1 &&", New: "return lengths+codings <= 9 &&"},
 	{Name: "drain-in-a-hurry", File: "internal/sidecar/drain.go", Breaks: "a drain does not wait for what is open",
-		Old: "\ts.drainUntil(end, nil)\n\ts.stop()\n", New: "\t_ = end\n\ts.front.abandon()\n\ts.stop()\n"},
+		Old: "\ts.drainUntil(end, nil)\n\ts.coapEnd()\n", New: "\t_ = end\n\ts.front.Abandon()\n\ts.coapEnd()\n"},
 	{Name: "drain-unbounded", File: "internal/sidecar/drain.go", Breaks: "a drain never hands back",
 		Old: "if !handed && !now.Before(end) {", New: "if !handed && now.Before(time.Unix(0, 0)) {"},
 	{Name: "resume-deaf", File: "internal/sidecar/drain.go", Breaks: "after a hand-over that failed the old process takes nothing more",
-		Old: "\ts.front.SetDraining(false)\n\ts.front.Resume()\n\treturn false", New: "\ts.front.SetDraining(false)\n\treturn false"},
+		Old: "\ts.coapDraining(false)\n\ts.front.Resume()\n\treturn false", New: "\ts.coapDraining(false)\n\treturn false"},
 
 	// Discovery.
 	{Name: "older-change", File: "internal/discovery/discovery.go", Breaks: "a change of an older version is taken",
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,8 +7,11 @@
 package operator
 
 import (
+	"errors"
 	"fmt"
+	"net/netip"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
@@ -20,6 +23,7 @@
 	Drain    Drain    `toml:"drain"`
 	Handover Handover `toml:"handover"`
 	Notify   Notify   `toml:"notify"`
+	CoAP     CoAP     `toml:"coap"`
 }
 
 // Drain bounds the end of an instance. Used from the next drain on, so a reload
@@ -48,9 +52,52 @@
 	Systemd bool `toml:"systemd"`
 }
 
+// CoAP takes requests over CoAP, too. It is read at the start; a reload leaves it
+// as it is.
+type CoAP struct {
+	// Listen is an address of one machine and a port, over UDP. Empty: off.
+	Listen string `toml:"listen"`
+	// Open bounds the requests without an answer, Kept those that are remembered
+	// against repeats (247 s each, 64 bytes beside the answer), KeptBytes the
+	// answers remembered with them.
+	Open      int             `toml:"open" min:"8" max:"4096"`
+	Kept      int             `toml:"kept" min:"64" max:"262144"`
+	KeptBytes strictfile.Size `toml:"kept_bytes" min:"0B" max:"64MiB"`
+	// Transfers bounds the bodies that come and go in blocks, TransferBytes all of
+	// them together, in each direction.
+	Transfers     int             `toml:"transfers" min:"1" max:"1024"`
+	TransferBytes strictfile.Size `toml:"transfer_bytes" min:"64KiB" max:"64MiB"`
+	// Observers bounds the observations, 0 for none; what is observed is asked for
+	// anew every ObserveEvery.
+	Observers    int           `toml:"observers" min:"0" max:"4096"`
+	ObserveEvery time.Duration `toml:"observe_every" min:"100ms" max:"10m"`
+	// Trusted are networks whose source addresses can't be forged. All others get
+	// three times their bytes at most until they have proven theirs.
+	Trusted []Network `toml:"trusted" max:"64"`
+	// First says that no process ran here before this one: unsafe requests run from
+	// the first moment. Otherwise those without an Echo fail for the first 247 s.
+	First bool `toml:"first"`
+}
+
+// Network is an address prefix, "10.1.0.0/16".
+type Network struct{ netip.Prefix }
+
+// UnmarshalText reads a prefix.
+func (n *Network) UnmarshalText(text []byte) error {
+	p, err := netip.ParsePrefix(string(text))
+	if err != nil || p != p.Masked() {
+		return errors.New(`a network like "10.1.0.0/16"`)
+	}
+	n.Prefix = p
+	return nil
+}
+
 // Defaults returns what holds without a file: everything is off.
 func Defaults() File {
-	return File{Handover: Handover{Ready: 10 * time.Second}}
+	return File{Handover: Handover{Ready: 10 * time.Second}, CoAP: CoAP{
+		Open: 256, Kept: 4096, KeptBytes: 1 << 20, Transfers: 16, TransferBytes: 1 << 20, Observers: 64, ObserveEvery: 2 * time.Second,
+		Trusted: []Network{{netip.MustParsePrefix("127.0.0.0/8")}, {netip.MustParsePrefix("::1/128")}},
+	}}
 }
 
 // Load reads the file at path; an empty path means no file. The first of what
@@ -90,10 +137,10 @@
 
 // check holds against each other what no single value shows.
 func (f *File) check(path string, lines strictfile.Lines) (errs []*strictfile.Error) {
-	const key = "handover.socket"
-	bad := func(found, wanted string) {
+	say := func(key, found, wanted string) {
 		errs = append(errs, &strictfile.Error{File: path, Line: lines[key], Key: key, Found: found, Wanted: wanted})
 	}
+	bad := func(found, wanted string) { say("handover.socket", found, wanted) }
 	// A Unix socket's address holds 108 bytes with the zero at its end.
 	if n := len(f.Handover.Socket); n > 100 {
 		bad(fmt.Sprintf("a path of %d bytes", n), "100 at most")
@@ -101,6 +148,19 @@
 	if s := f.Handover.Socket; s != "" && !strings.HasPrefix(s, "/") {
 		bad(fmt.Sprintf("%q", s), "an absolute path")
 	}
+	c := &f.CoAP
+	if c.Listen == "" {
+		return errs
+	}
+	if a, err := netip.ParseAddrPort(c.Listen); err != nil || a.Addr().IsMulticast() || a.Addr().IsUnspecified() {
+		say("coap.listen", fmt.Sprintf("%q", c.Listen), "one machine's IP address and a port")
+	}
+	if c.Kept < c.Open {
+		say("coap.kept", strconv.Itoa(c.Kept), fmt.Sprintf("%d (coap.open) or more", c.Open))
+	}
+	if f.Handover.Socket != "" {
+		say("coap.listen", "it beside handover.socket", "one of them: a hand-over does not carry what CoAP remembers yet")
+	}
 	return errs
 }
 
@@ -116,6 +176,9 @@
 	if f.Notify.Systemd {
 		on = append(on, "notify")
 	}
+	if f.CoAP.Listen != "" {
+		on = append(on, "coap")
+	}
 	return on
 }
 
@@ -129,5 +192,8 @@
 	if f.Notify != n.Notify {
 		names = append(names, "notify")
 	}
+	if !reflect.DeepEqual(f.CoAP, n.CoAP) {
+		names = append(names, "coap")
+	}
 	return names
 }
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -53,11 +53,13 @@
 	began := time.Now()
 	end := began.Add(s.drainBound())
 	s.front.SetDraining(true)
+	s.coapDraining(true)
 	time.Sleep(closeIdleAt)
 	s.front.CutIdle()
 	time.Sleep(cutAt - time.Since(began))
 	s.front.Shut()
 	s.drainUntil(end, nil)
+	s.coapEnd()
 	s.stop()
 }
 
@@ -69,17 +71,20 @@
 	end := time.Now().Add(s.drainBound())
 	s.front.Pause()
 	s.front.SetDraining(true)
+	s.coapDraining(true)
 	// Connections that are asked on meanwhile get their answer and are closed
 	// with it. The rest are closed between requests.
 	if waitFor(closeIdleAt, abort) {
 		s.front.CutIdle()
 		if waitFor(cutAt-closeIdleAt, abort) && s.drainUntil(end, abort) {
 			s.front.Leave()
+			s.coapEnd()
 			s.stop()
 			return true
 		}
 	}
 	s.front.SetDraining(false)
+	s.coapDraining(false)
 	s.front.Resume()
 	return false
 }
@@ -94,11 +99,11 @@
 	}
 }
 
-// drainUntil waits until no connection is left; false if abort was closed
+// drainUntil waits until no connection and no request is left; false if abort was closed
 // first. At end what is open is handed back, and a little later cut off.
 func (s *Sidecar) drainUntil(end time.Time, abort <-chan struct{}) bool {
 	handed := false
-	for !s.front.Empty() {
+	for !s.front.Empty() || s.coapOpen() > 0 {
 		s.front.CutReading()
 		now := time.Now()
 		if !handed && !now.Before(end) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,10 +12,12 @@
 	"sync/atomic"
 
 	"otterspring/balance"
+	"otterspring/internal/coapfront"
 	"otterspring/internal/discovery"
 	"otterspring/internal/engine"
 	"otterspring/internal/httpfront"
 	"otterspring/internal/httpupstream"
+	"otterspring/internal/operator"
 )
 
 // The shares of the descriptors: some for the process itself and discovery,
@@ -38,6 +40,7 @@
 	eng    *engine.Engine
 	pool   *httpupstream.Pool
 	front  *httpfront.Front
+	coap   *coapfront.Front // nil where it is off
 	disc   *discovery.Follower
 	cfg    Config // as last loaded; only Reload touches it
 	stop   context.CancelFunc
@@ -68,6 +71,8 @@
 	// Held is the list as the process before held it, in discovery's form; it
 	// takes the place of the configuration's, which is older.
 	Held []byte
+	// CoAP is what the operator's file says of clients over CoAP; nil for none.
+	CoAP *operator.CoAP
 	// Paused starts without accepting, until Resume.
 	Paused bool
 }
@@ -108,6 +113,14 @@
 	s.front = httpfront.New(ln, eng, httpfront.Settings{
 		Serve: serve, Refuse: refuse, Spare: cfg.Sockets / 6, Bodies: cfg.Memory / 8, Reloads: s.reloadCounts,
 	})
+	if opt.CoAP != nil {
+		set := coapfront.FromOperator(opt.CoAP, cfg.Settings.Classes, httpfront.DeadlineSlack, cfg.Seed, s.front.Budget())
+		if s.coap, err = coapfront.Listen(set, eng); err != nil {
+			stop()
+			return nil, err
+		}
+		go s.coap.Serve()
+	}
 	eng.Members(balance.ListSaved, cfg.Known, 0)
 	if opt.Paused {
 		s.front.Pause()
