--- a/internal/coap/gate/gate.go
+++ b/internal/coap/gate/gate.go
@@ -83,6 +83,10 @@
 	// come again: a first start, one after a stop in order, or a hand-over that
 	// brought the table.
 	Clean bool
+	// Demand answers every unsafe request without a fresh Echo with 4.01 and one, in
+	// every life: what a call server does that wants its clients to repeat safely
+	// over its restarts. Clean and the age of this life mean nothing then.
+	Demand bool
 	// EchoKey is the secret of the Echo values, of 16 bytes or more; with Clean
 	// after a hand-over it is that of the process before.
 	EchoKey []byte
@@ -371,6 +375,12 @@
 
 // admit hands a whole request on, unless it must not run.
 func (g *Gate) admit(now time.Duration, x *open, r Request) {
+	if x.class.Effect != Repeat && g.set.Demand && !x.echoed {
+		m := message.Message{Code: message.Unauthorized}
+		m.Add(message.Echo, g.echo.Value(now, x.peer))
+		g.reply(now, x, m)
+		return
+	}
 	if x.class.Effect != Repeat && !g.newToAll(now, x) {
 		g.counts.NotProven++
 		m := message.Message{Code: message.BadGateway, Payload: []byte("this process began lately: an earlier one may have run it")}
@@ -405,7 +415,7 @@
 // can only be told by an Echo value of this one, or once no message that was
 // under way when this life began can still come (RFC 7252, section 4.8.2).
 func (g *Gate) newToAll(now time.Duration, x *open) bool {
-	return g.set.Clean || x.echoed || now-g.born >= g.set.Params.ExchangeLifetime()
+	return g.set.Clean || g.set.Demand || x.echoed || now-g.born >= g.set.Params.ExchangeLifetime()
 }
 
 // proven tells whether the request carries a fresh Echo value of this life: it
--- a/internal/mutant/table.go
+++ b/internal/mutant/table.go
@@ -178,9 +178,9 @@
 
 	// CoAP.
 	{Name: "echo-unasked", File: "internal/coap/gate/gate.go", Breaks: "after a kill a repeated request that an earlier life ran runs again",
-		Old: "return g.set.Clean || x.echoed || now-g.born >=", New: "return true || now-g.born >="},
+		Old: "return g.set.Clean || g.set.Demand || x.echoed || now-g.born >=", New: "return true || now-g.born >="},
 	{Name: "echo-for-ever", File: "internal/coap/gate/gate.go", Breaks: "a client without Echo is never served after a kill",
-		Old: "return g.set.Clean || x.echoed || now-g.born >=", New: "return g.set.Clean || x.echoed || now-g.born > 1000*"},
+		Old: "return g.set.Clean || g.set.Demand || x.echoed || now-g.born >=", New: "return g.set.Clean || g.set.Demand || x.echoed || now-g.born > 1000*"},
 	{Name: "rerun-for-the-rest", File: "internal/coap/gate/gate.go", Breaks: "an unsafe request runs again for the rest of its answer",
 		Old: "\t\tif x.class.Effect != Repeat {\n\t\t\t// The rest", New: "\t\tif x.class.Effect != Repeat && b.Size == 0 {\n\t\t\t// The rest"},
 	{Name: "amplifier", File: "internal/coap/gate/gate.go", Breaks: "a forged source has others sent thirty times its bytes",
@@ -193,4 +193,12 @@
 		Old: "if !x.echoed && !g.trusted(x.peer) || len(", New: "if len("},
 	{Name: "unsafe-forgotten", File: "internal/coap/exchange/server.go", Breaks: "an unsafe exchange makes room for new ones while it may be repeated",
 		Old: "\tx := s.kept[0].first\n", New: "\tx := s.kept[0].first\n\tif x == nil {\n\t\tx = s.kept[1].first\n\t}\n"},
+	{Name: "unsafe-resent", File: "internal/coap/caller/caller.go", Breaks: "an unsafe request is sent again to a server that may have started anew",
+		Old: "once := a.req.Unsafe && a.whole", New: "once := false && a.whole"},
+	{Name: "echo-proves", File: "internal/coap/caller/caller.go", Breaks: "a demand for an Echo counts as proof though the request carried one",
+		Old: "case a.echoed && a.whole:", New: "case a.echoed && a.whole && a.demanded:"},
+	{Name: "reset-proves", File: "internal/coap/caller/caller.go", Breaks: "a Reset proves that nothing ran, however often the request was sent",
+		Old: "proof := x.Sent <= 1 && !x.Acked", New: "proof := true"},
+	{Name: "any-503-over-coap", File: "internal/coap/caller/caller.go", Breaks: "any 5.03 counts as never ran",
+		Old: "return there && (m.Code", New: "return (there || len(m.Token) > 0) && (m.Code"},
 }
