Rigs notice a sidecar that ends by itself

Cause: a process that panicked between two restarts left its requests without an answer, which a client may live with, and one connection broken; rig fleet and storms said nothing of the crash, and a storm without load at that moment would have been kept.

Change: a process whose end nobody asked for is an error of the run: storms count it as broken, rig fleet exits with 1.

Result: found by a panic of the work under way (an answer over CoAP to a client over HTTP), which is named with its stack now.

--- a/internal/rig/instance.go
+++ b/internal/rig/instance.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,12 +34,14 @@
 	world    *World
 	config   string
 	operator string
+	began    bool // a process of it has been started
 
 	mu    sync.Mutex
 	rng   *rand.Rand
 	door  *registry.Door
 	known string
 	procs []*Process // those that have not ended, oldest first
+	fell  []error    // processes that ended though nobody asked them to
 	peak  int64      // largest resident size seen, in bytes
 	cpu   time.Duration
 }
@@ -48,7 +51,8 @@
 	cmd  *exec.Cmd
 	tail *tail
 	done chan struct{}
-	err  error // after done
+	err  error       // after done
+	over atomic.Bool // its end is asked for, or expected
 }
 
 // tail keeps the last lines that a process wrote.
@@ -96,6 +100,9 @@
 			return nil, err
 		}
 	}
+	if w.opt.CoAP != nil {
+		in.operator = w.path(in.Name + ".toml")
+	}
 	in.known = w.Registry.Snapshot()
 	return in, in.writeConfig()
 }
@@ -149,6 +156,9 @@
 				break
 			}
 		}
+		if !p.over.Load() {
+			in.fell = append(in.fell, fmt.Errorf("instance %s: process %d ended by itself with %v: %s: %w", in.Name, p.cmd.Process.Pid, p.err, strings.TrimSpace(p.tail.String()), ErrCrashed))
+		}
 		if st := p.cmd.ProcessState; st != nil {
 			in.cpu += st.UserTime() + st.SystemTime()
 			if ru, ok := st.SysUsage().(*syscall.Rusage); ok {
@@ -166,6 +176,12 @@
 	if err := in.writeConfig(); err != nil {
 		return err
 	}
+	if in.world.opt.CoAP != nil {
+		if err := write(in.operator, in.world.operatorText(in, !in.began)); err != nil {
+			return err
+		}
+		in.began = true
+	}
 	p, err := in.spawn()
 	if err != nil {
 		return err
@@ -237,7 +253,7 @@
 	procs := in.running()
 	in.world.Log.Dying(in.Name)
 	for _, p := range procs {
-		p.cmd.Process.Kill()
+		p.Kill()
 	}
 	for _, p := range procs {
 		<-p.done
@@ -250,7 +266,21 @@
 func (p *Process) Tail() string { return p.tail.String() }
 
 // Kill ends a process outright.
-func (p *Process) Kill() { p.cmd.Process.Kill() }
+func (p *Process) Kill() {
+	p.over.Store(true)
+	p.cmd.Process.Kill()
+}
+
+// Crashes are the processes that ended though nobody asked them to, so far.
+func (w *World) Crashes() []error {
+	var all []error
+	for _, in := range w.Instances {
+		in.mu.Lock()
+		all = append(all, in.fell...)
+		in.mu.Unlock()
+	}
+	return all
+}
 
 // Wait waits for a process's end and returns how it ended.
 func (p *Process) Wait(ctx context.Context) error {
@@ -284,6 +314,7 @@
 		return nil
 	}
 	p := procs[len(procs)-1]
+	p.over.Store(true)
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-p.done:
@@ -389,6 +420,9 @@
 // the old one has ended.
 func (in *Instance) HandOver(ctx context.Context) error {
 	old := in.running()
+	for _, o := range old {
+		o.over.Store(true)
+	}
 	if err := in.writeConfig(); err != nil {
 		return err
 	}
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -97,6 +97,7 @@
 	f.trouble(ctx, w, &wg)
 	wg.Wait()
 	stopLive()
+	res.Errors = append(res.Errors, w.Crashes()...)
 	f.sum(w, res, all, *restarts)
 	return res, ctx.Err()
 }
--- a/internal/rig/storm.go
+++ b/internal/rig/storm.go
@@ -184,6 +184,9 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
+	for _, err := range w.Crashes() {
+		run.note(err)
+	}
 	return run.record(start, all), nil
 }
 
