Call servers over CoAP: attempts through a connected socket for each

Need: HTTP and CoAP clients reach servers of either kind under the same module.

Change: internal/coapupstream round the decisions of coap/caller; coap.servers in the operator's file takes call servers at coap:// addresses, which a list may name only then. httpfront writes answers of any protocol. The stand-in for call servers speaks CoAP with the same cores, cold starts, pods and audit, and forgets its exchanges when it is killed; clients ask over CoAP, too.

--- a/internal/coap/gate/gate.go
+++ b/internal/coap/gate/gate.go
@@ -132,6 +132,7 @@
 	Limited             // refused for this client's own rate (RFC 8516)
 	Failed              // it may have run
 	Conflicting         // its id is in use, or was used before
+	NotRun              // a call server's: turned away, and surely not run
 )
 
 // Answer is what the decision module answers.
@@ -465,6 +466,10 @@
 		return refusal(message.TooManyRequests, a.Wait)
 	case Failed:
 		return message.Message{Code: message.BadGateway, Payload: []byte("failed")}
+	case NotRun:
+		m := refusal(message.ServiceUnavailable, a.Wait)
+		m.Add(OptNotRun, nil)
+		return m
 	case Conflicting:
 		return message.Message{Code: message.Conflict, Payload: []byte("option 65001: in use or used before")}
 	}
@@ -579,8 +584,8 @@
 
 // String names an outcome.
 func (o Outcome) String() string {
-	if o < Served || o > Conflicting {
+	if o < Served || o > NotRun {
 		return fmt.Sprintf("Outcome(%d)", int(o))
 	}
-	return [...]string{"served", "refused", "limited", "failed", "conflicting"}[o]
+	return [...]string{"served", "refused", "limited", "failed", "conflicting", "not run"}[o]
 }
--- a/internal/coap/gate/gate_test.go
+++ b/internal/coap/gate/gate_test.go
@@ -169,6 +169,7 @@
 		{message.POST, "start-rec", Answer{Outcome: Limited, Wait: time.Second}, "4.29", 1},
 		{message.POST, "start-rec", Answer{Outcome: Failed}, "5.02", -1},
 		{message.POST, "start-rec", Answer{Outcome: Conflicting}, "4.09", -1},
+		{message.POST, "start-rec", Answer{Outcome: NotRun}, "5.03", 0},
 	} {
 		g := gateOf(t, nil)
 		asks, _ := split(t, g.Receive(0, near, text(t, request(1, c.code, c.path)), nil))
--- a/internal/coapfront/settings.go
+++ b/internal/coapfront/settings.go
@@ -7,6 +7,7 @@
 
 	"otterspring/balance"
 	"otterspring/internal/coap/block"
+	"otterspring/internal/coap/caller"
 	"otterspring/internal/coap/exchange"
 	"otterspring/internal/coap/gate"
 	"otterspring/internal/engine"
@@ -19,8 +20,22 @@
 	blockIdle = 93 * time.Second
 	// echoAge is how long an Echo value proves what it says.
 	echoAge = 10 * time.Minute
+	// echoFor is how long a call server's value is used: well under what servers
+	// take, so that the round trip for a new one is paid ahead of a failure.
+	echoFor = 10 * time.Second
+	mostOut = 1024 // requests that one call server has at a time
 )
 
+// ServersFromOperator are the settings for call servers over CoAP.
+func ServersFromOperator(o *operator.CoAP, seed uint64) caller.Settings {
+	p := exchange.Defaults()
+	p.AckTimeout = o.AckTimeout
+	p.AckAfter = p.AckTimeout / 4
+	return caller.Settings{
+		Params: p, Limits: exchange.ClientLimits{Open: mostOut, Heard: mostOut}, Body: engine.MostBody, Block: 1024, EchoFor: echoFor, Seed: seed ^ 0x636c6e74,
+	}
+}
+
 // FromOperator are the settings that the operator's file gives, for the classes
 // that the platform gives. deadlineTimes bounds a request's own deadline as a
 // multiple of its class's.
--- /dev/null
+++ b/internal/coapupstream/pool.go
@@ -0,0 +1,281 @@
+// Package coapupstream carries out attempts over CoAP: a connected socket and its
+// clock for each call server, round the decisions of package caller.
+package coapupstream
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"otterspring/balance"
+	"otterspring/internal/coap/caller"
+	"otterspring/internal/coap/format"
+	"otterspring/internal/coap/message"
+	"otterspring/internal/engine"
+)
+
+// Scheme stands before the address of a call server that speaks CoAP, in a list.
+const Scheme = "coap://"
+
+// Pool makes the call servers' sides and bounds their sockets.
+type Pool struct {
+	set   caller.Settings
+	most  int
+	open  atomic.Int64
+	seeds atomic.Uint64
+}
+
+// New returns a pool of at most so many sockets, one for each call server.
+func New(set caller.Settings, most int) *Pool {
+	// What the engine sends goes out at once: the decision module bounds a
+	// server's load, and a request that waited here would not be seen by it.
+	set.Params.NStart = set.Limits.Open
+	return &Pool{set: set, most: most}
+}
+
+// Open is the engine's way to a call server. Nothing is opened yet.
+func (p *Pool) Open(addr string, _ int64) engine.Upstream {
+	return &host{pool: p, addr: addr}
+}
+
+// Sockets is how many are open.
+func (p *Pool) Sockets() int { return int(p.open.Load()) }
+
+// host is a call server at one address since one start.
+type host struct {
+	pool *Pool
+	addr string
+
+	mu      sync.Mutex
+	conn    *net.UDPConn // nil until it is needed
+	caller  *caller.Caller
+	start   time.Time
+	timer   *time.Timer
+	waiting map[uint64]chan caller.Action
+	owners  map[uint64]*engine.Attempt
+	last    uint64
+	retired bool
+}
+
+// CloseIdle does nothing: a socket is no connection, and costs a server nothing.
+func (h *host) CloseIdle() {}
+
+// Retire closes the socket once nothing is out on it.
+func (h *host) Retire() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.retired = true
+	h.rest()
+}
+
+// rest closes a retired host's socket if nothing is out. The mutex is held.
+func (h *host) rest() {
+	if h.retired && len(h.waiting) == 0 && h.conn != nil {
+		h.conn.Close()
+		h.timer.Stop()
+		h.conn = nil
+		h.pool.open.Add(-1)
+	}
+}
+
+// up opens the socket. The mutex is held.
+func (h *host) up() error {
+	if h.conn != nil {
+		return nil
+	}
+	peer, err := netip.ParseAddrPort(h.addr)
+	if err != nil {
+		return err
+	}
+	if h.pool.open.Add(1) > int64(h.pool.most) {
+		h.pool.open.Add(-1)
+		return errors.New("no socket left")
+	}
+	set := h.pool.set
+	set.Seed ^= h.pool.seeds.Add(0x9e3779b97f4a7c15)
+	c, err := caller.New(set, peer)
+	var conn *net.UDPConn
+	if err == nil {
+		conn, err = net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(peer))
+	}
+	if err != nil {
+		h.pool.open.Add(-1)
+		return err
+	}
+	h.conn, h.caller, h.start = conn, c, time.Now()
+	h.waiting, h.owners = map[uint64]chan caller.Action{}, map[uint64]*engine.Attempt{}
+	h.timer = time.AfterFunc(time.Hour, func() { h.tick(conn) })
+	go h.read(conn)
+	return nil
+}
+
+func (h *host) now() time.Duration { return time.Since(h.start) }
+
+// read takes what comes until the socket is closed.
+func (h *host) read(conn *net.UDPConn) {
+	buf := make([]byte, message.MostDatagram+1)
+	for {
+		n, err := conn.Read(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		h.mu.Lock()
+		if h.conn == conn {
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				h.carry(h.caller.Unreachable(h.now(), nil))
+			} else if err == nil {
+				h.carry(h.caller.Receive(h.now(), buf[:n], nil))
+			}
+		}
+		h.mu.Unlock()
+	}
+}
+
+func (h *host) tick(conn *net.UDPConn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.conn == conn {
+		h.carry(h.caller.Tick(h.now(), nil))
+	}
+}
+
+// carry does what the caller decided. The mutex is held; a datagram that the
+// kernel does not take at once is as good as lost on its way.
+func (h *host) carry(acts []caller.Action) {
+	for i := 0; i < len(acts); i++ {
+		switch x := &acts[i]; x.Kind {
+		case caller.Commit:
+			// The engine hears of it before the datagram that may run leaves; where it
+			// has given the attempt up, that one does not leave.
+			if a := h.owners[x.Handle]; a != nil && !a.Commit() {
+				if i+1 < len(acts) && acts[i+1].Kind == caller.Send {
+					i++
+				}
+				h.drop(x.Handle)
+			}
+		case caller.Send:
+			if _, err := h.conn.Write(x.Datagram); errors.Is(err, syscall.ECONNREFUSED) {
+				acts = h.caller.Unreachable(h.now(), acts)
+			}
+		case caller.End:
+			if w := h.waiting[x.Handle]; w != nil {
+				delete(h.waiting, x.Handle)
+				delete(h.owners, x.Handle)
+				w <- *x
+			}
+		}
+	}
+	if at, ok := h.caller.Next(); ok {
+		h.timer.Reset(max(0, at-h.now()))
+	}
+}
+
+// drop gives an attempt up.
+func (h *host) drop(handle uint64) {
+	w := h.waiting[handle]
+	if w == nil {
+		return
+	}
+	delete(h.waiting, handle)
+	delete(h.owners, handle)
+	close(w)
+	h.carry(h.caller.Cancel(h.now(), handle, nil))
+}
+
+// link is what the engine ends an attempt's wait by.
+type link struct {
+	once  sync.Once
+	ended chan struct{}
+}
+
+// SetDeadline ends the wait: the engine only sets one that is past.
+func (l *link) SetDeadline(time.Time) error {
+	l.once.Do(func() { close(l.ended) })
+	return nil
+}
+
+// SetReadDeadline does nothing: the message layer has times of its own.
+func (l *link) SetReadDeadline(time.Time) error { return nil }
+
+// Run carries out an attempt.
+func (h *host) Run(a *engine.Attempt) {
+	l := &link{ended: make(chan struct{})}
+	left, ok := a.Attach(l)
+	if !ok {
+		return
+	}
+	handle, got, err := h.begin(a, left)
+	if err != nil {
+		a.End(balance.NeverSent, nil)
+		return
+	}
+	select {
+	case x, there := <-got:
+		if there {
+			status, resp := outcome(&x)
+			a.End(status, resp)
+		}
+	case <-l.ended:
+		h.mu.Lock()
+		h.drop(handle)
+		h.mu.Unlock()
+	}
+	h.mu.Lock()
+	h.rest()
+	h.mu.Unlock()
+}
+
+// begin sends a request.
+func (h *host) begin(a *engine.Attempt, left time.Duration) (uint64, chan caller.Action, error) {
+	m := a.Call.Form.Neutral()
+	r := caller.Request{
+		Unsafe: !m.Safe, Safe: m.Safe, Target: m.Target, ID: m.ID, Idempotency: m.Idempotency, Tenant: m.Tenant, Key: m.Key, Again: m.Again,
+		Deadline: left, Body: bytes.Join(a.Call.Body.Chunks(), nil), ContentFormat: -1,
+	}
+	if m.ContentType != "" {
+		r.ContentFormat = format.Number(m.ContentType)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err := h.up(); err != nil {
+		return 0, nil, err
+	}
+	h.last++
+	got := make(chan caller.Action, 1)
+	h.waiting[h.last], h.owners[h.last] = got, a
+	h.carry(h.caller.Begin(h.now(), h.last, r, nil))
+	return h.last, got, nil
+}
+
+// outcome is an ending in the module's words.
+func outcome(x *caller.Action) (balance.Status, engine.Response) {
+	switch x.Ending {
+	case caller.Served:
+		r := &response{body: x.Body}
+		if t, ok := format.Type(x.ContentFormat); ok {
+			r.kind = []byte(t)
+		}
+		return balance.OK, r
+	case caller.TurnedAway:
+		return balance.Full, nil
+	case caller.NotThere:
+		return balance.ConnectFailed, nil
+	case caller.Erred:
+		return balance.Error, nil
+	case caller.Silent:
+		return balance.Timeout, nil
+	}
+	return balance.Reset, nil
+}
+
+// response is an answer that came over CoAP.
+type response struct{ body, kind []byte }
+
+func (r *response) Body() []byte        { return r.body }
+func (r *response) ContentType() []byte { return r.kind }
+func (r *response) Release()            {}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,7 +113,7 @@
 			opt = sidecar.Options{Listener: t.Listener, Held: t.Held, Paused: true}
 		}
 	}
-	if d.settings.CoAP.Listen != "" {
+	if d.settings.CoAP.Listen != "" || d.settings.CoAP.Servers {
 		opt.CoAP = &d.settings.CoAP
 	}
 	s, err := sidecar.StartWith(cfg, opt)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -51,7 +52,7 @@
 
 // Parse reads a list strictly: what is not understood may be any nonsense,
 // and a list half read could drop upstreams that are there.
-func Parse(v *fastjson.Value) (engine.List, error) {
+func Parse(v *fastjson.Value, schemes ...string) (engine.List, error) {
 	if v.Type() != fastjson.TypeObject {
 		return engine.List{}, fmt.Errorf("list: expected an object, found %s", v.Type())
 	}
@@ -69,7 +70,7 @@
 	}
 	l := engine.List{Index: index, Full: full.Type() == fastjson.TypeTrue}
 	for i, v := range ends.GetArray() {
-		n, err := parseEntry(v)
+		n, err := parseEntry(v, schemes)
 		if err != nil {
 			return engine.List{}, fmt.Errorf("endpoint %d: %w", i, err)
 		}
@@ -78,7 +79,7 @@
 	return l, nil
 }
 
-func parseEntry(v *fastjson.Value) (engine.Entry, error) {
+func parseEntry(v *fastjson.Value, schemes []string) (engine.Entry, error) {
 	n := engine.Entry{Addr: string(v.GetStringBytes("address"))}
 	n.ID, n.Zone, n.Cell = string(v.GetStringBytes("name")), string(v.GetStringBytes("zone")), v.GetInt("group")
 	if n.ID == "" {
@@ -89,7 +90,7 @@
 		return n, fmt.Errorf("status: unknown %q", v.GetStringBytes("status"))
 	}
 	n.State = state
-	if _, err := netip.ParseAddrPort(n.Addr); err != nil && state != balance.Gone {
+	if _, err := netip.ParseAddrPort(bare(n.Addr, schemes)); err != nil && state != balance.Gone {
 		return n, fmt.Errorf("address: expected an IP address and port, found %q", n.Addr)
 	}
 	if v.Exists("since_ms") {
@@ -101,6 +102,16 @@
 	return n, nil
 }
 
+// bare is an address without the scheme of another protocol that is used here.
+func bare(addr string, schemes []string) string {
+	for _, s := range schemes {
+		if rest, ok := strings.CutPrefix(addr, s); ok {
+			return rest
+		}
+	}
+	return addr
+}
+
 // number reads a whole number that is not negative.
 func number(v *fastjson.Value, key string) (int64, error) {
 	if f := v.Get(key); f != nil {
@@ -113,13 +124,14 @@
 
 // Follower follows the list of upstreams.
 type Follower struct {
-	eng    *engine.Engine
-	pushed bool // lists come without being asked for
-	index  int64
-	asked  chan struct{}
-	conn   net.Conn
-	br     *bufio.Reader
-	parser fastjson.Parser
+	eng     *engine.Engine
+	pushed  bool // lists come without being asked for
+	schemes []string
+	index   int64
+	asked   chan struct{}
+	conn    net.Conn
+	br      *bufio.Reader
+	parser  fastjson.Parser
 
 	mu    sync.Mutex
 	addr  string
@@ -128,9 +140,10 @@
 }
 
 // New returns a Follower of the service at addr that has been told everything up
-// to the version index. pushed says that lists come without being asked for.
-func New(addr string, pushed bool, index int64) *Follower {
-	return &Follower{addr: addr, pushed: pushed, index: index, asked: make(chan struct{}, 1)}
+// to the version index. pushed says that lists come without being asked for;
+// schemes may stand before the addresses of upstreams that speak another protocol.
+func New(addr string, pushed bool, index int64, schemes ...string) *Follower {
+	return &Follower{addr: addr, pushed: pushed, index: index, schemes: schemes, asked: make(chan struct{}, 1)}
 }
 
 // Move turns to another address. The list stays; the next call asks for the
@@ -314,16 +327,16 @@
 	if err != nil {
 		return engine.List{}, fmt.Errorf("not JSON: %w", err)
 	}
-	return Parse(v)
+	return Parse(v, d.schemes...)
 }
 
 // ParseText reads a list in discovery's form.
-func ParseText(text []byte) (engine.List, error) {
+func ParseText(text []byte, schemes ...string) (engine.List, error) {
 	v, err := fastjson.ParseBytes(text)
 	if err != nil {
 		return engine.List{}, fmt.Errorf("not JSON: %w", err)
 	}
-	return Parse(v)
+	return Parse(v, schemes...)
 }
 
 // Text is a list in discovery's form.
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -157,17 +157,26 @@
 	case a.Kind == balance.Fail:
 		reject(ctx, fasthttp.StatusBadGateway, "failed")
 	default:
-		r := a.Response.(*httpupstream.Response).HTTP()
-		r.Header.CopyTo(&ctx.Response.Header)
-		for _, name := range []string{"Connection", "Keep-Alive", "Trailer", "X-Not-Run"} {
-			ctx.Response.Header.Del(name)
+		if r, ok := a.Response.(*httpupstream.Response); ok {
+			copyHead(r.HTTP(), &ctx.Response)
+		} else if t := a.Response.ContentType(); len(t) > 0 {
+			ctx.Response.Header.SetContentTypeBytes(t)
 		}
-		ctx.Response.Header.ResetConnectionClose()
-		ctx.Response.SetBody(r.Body())
+		ctx.Response.SetBody(a.Response.Body())
 		a.Response.Release()
 	}
 }
 
+// copyHead passes the head of an upstream's answer on, but for what is of that
+// connection.
+func copyHead(r, to *fasthttp.Response) {
+	r.Header.CopyTo(&to.Header)
+	for _, name := range []string{"Connection", "Keep-Alive", "Trailer", "X-Not-Run"} {
+		to.Header.Del(name)
+	}
+	to.Header.ResetConnectionClose()
+}
+
 // requestHead returns the head that goes on to upstreams, without X-Deadline
 // and the empty line that each attempt adds.
 func requestHead(h *fasthttp.RequestHeader, size int, bodiless bool) httpupstream.Head {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -74,6 +74,11 @@
 	// Trusted are networks whose source addresses can't be forged. All others get
 	// three times their bytes at most until they have proven theirs.
 	Trusted []Network `toml:"trusted" max:"64"`
+	// Servers uses call servers whose address in the list begins with coap://. They
+	// are sent a confirmable message again AckTimeout to 1.5 times that after it,
+	// up to four times (RFC 7252, section 4.8).
+	Servers    bool          `toml:"servers"`
+	AckTimeout time.Duration `toml:"ack_timeout" min:"20ms" max:"10s"`
 	// First says that no process ran here before this one: unsafe requests run from
 	// the first moment. Otherwise those without an Echo fail for the first 247 s.
 	First bool `toml:"first"`
@@ -95,7 +100,7 @@
 // Defaults returns what holds without a file: everything is off.
 func Defaults() File {
 	return File{Handover: Handover{Ready: 10 * time.Second}, CoAP: CoAP{
-		Open: 256, Kept: 4096, KeptBytes: 1 << 20, Transfers: 16, TransferBytes: 1 << 20, Observers: 64, ObserveEvery: 2 * time.Second,
+		Open: 256, Kept: 4096, KeptBytes: 1 << 20, Transfers: 16, TransferBytes: 1 << 20, Observers: 64, ObserveEvery: 2 * time.Second, AckTimeout: 2 * time.Second,
 		Trusted: []Network{{netip.MustParsePrefix("127.0.0.0/8")}, {netip.MustParsePrefix("::1/128")}},
 	}}
 }
@@ -176,7 +181,7 @@
 	if f.Notify.Systemd {
 		on = append(on, "notify")
 	}
-	if f.CoAP.Listen != "" {
+	if f.CoAP.Listen != "" || f.CoAP.Servers {
 		on = append(on, "coap")
 	}
 	return on
--- a/internal/sidecar/coap.go
+++ b/internal/sidecar/coap.go
@@ -1,5 +1,37 @@
 package sidecar
 
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+
+	"otterspring/internal/coapfront"
+	"otterspring/internal/coapupstream"
+	"otterspring/internal/engine"
+	"otterspring/internal/httpupstream"
+	"otterspring/internal/operator"
+)
+
+// ways is how upstreams are reached: by the scheme of their address, over HTTP/1.1
+// where there is none. Sockets for CoAP are of the upstreams' share, one a server.
+func ways(cfg *Config, o *operator.CoAP, http *httpupstream.Pool) (open func(string, int64) engine.Upstream, schemes []string, err error) {
+	if o == nil || !o.Servers {
+		for _, n := range cfg.Known.Entries {
+			if strings.HasPrefix(n.Addr, coapupstream.Scheme) {
+				return nil, nil, fmt.Errorf("known: %s: found the address %q, wanted one without coap.servers", n.ID, n.Addr)
+			}
+		}
+		return http.Open, nil, nil
+	}
+	coap := coapupstream.New(coapfront.ServersFromOperator(o, cfg.Seed), upstreamShare(cfg.Sockets)/2)
+	return func(addr string, since int64) engine.Upstream {
+		if rest, ok := strings.CutPrefix(addr, coapupstream.Scheme); ok {
+			return coap.Open(rest, since)
+		}
+		return http.Open(addr, since)
+	}, []string{coapupstream.Scheme}, nil
+}
+
 // CoAPAddr is where CoAP clients are taken; empty where they are not.
 func (s *Sidecar) CoAPAddr() string {
 	if s.coap == nil {
@@ -29,7 +61,11 @@
 
 // coapEnd ends the front.
 func (s *Sidecar) coapEnd() {
-	if s.coap != nil {
-		s.coap.Close()
+	if s.coap == nil {
+		return
 	}
+	c, unsent := s.coap.Counts()
+	s.coap.Close()
+	slog.Info("coap: ended", "received", c.Received, "asked", c.Asked, "dedup_hits", c.DedupHits, "retransmits", c.Retransmits,
+		"turned_away", c.TurnedAway+c.Full, "not_proven", c.NotProven, "bad_requests", c.BadRequests, "cut_short", c.Spread, "unsent", unsent)
 }
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fastjson"
 
 	"otterspring/balance"
+	"otterspring/internal/coapupstream"
 	"otterspring/internal/discovery"
 	"otterspring/internal/engine"
 	"otterspring/internal/wire"
@@ -90,7 +91,7 @@
 		return Config{}, fmt.Errorf("limits.sockets: expected %d or more", leastSockets)
 	}
 	if known := v.Get("known"); known != nil && known.Type() != fastjson.TypeNull {
-		if cfg.Known, err = discovery.Parse(known); err != nil {
+		if cfg.Known, err = discovery.Parse(known, coapupstream.Scheme); err != nil {
 			return Config{}, fmt.Errorf("known: %w", err)
 		}
 	}
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"otterspring/balance"
+	"otterspring/internal/coapupstream"
 	"otterspring/internal/discovery"
 	"otterspring/internal/engine"
 	"otterspring/internal/httpfront"
@@ -137,7 +138,7 @@
 // Hear takes the list that the other process of a hand-over holds, if it is
 // newer than the own one: the versions are of the same discovery.
 func (s *Sidecar) Hear(text []byte) {
-	l, err := discovery.ParseText(text)
+	l, err := discovery.ParseText(text, coapupstream.Scheme)
 	if err != nil {
 		slog.Warn("handover: a list that can't be read", "why", err)
 		return
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -13,6 +13,7 @@
 
 	"otterspring/balance"
 	"otterspring/internal/coapfront"
+	"otterspring/internal/coapupstream"
 	"otterspring/internal/discovery"
 	"otterspring/internal/engine"
 	"otterspring/internal/httpfront"
@@ -83,7 +84,7 @@
 // StartWith starts with what the process before has handed over.
 func StartWith(cfg Config, opt Options) (*Sidecar, error) {
 	if opt.Held != nil {
-		held, err := discovery.ParseText(opt.Held)
+		held, err := discovery.ParseText(opt.Held, coapupstream.Scheme)
 		if err != nil {
 			return nil, fmt.Errorf("list handed over: %w", err)
 		}
@@ -96,8 +97,12 @@
 	debug.SetGCPercent(100)
 
 	p := httpupstream.New(cfg.Conns, upstreamShare(cfg.Sockets))
-	d := discovery.New(cfg.Discovery, !cfg.Settings.Subscribe, cfg.Known.Index)
-	eng, err := engine.New(engine.Settings{Balance: cfg.Settings, Seed: cfg.Seed, Dial: cfg.Conns.Dial, Open: p.Open}, d.Ask)
+	open, schemes, err := ways(&cfg, opt.CoAP, p)
+	if err != nil {
+		return nil, err
+	}
+	d := discovery.New(cfg.Discovery, !cfg.Settings.Subscribe, cfg.Known.Index, schemes...)
+	eng, err := engine.New(engine.Settings{Balance: cfg.Settings, Seed: cfg.Seed, Dial: cfg.Conns.Dial, Open: open}, d.Ask)
 	if err != nil {
 		return nil, err
 	}
@@ -113,7 +118,7 @@
 	s.front = httpfront.New(ln, eng, httpfront.Settings{
 		Serve: serve, Refuse: refuse, Spare: cfg.Sockets / 6, Bodies: cfg.Memory / 8, Reloads: s.reloadCounts,
 	})
-	if opt.CoAP != nil {
+	if opt.CoAP != nil && opt.CoAP.Listen != "" {
 		set := coapfront.FromOperator(opt.CoAP, cfg.Settings.Classes, httpfront.DeadlineSlack, cfg.Seed, s.front.Budget())
 		if s.coap, err = coapfront.Listen(set, eng); err != nil {
 			stop()
--- a/internal/standin/callserver/callserver.go
+++ b/internal/standin/callserver/callserver.go
@@ -47,6 +47,8 @@
 	ErrorsAfter time.Duration // a request that took longer here is answered 500, the work done; 0 for none
 	WorksOn     bool          // work goes on though its connection has ended
 	Classes     []Class
+	CoAP        bool // it speaks CoAP over UDP, not HTTP
+	Echo        bool // and runs what is unsafe with an Echo of its present life only (RFC 9175)
 }
 
 func (c *Config) defaults() {
@@ -153,6 +155,7 @@
 	leaving bool
 	keys    map[string]time.Time
 	fill    []net.Conn    // fill the accept queue while vanished
+	coap    *coapSide     // nil over HTTP
 	parked  chan struct{} // closed once nothing is being accepted; nil if nobody waits for that
 	stopped bool
 	wg      sync.WaitGroup
@@ -191,6 +194,9 @@
 
 // listen opens addr and begins to accept.
 func (s *Server) listen(addr string) error {
+	if s.cfg.CoAP {
+		return s.listenCoAP(addr)
+	}
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return fmt.Errorf("call server %s: %w", s.cfg.Name, err)
@@ -258,6 +264,7 @@
 		ln.Close()
 	}
 	s.unfill()
+	s.crashCoAP()
 	s.dropAll()
 }
 
--- /dev/null
+++ b/internal/standin/callserver/coap.go
@@ -0,0 +1,182 @@
+package callserver
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"otterspring/internal/audit"
+	"otterspring/internal/coap/block"
+	"otterspring/internal/coap/exchange"
+	"otterspring/internal/coap/gate"
+	"otterspring/internal/coap/message"
+)
+
+// coapScheme stands before the address of a server that speaks CoAP.
+const coapScheme = "coap://"
+
+// coapSide is a life of a call server over CoAP: a socket, and what this life
+// remembers of its exchanges. A later one remembers nothing.
+type coapSide struct {
+	srv   *Server
+	conn  *net.UDPConn
+	start time.Time
+	ended chan struct{}
+
+	mu    sync.Mutex
+	gate  *gate.Gate
+	timer *time.Timer
+}
+
+// listenCoAP opens addr, which may carry its scheme, for a new life.
+func (s *Server) listenCoAP(addr string) error {
+	at, err := netip.ParseAddrPort(strings.TrimPrefix(addr, coapScheme))
+	if err != nil {
+		return fmt.Errorf("call server %s: %w", s.cfg.Name, err)
+	}
+	key := make([]byte, 32)
+	rand.Read(key)
+	classes := map[string]gate.Class{}
+	effects := map[audit.Effect]gate.Effect{audit.Repeat: gate.Repeat, audit.Keyed: gate.Keyed, audit.Once: gate.Once}
+	for name, c := range s.classes {
+		classes[name] = gate.Class{Effect: effects[c.Effect], Deadline: time.Hour}
+	}
+	p := exchange.Defaults()
+	p.AckAfter = 20 * time.Millisecond
+	g, err := gate.New(gate.Settings{
+		Params: p, Limits: exchange.Limits{Open: s.cfg.Queue + 1000, Kept: 1 << 20, KeptBytes: 64 << 20},
+		Blocks:  block.Limits{Transfers: 1000, Body: 64 << 10, Bytes: 64 << 20, Idle: time.Minute, Size: 1024},
+		Classes: classes, DeadlineTimes: 1, Trusted: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")},
+		Clean: true, Demand: s.cfg.Echo, EchoKey: key, EchoAge: time.Minute,
+	})
+	if err != nil {
+		return err
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return fmt.Errorf("call server %s: %w", s.cfg.Name, err)
+	}
+	c := &coapSide{srv: s, conn: conn, start: time.Now(), ended: make(chan struct{}), gate: g}
+	c.timer = time.AfterFunc(time.Hour, c.tick)
+	s.mu.Lock()
+	s.coap, s.addr = c, coapScheme+conn.LocalAddr().String()
+	s.mu.Unlock()
+	s.wg.Add(1)
+	go c.read()
+	return nil
+}
+
+// DedupHits is how many repeats over CoAP this life has met.
+func (s *Server) DedupHits() int {
+	s.mu.Lock()
+	c := s.coap
+	s.mu.Unlock()
+	if c == nil {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gate.Counts().DedupHits
+}
+
+// crashCoAP ends the present life over CoAP: what it held is forgotten, and what
+// was in work stops.
+func (s *Server) crashCoAP() {
+	s.mu.Lock()
+	c := s.coap
+	s.coap = nil
+	s.mu.Unlock()
+	if c != nil {
+		close(c.ended)
+		c.timer.Stop()
+		c.conn.Close()
+	}
+}
+
+func (c *coapSide) read() {
+	defer c.srv.wg.Done()
+	buf := make([]byte, message.MostDatagram+1)
+	for {
+		n, peer, err := c.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || c.srv.vanished() {
+			continue
+		}
+		peer = netip.AddrPortFrom(peer.Addr().Unmap(), peer.Port())
+		c.mu.Lock()
+		c.carry(c.gate.Receive(time.Since(c.start), peer, buf[:n], nil))
+	}
+}
+
+func (s *Server) vanished() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault.Vanish
+}
+
+func (c *coapSide) tick() {
+	c.mu.Lock()
+	c.carry(c.gate.Tick(time.Since(c.start), nil))
+}
+
+// carry does what the gate decided; it gives the mutex back.
+func (c *coapSide) carry(acts []gate.Action) {
+	if at, ok := c.gate.Next(); ok {
+		c.timer.Reset(max(0, at-time.Since(c.start)))
+	}
+	c.mu.Unlock()
+	for i := range acts {
+		switch acts[i].Kind {
+		case gate.Send:
+			if !c.srv.vanished() {
+				c.conn.WriteToUDPAddrPort(acts[i].Datagram, acts[i].Peer)
+			}
+		case gate.Ask:
+			c.ask(&acts[i].Request)
+		}
+	}
+}
+
+// ask works on a request.
+func (c *coapSide) ask(r *gate.Request) {
+	s := c.srv
+	f := s.drawFault()
+	if f.Refuse {
+		c.finish(r.Handle, gate.Answer{Outcome: gate.NotRun})
+		return
+	}
+	j := s.submit(r.ID, r.Key, r.Idempotency, s.classes[r.Class], s.log.Now())
+	if j == nil {
+		c.finish(r.Handle, gate.Answer{Outcome: gate.NotRun})
+		return
+	}
+	handle, id := r.Handle, r.ID
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		select {
+		case <-j.done:
+			a := gate.Answer{Outcome: gate.Served, Body: []byte(Body(id, s.cfg.Name)), ContentFormat: 0}
+			if f.Error {
+				a = gate.Answer{Outcome: gate.Failed}
+			}
+			if !s.hung() {
+				c.finish(handle, a)
+			}
+		case <-c.ended:
+			s.cancel(j)
+		}
+	}()
+}
+
+func (c *coapSide) finish(handle uint64, a gate.Answer) {
+	c.mu.Lock()
+	c.carry(c.gate.Answer(time.Since(c.start), handle, a, nil))
+}
--- a/internal/standin/callserver/fault.go
+++ b/internal/standin/callserver/fault.go
@@ -97,6 +97,9 @@
 	s.parked = parked
 	s.fault.Vanish = true
 	s.mu.Unlock()
+	if ln == nil {
+		return nil // over UDP silence is all there is to it
+	}
 	// Stop accepting: past its deadline an Accept fails before it asks the kernel.
 	// One that was asking already may still take a connection, so wait for the
 	// first that failed; from then on the queue is filled from here alone.
--- a/internal/standin/clients/clients.go
+++ b/internal/standin/clients/clients.go
@@ -19,6 +19,7 @@
 
 	"otterspring/internal/audit"
 	"otterspring/internal/standin/callserver"
+	"otterspring/internal/standin/coapclient"
 )
 
 // Config describes the clients of one sidecar.
@@ -33,6 +34,11 @@
 	Body     int     // bytes of a POST's body
 	Kept     time.Duration
 	Seed     uint64
+	// CoAP is the sidecar's address for CoAP; empty to ask over HTTP. Each of
+	// Devices, 0 for 8, is an endpoint of its own.
+	CoAP    string
+	Devices int
+	NoEcho  bool // the devices know nothing of Echo
 }
 
 // Sample is what became of one arrival, over all its tries.
@@ -86,6 +92,7 @@
 	late     atomic.Int64 // arrivals that began more than lateBy after they were due
 	conns    atomic.Int64 // connections made
 	ids      atomic.Int64
+	devices  []*coapclient.Client
 	own      int64 // number of these clients, so that no two have an id in common
 	wg       sync.WaitGroup
 }
@@ -133,6 +140,11 @@
 // Run asks as planned, from now on, and returns when all has been answered or
 // given up. When ctx ends nothing more is asked.
 func (c *Clients) Run(ctx context.Context, plan []Arrival) {
+	if err := c.openDevices(); err != nil {
+		c.overflow.Add(int64(len(plan))) // nothing can be asked: the run is void
+		return
+	}
+	defer c.closeDevices()
 	start := time.Now()
 	origin := c.log.Now()
 	timer := time.NewTimer(0)
@@ -227,6 +239,9 @@
 // one that closed unread.
 func (c *Clients) try(a Arrival, class *Class, op string, n int, wait time.Duration) (result, time.Duration) {
 	id := op + "." + strconv.Itoa(n)
+	if c.cfg.CoAP != "" {
+		return c.tryCoAP(a, class, id, op, n, wait)
+	}
 	until := time.Now().Add(wait)
 	cc, got := c.take()
 	if cc == nil {
--- /dev/null
+++ b/internal/standin/clients/coap.go
@@ -0,0 +1,100 @@
+package clients
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"otterspring/internal/audit"
+	"otterspring/internal/coap/exchange"
+	"otterspring/internal/coap/gate"
+	"otterspring/internal/coap/message"
+	"otterspring/internal/standin/callserver"
+	"otterspring/internal/standin/coapclient"
+)
+
+// openDevices opens the endpoints of clients over CoAP.
+func (c *Clients) openDevices() error {
+	if c.cfg.CoAP == "" {
+		return nil
+	}
+	n := c.cfg.Devices
+	if n == 0 {
+		n = 8
+	}
+	p := exchange.Defaults()
+	// The devices are next door, and wait for well under a second: they repeat
+	// sooner than on the open Internet (RFC 7252, section 4.8.1).
+	p.AckTimeout, p.AckAfter, p.NStart = 100*time.Millisecond, 25*time.Millisecond, 256
+	for i := range n {
+		d, err := coapclient.Dial(coapclient.Config{Server: c.cfg.CoAP, Params: p, NoEcho: c.cfg.NoEcho, Seed: c.cfg.Seed + uint64(i)*7919})
+		if err != nil {
+			return err
+		}
+		c.devices = append(c.devices, d)
+	}
+	return nil
+}
+
+func (c *Clients) closeDevices() {
+	for _, d := range c.devices {
+		d.Close()
+	}
+}
+
+// Retransmits is how many datagrams were sent again by clients over CoAP.
+func (c *Clients) Retransmits() int {
+	n := 0
+	for _, d := range c.devices {
+		n += d.Counts().Retransmits
+	}
+	return n
+}
+
+// tryCoAP asks once over CoAP. A message that is lost was never taken: without an
+// answer nothing is known.
+func (c *Clients) tryCoAP(a Arrival, class *Class, id, op string, n int, wait time.Duration) (result, time.Duration) {
+	m := message.Message{Type: message.Confirmable, Code: message.POST}
+	if class.Effect == audit.Repeat {
+		m.Code = message.GET
+	}
+	m.Add(message.URIPath, []byte(class.Name))
+	m.Add(gate.OptRequestID, []byte(id))
+	m.AddUint(gate.OptDeadline, uint32(max(1, wait.Milliseconds())))
+	if a.Key != "" {
+		m.Add(gate.OptKey, []byte(a.Key))
+	}
+	if a.Tenant > 0 {
+		m.Add(gate.OptTenant, []byte(c.cfg.Tenants[a.Tenant-1].Name))
+	}
+	if class.Effect == audit.Keyed {
+		m.Add(gate.OptIdempotency, []byte(op))
+	}
+	if n > 0 {
+		m.Add(gate.OptRetry, nil)
+	}
+	var body []byte
+	if m.Code == message.POST {
+		body = []byte(strings.Repeat("b", c.cfg.Body))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	device := c.devices[(uint64(a.At)+c.cfg.Seed)%uint64(len(c.devices))]
+	c.log.Asked(id, c.cfg.Instance, class.Effect, c.log.Now(), wait)
+	r, err := device.Do(ctx, m, body)
+	at := c.log.Now()
+	switch {
+	case err != nil:
+		c.log.Gone(id, at)
+		return timedOut, 0
+	case r.Code.Class() == 2:
+		c.log.Answered(id, audit.Served, callserver.Made(id, string(r.Payload)), at)
+		return served, 0
+	case r.Code == message.ServiceUnavailable || r.Code == message.TooManyRequests:
+		c.log.Answered(id, audit.Refused, false, at)
+		s, _ := r.Uint(message.MaxAge)
+		return refused, time.Duration(s) * time.Second
+	}
+	c.log.Answered(id, audit.Failed, false, at)
+	return failed, 0
+}
