--- /dev/null
+++ b/internal/rig/coap.go
@@ -0,0 +1,209 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"otterspring/internal/standin/callserver"
+	"otterspring/internal/standin/clients"
+	"otterspring/internal/standin/lossylink"
+)
+
+// CoAPOptions add CoAP to a world: clients and call servers that speak it, behind
+// links of their own.
+type CoAPOptions struct {
+	Servers func(i int) bool // which call servers speak it; nil for none
+	Echo    bool             // and enforce Echo
+	Faults  lossylink.Faults // of every link
+}
+
+// coapAck is how soon a sidecar repeats a message to a call server next door.
+const coapAck = 100 * time.Millisecond
+
+// operatorText is an instance's operator's file with CoAP in it. Only the first
+// process of an instance is the first.
+func (w *World) operatorText(in *Instance, first bool) string {
+	return fmt.Sprintf("[coap]\nlisten = %q\nservers = true\nfirst = %v\nack_timeout = %q\n", in.Addr, first, coapAck)
+}
+
+// linkTo opens a link to an address.
+func (w *World) linkTo(addr string) (*lossylink.Link, error) {
+	to, err := netip.ParseAddrPort(strings.TrimPrefix(addr, "coap://"))
+	if err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l, err := lossylink.Start(to, w.opt.CoAP.Faults, w.opt.Seed+uint64(len(w.links)))
+	if err == nil {
+		w.links = append(w.links, l)
+	}
+	return l, err
+}
+
+// CoAPRun is a run of clients over HTTP and CoAP beside each other.
+type CoAPRun struct {
+	HTTP, CoAP float64 // requests a second over all instances, of each
+	For        time.Duration
+	NoEcho     bool // the devices know nothing of Echo
+	Kill       bool // each instance is killed once, in the middle half
+	Crash      bool // each call server over CoAP is killed and comes back, twice
+	Seed       uint64
+}
+
+// CoAPResult is what came of it.
+type CoAPResult struct {
+	HTTP, CoAP  clients.Service
+	Jain        float64 // least over the classes, of the shares served in time over HTTP and CoAP
+	Retransmits int     // by devices and sidecars
+	DedupHits   int     // repeats that sidecars and call servers met
+	Dropped     int     // datagrams that the links lost
+	CPU         time.Duration
+	PeakBytes   int64
+	Overflow    int
+	Errors      []error
+}
+
+// Run plays it in w, whose instances are up.
+func (r *CoAPRun) Run(ctx context.Context, w *World) (*CoAPResult, error) {
+	rng := rand.New(rand.NewPCG(r.Seed, 0x636f6170))
+	res := &CoAPResult{}
+	var all [2][]*clients.Clients // over HTTP, over CoAP
+	var wg sync.WaitGroup
+	var mu sync.Mutex // of res.Errors
+	n := float64(len(w.Instances))
+	for i, in := range w.Instances {
+		for kind, rate := range []float64{r.HTTP, r.CoAP} {
+			if rate <= 0 {
+				continue
+			}
+			c := w.Clients(in, rng.Uint64())
+			if kind == 1 {
+				var err error
+				if c, err = w.devices(in, rng.Uint64(), r.NoEcho); err != nil {
+					return nil, err
+				}
+			}
+			plan, err := clients.Draw(clients.Shape{Rate: rate / n, For: r.For, Keys: 3000, Skew: 0.7}, w.Classes, rng.Uint64())
+			if err != nil {
+				return nil, err
+			}
+			all[kind] = append(all[kind], c)
+			wg.Go(func() { c.Run(ctx, plan) })
+		}
+		if at := time.Duration((0.25 + 0.5*float64(i)/n) * float64(r.For)); r.Kill {
+			wg.Go(func() {
+				if wait(ctx, at) {
+					if err := in.Restart(ctx, true); err != nil {
+						mu.Lock()
+						res.Errors = append(res.Errors, err)
+						mu.Unlock()
+					}
+				}
+			})
+		}
+	}
+	if r.Crash {
+		r.crashes(ctx, w, &wg)
+	}
+	wg.Wait()
+	res.Errors = append(res.Errors, w.Crashes()...)
+	r.sum(w, res, all)
+	return res, ctx.Err()
+}
+
+// crashes kills the call servers over CoAP one by one; each comes back at once,
+// with nothing of what it had seen.
+func (r *CoAPRun) crashes(ctx context.Context, w *World, wg *sync.WaitGroup) {
+	var some []*callserver.Server
+	for i, s := range w.Servers {
+		if w.opt.CoAP.Servers != nil && w.opt.CoAP.Servers(i) {
+			some = append(some, s)
+		}
+	}
+	wg.Go(func() {
+		for k := range 2 * len(some) {
+			if !wait(ctx, r.For/time.Duration(2*len(some)+1)) {
+				return
+			}
+			w.Return(some[k%len(some)])
+		}
+	})
+}
+
+// devices are clients over CoAP of an instance.
+func (w *World) devices(in *Instance, seed uint64, noEcho bool) (*clients.Clients, error) {
+	l, err := w.linkTo(in.Addr)
+	if err != nil {
+		return nil, err
+	}
+	c := clients.Config{
+		Instance: in.Name, Addr: in.Addr, Classes: w.Classes, Retries: 2, TryShare: 0.7, Body: 200, Seed: seed, CoAP: l.Addr().String(), NoEcho: noEcho,
+	}
+	return clients.New(c, w.Log), nil
+}
+
+var (
+	resent = regexp.MustCompile(`retransmits=(\d+)`)
+	dedup  = regexp.MustCompile(`dedup_hits=(\d+)`)
+)
+
+// sum adds up what became of the requests, and what the sidecars say at their end.
+func (r *CoAPRun) sum(w *World, res *CoAPResult, all [2][]*clients.Clients) {
+	var samples [2][]clients.Sample
+	for kind := range all {
+		for _, c := range all[kind] {
+			samples[kind] = append(samples[kind], c.Samples()...)
+			res.Retransmits += c.Retransmits()
+			res.Overflow += c.Overflow()
+		}
+	}
+	res.HTTP, res.CoAP = clients.Judge(w.Classes, samples[0]), clients.Judge(w.Classes, samples[1])
+	res.Jain = 1
+	for i := range res.HTTP.Classes {
+		a, b := inTime(&res.HTTP.Classes[i]), inTime(&res.CoAP.Classes[i])
+		if a+b > 0 && len(samples[0]) > 0 && len(samples[1]) > 0 {
+			res.Jain = min(res.Jain, (a+b)*(a+b)/(2*(a*a+b*b)))
+		}
+	}
+	for _, in := range w.Instances {
+		peak, cpu := in.Usage()
+		res.PeakBytes = max(res.PeakBytes, peak)
+		res.CPU += cpu
+		procs := in.running()
+		ctx, cancel := context.WithTimeout(context.Background(), readyWithin)
+		if err := in.Stop(ctx); err != nil {
+			res.Errors = append(res.Errors, err)
+		}
+		cancel()
+		for _, p := range procs {
+			for re, into := range map[*regexp.Regexp]*int{resent: &res.Retransmits, dedup: &res.DedupHits} {
+				for _, m := range re.FindAllStringSubmatch(p.Tail(), -1) {
+					n, _ := strconv.Atoi(m[1])
+					*into += n
+				}
+			}
+		}
+	}
+	for _, s := range w.Servers {
+		res.DedupHits += s.DedupHits()
+	}
+	for _, l := range w.links {
+		_, dropped, _ := l.Counts()
+		res.Dropped += dropped
+	}
+}
+
+func inTime(c *clients.ClassService) float64 {
+	if c.Asked == 0 {
+		return 0
+	}
+	return float64(c.InTime) / float64(c.Asked)
+}
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -18,6 +18,7 @@
 	"otterspring/internal/experiment"
 	"otterspring/internal/standin/callserver"
 	"otterspring/internal/standin/clients"
+	"otterspring/internal/standin/lossylink"
 	"otterspring/internal/standin/registry"
 	"otterspring/internal/standin/relay"
 )
@@ -41,6 +42,7 @@
 	Sockets   int
 	Limit     int                                   // on each process's descriptors; 0 for none but the system's
 	Operator  func(instance int, dir string) string // text of each instance's operator's file; nil for none
+	CoAP      *CoAPOptions                          // nil for none
 	Storm     *experiment.Storm                     // the world is this one's; it goes before what stands above
 }
 
@@ -82,6 +84,8 @@
 	mu     sync.Mutex
 	regs   []*registry.Registry // those that a move left behind, too
 	relays map[[2]int]*relay.Relay
+	links  []*lossylink.Link
+	linked map[string]string // address at which discovery tells of a server over CoAP
 }
 
 // Classes are the classes of the site, stretched.
@@ -121,7 +125,7 @@
 	if o.Grace > 0 {
 		rules.Grace = o.Grace
 	}
-	w := &World{opt: o, Log: audit.New(rules), Classes: Classes(o.Stretch), relays: map[[2]int]*relay.Relay{}}
+	w := &World{opt: o, Log: audit.New(rules), Classes: Classes(o.Stretch), relays: map[[2]int]*relay.Relay{}, linked: map[string]string{}}
 	if s := o.Storm; s != nil {
 		rules.TipMultiple, rules.TipFor = s.World.Server.TipAt, s.World.Server.TipFor
 		w.Log, w.Classes = audit.New(rules), s.ClientClasses()
@@ -168,11 +172,22 @@
 	if w.opt.Storm != nil {
 		cfg = w.stormServer(i)
 	}
+	if o := w.opt.CoAP; o != nil && o.Servers != nil {
+		cfg.CoAP, cfg.Echo = o.Servers(i), o.Echo
+	}
 	s, err := callserver.Start(cfg, w.pods[len(w.pods)-1], w.Log, seed)
-	if err == nil {
-		w.Servers = append(w.Servers, s)
+	if err != nil {
+		return nil, err
 	}
-	return s, err
+	w.Servers = append(w.Servers, s)
+	if cfg.CoAP {
+		l, err := w.linkTo(s.Addr())
+		if err != nil {
+			return nil, err
+		}
+		w.linked[s.Name()] = "coap://" + l.Addr().String()
+	}
+	return s, nil
 }
 
 func (w *World) serverConfig(i int) callserver.Config {
@@ -190,7 +205,11 @@
 // entry is what discovery tells of a server.
 func (w *World) entry(s *callserver.Server, status string) registry.Entry {
 	life, since := s.Life()
-	return registry.Entry{Name: s.Name(), Addr: s.Addr(), Zone: s.Zone(), Group: s.Group(), Status: status, SinceMS: since, Life: life}
+	addr := s.Addr()
+	if l, ok := w.linked[s.Name()]; ok {
+		addr = l
+	}
+	return registry.Entry{Name: s.Name(), Addr: addr, Zone: s.Zone(), Group: s.Group(), Status: status, SinceMS: since, Life: life}
 }
 
 // Drain makes discovery tell that a server drains; the server finishes what it
@@ -231,6 +250,9 @@
 	for _, r := range w.relays {
 		r.Close()
 	}
+	for _, l := range w.links {
+		l.Close()
+	}
 }
 
 // StartAll starts the instances, at most lanes of them at a time, and waits
