--- a/internal/mutant/table.go
+++ b/internal/mutant/table.go
@@ -13,7 +13,7 @@
 // Controls change nothing: a run in which one of them is noticed shows nothing.
 var Controls = []Mutant{
 	{Name: "unchanged-module", File: "balance/balance.go", Breaks: "nothing", Old: "package balance\n", New: "package balance\n"},
-	{Name: "unchanged-sidecar", File: "internal/httpupstream/attempt.go", Breaks: "nothing", Old: "package sidecar\n", New: "package sidecar\n"},
+	{Name: "unchanged-sidecar", File: "internal/httpupstream/attempt.go", Breaks: "nothing", Old: "package httpupstream\n", New: "package httpupstream\n"},
 }
 
 // Table are the breakages that `rig mutants` tries.
