coap/exchange: what is over costs a hash where there is no room for more

Cause: kept exchanges are remembered for 247 s; with the 4,096 of the default a sidecar that is asked more than 17 unsafe requests a second for good would turn the rest away, and 2,400 a second took some 590,000 entries of 360 bytes.

Change: when all that is kept is unsafe, the oldest is reduced to a hash in one of nine generations, forgotten whole. A repeat of one is answered 5.02. The bound is coap.settled, 65,536: 265 unsafe requests a second for good.

Not remembering, and forgetting two generations early, were each noticed.

--- a/internal/coap/exchange/exchange_test.go
+++ b/internal/coap/exchange/exchange_test.go
@@ -432,7 +432,7 @@
 	}
 	bad := p
 	bad.AckAfter = bad.AckTimeout
-	if _, err := NewServer(bad, Limits{1, 1, 0}, 1); err == nil {
+	if _, err := NewServer(bad, Limits{Open: 1, Kept: 1}, 1); err == nil {
 		t.Error("AckAfter of AckTimeout was taken")
 	}
 }
--- a/internal/coap/exchange/params.go
+++ b/internal/coap/exchange/params.go
@@ -155,6 +155,7 @@
 	Dropped        int // could not be answered or matched
 	TurnedAway     int // for want of room
 	Forgotten      int // finished exchanges given up early, all of them safe to repeat
+	Settled        int // others of which only a hash was kept
 	Resets         int // that came
 }
 
--- a/internal/coap/exchange/server.go
+++ b/internal/coap/exchange/server.go
@@ -14,6 +14,9 @@
 	Open      int // exchanges that are not answered yet
 	Kept      int // exchanges remembered against repeats, the open ones among them
 	KeptBytes int // of answers remembered with them
+	// Settled bounds those of which nothing but a hash is remembered, once Kept has
+	// no room: a repeat of one is told that it may have run. 0 for none.
+	Settled int
 }
 
 // serverExchange is a request from its first datagram until no repeat of it can
@@ -77,6 +80,7 @@
 	byKey  map[key]*serverExchange
 	byOwn  map[key]*serverExchange // by the IDs of answers that go as messages of their own
 	handle map[uint64]*serverExchange
+	old    *settledSet
 	kept   [2]line // answered ones: safe to run again, and not
 	open   int
 	notes  int // notifications that wait for their acknowledgement
@@ -94,11 +98,11 @@
 	if err := p.validate(); err != nil {
 		return nil, err
 	}
-	if lim.Open < 1 || lim.Kept < lim.Open || lim.KeptBytes < 0 {
+	if lim.Open < 1 || lim.Kept < lim.Open || lim.KeptBytes < 0 || lim.Settled < 0 {
 		return nil, fmt.Errorf("exchange: limits %+v: wanted Open of 1 or more, and Kept no less", lim)
 	}
 	rng := rand.New(rand.NewPCG(seed, 0x636f6170))
-	return &Server{p: p, lim: lim, rng: rng, byKey: map[key]*serverExchange{}, byOwn: map[key]*serverExchange{},
+	return &Server{p: p, lim: lim, rng: rng, old: newSettledSet(p.ExchangeLifetime(), lim.Settled), byKey: map[key]*serverExchange{}, byOwn: map[key]*serverExchange{},
 		handle: map[uint64]*serverExchange{}, ids: uint16(rng.Uint32())}, nil
 }
 
@@ -229,8 +233,15 @@
 		s.repeat(x)
 		return
 	}
+	if s.old.has(now, k) {
+		s.counts.DedupHits++
+		if m.Type == message.Confirmable {
+			s.overdue(peer, m.ID, m.Token)
+		}
+		return
+	}
 	unsafe := m.Code != message.GET && m.Code != message.FETCH
-	if s.open >= s.lim.Open || len(s.byKey) >= s.lim.Kept && !s.forget() {
+	if s.open >= s.lim.Open || len(s.byKey) >= s.lim.Kept && !s.forget(now) {
 		s.full(peer, m, unsafe)
 		return
 	}
@@ -263,13 +274,26 @@
 	}
 }
 
-// forget gives up the oldest finished exchange that is safe to run again.
-func (s *Server) forget() bool {
-	x := s.kept[0].first
-	if x == nil {
+// forget makes room: it gives up the oldest finished exchange that is safe to run
+// again, or keeps no more than a hash of the oldest other one.
+func (s *Server) forget(now time.Duration) bool {
+	if x := s.kept[0].first; x != nil {
+		s.counts.Forgotten++
+		s.drop(x)
+		return true
+	}
+	x := s.kept[1].first
+	// One whose answer waits for its acknowledgement is not over.
+	for range 8 {
+		if x == nil || !x.sending {
+			break
+		}
+		x = x.newest
+	}
+	if x == nil || x.sending || !s.old.add(now, x.key, x.born+s.lifetime(x)) {
 		return false
 	}
-	s.counts.Forgotten++
+	s.counts.Settled++
 	s.drop(x)
 	return true
 }
@@ -287,11 +311,16 @@
 	case x.datagram != nil:
 		s.send(x.peer, x.datagram)
 	default:
-		// There was no room to keep the answer. It is not run again.
-		r := message.Message{Type: message.Acknowledgement, ID: x.id, Token: x.token, Code: message.BadGateway}
-		if text, err := r.Append(nil); err == nil {
-			s.send(x.peer, text)
-		}
+		s.overdue(x.peer, x.id, x.token)
+	}
+}
+
+// overdue answers a repeat of a request whose answer there was no room to keep:
+// it is not run again, and may have run.
+func (s *Server) overdue(peer Peer, id uint16, token []byte) {
+	r := message.Message{Type: message.Acknowledgement, ID: id, Token: token, Code: message.BadGateway}
+	if text, err := r.Append(nil); err == nil {
+		s.send(peer, text)
 	}
 }
 
--- a/internal/coapfront/settings.go
+++ b/internal/coapfront/settings.go
@@ -53,7 +53,7 @@
 	}
 	return Settings{Listen: o.Listen, Bodies: bodies, Gate: gate.Settings{
 		Params:  exchange.Defaults(),
-		Limits:  exchange.Limits{Open: o.Open, Kept: o.Kept, KeptBytes: int(o.KeptBytes)},
+		Limits:  exchange.Limits{Open: o.Open, Kept: o.Kept, KeptBytes: int(o.KeptBytes), Settled: o.Settled},
 		Blocks:  block.Limits{Transfers: o.Transfers, Body: engine.MostBody, Bytes: int(o.TransferBytes), Idle: blockIdle, Size: 1024},
 		Classes: classes, DeadlineTimes: deadlineTimes, Observers: o.Observers, ObserveEvery: o.ObserveEvery,
 		Trusted: trusted, Clean: o.First, EchoKey: key, EchoAge: echoAge, Seed: seed ^ 0x636f6170,
--- a/internal/mutant/table.go
+++ b/internal/mutant/table.go
@@ -201,4 +201,8 @@
 		Old: "proof := x.Sent <= 1 && !x.Acked", New: "proof := true"},
 	{Name: "any-503-over-coap", File: "internal/coap/caller/caller.go", Breaks: "any 5.03 counts as never ran",
 		Old: "return there && (m.Code", New: "return (there || len(m.Token) > 0) && (m.Code"},
+	{Name: "settled-forgets", File: "internal/coap/exchange/settled.go", Breaks: "an unsafe exchange that made room runs again when it is repeated",
+		Old: "p.has[h] = struct{}{}\n", New: ""},
+	{Name: "settled-early", File: "internal/coap/exchange/settled.go", Breaks: "a generation is forgotten while its exchanges may be repeated",
+		Old: "p.ends = max(p.ends, (ends/s.span+1)*s.span)", New: "p.ends = max(p.ends, ends-2*s.span)"},
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -58,11 +58,14 @@
 	// Listen is an address of one machine and a port, over UDP. Empty: off.
 	Listen string `toml:"listen"`
 	// Open bounds the requests without an answer, Kept those that are remembered
-	// against repeats (247 s each, 64 bytes beside the answer), KeptBytes the
-	// answers remembered with them.
+	// whole against repeats (for 247 s at most, some 360 bytes beside the answer),
+	// KeptBytes the answers remembered with them.
 	Open      int             `toml:"open" min:"8" max:"4096"`
 	Kept      int             `toml:"kept" min:"64" max:"262144"`
 	KeptBytes strictfile.Size `toml:"kept_bytes" min:"0B" max:"64MiB"`
+	// Settled bounds the unsafe ones beyond them, some 40 bytes each: the most that
+	// may come in 247 s.
+	Settled int `toml:"settled" min:"0" max:"4194304"`
 	// Transfers bounds the bodies that come and go in blocks, TransferBytes all of
 	// them together, in each direction.
 	Transfers     int             `toml:"transfers" min:"1" max:"1024"`
@@ -100,7 +103,7 @@
 // Defaults returns what holds without a file: everything is off.
 func Defaults() File {
 	return File{Handover: Handover{Ready: 10 * time.Second}, CoAP: CoAP{
-		Open: 256, Kept: 4096, KeptBytes: 1 << 20, Transfers: 16, TransferBytes: 1 << 20, Observers: 64, ObserveEvery: 2 * time.Second, AckTimeout: 2 * time.Second,
+		Open: 256, Kept: 4096, KeptBytes: 1 << 20, Settled: 65536, Transfers: 16, TransferBytes: 1 << 20, Observers: 64, ObserveEvery: 2 * time.Second, AckTimeout: 2 * time.Second,
 		Trusted: []Network{{netip.MustParsePrefix("127.0.0.0/8")}, {netip.MustParsePrefix("::1/128")}},
 	}}
 }
