coap.state: a note at a stop in order, so that only a kill costs four minutes

Need: without a memory every start makes devices without Echo wait 247 s for their first unsafe request.

Change: at its end a process leaves a hash of each unsafe exchange that may be repeated, with a checksum, by rename and fsync; while it runs the file holds its mark. The next one takes it whole, or demands Echo as after a kill. Ids that the front makes are no longer of the configuration's seed: two lives made the same.

--- /dev/null
+++ b/internal/coap/exchange/carry.go
@@ -0,0 +1,83 @@
+package exchange
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// What a later process has to know of a Server's unsafe exchanges, so that none
+// of them runs again when it is repeated: a hash each, and until when it may be.
+// Of what is not answered the later one knows no more than that it may have run.
+
+const (
+	carryMagic = "otterspring coap exchanges 1\n"
+	entryBytes = 8 + 4 // hash, milliseconds until it can't be repeated any more
+	// MostCarried bounds what is read.
+	MostCarried = 64 << 20
+)
+
+// ErrCarried is what can't be read, or not trusted: nothing of it is taken.
+var ErrCarried = errors.New("exchange: what an earlier process left")
+
+func hashKey(rng *rand.Rand) (key [16]byte) {
+	for i := 0; i < len(key); i += 8 {
+		binary.BigEndian.PutUint64(key[i:], rng.Uint64())
+	}
+	return key
+}
+
+// Carry writes what a later process has to know.
+func (s *Server) Carry(now time.Duration) []byte {
+	s.old.age(now)
+	b := append([]byte(carryMagic), s.old.key[:]...)
+	entry := func(h uint64, ends time.Duration) {
+		if ends > now {
+			b = binary.BigEndian.AppendUint64(b, h)
+			b = binary.BigEndian.AppendUint32(b, uint32(min((ends-now+time.Millisecond-1)/time.Millisecond, 1<<32-1)))
+		}
+	}
+	for k, x := range s.byKey {
+		if x.unsafe {
+			entry(s.old.hash(k), x.born+s.lifetime(x))
+		}
+	}
+	for i := range s.old.parts {
+		for h := range s.old.parts[i].has {
+			entry(h, s.old.parts[i].ends)
+		}
+	}
+	sum := sha256.Sum256(b)
+	return append(b, sum[:]...)
+}
+
+// Continue takes what an earlier process wrote, age ago. It must be called before
+// anything was received. All of it is taken or, with an error, nothing.
+func (s *Server) Continue(now, age time.Duration, text []byte) error {
+	const head = len(carryMagic) + 16
+	n := len(text) - head - sha256.Size
+	switch {
+	case len(s.byKey) > 0 || s.old.count > 0:
+		return fmt.Errorf("%w: found exchanges of this process, wanted none yet", ErrCarried)
+	case n < 0 || len(text) > MostCarried || string(text[:len(carryMagic)]) != carryMagic || n%entryBytes != 0:
+		return fmt.Errorf("%w: found %d bytes that are none, wanted a whole table of version 1", ErrCarried, len(text))
+	}
+	sum := sha256.Sum256(text[:head+n])
+	if string(sum[:]) != string(text[head+n:]) {
+		return fmt.Errorf("%w: found another checksum than it has, wanted a whole table", ErrCarried)
+	}
+	next := newSettledSet([16]byte(text[len(carryMagic):head]), s.p.ExchangeLifetime(), max(s.lim.Settled, n/entryBytes))
+	for rest := text[head : head+n]; len(rest) > 0; rest = rest[entryBytes:] {
+		left := time.Duration(binary.BigEndian.Uint32(rest[8:])) * time.Millisecond
+		if left > 2*s.p.ExchangeLifetime() {
+			return fmt.Errorf("%w: found an exchange that lasts %v, wanted %v at most", ErrCarried, left, 2*s.p.ExchangeLifetime())
+		}
+		next.addHash(now, binary.BigEndian.Uint64(rest), now+left-max(0, age))
+	}
+	next.most = s.lim.Settled
+	s.old = next
+	return nil
+}
--- a/internal/coap/exchange/server.go
+++ b/internal/coap/exchange/server.go
@@ -102,7 +102,7 @@
 		return nil, fmt.Errorf("exchange: limits %+v: wanted Open of 1 or more, and Kept no less", lim)
 	}
 	rng := rand.New(rand.NewPCG(seed, 0x636f6170))
-	return &Server{p: p, lim: lim, rng: rng, old: newSettledSet(p.ExchangeLifetime(), lim.Settled), byKey: map[key]*serverExchange{}, byOwn: map[key]*serverExchange{},
+	return &Server{p: p, lim: lim, rng: rng, old: newSettledSet(hashKey(rng), p.ExchangeLifetime(), lim.Settled), byKey: map[key]*serverExchange{}, byOwn: map[key]*serverExchange{},
 		handle: map[uint64]*serverExchange{}, ids: uint16(rng.Uint32())}, nil
 }
 
--- a/internal/coap/exchange/settled.go
+++ b/internal/coap/exchange/settled.go
@@ -1,8 +1,8 @@
 package exchange
 
 import (
+	"crypto/sha256"
 	"encoding/binary"
-	"hash/maphash"
 	"time"
 )
 
@@ -16,7 +16,7 @@
 // list. Two exchanges may have one hash, one time in 2^64: the later one is taken
 // for a repeat then, and fails.
 type settledSet struct {
-	seed  maphash.Seed
+	key   [16]byte      // of the hash: clients choose what is hashed
 	span  time.Duration // of a generation
 	most  int
 	count int
@@ -29,8 +29,8 @@
 	ends time.Duration // nothing in it can be repeated after this
 }
 
-func newSettledSet(lifetime time.Duration, most int) *settledSet {
-	s := &settledSet{seed: maphash.MakeSeed(), span: max(1, lifetime/generations), most: most}
+func newSettledSet(key [16]byte, lifetime time.Duration, most int) *settledSet {
+	s := &settledSet{key: key, span: max(1, lifetime/generations), most: most}
 	for i := range s.parts {
 		s.parts[i].has = map[uint64]struct{}{}
 	}
@@ -38,12 +38,14 @@
 }
 
 func (s *settledSet) hash(k key) uint64 {
-	var b [20]byte
+	var b [36]byte
+	copy(b[:], s.key[:])
 	a := k.peer.Addr().As16()
-	copy(b[:], a[:])
-	binary.BigEndian.PutUint16(b[16:], k.peer.Port())
-	binary.BigEndian.PutUint16(b[18:], k.id)
-	return maphash.Bytes(s.seed, b[:])
+	copy(b[16:], a[:])
+	binary.BigEndian.PutUint16(b[32:], k.peer.Port())
+	binary.BigEndian.PutUint16(b[34:], k.id)
+	sum := sha256.Sum256(b[:])
+	return binary.BigEndian.Uint64(sum[:])
 }
 
 // age forgets the generations that are over.
@@ -74,6 +76,11 @@
 
 // add remembers an exchange until ends; false where there is no room.
 func (s *settledSet) add(now time.Duration, k key, ends time.Duration) bool {
+	return s.addHash(now, s.hash(k), ends)
+}
+
+// addHash is add for a hash that is known.
+func (s *settledSet) addHash(now time.Duration, h uint64, ends time.Duration) bool {
 	if ends <= now {
 		return true
 	}
@@ -86,7 +93,6 @@
 	slot := int(ends/s.span) % len(s.parts)
 	p := &s.parts[slot]
 	p.ends = max(p.ends, (ends/s.span+1)*s.span)
-	h := s.hash(k)
 	if _, there := p.has[h]; !there {
 		p.has[h] = struct{}{}
 		s.count++
--- a/internal/coap/exchange/settled_test.go
+++ b/internal/coap/exchange/settled_test.go
@@ -16,7 +16,7 @@
 func TestSettledForgetsInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		lifetime := 247 * time.Second
-		s := newSettledSet(lifetime, 1000)
+		s := newSettledSet([16]byte{}, lifetime, 1000)
 		type entry struct {
 			k    key
 			ends time.Duration
@@ -105,7 +105,7 @@
 		return key{netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), 5683), uint16(n)}
 	}
 	small := size(func() any {
-		s := newSettledSet(247*time.Second, 100_000)
+		s := newSettledSet([16]byte{}, 247*time.Second, 100_000)
 		for n := range 50_000 {
 			s.add(0, at(n), time.Duration(n+1)*4*time.Millisecond)
 		}
--- a/internal/coap/gate/gate.go
+++ b/internal/coap/gate/gate.go
@@ -83,6 +83,8 @@
 	// come again: a first start, one after a stop in order, or a hand-over that
 	// brought the table.
 	Clean bool
+	// CleanIn is how long with Clean the earlier process still had to wait itself.
+	CleanIn time.Duration
 	// Demand answers every unsafe request without a fresh Echo with 4.01 and one, in
 	// every life: what a call server does that wants its clients to repeat safely
 	// over its restarts. Clean and the age of this life mean nothing then.
@@ -195,7 +197,7 @@
 	in       *block.Receiver
 	out      *block.Sender
 	echo     *echo.Maker
-	born     time.Duration
+	cleanAt  time.Duration // no request of an earlier life can come from then on
 	begun    bool
 	draining bool
 	open     map[uint64]*open // by exchange
@@ -245,6 +247,19 @@
 // Drain turns away what is new from now on; what is open is answered.
 func (g *Gate) Drain() { g.draining = true }
 
+// Carry writes what a later process has to know, and for how long that one has to
+// wait for what this one had to wait for.
+func (g *Gate) Carry(now time.Duration) (text []byte, cleanIn time.Duration) {
+	g.began(now)
+	return g.ex.Carry(now), max(0, g.cleanAt-now)
+}
+
+// Continue takes what an earlier process wrote, age ago, before anything was
+// received.
+func (g *Gate) Continue(now, age time.Duration, text []byte) error {
+	return g.ex.Continue(now, age, text)
+}
+
 // Resume takes new requests again.
 func (g *Gate) Resume() { g.draining = false }
 
@@ -256,8 +271,12 @@
 
 // began notes the time of the first call: a life begins with it.
 func (g *Gate) began(now time.Duration) {
-	if !g.begun {
-		g.begun, g.born = true, now
+	if g.begun {
+		return
+	}
+	g.begun, g.cleanAt = true, now+g.set.CleanIn
+	if !g.set.Clean {
+		g.cleanAt = now + g.set.Params.ExchangeLifetime()
 	}
 }
 
@@ -416,7 +435,7 @@
 // can only be told by an Echo value of this one, or once no message that was
 // under way when this life began can still come (RFC 7252, section 4.8.2).
 func (g *Gate) newToAll(now time.Duration, x *open) bool {
-	return g.set.Clean || g.set.Demand || x.echoed || now-g.born >= g.set.Params.ExchangeLifetime()
+	return g.set.Demand || x.echoed || now >= g.cleanAt
 }
 
 // proven tells whether the request carries a fresh Echo value of this life: it
@@ -506,7 +525,7 @@
 // reply sends the answer to an exchange. A source that has proven nothing gets
 // no more than it may: the body in smaller blocks, or a demand for a proof.
 func (g *Gate) reply(now time.Duration, x *open, m message.Message) {
-	if !g.set.Clean && now-g.born < g.set.Params.ExchangeLifetime() && !x.echoed {
+	if now < g.cleanAt && !x.echoed {
 		if _, there := m.Get(message.Echo); !there {
 			m.Add(message.Echo, g.echo.Value(now, x.peer))
 		}
--- a/internal/coapfront/front.go
+++ b/internal/coapfront/front.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -25,6 +26,7 @@
 // Front is a CoAP server's socket. Its goroutines are one that reads, one that
 // answers and the timer's; all end with Close.
 type Front struct {
+	life   *life // nil without a state file
 	conn   *net.UDPConn
 	eng    *engine.Engine
 	bodies *engine.Budget
@@ -35,6 +37,7 @@
 	open  map[uint64]*request
 	timer *time.Timer
 	rng   *rand.Rand
+	over  bool // a note was left
 
 	answered chan *request // holds every open request at most once
 	ended    chan struct{}
@@ -80,6 +83,9 @@
 	Listen string // an address of one machine: multicast is never answered
 	Gate   gate.Settings
 	Bodies *engine.Budget // of all request bodies, those of other fronts among them
+	// State is the file in which a process leaves what the next one has to know;
+	// empty for none: what Gate says of earlier processes holds then.
+	State string
 }
 
 // Listen opens the socket. Nothing is read before Serve.
@@ -90,7 +96,7 @@
 		// that is meant for this machine (RFC 7252, section 8.1).
 		return nil, fmt.Errorf("coap: listen: found %q, wanted one machine's IP address and a port", set.Listen)
 	}
-	g, err := gate.New(set.Gate)
+	l, g, err := lifeOf(&set)
 	if err != nil {
 		return nil, err
 	}
@@ -99,13 +105,48 @@
 		return nil, fmt.Errorf("coap: listen: %w", err)
 	}
 	f := &Front{
-		conn: conn, eng: eng, bodies: set.Bodies, start: time.Now(), gate: g, open: map[uint64]*request{},
-		rng: rand.New(rand.NewPCG(set.Gate.Seed, 0x636f6170)), answered: make(chan *request, set.Gate.Limits.Open+set.Gate.Observers), ended: make(chan struct{}),
+		life: l, conn: conn, eng: eng, bodies: set.Bodies, start: time.Now(), gate: g, open: map[uint64]*request{},
+		// Not of the configuration's seed: a process that starts with the same one
+		// again would make the same ids again.
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), answered: make(chan *request, set.Gate.Limits.Open+set.Gate.Observers), ended: make(chan struct{}),
 	}
 	f.timer = time.AfterFunc(time.Hour, f.tick)
 	return f, nil
 }
 
+// lifeOf makes the gate, with what an earlier process left.
+func lifeOf(set *Settings) (*life, *gate.Gate, error) {
+	if set.State == "" {
+		g, err := gate.New(set.Gate)
+		return nil, g, err
+	}
+	l, left, clean, why, err := begin(set.State)
+	if err != nil {
+		return nil, nil, err
+	}
+	set.Gate.Clean = clean
+	if left != nil {
+		set.Gate.CleanIn = max(0, time.Duration(left.CleanMS)*time.Millisecond-left.age())
+	}
+	g, err := gate.New(set.Gate)
+	if err != nil {
+		return nil, nil, err
+	}
+	if left != nil {
+		if err := g.Continue(0, left.age(), left.Table); err != nil {
+			why = err.Error()
+			set.Gate.Clean = false
+			if g, err = gate.New(set.Gate); err != nil {
+				return nil, nil, err
+			}
+		}
+	}
+	if why != "" {
+		slog.Warn("coap: unsafe requests need an Echo for a while", "why", why, "state", set.State, "for", set.Gate.Params.ExchangeLifetime())
+	}
+	return l, g, nil
+}
+
 // Addr is where it listens.
 func (f *Front) Addr() string { return f.conn.LocalAddr().String() }
 
@@ -141,6 +182,10 @@
 		// Without the zone of the address: it is the same client with and without.
 		peer = netip.AddrPortFrom(peer.Addr().Unmap().WithZone(""), peer.Port())
 		f.mu.Lock()
+		if f.over {
+			f.mu.Unlock() // the note stands: nothing more may run
+			continue
+		}
 		f.carry(f.gate.Receive(f.now(), peer, buf[:n], nil))
 	}
 	f.wg.Wait()
@@ -261,6 +306,22 @@
 		close(f.ended)
 		f.timer.Stop()
 		f.conn.Close()
+		f.leave()
 	})
 	f.wg.Wait()
 }
+
+// leave leaves a note for the next process. Nothing runs from then on that is not
+// in it: a datagram that was read and waits for the mutex is dropped.
+func (f *Front) leave() {
+	if f.life == nil {
+		return
+	}
+	f.mu.Lock()
+	f.over = true
+	table, cleanIn := f.gate.Carry(f.now())
+	f.mu.Unlock()
+	if err := f.life.end(table, cleanIn); err != nil {
+		slog.Warn("coap: no note for the next process", "why", err)
+	}
+}
--- a/internal/coapfront/settings.go
+++ b/internal/coapfront/settings.go
@@ -51,7 +51,7 @@
 	for _, n := range o.Trusted {
 		trusted = append(trusted, n.Prefix)
 	}
-	return Settings{Listen: o.Listen, Bodies: bodies, Gate: gate.Settings{
+	return Settings{Listen: o.Listen, Bodies: bodies, State: o.State, Gate: gate.Settings{
 		Params:  exchange.Defaults(),
 		Limits:  exchange.Limits{Open: o.Open, Kept: o.Kept, KeptBytes: int(o.KeptBytes), Settled: o.Settled},
 		Blocks:  block.Limits{Transfers: o.Transfers, Body: engine.MostBody, Bytes: int(o.TransferBytes), Idle: blockIdle, Size: 1024},
--- a/internal/mutant/table.go
+++ b/internal/mutant/table.go
@@ -178,9 +178,9 @@
 
 	// CoAP.
 	{Name: "echo-unasked", File: "internal/coap/gate/gate.go", Breaks: "after a kill a repeated request that an earlier life ran runs again",
-		Old: "return g.set.Clean || g.set.Demand || x.echoed || now-g.born >=", New: "return true || now-g.born >="},
+		Old: "return g.set.Demand || x.echoed || now >= g.cleanAt", New: "return true"},
 	{Name: "echo-for-ever", File: "internal/coap/gate/gate.go", Breaks: "a client without Echo is never served after a kill",
-		Old: "return g.set.Clean || g.set.Demand || x.echoed || now-g.born >=", New: "return g.set.Clean || g.set.Demand || x.echoed || now-g.born > 1000*"},
+		Old: "return g.set.Demand || x.echoed || now >= g.cleanAt", New: "return g.set.Demand || x.echoed || now >= 1000*g.cleanAt"},
 	{Name: "rerun-for-the-rest", File: "internal/coap/gate/gate.go", Breaks: "an unsafe request runs again for the rest of its answer",
 		Old: "\t\tif x.class.Effect != Repeat {\n\t\t\t// The rest", New: "\t\tif x.class.Effect != Repeat && b.Size == 0 {\n\t\t\t// The rest"},
 	{Name: "amplifier", File: "internal/coap/gate/gate.go", Breaks: "a forged source has others sent thirty times its bytes",
@@ -192,7 +192,7 @@
 	{Name: "observed-by-anyone", File: "internal/coap/gate/observe.go", Breaks: "a forged source has another told of every change",
 		Old: "if !x.echoed && !g.trusted(x.peer) || len(", New: "if len("},
 	{Name: "unsafe-forgotten", File: "internal/coap/exchange/server.go", Breaks: "an unsafe exchange makes room for new ones while it may be repeated",
-		Old: "\tx := s.kept[0].first\n", New: "\tx := s.kept[0].first\n\tif x == nil {\n\t\tx = s.kept[1].first\n\t}\n"},
+		Old: "if x == nil || x.sending || !s.old.add(now, x.key, x.born+s.lifetime(x)) {", New: "if x == nil || x.sending {"},
 	{Name: "unsafe-resent", File: "internal/coap/caller/caller.go", Breaks: "an unsafe request is sent again to a server that may have started anew",
 		Old: "once := a.req.Unsafe && a.whole", New: "once := false && a.whole"},
 	{Name: "echo-proves", File: "internal/coap/caller/caller.go", Breaks: "a demand for an Echo counts as proof though the request carried one",
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -82,6 +82,9 @@
 	// up to four times (RFC 7252, section 4.8).
 	Servers    bool          `toml:"servers"`
 	AckTimeout time.Duration `toml:"ack_timeout" min:"20ms" max:"10s"`
+	// State is a file that lasts over processes, in which one leaves at its end what
+	// the next has to know. Where it is not there, no process ran before.
+	State string `toml:"state"`
 	// First says that no process ran here before this one: unsafe requests run from
 	// the first moment. Otherwise those without an Echo fail for the first 247 s.
 	First bool `toml:"first"`
@@ -166,6 +169,12 @@
 	if c.Kept < c.Open {
 		say("coap.kept", strconv.Itoa(c.Kept), fmt.Sprintf("%d (coap.open) or more", c.Open))
 	}
+	if c.State != "" && !strings.HasPrefix(c.State, "/") {
+		say("coap.state", strconv.Quote(c.State), "an absolute path")
+	}
+	if c.State != "" && c.First {
+		say("coap.first", "it beside coap.state", "one of them")
+	}
 	if f.Handover.Socket != "" {
 		say("coap.listen", "it beside handover.socket", "one of them: a hand-over does not carry what CoAP remembers yet")
 	}
