No message ID comes again while its message may be repeated

Cause: a client forgot a server as soon as nothing was out, and began with a drawn ID at the next request.

Change: IDs go on in order for as long as the last may be repeated. When all 65,536 were given within 247 s there is no room; call servers over CoAP are asked through up to 16 sockets, 265 requests a second each.

--- a/internal/coap/caller/caller.go
+++ b/internal/coap/caller/caller.go
@@ -130,6 +130,9 @@
 // Counts are what its message layer did.
 func (c *Caller) Counts() exchange.Counts { return c.ex.Counts() }
 
+// HasRoom tells whether an attempt could begin now: whether there is an ID left.
+func (c *Caller) HasRoom(now time.Duration) bool { return c.ex.HasRoom(now, c.peer) }
+
 // Open is how many attempts are under way.
 func (c *Caller) Open() int { return len(c.byName) }
 
--- a/internal/coap/exchange/client.go
+++ b/internal/coap/exchange/client.go
@@ -46,6 +46,39 @@
 	queue []*clientExchange
 	ids   uint16
 	used  map[uint16]bool // IDs of the exchanges that are not over
+	// laps are when IDs of each chunk were last given: one may come again only when
+	// no message with it can still be repeated (section 4.4).
+	laps [1 << 16 / chunkIDs]time.Duration
+	last time.Duration // of the latest ID
+}
+
+const (
+	chunkIDs = 1 << 10
+	// mostServers bounds what is known of servers that were asked lately.
+	mostServers = 4096
+)
+
+// nextID gives an ID that no message of the last lifetime had; false where all
+// have been given: 65,536 in a lifetime, 265 a second for good.
+func (s *server) nextID(now, lifetime time.Duration) (uint16, bool) {
+	for {
+		next := s.ids + 1
+		if at := s.laps[next/chunkIDs]; next%chunkIDs == 0 && at > 0 && now-at < lifetime {
+			return 0, false
+		}
+		s.ids = next
+		s.laps[next/chunkIDs], s.last = max(now, 1), now
+		if !s.used[next] {
+			return next, true
+		}
+	}
+}
+
+// freshID tells whether nextID would give one.
+func (s *server) freshID(now, lifetime time.Duration) bool {
+	next := s.ids + 1
+	at := s.laps[next/chunkIDs]
+	return next%chunkIDs != 0 || at == 0 || now-at >= lifetime
 }
 
 // tokenKey names a request for its answer.
@@ -117,10 +150,10 @@
 		c.counts.TurnedAway++
 		return c.done(), false
 	}
-	s := c.servers[peer]
-	if s == nil {
-		s = &server{ids: uint16(c.rng.Uint32()), used: map[uint16]bool{}}
-		c.servers[peer] = s
+	s := c.server(now, peer)
+	if s == nil || !s.freshID(now, c.p.ExchangeLifetime()) {
+		c.counts.TurnedAway++
+		return c.done(), false
 	}
 	x := &clientExchange{handle: handle, peer: peer, confirm: m.Type == message.Confirmable, once: once, msg: m}
 	x.token = c.rng.Uint64()
@@ -138,15 +171,44 @@
 	return c.done(), true
 }
 
+// server is what is known of one, and stays known as long as an ID that it was
+// sent must not come again; nil where there are too many.
+func (c *Client) server(now time.Duration, peer Peer) *server {
+	if s := c.servers[peer]; s != nil {
+		return s
+	}
+	if len(c.servers) >= mostServers {
+		for p, s := range c.servers {
+			if s.out == 0 && len(s.used) == 0 && len(s.queue) == 0 && now-s.last >= c.p.ExchangeLifetime() {
+				delete(c.servers, p)
+			}
+		}
+		if len(c.servers) >= mostServers {
+			return nil
+		}
+	}
+	s := &server{ids: uint16(c.rng.Uint32()), used: map[uint16]bool{}, last: now}
+	// The chunk that it begins in is not given a second time either.
+	s.laps[s.ids/chunkIDs] = max(now, 1)
+	c.servers[peer] = s
+	return s
+}
+
+// HasRoom tells whether a request to a server could be asked now.
+func (c *Client) HasRoom(now time.Duration, peer Peer) bool {
+	s := c.servers[peer]
+	return len(c.byName) < c.lim.Open && (s == nil || s.freshID(now, c.p.ExchangeLifetime()))
+}
+
 // start sends a request for the first time.
 func (c *Client) start(now time.Duration, s *server, x *clientExchange) {
-	for {
-		s.ids++
-		if !s.used[s.ids] {
-			break
-		}
+	id, ok := s.nextID(now, c.p.ExchangeLifetime())
+	if !ok {
+		// Nothing left: proven.
+		c.fail(now, x, Refused, 0)
+		return
 	}
-	x.id = s.ids
+	x.id = id
 	s.used[x.id] = true
 	s.out++
 	x.state = sent
@@ -210,9 +272,6 @@
 	delete(c.byTok, tokenKey{x.peer, x.token})
 	delete(c.byName, x.handle)
 	c.next(now, s)
-	if s.out == 0 && len(s.used) == 0 && len(s.queue) == 0 {
-		delete(c.servers, x.peer)
-	}
 }
 
 // next sends what waits for a server, as far as NStart allows.
--- a/internal/coapupstream/pool.go
+++ b/internal/coapupstream/pool.go
@@ -30,7 +30,7 @@
 	seeds atomic.Uint64
 }
 
-// New returns a pool of at most so many sockets, one for each call server.
+// New returns a pool of at most so many sockets.
 func New(set caller.Settings, most int) *Pool {
 	// What the engine sends goes out at once: the decision module bounds a
 	// server's load, and a request that waited here would not be seen by it.
@@ -46,13 +46,26 @@
 // Sockets is how many are open.
 func (p *Pool) Sockets() int { return int(p.open.Load()) }
 
+// mostLanes bounds the sockets to one call server. Each gives 65,536 message IDs in
+// 247 s (RFC 7252, section 4.4), 265 a second for good.
+const mostLanes = 16
+
 // host is a call server at one address since one start.
 type host struct {
 	pool *Pool
 	addr string
 
 	mu      sync.Mutex
-	conn    *net.UDPConn // nil until it is needed
+	lanes   []*lane
+	retired bool
+}
+
+// lane is one socket to a call server.
+type lane struct {
+	host *host
+
+	mu      sync.Mutex
+	conn    *net.UDPConn // nil until it is needed, and once it is closed
 	caller  *caller.Caller
 	start   time.Time
 	timer   *time.Timer
@@ -65,46 +78,80 @@
 // CloseIdle does nothing: a socket is no connection, and costs a server nothing.
 func (h *host) CloseIdle() {}
 
-// Retire closes the socket once nothing is out on it.
+// Retire closes the sockets once nothing is out on them.
 func (h *host) Retire() {
+	h.mu.Lock()
+	h.retired = true
+	lanes := h.lanes
+	h.mu.Unlock()
+	for _, l := range lanes {
+		l.retire()
+	}
+}
+
+// lane returns the first lane with an ID left, or one more; nil where there are
+// too many.
+func (h *host) lane() *lane {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, l := range h.lanes {
+		if l.hasRoom() {
+			return l
+		}
+	}
+	if len(h.lanes) == mostLanes {
+		return nil
+	}
+	l := &lane{host: h, retired: h.retired}
+	h.lanes = append(h.lanes, l)
+	return l
+}
+
+func (h *lane) hasRoom() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.conn == nil || h.caller.HasRoom(h.now())
+}
+
+func (h *lane) retire() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.retired = true
 	h.rest()
 }
 
-// rest closes a retired host's socket if nothing is out. The mutex is held.
-func (h *host) rest() {
+// rest closes a retired lane's socket if nothing is out. The mutex is held.
+func (h *lane) rest() {
 	if h.retired && len(h.waiting) == 0 && h.conn != nil {
 		h.conn.Close()
 		h.timer.Stop()
 		h.conn = nil
-		h.pool.open.Add(-1)
+		h.host.pool.open.Add(-1)
 	}
 }
 
 // up opens the socket. The mutex is held.
-func (h *host) up() error {
+func (h *lane) up() error {
 	if h.conn != nil {
 		return nil
 	}
-	peer, err := netip.ParseAddrPort(h.addr)
+	peer, err := netip.ParseAddrPort(h.host.addr)
 	if err != nil {
 		return err
 	}
-	if h.pool.open.Add(1) > int64(h.pool.most) {
-		h.pool.open.Add(-1)
+	if h.host.pool.open.Add(1) > int64(h.host.pool.most) {
+		h.host.pool.open.Add(-1)
 		return errors.New("no socket left")
 	}
-	set := h.pool.set
-	set.Seed ^= h.pool.seeds.Add(0x9e3779b97f4a7c15)
+	set := h.host.pool.set
+	set.Seed ^= h.host.pool.seeds.Add(0x9e3779b97f4a7c15)
 	c, err := caller.New(set, peer)
 	var conn *net.UDPConn
 	if err == nil {
 		conn, err = net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(peer))
 	}
 	if err != nil {
-		h.pool.open.Add(-1)
+		h.host.pool.open.Add(-1)
 		return err
 	}
 	h.conn, h.caller, h.start = conn, c, time.Now()
@@ -114,10 +161,10 @@
 	return nil
 }
 
-func (h *host) now() time.Duration { return time.Since(h.start) }
+func (h *lane) now() time.Duration { return time.Since(h.start) }
 
 // read takes what comes until the socket is closed.
-func (h *host) read(conn *net.UDPConn) {
+func (h *lane) read(conn *net.UDPConn) {
 	buf := make([]byte, message.MostDatagram+1)
 	for {
 		n, err := conn.Read(buf)
@@ -136,7 +183,7 @@
 	}
 }
 
-func (h *host) tick(conn *net.UDPConn) {
+func (h *lane) tick(conn *net.UDPConn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.conn == conn {
@@ -146,7 +193,7 @@
 
 // carry does what the caller decided. The mutex is held; a datagram that the
 // kernel does not take at once is as good as lost on its way.
-func (h *host) carry(acts []caller.Action) {
+func (h *lane) carry(acts []caller.Action) {
 	for i := 0; i < len(acts); i++ {
 		switch x := &acts[i]; x.Kind {
 		case caller.Commit:
@@ -176,7 +223,7 @@
 }
 
 // drop gives an attempt up.
-func (h *host) drop(handle uint64) {
+func (h *lane) drop(handle uint64) {
 	w := h.waiting[handle]
 	if w == nil {
 		return
@@ -209,7 +256,12 @@
 	if !ok {
 		return
 	}
-	handle, got, err := h.begin(a, left)
+	way := h.lane()
+	if way == nil {
+		a.End(balance.NeverSent, nil)
+		return
+	}
+	handle, got, err := way.begin(a, left)
 	if err != nil {
 		a.End(balance.NeverSent, nil)
 		return
@@ -221,17 +273,17 @@
 			a.End(status, resp)
 		}
 	case <-l.ended:
-		h.mu.Lock()
-		h.drop(handle)
-		h.mu.Unlock()
+		way.mu.Lock()
+		way.drop(handle)
+		way.mu.Unlock()
 	}
-	h.mu.Lock()
-	h.rest()
-	h.mu.Unlock()
+	way.mu.Lock()
+	way.rest()
+	way.mu.Unlock()
 }
 
 // begin sends a request.
-func (h *host) begin(a *engine.Attempt, left time.Duration) (uint64, chan caller.Action, error) {
+func (h *lane) begin(a *engine.Attempt, left time.Duration) (uint64, chan caller.Action, error) {
 	m := a.Call.Form.Neutral()
 	r := caller.Request{
 		Unsafe: !m.Safe, Safe: m.Safe, Target: m.Target, ID: m.ID, Idempotency: m.Idempotency, Tenant: m.Tenant, Key: m.Key, Again: m.Again,
