A hand-over carries CoAP: the socket, and what may be repeated

Need: a device's repeat that comes after a hand-over must not run again, and the new process must not ask everyone for an Echo.

Change: the descriptor goes beside the listener's; once it reads no more the old process writes its table over the same connection, and goes on answering what it has open through the socket. The new one gives repeats of that no answer until the old one has ended. If the new one ends early, the old one reads again and trusts nothing unsafe. Observers are told to register anew.

In rig coap's test by hand-over under losses no rule breaks.

--- a/cmd/rig/coap.go
+++ b/cmd/rig/coap.go
@@ -30,14 +30,16 @@
 	servers := f.Int("servers", 8, "call servers, 2 to 50; every other one speaks CoAP where both do")
 	echo := f.Bool("echo", true, "call servers over CoAP enforce Echo")
 	deviceEcho := f.Bool("device-echo", true, "the devices know Echo")
-	kill := f.Bool("kill", false, "kill each sidecar once")
-	term := f.Bool("term", false, "end and start each sidecar once")
+	restart := f.String("restart", "none", "restart each sidecar once: none, kill, term or handover")
 	crash := f.Bool("crash", false, "kill each call server over CoAP twice; it is back at once")
 	prog := f.String("program", "", "the sidecar to run; empty for the one beside this program")
 	return func(ctx context.Context, _ []string, out io.Writer) error {
 		if !slices.Contains(mixes, *mix) {
 			return fmt.Errorf("%w: -mix: found %q, wanted one of %s", errUsage, *mix, strings.Join(mixes, ", "))
 		}
+		if !slices.Contains([]string{"none", "kill", "term", "handover"}, *restart) {
+			return fmt.Errorf("%w: -restart: found %q, wanted none, kill, term or handover", errUsage, *restart)
+		}
 		if *drop == 1 {
 			return fmt.Errorf("%w: -drop: found 1, wanted 0, or 2 and more", errUsage)
 		}
@@ -72,7 +74,10 @@
 		if *rate == 0 {
 			*rate = rig.Capacity(*servers) / 2
 		}
-		run := rig.CoAPRun{For: *length, NoEcho: !*deviceEcho, Kill: *kill, Term: *term, Crash: *crash, Seed: *seed}
+		run := rig.CoAPRun{For: *length, NoEcho: !*deviceEcho, Crash: *crash, Seed: *seed}
+		if *restart != "none" {
+			run.Restart = rig.Mode(*restart)
+		}
 		switch {
 		case *mix == "all":
 			run.HTTP, run.CoAP = *rate/2, *rate/2
--- a/internal/coap/exchange/carry.go
+++ b/internal/coap/exchange/carry.go
@@ -11,11 +11,14 @@
 
 // What a later process has to know of a Server's unsafe exchanges, so that none
 // of them runs again when it is repeated: a hash each, and until when it may be.
-// Of what is not answered the later one knows no more than that it may have run.
+// Of what is not answered by then the later one knows that the earlier one may
+// still answer it, which it does where it only drains.
 
 const (
-	carryMagic = "otterspring coap exchanges 1\n"
-	entryBytes = 8 + 4 // hash, milliseconds until it can't be repeated any more
+	carryMagic = "otterspring coap exchanges 2\n"
+	entryBytes = 8 + 4 + 1 // hash, milliseconds until it can't be repeated any more, flags
+	flagOpen   = 1         // it has no answer yet
+	flagUnsafe = 2
 	// MostCarried bounds what is read.
 	MostCarried = 64 << 20
 )
@@ -34,20 +37,28 @@
 func (s *Server) Carry(now time.Duration) []byte {
 	s.old.age(now)
 	b := append([]byte(carryMagic), s.old.key[:]...)
-	entry := func(h uint64, ends time.Duration) {
+	entry := func(h uint64, ends time.Duration, flags byte) {
 		if ends > now {
 			b = binary.BigEndian.AppendUint64(b, h)
 			b = binary.BigEndian.AppendUint32(b, uint32(min((ends-now+time.Millisecond-1)/time.Millisecond, 1<<32-1)))
+			b = append(b, flags)
 		}
 	}
 	for k, x := range s.byKey {
+		flags := byte(0)
 		if x.unsafe {
-			entry(s.old.hash(k), x.born+s.lifetime(x))
+			flags |= flagUnsafe
+		}
+		if !x.answered {
+			flags |= flagOpen
+		}
+		if flags != 0 {
+			entry(s.old.hash(k), x.born+s.lifetime(x), flags)
 		}
 	}
 	for i := range s.old.parts {
 		for h := range s.old.parts[i].has {
-			entry(h, s.old.parts[i].ends)
+			entry(h, s.old.parts[i].ends, flagUnsafe)
 		}
 	}
 	sum := sha256.Sum256(b)
@@ -55,29 +66,41 @@
 }
 
 // Continue takes what an earlier process wrote, age ago. It must be called before
-// anything was received. All of it is taken or, with an error, nothing.
-func (s *Server) Continue(now, age time.Duration, text []byte) error {
+// anything was received. All of it is taken or, with an error, nothing. Where that
+// process still answers what it has open, draining says so: repeats of those get
+// no answer here until Alone.
+func (s *Server) Continue(now, age time.Duration, text []byte, draining bool) error {
 	const head = len(carryMagic) + 16
 	n := len(text) - head - sha256.Size
 	switch {
 	case len(s.byKey) > 0 || s.old.count > 0:
 		return fmt.Errorf("%w: found exchanges of this process, wanted none yet", ErrCarried)
 	case n < 0 || len(text) > MostCarried || string(text[:len(carryMagic)]) != carryMagic || n%entryBytes != 0:
-		return fmt.Errorf("%w: found %d bytes that are none, wanted a whole table of version 1", ErrCarried, len(text))
+		return fmt.Errorf("%w: found %d bytes that are none, wanted a whole table of version 2", ErrCarried, len(text))
 	}
 	sum := sha256.Sum256(text[:head+n])
 	if string(sum[:]) != string(text[head+n:]) {
 		return fmt.Errorf("%w: found another checksum than it has, wanted a whole table", ErrCarried)
 	}
 	next := newSettledSet([16]byte(text[len(carryMagic):head]), s.p.ExchangeLifetime(), max(s.lim.Settled, n/entryBytes))
+	elsewhere := map[uint64]bool{}
 	for rest := text[head : head+n]; len(rest) > 0; rest = rest[entryBytes:] {
 		left := time.Duration(binary.BigEndian.Uint32(rest[8:])) * time.Millisecond
 		if left > 2*s.p.ExchangeLifetime() {
 			return fmt.Errorf("%w: found an exchange that lasts %v, wanted %v at most", ErrCarried, left, 2*s.p.ExchangeLifetime())
 		}
-		next.addHash(now, binary.BigEndian.Uint64(rest), now+left-max(0, age))
+		h, flags := binary.BigEndian.Uint64(rest), rest[12]
+		if flags&flagOpen != 0 && draining {
+			elsewhere[h] = true
+		}
+		if flags&flagUnsafe != 0 {
+			next.addHash(now, h, now+left-max(0, age))
+		}
 	}
 	next.most = s.lim.Settled
-	s.old = next
+	s.old, s.elsewhere = next, elsewhere
 	return nil
 }
+
+// Alone says that the process before has ended: nothing is answered elsewhere.
+func (s *Server) Alone() { s.elsewhere = nil }
--- a/internal/coap/exchange/carry_test.go
+++ b/internal/coap/exchange/carry_test.go
@@ -41,7 +41,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := s.Continue(0, age, text); err != nil {
+		if err := s.Continue(0, age, text, false); err != nil {
 			t.Fatal(err)
 		}
 		return s
@@ -62,17 +62,37 @@
 		t.Error("one that can't be repeated any more is still held against its id")
 	}
 
+	// While the one before still answers what it has open, repeats of that get no
+	// answer here; all else is as before.
+	s = func() *Server {
+		s, _ := NewServer(Defaults(), Limits{Open: 4, Kept: 4, Settled: 100}, 2)
+		if err := s.Continue(0, 0, text, true); err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}()
+	if ran, sent := post(s, time.Second, 99, message.POST); ran || sent != 0 {
+		t.Errorf("one that is open at the process before: ran %v, answered %v", ran, sent)
+	}
+	if ran, sent := post(s, time.Second, 7, message.POST); ran || sent != message.BadGateway {
+		t.Errorf("one that it has answered: ran %v, answered %v", ran, sent)
+	}
+	s.Alone()
+	if ran, sent := post(s, time.Second, 99, message.POST); ran || sent != message.BadGateway {
+		t.Errorf("once that has ended: ran %v, answered %v", ran, sent)
+	}
+
 	// Whatever is wrong with it, nothing is taken.
 	for name, bad := range map[string][]byte{
-		"empty": nil, "cut": text[:len(text)-1], "cut by an entry": append(bytes.Clone(text[:len(text)-44]), text[len(text)-32:]...),
-		"another bit": append(append(bytes.Clone(text[:60]), text[60]^1), text[61:]...), "another version": append([]byte("otterspring coap exchanges 2\n"), text[len(carryMagic):]...),
+		"empty": nil, "cut": text[:len(text)-1], "cut by an entry": append(bytes.Clone(text[:len(text)-45]), text[len(text)-32:]...),
+		"another bit": append(append(bytes.Clone(text[:60]), text[60]^1), text[61:]...), "another version": append([]byte("otterspring coap exchanges 1\n"), text[len(carryMagic):]...),
 	} {
 		s, _ := NewServer(Defaults(), Limits{Open: 4, Kept: 4, Settled: 100}, 2)
-		if err := s.Continue(0, 0, bad); !errors.Is(err, ErrCarried) || s.old.count != 0 {
+		if err := s.Continue(0, 0, bad, false); !errors.Is(err, ErrCarried) || s.old.count != 0 {
 			t.Errorf("%s: %v, %d taken", name, err, s.old.count)
 		}
 	}
-	if err := s.Continue(0, 0, text); !errors.Is(err, ErrCarried) {
+	if err := s.Continue(0, 0, text, false); !errors.Is(err, ErrCarried) {
 		t.Errorf("into a server that has exchanges: %v", err)
 	}
 }
@@ -84,7 +104,7 @@
 	f.Add([]byte(carryMagic))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		s, _ := NewServer(Defaults(), Limits{Open: 1, Kept: 1, Settled: 10}, 1)
-		if err := s.Continue(0, 0, text); err == nil && !bytes.HasPrefix(text, []byte(carryMagic)) {
+		if err := s.Continue(0, 0, text, false); err == nil && !bytes.HasPrefix(text, []byte(carryMagic)) {
 			t.Error("taken")
 		}
 	})
--- a/internal/coap/exchange/server.go
+++ b/internal/coap/exchange/server.go
@@ -81,15 +81,17 @@
 	byOwn  map[key]*serverExchange // by the IDs of answers that go as messages of their own
 	handle map[uint64]*serverExchange
 	old    *settledSet
-	kept   [2]line // answered ones: safe to run again, and not
-	open   int
-	notes  int // notifications that wait for their acknowledgement
-	bytes  int
-	last   uint64
-	ids    uint16
-	timers timers[*serverExchange]
-	acts   []Action
-	counts Counts
+	// elsewhere are hashes of exchanges that another process still answers.
+	elsewhere map[uint64]bool
+	kept      [2]line // answered ones: safe to run again, and not
+	open      int
+	notes     int // notifications that wait for their acknowledgement
+	bytes     int
+	last      uint64
+	ids       uint16
+	timers    timers[*serverExchange]
+	acts      []Action
+	counts    Counts
 }
 
 // NewServer returns a Server that remembers nothing. All its chance comes from
@@ -233,6 +235,10 @@
 		s.repeat(x)
 		return
 	}
+	if len(s.elsewhere) > 0 && s.elsewhere[s.old.hash(k)] {
+		s.counts.DedupHits++
+		return
+	}
 	if s.old.has(now, k) {
 		s.counts.DedupHits++
 		if m.Type == message.Confirmable {
--- a/internal/coap/gate/gate.go
+++ b/internal/coap/gate/gate.go
@@ -83,8 +83,6 @@
 	// come again: a first start, one after a stop in order, or a hand-over that
 	// brought the table.
 	Clean bool
-	// CleanIn is how long with Clean the earlier process still had to wait itself.
-	CleanIn time.Duration
 	// Demand answers every unsafe request without a fresh Echo with 4.01 and one, in
 	// every life: what a call server does that wants its clients to repeat safely
 	// over its restarts. Clean and the age of this life mean nothing then.
@@ -255,9 +253,36 @@
 }
 
 // Continue takes what an earlier process wrote, age ago, before anything was
-// received.
-func (g *Gate) Continue(now, age time.Duration, text []byte) error {
-	return g.ex.Continue(now, age, text)
+// received: from then on nothing is unknown but what was so there, for cleanIn more.
+// draining says that it still answers what it has open, until Alone.
+func (g *Gate) Continue(now, age time.Duration, text []byte, cleanIn time.Duration, draining bool) error {
+	if err := g.ex.Continue(now, age, text, draining); err != nil {
+		return err
+	}
+	g.begun, g.cleanAt = true, now+max(0, cleanIn-age)
+	return nil
+}
+
+// Alone says that the process before has ended.
+func (g *Gate) Alone() { g.ex.Alone() }
+
+// Distrust says that another process has taken requests that this one knows
+// nothing of, until now.
+func (g *Gate) Distrust(now time.Duration) {
+	g.begun, g.cleanAt = true, now+g.set.Params.ExchangeLifetime()
+}
+
+// EndObservations tells every observer that it will hear no more from here: it
+// registers anew, with whoever has the address then.
+func (g *Gate) EndObservations(now time.Duration, acts []Action) []Action {
+	g.acts = acts
+	for o := g.watch.first; o != nil; o = g.watch.first {
+		if sent, _, err := g.ex.Notify(now, o.id.peer, []byte(o.id.token), refusal(message.ServiceUnavailable, 0), nil); err == nil {
+			g.carry(now, sent, 0)
+		}
+		g.watch.remove(o)
+	}
+	return g.done()
 }
 
 // Resume takes new requests again.
@@ -274,7 +299,7 @@
 	if g.begun {
 		return
 	}
-	g.begun, g.cleanAt = true, now+g.set.CleanIn
+	g.begun, g.cleanAt = true, now
 	if !g.set.Clean {
 		g.cleanAt = now + g.set.Params.ExchangeLifetime()
 	}
--- a/internal/coapfront/front.go
+++ b/internal/coapfront/front.go
@@ -5,12 +5,14 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,10 +39,12 @@
 	open  map[uint64]*request
 	timer *time.Timer
 	rng   *rand.Rand
-	over  bool // a note was left
+	over  bool // nothing is taken: a note was left, or another process has the socket
+	given bool // another process has the socket, and what is remembered
 
 	answered chan *request // holds every open request at most once
 	ended    chan struct{}
+	reads    chan struct{} // lets Serve read
 	once     sync.Once
 	wg       sync.WaitGroup
 	unsent   atomic.Int64
@@ -86,6 +90,9 @@
 	// State is the file in which a process leaves what the next one has to know;
 	// empty for none: what Gate says of earlier processes holds then.
 	State string
+	// Conn is the socket of a process that hands over, nil to listen anew. Nothing is
+	// read from it before Inherit or Distrust.
+	Conn *net.UDPConn
 }
 
 // Listen opens the socket. Nothing is read before Serve.
@@ -100,15 +107,25 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
-	if err != nil {
-		return nil, fmt.Errorf("coap: listen: %w", err)
+	conn := set.Conn
+	if conn == nil {
+		if conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr)); err != nil {
+			return nil, fmt.Errorf("coap: listen: %w", err)
+		}
+	} else if at := conn.LocalAddr().String(); at != set.Listen {
+		return nil, fmt.Errorf("coap: listen: found a socket on %s handed over, wanted one on %s", at, set.Listen)
 	}
 	f := &Front{
 		life: l, conn: conn, eng: eng, bodies: set.Bodies, start: time.Now(), gate: g, open: map[uint64]*request{},
 		// Not of the configuration's seed: a process that starts with the same one
 		// again would make the same ids again.
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), answered: make(chan *request, set.Gate.Limits.Open+set.Gate.Observers), ended: make(chan struct{}),
+		reads: make(chan struct{}, 1),
+	}
+	if set.Conn == nil {
+		f.reads <- struct{}{}
+	} else {
+		f.over = true // until it is known what the process before has run
 	}
 	f.timer = time.AfterFunc(time.Hour, f.tick)
 	return f, nil
@@ -125,15 +142,12 @@
 		return nil, nil, err
 	}
 	set.Gate.Clean = clean
-	if left != nil {
-		set.Gate.CleanIn = max(0, time.Duration(left.CleanMS)*time.Millisecond-left.age())
-	}
 	g, err := gate.New(set.Gate)
 	if err != nil {
 		return nil, nil, err
 	}
 	if left != nil {
-		if err := g.Continue(0, left.age(), left.Table); err != nil {
+		if err := g.Continue(0, left.age(), left.Table, time.Duration(left.CleanMS)*time.Millisecond, false); err != nil {
 			why = err.Error()
 			set.Gate.Clean = false
 			if g, err = gate.New(set.Gate); err != nil {
@@ -141,7 +155,7 @@
 			}
 		}
 	}
-	if why != "" {
+	if why != "" && set.Conn == nil {
 		slog.Warn("coap: unsafe requests need an Echo for a while", "why", why, "state", set.State, "for", set.Gate.Params.ExchangeLifetime())
 	}
 	return l, g, nil
@@ -170,11 +184,24 @@
 func (f *Front) Serve() {
 	f.wg.Add(1)
 	go f.answer()
+	defer f.wg.Wait()
+	for {
+		select {
+		case <-f.reads:
+			f.read()
+		case <-f.ended:
+			return
+		}
+	}
+}
+
+// read reads until the socket is closed, or another process reads it.
+func (f *Front) read() {
 	buf := make([]byte, message.MostDatagram+1)
 	for {
 		n, peer, err := f.conn.ReadFromUDPAddrPort(buf)
-		if errors.Is(err, net.ErrClosed) {
-			break
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+			return
 		}
 		if err != nil {
 			continue // what an earlier datagram met: an ICMP refusal, say
@@ -188,7 +215,72 @@
 		}
 		f.carry(f.gate.Receive(f.now(), peer, buf[:n], nil))
 	}
-	f.wg.Wait()
+}
+
+// Socket is the socket, for a process that takes over.
+func (f *Front) Socket() *net.UDPConn { return f.conn }
+
+// Give stops taking requests for a process that has the socket, too, and returns
+// what that one has to know, for Inherit. What is open is answered from here.
+// Observers are told to register anew.
+func (f *Front) Give() []byte {
+	f.mu.Lock()
+	f.over, f.given = true, true
+	f.conn.SetReadDeadline(engine.Past)
+	table, cleanIn := f.gate.Carry(f.now())
+	f.carry(f.gate.EndObservations(f.now(), nil))
+	return append(binary.BigEndian.AppendUint64(nil, uint64(cleanIn)), table...)
+}
+
+// TakeBack takes requests again after Give, where the other process has ended: it
+// may have run what this one knows nothing of.
+func (f *Front) TakeBack() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.given {
+		f.given = false
+		f.gate.Distrust(f.now())
+		f.resume()
+	}
+}
+
+// Inherit takes what the process before has given, and begins to read; without a
+// table, or with one that can't be read, as after a kill.
+func (f *Front) Inherit(text []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.over || f.given {
+		return // it reads already
+	}
+	err := errors.New("found no table, wanted that of the process before")
+	if len(text) >= 8 {
+		cleanIn := time.Duration(binary.BigEndian.Uint64(text))
+		err = f.gate.Continue(f.now(), 0, text[8:], min(max(0, cleanIn), time.Hour), true)
+	}
+	if err != nil {
+		f.gate.Distrust(f.now())
+		slog.Warn("coap: unsafe requests need an Echo for a while", "why", err)
+	}
+	f.resume()
+}
+
+// Alone says that the process before has ended: what it had open and has not
+// answered is nobody's.
+func (f *Front) Alone() {
+	f.Inherit(nil)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gate.Alone()
+}
+
+// resume lets Serve read. The mutex is held.
+func (f *Front) resume() {
+	f.over = false
+	f.conn.SetReadDeadline(time.Time{})
+	select {
+	case f.reads <- struct{}{}:
+	default:
+	}
 }
 
 // tick is called when the gate has something to do.
@@ -318,6 +410,10 @@
 		return
 	}
 	f.mu.Lock()
+	if f.given {
+		f.mu.Unlock()
+		return // the other process knows
+	}
 	f.over = true
 	table, cleanIn := f.gate.Carry(f.now())
 	f.mu.Unlock()
--- a/internal/coapfront/note_test.go
+++ b/internal/coapfront/note_test.go
@@ -95,7 +95,7 @@
 	}
 	// What one life did not know, a later one with a note does not know either.
 	want("after a stop in order of one that knew nothing", play(t, state, up, nil, 7), mayHave)
-	if n := len(up.ran); n != 5 {
+	if n := len(up.counts()); n != 5 {
 		t.Errorf("%d recordings were started, want 5", n)
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -110,7 +110,7 @@
 		}
 		if t != nil {
 			d.taking = t
-			opt = sidecar.Options{Listener: t.Listener, Held: t.Held, Paused: true}
+			opt = sidecar.Options{Listener: t.Listener, Held: t.Held, Packets: t.Packets, Paused: true}
 		}
 	}
 	if d.settings.CoAP.Listen != "" || d.settings.CoAP.Servers {
@@ -180,7 +180,8 @@
 
 // await hears what the old process is told, until that one ends.
 func (d *daemon) await(t *handover.Taking) {
-	t.Await(d.side.Hear)
+	t.Await(d.side.Hear, d.side.InheritCoAP)
+	d.side.AloneOverCoAP()
 	d.side.OffList()
 }
 
@@ -201,6 +202,9 @@
 	d.offer.Close()
 	d.side.OnList(g.Tell)
 	g.Tell(d.side.Held()) // what came since it was given
+	if table := d.side.GiveCoAP(); table != nil {
+		g.Coap(table)
+	}
 	if d.side.Retire(g.Gone()) {
 		g.Done()
 		return true
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -3,13 +3,15 @@
 // descriptor travels beside the line "give":
 //
 //	new: otterspring-handover/1 take ADDRESS   the address that it is to serve
-//	old: give N, then N bytes                  the listener, and the list as the old one holds it
+//	old: give N, then N bytes                  the listener and, where it has one, the socket for CoAP, and the
+//	                                           list as the old one holds it
 //	new: ready                                 it could serve now
 //	old: yours                                 it may accept
 //	new: taken                                 it accepts
 //	old: agreed                                the old one accepts no more, and drains
 //	new: settled                               the old one must not come back any more
 //	both: list N, then N bytes                 the list as this side holds it now, at each change
+//	old: coap N, then N bytes                  it reads that socket no more, and what it remembers
 //	old: done                                  it has answered everything and ends
 //
 // Both processes are one instance: what discovery tells the one the other must
@@ -40,7 +42,7 @@
 
 const (
 	version    = "otterspring-handover/1"
-	mostState  = 8 << 20 // bytes of the list
+	mostState  = 64 << 20 // bytes of the list, or of what is remembered of CoAP
 	mostLine   = 256
 	wordWithin = time.Second // for a line that needs no work
 )
@@ -72,7 +74,8 @@
 // Taking is a hand-over as the new process sees it.
 type Taking struct {
 	Listener *net.TCPListener
-	Held     []byte // the list as the old process held it
+	Held     []byte       // the list as the old process held it
+	Packets  *net.UDPConn // for CoAP; nil where the old process has none
 	conn     *net.UnixConn
 	br       *bufio.Reader
 	path     string
@@ -106,14 +109,28 @@
 	// One that is busy says so and closes, perhaps before this is written: what
 	// it said is there to be read all the same.
 	fmt.Fprintf(t.conn, "%s take %s\n", version, addr)
-	line, fd, err := t.receive()
+	line, fds, err := t.receive()
 	if err != nil {
 		return err
 	}
+	fd := -1
+	if len(fds) > 0 {
+		fd = fds[0]
+	}
+	defer func() {
+		for _, extra := range fds[min(2, len(fds)):] {
+			closeFD(extra)
+		}
+	}()
+	packets := -1
+	if len(fds) > 1 {
+		packets = fds[1]
+	}
 	size, ok := strings.CutPrefix(line, "give ")
 	n, err := strconv.Atoi(size)
 	if !ok || err != nil || n < 0 || n > mostState {
 		closeFD(fd)
+		closeFD(packets)
 		if why, no := strings.CutPrefix(line, "no "); no {
 			return fmt.Errorf("turned away: %s", why)
 		}
@@ -123,8 +140,14 @@
 		return errors.New("found no descriptor, wanted that of the listener")
 	}
 	if t.Listener, err = listener(fd, addr); err != nil {
+		closeFD(packets)
 		return err
 	}
+	if packets >= 0 {
+		if t.Packets, err = packetConn(packets); err != nil {
+			return err
+		}
+	}
 	t.Held = make([]byte, n)
 	if _, err := io.ReadFull(t.br, t.Held); err != nil {
 		return fmt.Errorf("reading the list: %w", err)
@@ -132,37 +155,36 @@
 	return nil
 }
 
-// receive reads the first answer: a line, with a descriptor or -1.
-func (t *Taking) receive() (line string, fd int, err error) {
-	fd = -1
+// receive reads the first answer: a line, with the descriptors beside it.
+func (t *Taking) receive() (line string, fds []int, err error) {
+	closeAll := func() {
+		for _, fd := range fds {
+			closeFD(fd)
+		}
+		fds = nil
+	}
 	buf, oob := make([]byte, mostLine), make([]byte, unix.CmsgSpace(4*4))
 	var got []byte
 	for len(got) < mostLine {
 		n, oobn, _, _, err := t.conn.ReadMsgUnix(buf[:1], oob)
-		if fds := rights(oob[:oobn]); len(fds) > 0 {
-			for _, extra := range fds[1:] {
-				closeFD(extra)
-			}
-			closeFD(fd)
-			fd = fds[0]
-		}
+		fds = append(fds, rights(oob[:oobn])...)
 		if err != nil || n == 0 {
-			closeFD(fd)
+			closeAll()
 			if err == nil || errors.Is(err, io.EOF) {
-				return "", -1, errors.New("found a close, wanted a sidecar that gives its listener")
+				return "", nil, errors.New("found a close, wanted a sidecar that gives its listener")
 			}
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				return "", -1, errors.New("found silence, wanted a sidecar that gives its listener")
+				return "", nil, errors.New("found silence, wanted a sidecar that gives its listener")
 			}
-			return "", -1, err
+			return "", nil, err
 		}
 		if buf[0] == '\n' {
-			return string(got), fd, nil
+			return string(got), fds, nil
 		}
 		got = append(got, buf[0])
 	}
-	closeFD(fd)
-	return "", -1, fmt.Errorf("found %s, wanted a sidecar that gives its listener", shown(string(got)))
+	closeAll()
+	return "", nil, fmt.Errorf("found %s, wanted a sidecar that gives its listener", shown(string(got)))
 }
 
 // rights returns the descriptors of control messages.
@@ -208,6 +230,23 @@
 	return tcp, nil
 }
 
+// packetConn makes a socket for datagrams of a descriptor that was given.
+func packetConn(fd int) (*net.UDPConn, error) {
+	unix.CloseOnExec(fd)
+	f := os.NewFile(uintptr(fd), "packets")
+	defer f.Close() // FilePacketConn has its own
+	c, err := net.FilePacketConn(f)
+	if err != nil {
+		return nil, fmt.Errorf("the second descriptor given: %w", err)
+	}
+	u, ok := c.(*net.UDPConn)
+	if !ok {
+		c.Close()
+		return nil, errors.New("found a second descriptor that is no UDP socket, wanted one")
+	}
+	return u, nil
+}
+
 // Ready tells that the new process could serve, and waits until it may accept.
 // After an error it must end without having accepted anything: the old process
 // goes on.
@@ -254,8 +293,9 @@
 }
 
 // Await returns when the old process has ended its drain or is gone. Meanwhile
-// it hands every list that the old one was told to hear.
-func (t *Taking) Await(hear func(list []byte)) {
+// it hands every list that the old one was told to hear, and what that one
+// remembers of CoAP to coap.
+func (t *Taking) Await(hear, coap func(text []byte)) {
 	defer t.conn.Close()
 	t.conn.SetReadDeadline(time.Time{})
 	for {
@@ -263,7 +303,11 @@
 		if err != nil || line == "done" {
 			return
 		}
-		if !readList(t.br, line, hear) {
+		into := hear
+		if rest, ok := strings.CutPrefix(line, "coap "); ok {
+			line, into = "list "+rest, coap
+		}
+		if !readList(t.br, line, into) {
 			return
 		}
 	}
@@ -300,4 +344,7 @@
 	if t.Listener != nil {
 		t.Listener.Close()
 	}
+	if t.Packets != nil {
+		t.Packets.Close()
+	}
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -18,7 +18,8 @@
 
 // source gives a listener and a list.
 type source struct {
-	ln *net.TCPListener
+	ln      *net.TCPListener
+	packets *net.UDPConn
 
 	mu    sync.Mutex
 	held  string
@@ -26,6 +27,7 @@
 }
 
 func (s *source) Listener() *net.TCPListener { return s.ln }
+func (s *source) Packets() *net.UDPConn      { return s.packets }
 func (s *source) Held() []byte               { s.mu.Lock(); defer s.mu.Unlock(); return []byte(s.held) }
 func (s *source) Hear(l []byte) {
 	s.mu.Lock()
@@ -95,7 +97,7 @@
 	// Lists pass both ways until the end.
 	heard := make(chan string, 2)
 	go func() {
-		tk.Await(func(l []byte) { heard <- string(l) })
+		tk.Await(func(l []byte) { heard <- string(l) }, func(c []byte) { heard <- "coap " + string(c) })
 		heard <- "over"
 	}()
 	g.Tell([]byte("from the old one"))
--- a/internal/handover/offer.go
+++ b/internal/handover/offer.go
@@ -19,8 +19,9 @@
 // Source is what an offering process has to give.
 type Source interface {
 	Listener() *net.TCPListener
-	Held() []byte // the list as it holds it
-	Hear([]byte)  // takes the list that the other process holds
+	Packets() *net.UDPConn // for CoAP; nil for none
+	Held() []byte          // the list as it holds it
+	Hear([]byte)           // takes the list that the other process holds
 }
 
 // Offer offers a listener at a path, to one process at a time.
@@ -155,7 +156,7 @@
 		return fmt.Errorf("found %s, wanted %q", shown(line), want)
 	}
 	c.SetDeadline(time.Now().Add(o.patience))
-	if err := sendListener(c, o.src.Listener(), o.src.Held()); err != nil {
+	if err := sendListener(c, o.src.Listener(), o.src.Packets(), o.src.Held()); err != nil {
 		return err
 	}
 	for _, step := range []struct{ hear, say string }{{"ready", "yours\n"}, {"taken", "agreed\n"}} {
@@ -183,15 +184,29 @@
 // sendListener sends the line "give" with the descriptor beside it, then the
 // list. The descriptor is used in place: no other is needed for it, so this
 // works with all of them in use.
-func sendListener(c *net.UnixConn, ln *net.TCPListener, held []byte) error {
+func sendListener(c *net.UnixConn, ln *net.TCPListener, packets *net.UDPConn, held []byte) error {
 	raw, err := ln.SyscallConn()
 	if err != nil {
 		return err
 	}
 	var sendErr error
-	if err := raw.Control(func(fd uintptr) {
-		_, _, sendErr = c.WriteMsgUnix(fmt.Appendf(nil, "give %d\n", len(held)), unix.UnixRights(int(fd)), nil)
-	}); err != nil {
+	send := func(fds ...int) {
+		_, _, sendErr = c.WriteMsgUnix(fmt.Appendf(nil, "give %d\n", len(held)), unix.UnixRights(fds...), nil)
+	}
+	err = raw.Control(func(fd uintptr) {
+		if packets == nil {
+			send(int(fd))
+			return
+		}
+		second, err := packets.SyscallConn()
+		if err == nil {
+			err = second.Control(func(fd2 uintptr) { send(int(fd), int(fd2)) })
+		}
+		if err != nil {
+			sendErr = err
+		}
+	})
+	if err != nil {
 		return err
 	}
 	if sendErr != nil {
@@ -252,6 +267,13 @@
 // Tell passes the list on to the new process.
 func (g *Giving) Tell(list []byte) { tell(g.conn, list) }
 
+// Coap passes on what this process remembers of CoAP. It reads that socket no
+// more. One that can't be written leaves the other process as after a kill.
+func (g *Giving) Coap(text []byte) {
+	g.conn.SetWriteDeadline(time.Now().Add(wordWithin))
+	g.conn.Write(append(fmt.Appendf(nil, "coap %d\n", len(text)), text...))
+}
+
 // Gone is closed if the new process ends before it has settled.
 func (g *Giving) Gone() <-chan struct{} { return g.gone }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -175,9 +175,6 @@
 	if c.State != "" && c.First {
 		say("coap.first", "it beside coap.state", "one of them")
 	}
-	if f.Handover.Socket != "" {
-		say("coap.listen", "it beside handover.socket", "one of them: a hand-over does not carry what CoAP remembers yet")
-	}
 	return errs
 }
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -51,18 +51,17 @@
 
 func TestBadFilesAreNamed(t *testing.T) {
 	for text, want := range map[string]string{
-		"[drain]\nfinish = \"10\"":                                          "operator.toml:2: drain.finish: found \"10\", wanted a duration",
-		"[drain]\nfinish = \"11m\"":                                         "wanted 1s to 10m",
-		"[handover]\nsocket = \"run/x\"":                                    "wanted an absolute path",
-		"[handover]\nsocket = \"/" + strings.Repeat("x", 120) + "\"":        "wanted 100 at most",
-		"[handoff]\nsocket = \"/run/x\"":                                    "operator.toml:1: handoff: found a key that is not known, wanted one of drain, handover, notify",
-		"[coap]\nlisten = \"0.0.0.0:5683\"":                                 "operator.toml:2: coap.listen: found \"0.0.0.0:5683\", wanted one machine's IP address and a port",
-		"[coap]\nlisten = \"224.0.1.187:5683\"":                             "wanted one machine's IP address and a port",
-		"[coap]\nlisten = \"127.0.0.1:5683\"\nopen = 200\nkept = 100":       "operator.toml:4: coap.kept: found 100, wanted 200 (coap.open) or more",
-		"[coap]\nlisten = \"127.0.0.1:5683\"\ntrusted = [\"10.1.0.0\"]":     "wanted a network like",
-		"[coap]\nobserve_every = \"1ms\"":                                   "wanted 100ms to 10m",
-		"[coap]\nlisten = \"127.0.0.1:1\"\n[handover]\nsocket = \"/run/x\"": "coap.listen: found it beside handover.socket",
-		"[notify]\nsystemd = \"yes\"":                                       "wanted true or false",
+		"[drain]\nfinish = \"10\"":                                      "operator.toml:2: drain.finish: found \"10\", wanted a duration",
+		"[drain]\nfinish = \"11m\"":                                     "wanted 1s to 10m",
+		"[handover]\nsocket = \"run/x\"":                                "wanted an absolute path",
+		"[handover]\nsocket = \"/" + strings.Repeat("x", 120) + "\"":    "wanted 100 at most",
+		"[handoff]\nsocket = \"/run/x\"":                                "operator.toml:1: handoff: found a key that is not known, wanted one of drain, handover, notify",
+		"[coap]\nlisten = \"0.0.0.0:5683\"":                             "operator.toml:2: coap.listen: found \"0.0.0.0:5683\", wanted one machine's IP address and a port",
+		"[coap]\nlisten = \"224.0.1.187:5683\"":                         "wanted one machine's IP address and a port",
+		"[coap]\nlisten = \"127.0.0.1:5683\"\nopen = 200\nkept = 100":   "operator.toml:4: coap.kept: found 100, wanted 200 (coap.open) or more",
+		"[coap]\nlisten = \"127.0.0.1:5683\"\ntrusted = [\"10.1.0.0\"]": "wanted a network like",
+		"[coap]\nobserve_every = \"1ms\"":                               "wanted 100ms to 10m",
+		"[notify]\nsystemd = \"yes\"":                                   "wanted true or false",
 	} {
 		if _, err := Load(write(t, text)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v", text, err)
--- a/internal/rig/coap.go
+++ b/internal/rig/coap.go
@@ -29,7 +29,8 @@
 
 // operatorText is an instance's operator's file with CoAP in it.
 func (w *World) operatorText(in *Instance) string {
-	return fmt.Sprintf("[coap]\nlisten = %q\nservers = true\nstate = %q\nack_timeout = %q\n", in.Addr, w.path(in.Name+".coap"), coapAck)
+	return fmt.Sprintf("[coap]\nlisten = %q\nservers = true\nstate = %q\nack_timeout = %q\n[handover]\nsocket = %q\nready_within = \"1m\"\n",
+		in.Addr, w.path(in.Name+".coap"), coapAck, w.path(in.Name+".sock"))
 }
 
 // linkTo opens a link to an address.
@@ -52,9 +53,11 @@
 	HTTP, CoAP float64 // requests a second over all instances, of each
 	For        time.Duration
 	NoEcho     bool // the devices know nothing of Echo
-	Kill, Term bool // each instance is killed, or ended, and started again once, in the middle half
-	Crash      bool // each call server over CoAP is killed and comes back, twice
-	Seed       uint64
+	// Restart is how each instance is restarted once, in the middle half; empty for
+	// not at all.
+	Restart Mode
+	Crash   bool // each call server over CoAP is killed and comes back, twice
+	Seed    uint64
 }
 
 // CoAPResult is what came of it.
@@ -97,10 +100,10 @@
 			all[kind] = append(all[kind], c)
 			wg.Go(func() { c.Run(ctx, plan) })
 		}
-		if at := time.Duration((0.25 + 0.5*float64(i)/n) * float64(r.For)); r.Kill || r.Term {
+		if at := time.Duration((0.25 + 0.5*float64(i)/n) * float64(r.For)); r.Restart != "" {
 			wg.Go(func() {
 				if wait(ctx, at) {
-					if err := in.Restart(ctx, r.Kill); err != nil {
+					if err := r.restart(ctx, in); err != nil {
 						mu.Lock()
 						res.Errors = append(res.Errors, err)
 						mu.Unlock()
@@ -118,6 +121,13 @@
 	return res, ctx.Err()
 }
 
+func (r *CoAPRun) restart(ctx context.Context, in *Instance) error {
+	if r.Restart == HandOver {
+		return in.HandOver(ctx)
+	}
+	return in.Restart(ctx, r.Restart == Kill)
+}
+
 // crashes kills the call servers over CoAP one by one; each comes back at once,
 // with nothing of what it had seen.
 func (r *CoAPRun) crashes(ctx context.Context, w *World, wg *sync.WaitGroup) {
--- a/internal/rig/coap_test.go
+++ b/internal/rig/coap_test.go
@@ -59,14 +59,14 @@
 	}
 }
 
-// Sidecars are killed, and others ended, while devices repeat what is lost: what
+// Sidecars are killed, ended and handed over while devices repeat what is lost: what
 // an earlier life has run does not run again in the next.
 func TestCoAPRestarts(t *testing.T) {
-	for name, kill := range map[string]bool{"kill": true, "term": false} {
-		t.Run(name, func(t *testing.T) {
+	for _, how := range []Mode{Kill, Term, HandOver} {
+		t.Run(string(how), func(t *testing.T) {
 			t.Parallel()
 			coapWorld(t, CoAPOptions{Echo: true, Faults: lossylink.Faults{Every: 3, Delay: 5 * time.Millisecond}},
-				CoAPRun{CoAP: 40, For: 4 * time.Second, Kill: kill, Term: !kill})
+				CoAPRun{CoAP: 40, For: 4 * time.Second, Restart: how})
 		})
 	}
 }
--- a/internal/sidecar/coap.go
+++ b/internal/sidecar/coap.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"net"
 	"strings"
 
 	"otterspring/internal/coapfront"
@@ -48,6 +49,38 @@
 		s.coap.Refuse()
 	default:
 		s.coap.Resume()
+		s.coap.TakeBack()
+	}
+}
+
+// Packets is the socket for CoAP, for a process that takes over; nil for none.
+func (s *Sidecar) Packets() *net.UDPConn {
+	if s.coap == nil {
+		return nil
+	}
+	return s.coap.Socket()
+}
+
+// GiveCoAP stops taking requests over CoAP and returns what the process that takes
+// over has to know; nil where there is no CoAP.
+func (s *Sidecar) GiveCoAP() []byte {
+	if s.coap == nil {
+		return nil
+	}
+	return s.coap.Give()
+}
+
+// InheritCoAP takes what the process before has given.
+func (s *Sidecar) InheritCoAP(text []byte) {
+	if s.coap != nil {
+		s.coap.Inherit(text)
+	}
+}
+
+// AloneOverCoAP says that the process before has ended.
+func (s *Sidecar) AloneOverCoAP() {
+	if s.coap != nil {
+		s.coap.Alone()
 	}
 }
 
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -72,7 +72,6 @@
 	end := time.Now().Add(s.drainBound())
 	s.front.Pause()
 	s.front.SetDraining(true)
-	s.coapDraining(true)
 	// Connections that are asked on meanwhile get their answer and are closed
 	// with it. The rest are closed between requests.
 	if waitFor(closeIdleAt, abort) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -74,6 +74,8 @@
 	Held []byte
 	// CoAP is what the operator's file says of clients over CoAP; nil for none.
 	CoAP *operator.CoAP
+	// Packets is the socket for CoAP of the process before; nil to listen anew.
+	Packets *net.UDPConn
 	// Paused starts without accepting, until Resume.
 	Paused bool
 }
@@ -120,11 +122,14 @@
 	})
 	if opt.CoAP != nil && opt.CoAP.Listen != "" {
 		set := coapfront.FromOperator(opt.CoAP, cfg.Settings.Classes, httpfront.DeadlineSlack, cfg.Seed, s.front.Budget())
+		set.Conn = opt.Packets
 		if s.coap, err = coapfront.Listen(set, eng); err != nil {
 			stop()
 			return nil, err
 		}
 		go s.coap.Serve()
+	} else if opt.Packets != nil {
+		opt.Packets.Close() // CoAP is off from here on
 	}
 	eng.Members(balance.ListSaved, cfg.Known, 0)
 	if opt.Paused {
