A test that CoAP and HTTP clients who join the same call at once are one effect

Need: the hard case of the issue: same moment, same key, one effect, alike treated.

Change: 30 pairs at one sidecar, four call servers of one pod, half of them over CoAP; the stand-ins count.

--- a/internal/rig/coap_test.go
+++ b/internal/rig/coap_test.go
@@ -2,10 +2,17 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"os"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"otterspring/internal/coap/gate"
+	"otterspring/internal/coap/message"
+	"otterspring/internal/standin/coapclient"
 	"otterspring/internal/standin/lossylink"
 )
 
@@ -70,3 +77,73 @@
 		})
 	}
 }
+
+// A CoAP and an HTTP client join the same call at the same moment with the same
+// key, over and over: both are served, alike, and each pair has one effect.
+func TestSameJoinOverBoth(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	w, err := New(Options{
+		Seed: 3, Instances: 1, Servers: 4, PodSize: 4, Stretch: 10, Window: time.Minute, Dir: t.TempDir(), MemoryMB: 128, Sockets: 256,
+		CoAP: &CoAPOptions{Servers: func(i int) bool { return i%2 == 1 }, Echo: true}, Program: []string{os.Args[0]},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	if err := w.StartAll(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
+	device, err := coapclient.Dial(coapclient.Config{Server: w.Instances[0].Addr, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer device.Close()
+	const pairs = 30
+	var over [2]int // served over HTTP, over CoAP
+	for i := range pairs {
+		key, call := fmt.Sprint("join-", i), fmt.Sprint("call-", i)
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			r, _ := http.NewRequestWithContext(ctx, "POST", "http://"+w.Instances[0].Addr+"/join", strings.NewReader("x"))
+			for name, v := range map[string]string{"X-Request-Id": "h-" + key, "Idempotency-Key": key, "X-Key": call, "X-Deadline": "20"} {
+				r.Header.Set(name, v)
+			}
+			resp, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			resp.Body.Close()
+			if resp.StatusCode == 200 {
+				over[0]++
+			}
+		})
+		wg.Go(func() {
+			m := message.Message{Type: message.Confirmable, Code: message.POST}
+			m.Add(message.URIPath, []byte("join"))
+			m.Add(gate.OptRequestID, []byte("c-"+key))
+			m.Add(gate.OptIdempotency, []byte(key))
+			m.Add(gate.OptKey, []byte(call))
+			m.AddUint(gate.OptDeadline, 20_000)
+			r, err := device.Do(ctx, m, []byte("x"))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if r.Code == message.Changed {
+				over[1]++
+			}
+		})
+		wg.Wait()
+	}
+	ran, dropped := 0, 0
+	for _, s := range w.Servers {
+		c := s.Counts()
+		ran, dropped = ran+c.Ran, dropped+c.Dropped
+	}
+	if over != [2]int{pairs, pairs} || ran != pairs || dropped != pairs {
+		t.Errorf("served %v of %d pairs, %d effects, %d repeats dropped", over, pairs, ran, dropped)
+	}
+}
