Two tests of the gate that could not fail

Found by the mutants: the test of the spread held it against the program's own number, and the test of observers tried a forged source only when there was no room for anyone. The number is RFC 9175's now, and the source is tried with all the room there is. Both mutants (amplifier, observed-by-anyone) are noticed.

--- a/internal/coap/gate/gate_test.go
+++ b/internal/coap/gate/gate_test.go
@@ -384,13 +384,16 @@
 		t.Errorf("%d observe, %d copies went out, want 0 and 5", n, copies)
 	}
 
-	// Bounds, and sources that may be forged.
+	// Sources that may be forged, with all the room there is; and bounds.
+	asks, _ = split(t, g.Receive(time.Hour, far, text(t, request(7, message.GET, "roster", message.Observe, 0)), nil))
+	_, sent = split(t, g.Answer(time.Hour, asks[0].Handle, answer("x"), nil))
+	if _, there := sent[0].Uint(message.Observe); there || g.Counts().Observers != 0 {
+		t.Error("a source that has proven nothing observes")
+	}
 	for i := range 5 {
 		asks, _ := split(t, g.Receive(time.Hour, near, text(t, request(uint16(100+i), message.GET, "roster", message.Observe, 0)), nil))
 		g.Answer(time.Hour, asks[0].Handle, answer("x"), nil)
 	}
-	asks, _ = split(t, g.Receive(time.Hour, far, text(t, request(7, message.GET, "roster", message.Observe, 0)), nil))
-	g.Answer(time.Hour, asks[0].Handle, answer("x"), nil)
 	if c := g.Counts(); c.Observers != 3 || c.Full != 3 {
 		t.Errorf("%d observe, %d were turned away, want 3 and 3", c.Observers, c.Full)
 	}
@@ -444,7 +447,7 @@
 		for at := wait; at < 10*time.Minute; at += time.Second {
 			count(g.Tick(at, nil))
 		}
-		if out > spread*len(in) {
+		if out > 3*len(in) { // the number of RFC 9175, section 2.4
 			t.Fatalf("%d bytes went out for %d", out, len(in))
 		}
 		if g.Open() != 0 {
@@ -513,7 +516,7 @@
 				}
 			}
 		}
-		if out > spread*in {
+		if out > 3*in {
 			t.Error(fmt.Sprint(out, " bytes for ", in))
 		}
 	})
