An instance's memory does not grow with their number: the rig measured itself

Cause: the memory of processes that had ended was ru_maxrss, which counts what the forking process held before exec. The rig's own memory grows with its instances.

Change: VmHWM is read every 200 ms while a process runs.

--- a/internal/rig/instance.go
+++ b/internal/rig/instance.go
@@ -50,8 +50,9 @@
 	cmd  *exec.Cmd
 	tail *tail
 	done chan struct{}
-	err  error       // after done
-	over atomic.Bool // its end is asked for, or expected
+	err  error        // after done
+	peak atomic.Int64 // largest resident size seen, in bytes
+	over atomic.Bool  // its end is asked for, or expected
 }
 
 // tail keeps the last lines that a process wrote.
@@ -149,6 +150,7 @@
 	in.mu.Lock()
 	in.procs = append(in.procs, p)
 	in.mu.Unlock()
+	go p.watch()
 	go func() {
 		p.err = p.cmd.Wait()
 		in.mu.Lock()
@@ -163,16 +165,34 @@
 		}
 		if st := p.cmd.ProcessState; st != nil {
 			in.cpu += st.UserTime() + st.SystemTime()
-			if ru, ok := st.SysUsage().(*syscall.Rusage); ok {
-				in.peak = max(in.peak, ru.Maxrss<<10)
-			}
 		}
+		in.peak = max(in.peak, p.peak.Load())
 		in.mu.Unlock()
 		close(p.done)
 	}()
 	return p, nil
 }
 
+// watchEvery is how often a process's memory is looked at.
+const watchEvery = 200 * time.Millisecond
+
+// watch takes down the largest resident size that the kernel has seen of the
+// process, until it ends. What the kernel tells of a child after its end
+// (ru_maxrss) is no use: exec counts the memory of the process that forked it.
+func (p *Process) watch() {
+	tick := time.NewTicker(watchEvery)
+	defer tick.Stop()
+	for {
+		peak, _ := processUsage(p.cmd.Process.Pid)
+		p.peak.Store(max(p.peak.Load(), peak))
+		select {
+		case <-p.done:
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 // Start starts a process and waits until it is ready.
 func (in *Instance) Start(ctx context.Context) error {
 	if err := in.writeConfig(); err != nil {
