--- a/internal/rig/coap.go
+++ b/internal/rig/coap.go
@@ -29,7 +29,7 @@
 
 // operatorText is an instance's operator's file with CoAP in it.
 func (w *World) operatorText(in *Instance) string {
-	return fmt.Sprintf("[coap]\nlisten = %q\nservers = true\nstate = %q\nack_timeout = %q\n[handover]\nsocket = %q\nready_within = \"1m\"\n",
+	return fmt.Sprintf("[coap]\nlisten = %q\nservers = true\nstate = %q\nsettled = 1048576\nack_timeout = %q\n[handover]\nsocket = %q\nready_within = \"1m\"\n",
 		in.Addr, w.path(in.Name+".coap"), coapAck, w.path(in.Name+".sock"))
 }
 
@@ -155,6 +155,7 @@
 	}
 	c := clients.Config{
 		Instance: in.Name, Addr: in.Addr, Classes: w.Classes, Retries: 2, TryShare: 0.7, Body: 200, Seed: seed, CoAP: l.Addr().String(), NoEcho: noEcho,
+		Devices: 32, // each has 265 message IDs a second for good
 	}
 	return clients.New(c, w.Log), nil
 }
