A cause's stretch does not begin anew for lines out of order

Cause: lines of several goroutines reach the handler out of order; one older than the stretch's first began another stretch, and 14 lines went out where 7 may (seen on two cores in TestAtOnce).

--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -91,7 +91,9 @@
 	if c == nil {
 		c = t.enter(name, now)
 	}
-	if now.Sub(c.since) >= t.opt.Every || now.Before(c.since) {
+	// Lines of several goroutines come out of order: only a clock that was set back
+	// by more than a stretch begins another.
+	if now.Sub(c.since) >= t.opt.Every || c.since.Sub(now) >= t.opt.Every {
 		c.since, c.said = now, 0
 	}
 	if c.said >= t.opt.Burst {
