A key's requests go to one of its servers to which an idle connection is held

At fault: draw in balance/pick.go takes the key's one home (ring.nth) whatever is connected; a balancer with 14 requests a second and 180 servers meets each again after 13 s, and connections end after 5.

Now the first of the key's servers, among a sixth of the list, to which an idle connection is held is sampled first; the second sample and the choice between the two are as before. The module follows its idle connections from its own outcomes (IdleFor from limits.conn-idle-us). That list also serves for letting go where servers refuse connections: the least lately used, where the clock algorithm was.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -91,7 +91,6 @@
 	class     *Class
 	classAt   int
 	key       uint64
-	spread    int // servers that the key is sampled from
 	arrived   time.Duration
 	useful    time.Duration // clock time after which an answer earns nothing more
 	work      float64
@@ -143,10 +142,7 @@
 	all, ready []*server
 	ejections  []*server
 	usual      [statuses]float64 // failures for each success of servers that are well, of late
-	clock      []*server         // servers with connections, for release
 	ring       ring
-	keyCount   [keySlots]float64
-	keyTotal   float64
 	tenantAt   map[string]int
 	tenantRate []float64 // shares of the tenants in the own requests, of late
 	quotaSum   float64
@@ -259,10 +255,9 @@
 	if !known {
 		at = len(b.set.Classes) - 1
 	}
-	r := &request{Request: q, class: &b.set.Classes[at], classAt: at, work: float64(q.Work), arrived: now, spread: keySpread}
+	r := &request{Request: q, class: &b.set.Classes[at], classAt: at, work: float64(q.Work), arrived: now}
 	if q.Key != "" && b.set.WarmKeys {
 		r.key = hashString(q.Key)
-		r.spread = max(keySpread, min(16, int(3*b.keyShare(r.key)*float64(len(b.ready)))))
 	}
 	if q.Work > 0 {
 		c := &b.classStat[at]
@@ -317,7 +312,7 @@
 	r.attempts = append(r.attempts, a)
 	r.open++
 	s.out = append(s.out, a)
-	b.connected(s)
+	b.connect(s, now)
 	s.trial = s.outs > 0
 	if r.anchor == nil {
 		r.anchor = a
--- a/balance/members.go
+++ b/balance/members.go
@@ -48,9 +48,8 @@
 	count   float64 // samples behind ratio, fading
 	counted time.Duration
 	health
-	order   uint64 // place in the ready list
-	clocked bool   // it is in the clock of connections
-	used    bool   // and was used since the clock's hand went by
+	order uint64          // place in the ready list
+	idle  []time.Duration // since when each connection to it that is held is idle, latest last
 }
 
 // health is what keeps a server out. A success ends it, and a new start.
@@ -80,22 +79,18 @@
 	}
 	b.listMark++
 	var added []ringPoint
-	removed := false
 	for i := range entries {
 		added = b.apply(now, &entries[i], added)
-		removed = removed || entries[i].State == Gone
 	}
 	if kind != ListChange {
 		for _, s := range b.all {
 			if s.mark != b.listMark {
-				s.State, removed = Gone, true
+				s.State = Gone
 				b.place(s)
 			}
 		}
 	}
-	if removed {
-		b.forgetGone()
-	}
+	b.forgetGone()
 	b.ring.add(added)
 	b.warmAt = now
 	if kind == ListSaved {
@@ -122,7 +117,7 @@
 			added = append(added, ringPoint{mix(s.hash + i*0x9e3779b97f4a7c15), s})
 		}
 	} else if e.Started > s.Started {
-		s.ratio, s.count, s.health = 0, 0, health{}
+		s.ratio, s.count, s.health, s.idle = 0, 0, health{}, nil
 	}
 	s.Server, s.mark = *e, b.listMark
 	b.place(s)
@@ -146,7 +141,7 @@
 	gone := func(s *server) bool { return s.State == Gone }
 	maps.DeleteFunc(b.byID, func(_ string, s *server) bool { return gone(s) })
 	b.all = slices.DeleteFunc(b.all, gone)
-	b.clock, b.ejections = slices.DeleteFunc(b.clock, gone), slices.DeleteFunc(b.ejections, gone)
+	b.ejections = slices.DeleteFunc(b.ejections, gone)
 	b.ring.points = slices.DeleteFunc(b.ring.points, func(p ringPoint) bool { return gone(p.server) })
 }
 
@@ -177,6 +172,7 @@
 	s.trial = false
 	switch status {
 	case OK:
+		s.idle = append(s.idle, now)
 		b.learnClass(a.request, took)
 		b.learnUsual(s)
 		s.health = health{}
@@ -202,30 +198,29 @@
 	}
 }
 
-// connected notes that a server is used and has a connection.
-func (b *Balancer) connected(s *server) {
-	s.used = true
-	if !s.clocked {
-		s.clocked = true
-		b.clock = append(b.clock, s)
+// connect notes that an idle connection to a server is used, or a new one.
+func (b *Balancer) connect(s *server, now time.Duration) {
+	if !b.linked(s, now) {
+		s.idle = nil // they have ended of old age
+		return
 	}
+	s.idle = s.idle[:len(s.idle)-1]
 }
 
-// release closes the idle connections to a server that was not used for long,
-// by the clock algorithm. Servers cap their connections, and after the fleet
-// shrinks those that balancers hold idle keep others out: each connection
-// refused here is answered by some let go.
+// release closes the idle connections to the server that was used longest ago.
+// Servers cap their connections, and after the fleet shrinks those that
+// balancers hold idle keep others out: each connection refused here is answered
+// by some let go.
 func (b *Balancer) release() {
-	for range 2 * len(b.clock) {
-		s := b.clock[0]
-		b.clock = b.clock[1:]
-		if !s.used && len(s.out) == 0 {
-			s.clocked = false
-			b.act(Action{Kind: Close, Server: s.ID})
-			return
+	var oldest *server
+	for _, s := range b.all {
+		if n := len(s.idle); n > 0 && (oldest == nil || s.idle[n-1] < oldest.idle[len(oldest.idle)-1]) {
+			oldest = s
 		}
-		s.used = false
-		b.clock = append(b.clock, s)
+	}
+	if oldest != nil {
+		oldest.idle = nil
+		b.act(Action{Kind: Close, Server: oldest.ID})
 	}
 }
 
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -43,9 +43,9 @@
 	slices.SortFunc(r.points, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
 }
 
-// nth returns the n-th distinct server (from 0) after a key's place that ok
+// find returns the first of the distinct servers after a key's place that ok
 // accepts, looking at a bounded stretch of the ring.
-func (r *ring) nth(key uint64, n int, ok func(*server) bool) *server {
+func (r *ring) find(key uint64, ok func(*server) bool) *server {
 	if len(r.points) == 0 {
 		return nil
 	}
@@ -54,10 +54,10 @@
 	found := 0
 	for i := 0; i < min(len(r.points), 128) && found < len(seen); i++ {
 		s := r.points[(at+i)%len(r.points)].server
-		if slices.Contains(seen[:found], s) || !ok(s) {
+		if slices.Contains(seen[:found], s) {
 			continue
 		}
-		if found == n {
+		if ok(s) {
 			return s
 		}
 		seen[found] = s
@@ -66,22 +66,6 @@
 	return nil
 }
 
-// keyShare counts a key and returns the share of this balancer's requests that
-// carry it, by fading counters.
-func (b *Balancer) keyShare(key uint64) float64 {
-	slot := &b.keyCount[key%keySlots]
-	*slot++
-	b.keyTotal++
-	share := (*slot - 1) / b.keyTotal
-	if b.keyTotal > 4*keySlots {
-		b.keyTotal /= 2
-		for i := range b.keyCount {
-			b.keyCount[i] /= 2
-		}
-	}
-	return share
-}
-
 // usable tells whether a server can take an attempt of r now.
 func (b *Balancer) usable(r *request, s *server, now time.Duration) bool {
 	tried := func(a *attempt) bool { return a.server == s && !(a.ended && a.status == Full) }
@@ -109,7 +93,7 @@
 	bias := 1.0
 	if first == nil {
 		first = b.draw(r, now, nil)
-		if r.key != 0 && r.spread == keySpread {
+		if r.key != 0 {
 			bias = homeBias
 		}
 	}
@@ -166,11 +150,7 @@
 		return s != other && b.usable(r, s, now) && b.certain(s, now) >= 1
 	}
 	if b.set.WarmKeys && r.key != 0 {
-		nth := 0
-		if r.spread > keySpread {
-			nth = b.rng.IntN(r.spread)
-		}
-		if s := b.ring.nth(r.key, nth, ok); s != nil {
+		if s := b.drawKey(r, now, ok); s != nil {
 			return s
 		}
 	}
@@ -192,6 +172,31 @@
 	return nil
 }
 
+// drawKey takes, of the first few servers of a request's key, the first to which
+// an idle connection is held, else the first of all. A new connection costs its
+// server work and the request time, and where hundreds of quiet balancers share
+// many servers nearly every request would need one: they meet a server again
+// only after it has closed the last. A server that has just answered is also
+// known to be there.
+func (b *Balancer) drawKey(r *request, now time.Duration, ok func(*server) bool) *server {
+	look := max(2, int(keyNear*float64(len(b.ready))))
+	var home *server
+	linked := b.ring.find(r.key, func(s *server) bool {
+		if look == 0 || !ok(s) {
+			return false
+		}
+		look--
+		home = cmp.Or(home, s)
+		return b.linked(s, now)
+	})
+	return cmp.Or(linked, home)
+}
+
+// linked tells whether an idle connection to a server is held.
+func (b *Balancer) linked(s *server, now time.Duration) bool {
+	return len(s.idle) > 0 && now-s.idle[len(s.idle)-1] < b.set.IdleFor
+}
+
 // subset is the number of servers, the first of the ready list, that samples
 // come from: as many as this balancer's traffic gives fresh evidence on. A
 // quiet balancer on a large list would know next to nothing of each, and would
--- a/balance/settings.go
+++ b/balance/settings.go
@@ -57,10 +57,9 @@
 	subsetLeast = 6               // servers that samples come from at the least
 	subsetSpan  = 2 * time.Second // and as many as requests arrive in this time
 
-	keySpread  = 2   // servers that a key is sampled from; a hot key gets more
-	homeBias   = 2.0 // a key's second server must promise this many times less delay than its first
-	ringPoints = 24  // points of a server on the key ring
-	keySlots   = 256 // counters for the key frequencies
+	homeBias   = 2.0     // a key's second server must promise this many times less delay than its first
+	keyNear    = 1.0 / 6 // share of the servers, two at least, among which a key looks for an idle connection
+	ringPoints = 24      // points of a server on the key ring
 
 	subscribeSpread = 2 * time.Second // first subscription, spread evenly over this
 	subscribeMost   = 8 * time.Second // longest pause between subscription calls
@@ -116,6 +115,7 @@
 	CanCancel   bool
 	CanCopy     bool          // two attempts of a request may be out together
 	RetryAfter  time.Duration // longest advice that clients heed; 0 for none
+	IdleFor     time.Duration // a connection may be used after being idle for less than this
 	Round       time.Duration // least time between two calls
 	ColdShare   float64       // share of its capacity that a server starts with
 	ColdTime    time.Duration // and is warm after
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -34,6 +34,7 @@
 		WarmKeys:    v.GetBool("extra", "warm-keys"),
 		Subscribe:   string(v.GetStringBytes("discovery")) == "subscribe",
 		Round:       micros(v, "round-us"),
+		IdleFor:     micros(limits, "conn-idle-us") * 9 / 10,
 		MaxAttempts: limits.GetInt("try-limit"),
 		CanCancel:   limits.GetBool("cancel"),
 		CanCopy:     limits.GetBool("second-copies"),
