After a move of discovery failed calls come again later and later, out of step

At fault: movePause and moveTries in internal/discovery. What is decided stands in internal/pace now, pure: from half to one and a half of 300 ms, doubled twice, five calls in all, about as long as before. On sockets a move is tested by internal/daemon and internal/sidecar as before. Tests of the package fail with no jitter (300 in one tenth) and with pauses that do not grow.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"strconv"
@@ -20,6 +21,7 @@
 
 	"otterspring/balance"
 	"otterspring/internal/engine"
+	"otterspring/internal/pace"
 )
 
 const (
@@ -42,10 +44,6 @@
 	// retryPushed is the pause after a failed call where lists are pushed and
 	// the module does not ask.
 	retryPushed = time.Second
-	// After a move the first calls are tried again at once, not at the
-	// module's pace: what the new address has to tell soon counts as told.
-	movePause = 200 * time.Millisecond
-	moveTries = 15
 )
 
 var states = map[string]balance.ServerState{"active": balance.Ready, "leaving": balance.Draining, "left": balance.Gone}
@@ -198,6 +196,7 @@
 	stop := context.AfterFunc(ctx, d.Ask)
 	defer stop()
 	defer d.hangUp()
+	rng := rand.New(rand.NewPCG(rand.Uint64(), 0))
 	moves, tries := 0, 0 // tries left of a move
 	for {
 		if !d.pushed && tries == 0 {
@@ -210,7 +209,7 @@
 		}
 		addr, n, until, done := d.turn(ctx)
 		if n != moves {
-			moves, tries, d.index = n, moveTries, 0
+			moves, tries, d.index = n, pace.Tries, 0
 			d.hangUp()
 		}
 		heard, err := d.watch(until, addr, moves)
@@ -225,11 +224,13 @@
 			return
 		case moved:
 			// The call was cut for the new address: discovery has not failed.
-			tries = moveTries
+			tries = pace.Tries
 			continue
 		case tries > 1:
+			// After a move the first calls are made again soon, not at the module's
+			// pace: what the new address has to tell soon counts as told.
 			tries--
-			pause(ctx, movePause)
+			pause(ctx, pace.Again(rng, pace.Tries-tries))
 			continue
 		}
 		tries = 0
