--- a/balance/balance.go
+++ b/balance/balance.go
@@ -485,6 +485,15 @@
 	b.at(now+wait, wakeResend, r, 0)
 }
 
+// Held counts what is kept, for who watches that it does not grow.
+func (b *Balancer) Held() int {
+	n := len(b.requests) + len(b.wakes) + len(b.all) + len(b.ring.points) + len(b.budget.firsts) + len(b.budget.retries)
+	for _, s := range b.all {
+		n += len(s.idle) + len(s.out)
+	}
+	return n
+}
+
 // Started takes the start of a streamed answer: the attempt is the client's
 // now, and nothing more may be sent.
 func (b *Balancer) Started(now time.Duration, id string, number int, acts []Action) []Action {
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -173,11 +173,9 @@
 }
 
 // drawKey takes, of the first few servers of a request's key, the first to which
-// an idle connection is held, else the first of all. A new connection costs its
-// server work and the request time, and where hundreds of quiet balancers share
-// many servers nearly every request would need one: they meet a server again
-// only after it has closed the last. A server that has just answered is also
-// known to be there.
+// an idle connection is held, else the first of all. A new connection costs work
+// and time, and a quiet balancer with many servers would need one for nearly every
+// request. A server that has just answered is also known to be there.
 func (b *Balancer) drawKey(r *request, now time.Duration, ok func(*server) bool) *server {
 	look := max(2, int(keyNear*float64(len(b.ready))))
 	var home *server
--- a/internal/experiment/check.go
+++ b/internal/experiment/check.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"otterspring/internal/strictfile"
 )
@@ -36,6 +38,10 @@
 	"remove":        {Does: "leaves the list and dies, for good", On: "servers"},
 	"release":       {Does: "servers are rolled one by one: drain, end, back cold", On: "servers", Lasts: true},
 	"grow":          {Does: "count new servers come, cold", NeedCount: true},
+	"break":         {Does: "resets all its connections at once, and serves on", On: "servers"},
+	"freeze":        {Does: "the sidecar stands still: all that came meanwhile comes at once", On: "instances", Lasts: true},
+	"move":          {Does: "SIGHUP with a configuration that names another address of discovery, down for late", On: "instances"},
+	"roll-term":     {Does: "the instances drain, end and are started anew, one by one", On: "instances", Lasts: true},
 	"partition":     {Does: "nothing passes between instances and servers", On: "both", Lasts: true},
 	"list-down":     {Does: "discovery ends its calls and takes none", Lasts: true},
 	"list-silent":   {Does: "discovery answers nothing", Lasts: true},
@@ -94,6 +100,10 @@
 			c.bad("world.server.speeds", fmt.Sprintf("%g at place %d", v, i+1), "0.01 to 100")
 		}
 	}
+	c.discovery()
+	if n := s.Load.Busy; n > s.World.Instances {
+		c.bad("load.busy", strconv.Itoa(n), fmt.Sprintf("0 to %d, the instances", s.World.Instances))
+	}
 	c.tenants()
 	names, shares := map[string]bool{}, 0.0
 	for i, k := range s.Load.Classes {
@@ -126,6 +136,9 @@
 		if g.Tenant != "" && !slices.ContainsFunc(s.Load.Tenants, func(t Tenant) bool { return t.Name == g.Tenant }) {
 			c.bad(key+".tenant", strconv.Quote(g.Tenant), "a tenant of the file")
 		}
+		if g.Zone > s.World.Zones {
+			c.bad(key+".zone", strconv.Itoa(g.Zone), fmt.Sprintf("0 to %d, the zones", s.World.Zones))
+		}
 		if g.Class != "" && g.Tenant != "" {
 			c.bad(key, "class and tenant", "one of them")
 		}
@@ -135,6 +148,20 @@
 	}
 }
 
+// ListPatience is how long a call waits for its turn at discovery; one that
+// would wait longer fails.
+const ListPatience = 2 * time.Second
+
+// discovery finds one that can't answer a single call in its time.
+func (c *checker) discovery() {
+	s := c.s
+	d := &s.World.Discovery
+	whole := d.CallLines + float64(s.World.Servers)
+	if least := whole / ListPatience.Seconds(); d.Lines > 0 && d.Lines < least {
+		c.bad("world.discovery.lines", fmt.Sprintf("%g", d.Lines), fmt.Sprintf("0 for no bound, or %g at least: one whole list is %g lines and has to be told in %v", math.Ceil(least), whole, ListPatience))
+	}
+}
+
 func (c *checker) tenants() {
 	names, shares, quotas := map[string]bool{}, 0.0, 0.0
 	for i, t := range c.s.Load.Tenants {
@@ -174,7 +201,9 @@
 	wants(f.Count > 0, k.NeedCount, "count", "how many")
 	wants(f.Servers.Text != "", onServers, "servers", "which servers")
 	wants(f.Instances.Text != "", onInstances, "instances", "which instances")
-	wants(f.Late > 0, f.Kind == "list-late", "late", "how late")
+	if f.Kind != "move" {
+		wants(f.Late > 0, f.Kind == "list-late", "late", "how late")
+	}
 	if f.Way != "" {
 		wants(true, f.Kind == "partition", "way", "")
 	}
@@ -199,11 +228,11 @@
 	wanted := fmt.Sprintf("of %d", n)
 	words := strings.Fields(set.Text)
 	switch first := words[0]; {
-	case (first == "pod" || first == "zone") && letter == 'n':
+	case first == "pod" && letter == 'n':
 		c.bad(key, strconv.Quote(set.Text), "a set of instances")
 	case len(words) == 2 && first == "pod" && atoi(words[1]) > c.s.pods(),
 		len(words) == 2 && first == "zone" && atoi(words[1]) > c.s.World.Zones:
-		c.bad(key, strconv.Quote(set.Text), "one that is there")
+		c.bad(key, strconv.Quote(set.Text), fmt.Sprintf("one that is there: pod 1 to %d, zone 1 to %d", c.s.pods(), c.s.World.Zones))
 	case first[0] == 's' || first[0] == 'n':
 		for _, w := range words {
 			if w[0] != letter || atoi(w[1:]) > n {
--- a/internal/experiment/plan.go
+++ b/internal/experiment/plan.go
@@ -36,6 +36,10 @@
 	Reload   Op = "reload"
 	BadFile  Op = "reload-bad"
 	Rude     Op = "rude"
+	Break    Op = "break"
+	Freeze   Op = "freeze"
+	Thaw     Op = "thaw"
+	Move     Op = "move"
 )
 
 // Step is one thing to do at its time. Server and Instance are numbers from 0,
@@ -66,7 +70,7 @@
 	for i := range s.Faults {
 		f := &s.Faults[i]
 		frng := rand.New(rand.NewPCG(seed, 0x6661756c74+uint64(i)))
-		servers, instances := s.drawServers(f.Servers, frng), draw(f.Instances, 'n', s.World.Instances, frng)
+		servers, instances := s.drawServers(f.Servers, frng), s.drawInstances(f.Instances, frng)
 		p.expand(i, f, servers, instances, &grown)
 	}
 	// Ends come before beginnings of the same time, in the file's order else.
@@ -74,14 +78,17 @@
 	sum := 0.0
 	for i := range s.World.Instances {
 		w := math.Pow(float64(i+1), -s.Load.Skew)
+		if i < s.Load.Busy {
+			w *= s.Load.BusyTimes
+		}
 		p.Weights = append(p.Weights, w)
 		sum += w
 	}
 	classes := s.ClientClasses()
-	surges, tenants := s.surges(), s.ClientTenants()
+	tenants := s.ClientTenants()
 	for i := range p.Weights {
 		p.Weights[i] /= sum
-		shape := clients.Shape{Rate: s.Rate() * p.Weights[i], For: s.For, Surges: surges, Tenants: tenants, Keys: s.Load.Keys, Skew: s.Load.KeySkew}
+		shape := clients.Shape{Rate: s.Rate() * p.Weights[i], For: s.For, Surges: s.surges(i), Tenants: tenants, Keys: s.Load.Keys, Skew: s.Load.KeySkew}
 		arrivals, err := clients.Draw(shape, classes, rng.Uint64())
 		if err != nil {
 			return nil, err
@@ -141,9 +148,23 @@
 		for _, in := range instances {
 			add(at, map[string]Op{"reload": Reload, "reload-bad": BadFile, "rude": Rude}[f.Kind], -1, in)
 		}
-	case "roll-handover":
+	case "break":
+		for _, n := range servers {
+			add(at, Break, n, -1)
+		}
+	case "freeze":
+		for _, in := range instances {
+			add(at, Freeze, -1, in)
+			add(end, Thaw, -1, in)
+		}
+	case "move":
+		for _, in := range instances {
+			add(at, Move, -1, in)
+		}
+	case "roll-handover", "roll-term":
+		do := map[string]Op{"roll-handover": HandOver, "roll-term": Term}[f.Kind]
 		for j, in := range instances {
-			add(at+(end-at)*time.Duration(j)/time.Duration(len(instances)), HandOver, -1, in)
+			add(at+(end-at)*time.Duration(j)/time.Duration(len(instances)), do, -1, in)
 		}
 	default:
 		for _, n := range servers {
@@ -182,6 +203,29 @@
 func (s *Storm) PodOf(server int) int  { return server/s.World.Pod + 1 }
 func (s *Storm) ZoneOf(server int) int { return (s.PodOf(server)-1)%s.World.Zones + 1 }
 
+// HomeOf is the zone that an instance stands in, from 1.
+func (s *Storm) HomeOf(instance int) int { return instance%s.World.Zones + 1 }
+
+// drawInstances draws a set of instances; of a zone it takes those that stand in
+// it.
+func (s *Storm) drawInstances(set Set, rng *rand.Rand) []int {
+	words := strings.Fields(set.Text)
+	if len(words) == 0 || words[0] != "zone" {
+		return draw(set, 'n', s.World.Instances, rng)
+	}
+	want := 1 + rng.IntN(s.World.Zones)
+	if len(words) == 2 {
+		want = atoi(words[1])
+	}
+	var all []int
+	for i := range s.World.Instances {
+		if s.HomeOf(i) == want {
+			all = append(all, i)
+		}
+	}
+	return all
+}
+
 func (s *Storm) drawServers(set Set, rng *rand.Rand) []int {
 	words := strings.Fields(set.Text)
 	if len(words) == 0 || words[0] != "pod" && words[0] != "zone" {
@@ -324,6 +368,11 @@
 		}
 		v.drained = true
 		return Do{Op: Drain}
+	case Break:
+		if v.away() {
+			return skip("it is not there")
+		}
+		return Do{Op: Break}
 	case Vanish, Crash:
 		out := len(v.outages) > 0
 		if v.outages == nil {
--- a/internal/experiment/storm.go
+++ b/internal/experiment/storm.go
@@ -23,7 +23,7 @@
 type Storm struct {
 	Name  string        `toml:"name" need:"true"`
 	About string        `toml:"about"`
-	For   time.Duration `toml:"for" min:"1s" max:"30m"` // how long requests come
+	For   time.Duration `toml:"for" min:"1s" max:"60m"` // how long requests come
 	// Short are settings, key=value, that make the short form of it.
 	Short  []string `toml:"short" max:"20"`
 	World  World    `toml:"world"`
@@ -35,8 +35,9 @@
 	Holds  []Promise `toml:"hold" max:"50"`
 	Sweeps []Sweep   `toml:"sweep" max:"4"`
 
-	File string `toml:"-"`
-	Hash string `toml:"-"` // of the file's text, xxHash64
+	File string         `toml:"-"`
+	Line map[string]int `toml:"-"` // of each key that the file has
+	Hash string         `toml:"-"` // of the file's text, xxHash64
 }
 
 // World is what is there at the start.
@@ -105,18 +106,25 @@
 type Load struct {
 	// Rate is requests a second over all instances; Times instead is a multiple
 	// of what the servers of the start can serve, about.
-	Rate    float64       `toml:"rate" min:"0" max:"50000"`
-	Times   float64       `toml:"times" min:"0" max:"20"`
-	Skew    float64       `toml:"skew" min:"0" max:"3"` // exponent by which instances differ in traffic
-	Keys    int           `toml:"keys" min:"0" max:"100000"`
-	KeySkew float64       `toml:"key_skew" min:"0" max:"3"`
-	Retries int           `toml:"retries" min:"0" max:"10"` // a client's tries after the first
-	Try     float64       `toml:"try_share" min:"0.05" max:"1"`
-	Body    int           `toml:"body" min:"0" max:"65536"`
-	Classes []Class       `toml:"class" max:"10"`
-	Tenants []Tenant      `toml:"tenant" max:"20"`
-	Surges  []Surge       `toml:"surge" max:"20"`
-	Kept    time.Duration `toml:"kept" min:"100ms" max:"1m"` // clients keep idle connections this long
+	Rate  float64 `toml:"rate" min:"0" max:"50000"`
+	Times float64 `toml:"times" min:"0" max:"20"`
+	Skew  float64 `toml:"skew" min:"0" max:"3"` // exponent by which instances differ in traffic
+	// Busy are the instances, the first ones, that see BusyTimes what they would
+	// by Skew: a few among many quiet ones.
+	Busy      int     `toml:"busy" min:"0" max:"4000"`
+	BusyTimes float64 `toml:"busy_times" min:"1" max:"1000"`
+	// Impatient is the share of tries that are given up early, after a tenth to a
+	// half of their time, and come again at once.
+	Impatient float64       `toml:"impatient" min:"0" max:"1"`
+	Keys      int           `toml:"keys" min:"0" max:"100000"`
+	KeySkew   float64       `toml:"key_skew" min:"0" max:"3"`
+	Retries   int           `toml:"retries" min:"0" max:"10"` // a client's tries after the first
+	Try       float64       `toml:"try_share" min:"0.05" max:"1"`
+	Body      int           `toml:"body" min:"0" max:"65536"`
+	Classes   []Class       `toml:"class" max:"10"`
+	Tenants   []Tenant      `toml:"tenant" max:"20"`
+	Surges    []Surge       `toml:"surge" max:"20"`
+	Kept      time.Duration `toml:"kept" min:"100ms" max:"1m"` // clients keep idle connections this long
 }
 
 // Class is one kind of request.
@@ -141,9 +149,10 @@
 type Surge struct {
 	At     Moment  `toml:"at" need:"true"`
 	For    Moment  `toml:"for" need:"true"`
-	Times  float64 `toml:"times" need:"true" min:"0" max:"20"`
+	Times  float64 `toml:"times" need:"true" min:"0" max:"100"`
 	Class  string  `toml:"class"`
 	Tenant string  `toml:"tenant"`
+	Zone   int     `toml:"zone" min:"0" max:"10"` // at the instances of a zone only; 0 for all
 }
 
 // Fault is something that goes wrong for a while. Which keys it takes follows
@@ -279,7 +288,7 @@
 			Network:   Network{Delay: 50 * time.Microsecond, Jitter: 50 * time.Microsecond},
 			Sidecar:   Sidecar{MemoryMB: 64, Sockets: 512, Dial: 100 * time.Millisecond, Attempts: 3, Advice: time.Second, OverShare: 0.3},
 		},
-		Load: Load{Times: 0.5, Skew: 0.7, Keys: 3000, KeySkew: 0.7, Retries: 2, Try: 0.7, Body: 200, Kept: 2 * time.Second},
+		Load: Load{Times: 0.5, Skew: 0.7, BusyTimes: 1, Keys: 3000, KeySkew: 0.7, Retries: 2, Try: 0.7, Body: 200, Kept: 2 * time.Second},
 	}
 }
 
@@ -314,10 +323,13 @@
 	return all
 }
 
-// surges are the surges as clients see them.
-func (s *Storm) surges() []clients.Surge {
+// surges are the surges as the clients of an instance see them.
+func (s *Storm) surges(instance int) []clients.Surge {
 	var all []clients.Surge
 	for _, g := range s.Load.Surges {
+		if g.Zone > 0 && g.Zone != s.HomeOf(instance) {
+			continue
+		}
 		all = append(all, clients.Surge{
 			At: g.At.On(s.For), For: g.For.On(s.For), Times: g.Times,
 			Class:  1 + slices.IndexFunc(s.Load.Classes, func(c Class) bool { return c.Name == g.Class }),
@@ -371,7 +383,7 @@
 	if len(bad) > 0 {
 		return nil, plain(bad)
 	}
-	s.File, s.Hash = name, hash(text)
+	s.File, s.Hash, s.Line = name, hash(text), lines
 	if len(s.Load.Classes) == 0 {
 		s.Load.Classes = DelftClasses()
 	}
--- a/internal/experiment/verdict.go
+++ b/internal/experiment/verdict.go
@@ -38,6 +38,18 @@
 	"budget_refused": {Means: "requests given up with tries and time left", WholeOnly: true},
 	"ambiguous":      {Means: "requests not safe to repeat that ran and were not served", WholeOnly: true},
 	"rude_left":      {Means: "share of the rude clients' connections with neither answer nor close in 3 s; sockets only", WholeOnly: true},
+	"lost_refused":   {Means: "worth that ended refused, as a share of the worth asked"},
+	"lost_late":      {Means: "worth answered after its aim, likewise"},
+	"lost_failed":    {Means: "worth that ended failed, likewise"},
+	"lost_none":      {Means: "worth that had no answer in its time, likewise"},
+	"back_s":         {Means: "seconds from the first trouble until the first second from which service is back above 0.9 for three; 0 if it never fell, 999 for never", WholeOnly: true},
+	"conns_asked":    {Means: "connections opened at call servers for each request asked", WholeOnly: true},
+	"conns_second":   {Means: "connections opened in one second at one call server, the most", WholeOnly: true},
+	"cap_share":      {Means: "connections held at one call server, the most, as a share of its cap", WholeOnly: true},
+	"list_wait_s":    {Means: "the longest that a call waited for its turn at discovery", WholeOnly: true},
+	"list_failed":    {Means: "share of the calls to discovery that would have waited too long", WholeOnly: true},
+	"list_calls_s":   {Means: "calls to discovery in one second, the most, for each instance", WholeOnly: true},
+	"growth":         {Means: "what instances hold in the last quarter of the run over what they hold in the second: entries in virtual time, resident memory on sockets", WholeOnly: true},
 	"own_ends":       {Means: "requests that ended by their own end with an attempt out", WholeOnly: true},
 }
 
@@ -67,6 +79,9 @@
 	Seconds []audit.Second   // arrivals at servers, from the start of the run
 	Report  audit.Report
 	Counts  Counts
+	// Fleet are figures of all instances together that only an engine can see,
+	// by their names in Figures.
+	Fleet   map[string]float64
 	Skipped []string
 	Void    []string // why the run shows nothing
 }
@@ -166,6 +181,10 @@
 			res.Figures[name] = float64(n)
 		}
 	}
+	for name, v := range rec.Fleet {
+		res.Figures[name] = v
+	}
+	res.Figures["back_s"] = back(s, rec)
 	if r := rec.Counts.Rude; r != nil && r.Sent > 0 {
 		res.Figures["rude_left"] = float64(r.Left) / float64(r.Sent)
 	}
@@ -251,6 +270,9 @@
 	if len(s.Load.Tenants) > 0 {
 		out["worst_tenant"] = worstTenant(s, classes, part)
 	}
+	for name, v := range lost(classes, part) {
+		out[name] = v
+	}
 	out["figure"] = 0.55*out["service"] + 0.35*out["worst10"] + 0.10*out["worst_class"]
 	firsts, repeats := 0, 0
 	for i := int(from / time.Second); i < len(rec.Seconds) && time.Duration(i)*time.Second < to; i++ {
@@ -364,6 +386,70 @@
 	return math.Max(0, float64(good)-s.LastEnd().Seconds())
 }
 
+// lost is the worth lost by cause, as shares of the worth asked.
+func lost(classes []clients.Class, part []clients.Sample) map[string]float64 {
+	by := map[string]float64{"lost_refused": 0, "lost_late": 0, "lost_failed": 0, "lost_none": 0}
+	asked := 0.0
+	for _, x := range part {
+		c := &classes[x.Class]
+		asked += c.Worth
+		switch {
+		case x.OK && x.Took <= c.Aim:
+		case x.OK:
+			by["lost_late"] += c.Worth
+		case x.End == clients.EndRefused:
+			by["lost_refused"] += c.Worth
+		case x.End == clients.EndNone:
+			by["lost_none"] += c.Worth
+		default:
+			by["lost_failed"] += c.Worth
+		}
+	}
+	for name := range by {
+		by[name] /= max(asked, 1)
+	}
+	return by
+}
+
+// Growth is the mean of the last quarter of weighings at even times over that of
+// the second; 1 where there is nothing to compare.
+func Growth(held []int) float64 {
+	q := len(held) / 4
+	mean := func(part []int) float64 {
+		sum := 0
+		for _, n := range part {
+			sum += n
+		}
+		return float64(sum) / float64(max(1, len(part)))
+	}
+	if q == 0 || mean(held[q:2*q]) == 0 {
+		return 1
+	}
+	return mean(held[3*q:]) / mean(held[q:2*q])
+}
+
+// back is how long after the first trouble service is above 0.9 again, each of
+// three seconds on end, having been below it.
+func back(s *Storm, rec *Record) float64 {
+	asked, earned := shares(s.ClientClasses(), rec.Samples)
+	good := func(i int) bool { return asked[i] == 0 || earned[i] >= 0.9*asked[i] }
+	start := int(s.FirstStart() / time.Second)
+	fell, run := false, 0
+	for i := start; i < len(asked) && i < int(s.For/time.Second); i++ {
+		if !good(i) {
+			fell, run = true, 0
+			continue
+		}
+		if run++; fell && run == 3 {
+			return math.Max(0, float64(i-2)-s.FirstStart().Seconds())
+		}
+	}
+	if fell {
+		return never
+	}
+	return 0
+}
+
 // out counts the servers that are away by the plan, second by second.
 func out(p *Plan, series []Second) {
 	t := NewTracker(p.Storm)
--- a/internal/mutant/table.go
+++ b/internal/mutant/table.go
@@ -87,6 +87,26 @@
 	{Name: "cancels-forgotten", File: "balance/balance.go", Breaks: "attempts that lost are not cancelled",
 		Old: "if a.number != keep && !a.ended && b.set.CanCancel {", New: "if a.number > keep && a.ended && b.set.CanCancel {"},
 
+	// What is harmless in one instance and harmful in hundreds.
+	{Name: "connections-unseen", File: "balance/pick.go", Breaks: "a key's requests go to its one home, whatever is connected",
+		Old: "return len(s.idle) > 0 && now", New: "return len(s.idle) > 1<<20 && now"},
+	{Name: "any-connection", File: "balance/pick.go", Breaks: "any server with an idle connection gets every key",
+		Old: "max(2, int(keyNear*float64(len(b.ready))))", New: "len(b.ready)"},
+	{Name: "connections-for-ever", File: "balance/pick.go", Breaks: "an idle connection counts after its server has closed it",
+		Old: "< b.set.IdleFor", New: "< 100*b.set.IdleFor"},
+	{Name: "connections-after-letting-go", File: "balance/members.go", Breaks: "connections that were let go of still count",
+		Old: "\t\toldest.idle = nil\n", New: ""},
+	{Name: "subscribe-at-once", File: "balance/settings.go", Breaks: "first subscriptions are not spread, nor calls again after a failure",
+		Old: "subscribeSpread = 2 * time.Second", New: "subscribeSpread = 2 * time.Millisecond"},
+	{Name: "move-in-step", File: "internal/pace/pace.go", Breaks: "after a move of discovery calls that fail come again in step",
+		Old: "return mean/2 + time.Duration(rng.Int64N(int64(mean)))", New: "return mean/2 + 0*time.Duration(rng.Int64N(int64(mean)))"},
+	{Name: "move-in-a-hurry", File: "internal/pace/pace.go", Breaks: "after a move of discovery calls that fail come again at once",
+		Old: "First = 300 * time.Millisecond", New: "First = 3 * time.Millisecond"},
+	{Name: "ration-undivided", File: "balance/pick.go", Breaks: "a cold server's ration is not divided by how many balancers there are",
+		Old: "perWarm := b.success * min(coldSpread, float64(len(b.ready))/float64(max(b.countWarm(now), 1)))", New: "perWarm := b.success * coldSpread * float64(max(b.countWarm(now), 1))"},
+	{Name: "requests-kept", File: "balance/balance.go", Breaks: "answered requests are never forgotten",
+		Old: "\tif r.open == 0 {\n\t\tdelete(b.requests, r.ID)\n\t}\n", New: ""},
+
 	// The sidecar's carriers.
 	{Name: "whole-at-once", File: "internal/httpupstream/attempt.go", Breaks: "the last byte is not held back",
 		Old: "lastByteAfter = time.Millisecond", New: "lastByteAfter = 0 * time.Millisecond"},
@@ -129,7 +149,7 @@
 	{Name: "half-a-list", File: "internal/discovery/discovery.go", Breaks: "an entry that can't be read is skipped, and its server dropped",
 		Old: "\t\t\treturn engine.List{}, fmt.Errorf(\"endpoint %d: %w\", i, err)\n", New: "\t\t\t_ = i\n\t\t\tcontinue\n"},
 	{Name: "move-unnoticed", File: "internal/discovery/discovery.go", Breaks: "after a move the old address's version goes on counting",
-		Old: "moves, tries, d.index = n, moveTries, 0", New: "moves, tries = n, moveTries"},
+		Old: "moves, tries, d.index = n, pace.Tries, 0", New: "moves, tries = n, pace.Tries"},
 
 	// Membership.
 	{Name: "earlier-life", File: "internal/membership/drains.go", Breaks: "an earlier life of a server that drains comes back",
--- a/internal/rig/instance.go
+++ b/internal/rig/instance.go
@@ -320,6 +320,23 @@
 	return in.writeConfig()
 }
 
+// MoveDoor makes the next reload find discovery at another address of the same
+// service, which takes no call for a while. The old address ends 1.5 s later.
+func (in *Instance) MoveDoor(down time.Duration) error {
+	door, err := in.world.Registry.Open(in.Name)
+	if err != nil {
+		return err
+	}
+	door.DownUntil(time.Now().Add(down))
+	in.mu.Lock()
+	old := in.door
+	door.Way(old.Given())
+	in.door = door
+	in.mu.Unlock()
+	old.CloseIn(1500 * time.Millisecond)
+	return nil
+}
+
 // ErrCrashed is the end of a process that was not asked for.
 var ErrCrashed = errors.New("crashed")
 
--- a/internal/rig/storm.go
+++ b/internal/rig/storm.go
@@ -5,17 +5,22 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"otterspring/internal/experiment"
 	"otterspring/internal/standin/callserver"
 	"otterspring/internal/standin/clients"
 	"otterspring/internal/standin/registry"
 	"otterspring/internal/standin/relay"
+	"otterspring/internal/strictfile"
 )
 
 // StormOptions are the options of a world for a storm on sockets.
@@ -142,14 +147,103 @@
 
 	turns []sync.Mutex // of each instance: restarts and reloads, one at a time
 
+	held []int // resident memory of all instances at even times, in KiB
+
 	mu   sync.Mutex
 	errs []error
 	rude *clients.RudeCount
 }
 
+// weighings are how often the instances' memory is taken down over a run.
+const weighings = 40
+
+// weigh takes the memory of all instances down at even times, until the function
+// returned is called, which gives what was seen.
+func weigh(w *World, over time.Duration) func() []int {
+	end, ended := make(chan struct{}), make(chan struct{})
+	var held []int
+	go func() {
+		defer close(ended)
+		tick := time.NewTicker(over / weighings)
+		defer tick.Stop()
+		for range weighings {
+			select {
+			case <-end:
+				return
+			case <-tick.C:
+			}
+			sum := 0
+			for _, in := range w.Instances {
+				for _, pid := range in.Pids() {
+					sum += resident(pid)
+				}
+			}
+			held = append(held, sum)
+		}
+	}()
+	return func() []int { close(end); <-ended; return held }
+}
+
+// resident is a process's resident memory in KiB; 0 for one that has ended.
+func resident(pid int) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	f := strings.Fields(string(text))
+	if len(f) < 2 {
+		return 0
+	}
+	pages, _ := strconv.Atoi(f[1])
+	return pages * os.Getpagesize() >> 10
+}
+
+// fleet are the figures of all instances together.
+func (r *stormRun) fleet(samples int) map[string]float64 {
+	calls, failed, _ := r.w.Registry.Load()
+	longest, peak := r.w.Registry.Queue()
+	out := map[string]float64{
+		"list_wait_s": longest.Seconds(), "list_failed": float64(failed) / float64(max(1, calls)), "list_calls_s": float64(peak) / float64(len(r.w.Instances)),
+		"growth": experiment.Growth(r.held),
+	}
+	made := 0
+	for _, s := range r.w.Servers {
+		n := s.Counts()
+		made += n.Conns
+		out["conns_second"] = max(out["conns_second"], float64(n.MostSecond))
+		out["cap_share"] = max(out["cap_share"], float64(n.MostConns)/float64(r.plan.Storm.World.Server.Cap))
+	}
+	out["conns_asked"] = float64(made) / float64(max(1, samples))
+	return out
+}
+
+// Fits tells whether this machine has the descriptors that a storm on sockets
+// takes in the rig's own process, about: of each instance its discovery, its
+// clients and its connections to the servers.
+func Fits(s *experiment.Storm) error {
+	const each, upstream = 10, 40
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return nil // unknown: the run itself will tell
+	}
+	need := func(n int) int { return 200 + n*each + min(n*upstream, s.World.Servers*s.World.Server.Cap) }
+	if uint64(need(s.World.Instances)) <= limit.Cur {
+		return nil
+	}
+	most := 0
+	for uint64(need(most+1)) <= limit.Cur {
+		most++
+	}
+	return &strictfile.Error{File: s.File, Line: s.Line["world.instances"], Key: "world.instances", Found: strconv.Itoa(s.World.Instances),
+		Wanted: fmt.Sprintf("%d at most on sockets, for this machine gives a process %d descriptors", most, limit.Cur)}
+}
+
 // PlayStorm plays a plan on sockets and processes; the world's instances are
 // started here. progress is called a few times a second; nil for none.
 func PlayStorm(ctx context.Context, p *experiment.Plan, program []string, dir string, progress func(at time.Duration)) (*experiment.Record, error) {
+	if err := Fits(p.Storm); err != nil {
+		return nil, err
+	}
 	w, err := New(StormOptions(p, program, dir))
 	if err != nil {
 		return nil, err
@@ -178,9 +272,11 @@
 		}()
 	}
 	stop := report(w, start, progress)
+	held := weigh(w, p.Storm.For)
 	run.steps(ctx, start, &wg)
 	wg.Wait()
 	stop()
+	run.held = held()
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -222,6 +318,8 @@
 		switch st.Do {
 		case experiment.Kill, experiment.Term, experiment.HandOver, experiment.Reload, experiment.BadFile:
 			wg.Go(func() { r.note(r.restart(ctx, st.Instance, st.Do)) })
+		case experiment.Freeze, experiment.Thaw, experiment.Move:
+			wg.Go(func() { r.note(r.disturb(ctx, st)) })
 		case experiment.Rude:
 			seed := r.rng.Uint64()
 			wg.Go(func() { r.rudeness(ctx, st, seed) })
@@ -231,6 +329,23 @@
 	}
 }
 
+// disturb stops and continues an instance's processes, or moves its discovery.
+func (r *stormRun) disturb(ctx context.Context, st experiment.Step) error {
+	in := r.w.Instances[st.Instance]
+	switch st.Do {
+	case experiment.Freeze:
+		return in.Signal(syscall.SIGSTOP)
+	case experiment.Thaw:
+		return in.Signal(syscall.SIGCONT)
+	}
+	r.turns[st.Instance].Lock()
+	defer r.turns[st.Instance].Unlock()
+	if err := in.MoveDoor(r.plan.Storm.Faults[st.Fault].Late); err != nil {
+		return err
+	}
+	return in.Reload(ctx, false)
+}
+
 func (r *stormRun) note(err error) {
 	if err != nil {
 		r.mu.Lock()
@@ -312,6 +427,8 @@
 		v.Set(r.fault(do.State))
 	case experiment.Drain:
 		w.Drain(v)
+	case experiment.Break:
+		v.Break()
 	case experiment.Vanish:
 		return v.Vanish()
 	case experiment.Crash, experiment.Remove:
@@ -394,5 +511,6 @@
 		}
 		rec.Void = append(rec.Void, err.Error())
 	}
+	rec.Fleet = r.fleet(n)
 	return rec
 }
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -283,6 +283,7 @@
 		Most: w.opt.Sockets / 3, Seed: seed,
 	}
 	if s := w.opt.Storm; s != nil {
+		c.Impatient = s.Load.Impatient
 		c.Retries, c.TryShare, c.Body, c.Kept = s.Load.Retries, s.Load.Try, s.Load.Body, s.Load.Kept
 		c.Tenants = s.ClientTenants()
 	}
--- a/internal/standin/callserver/callserver.go
+++ b/internal/standin/callserver/callserver.go
@@ -159,6 +159,8 @@
 	parked  chan struct{} // closed once nothing is being accepted; nil if nobody waits for that
 	stopped bool
 	wg      sync.WaitGroup
+	second  int64 // of the latest connection, in Unix time, and how many were made in it
+	made    int
 	counts  Counts
 	most    int // connections at a time
 }
@@ -170,7 +172,9 @@
 
 // Counts are what a server saw over all its lives.
 type Counts struct {
-	Conns, MostConns, Requests, TurnedAway, Ran, Dropped, Cancelled int
+	Conns, MostConns                              int // made, and held at a time
+	MostSecond                                    int // made in one second
+	Requests, TurnedAway, Ran, Dropped, Cancelled int
 }
 
 // Start brings a call server up, warm ("long ago"). All its chance comes from
@@ -295,6 +299,31 @@
 	s.wg.Wait()
 }
 
+// Break resets every connection and goes on serving: work that was begun on them
+// stops.
+func (s *Server) Break() {
+	s.mu.Lock()
+	conns := make([]*serverConn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		c.reset()
+	}
+}
+
+// opened counts a connection. The caller holds the mutex.
+func (s *Server) opened() {
+	s.counts.Conns++
+	s.counts.MostConns = max(s.counts.MostConns, len(s.conns))
+	if at := time.Now().Unix(); at != s.second {
+		s.second, s.made = at, 0
+	}
+	s.made++
+	s.counts.MostSecond = max(s.counts.MostSecond, s.made)
+}
+
 // dropAll resets every connection and stops all work.
 func (s *Server) dropAll() {
 	s.mu.Lock()
@@ -344,11 +373,11 @@
 
 // submit takes a request in; it returns nil where the waiting room is full, the
 // server is leaving or it has fallen over.
-func (s *Server) submit(id, key, idem string, c *Class, first time.Duration) *job {
+func (s *Server) submit(id, key, idem string, c *Class, first, handshake time.Duration) *job {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Requests++
-	work := s.workOf(c, key)
+	work := s.workOf(c, key) + handshake
 	share := s.capacity()
 	s.log.Arrived(s.cfg.Name, s.life, id, first, s.log.Now(), work.Seconds(), share*s.full(), s.full())
 	s.weigh(work.Seconds(), share)
--- a/internal/standin/callserver/coap.go
+++ b/internal/standin/callserver/coap.go
@@ -152,7 +152,7 @@
 		c.finish(r.Handle, gate.Answer{Outcome: gate.NotRun})
 		return
 	}
-	j := s.submit(r.ID, r.Key, r.Idempotency, s.classes[r.Class], s.log.Now())
+	j := s.submit(r.ID, r.Key, r.Idempotency, s.classes[r.Class], s.log.Now(), 0)
 	if j == nil {
 		c.finish(r.Handle, gate.Answer{Outcome: gate.NotRun})
 		return
--- a/internal/standin/callserver/conn.go
+++ b/internal/standin/callserver/conn.go
@@ -45,8 +45,7 @@
 			continue
 		}
 		s.conns[c] = true
-		s.counts.Conns++
-		s.counts.MostConns = max(s.counts.MostConns, len(s.conns))
+		s.opened()
 		over := len(s.conns) > s.cfg.Cap
 		s.wg.Add(1)
 		s.mu.Unlock()
@@ -179,14 +178,13 @@
 
 // serve works on a request and answers; false ends the connection.
 func (c *serverConn) serve(in incoming, f Fault) bool {
+	// The first request on a connection pays for the handshake, which costs the
+	// server work.
+	handshake := time.Duration(0)
 	if c.fresh {
-		// The first request on a connection pays for the handshake.
-		c.fresh = false
-		if d := c.srv.cfg.Handshake; d > 0 {
-			time.Sleep(d)
-		}
+		c.fresh, handshake = false, c.srv.cfg.Handshake
 	}
-	j := c.srv.submit(in.id, in.key, in.idem, in.class, in.first)
+	j := c.srv.submit(in.id, in.key, in.idem, in.class, in.first, handshake)
 	if j == nil {
 		return c.turnAway()
 	}
--- a/internal/standin/clients/clients.go
+++ b/internal/standin/clients/clients.go
@@ -33,7 +33,10 @@
 	Most     int     // connections at a time; 0 takes 300
 	Body     int     // bytes of a POST's body
 	Kept     time.Duration
-	Seed     uint64
+	// Impatient is the share of tries that are given up after a tenth to a half of
+	// their time, and come again at once.
+	Impatient float64
+	Seed      uint64
 	// CoAP is the sidecar's address for CoAP; empty to ask over HTTP. Each of
 	// Devices, 0 for 8, is an endpoint of its own.
 	CoAP    string
@@ -202,6 +205,10 @@
 		s.Tries++
 		left := end - c.log.Now()
 		wait := min(left, time.Duration(c.cfg.TryShare*float64(class.Deadline)))
+		early := c.impatient()
+		if early > 0 {
+			wait = time.Duration(early * float64(wait))
+		}
 		if wait <= 0 {
 			break
 		}
@@ -214,7 +221,10 @@
 		if !again || try >= c.cfg.Retries {
 			break
 		}
-		if advice == 0 {
+		switch {
+		case early > 0 && got == timedOut:
+			advice = time.Millisecond
+		case advice == 0:
 			advice = c.backoff(try)
 		}
 		if c.log.Now()+advice >= end {
@@ -228,6 +238,20 @@
 	c.mu.Unlock()
 }
 
+// impatient draws the share of a try's time after which it is given up; 0 for one
+// that is waited for.
+func (c *Clients) impatient() float64 {
+	if c.cfg.Impatient <= 0 {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rng.Float64() >= c.cfg.Impatient {
+		return 0
+	}
+	return 0.1 + 0.4*c.rng.Float64()
+}
+
 // backoff is the pause before a retry: 10 to 80 ms, longer each time.
 func (c *Clients) backoff(try int) time.Duration {
 	c.mu.Lock()
--- a/internal/standin/registry/registry.go
+++ b/internal/standin/registry/registry.go
@@ -66,6 +66,10 @@
 	calls   int
 	failed  int
 	lines   int
+	longest time.Duration // that a call has waited for its turn
+	second  int64         // of the latest call, how many in it, and the most in any
+	inSec   int
+	peak    int
 }
 
 // New returns a registry that knows nothing; the index begins at from.
@@ -213,6 +217,14 @@
 	return r.calls, r.failed, r.lines
 }
 
+// Queue returns the longest that a call has waited for its turn, and the most
+// calls taken in one second.
+func (r *Registry) Queue() (longest time.Duration, calls int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.longest, r.peak
+}
+
 // Close ends all doors and waits for their goroutines.
 func (r *Registry) Close() {
 	r.mu.Lock()
@@ -236,6 +248,11 @@
 // too long. The caller holds the mutex.
 func (r *Registry) turn(lines int) (time.Duration, bool) {
 	r.calls++
+	if at := time.Now().Unix(); at != r.second {
+		r.second, r.inSec = at, 0
+	}
+	r.inSec++
+	r.peak = max(r.peak, r.inSec)
 	if r.cfg.Lines <= 0 {
 		r.lines += lines
 		return 0, true
@@ -248,6 +265,7 @@
 		r.failed++
 		return 0, false
 	}
+	r.longest = max(r.longest, r.free.Sub(now))
 	r.lines += lines
 	r.free = r.free.Add(time.Duration((r.cfg.CallLines + float64(lines)) / r.cfg.Lines * float64(time.Second)))
 	return r.free.Sub(now), true
@@ -263,12 +281,37 @@
 	end      chan struct{}
 	once     sync.Once
 	way      func(Entry) string
+	from     time.Time // before it connections are closed unheard
+}
+
+// DownUntil has the door close what comes before a time unheard. It is set before
+// the first call comes.
+func (d *Door) DownUntil(t time.Time) { d.from = t }
+
+// CloseIn closes the door after a while: what is open until then is served.
+func (d *Door) CloseIn(after time.Duration) {
+	d.reg.mu.Lock()
+	defer d.reg.mu.Unlock()
+	if d.reg.closed {
+		return
+	}
+	var t *time.Timer
+	t = time.AfterFunc(after, func() {
+		d.reg.mu.Lock()
+		delete(d.reg.timers, t)
+		d.reg.mu.Unlock()
+		d.Close()
+	})
+	d.reg.timers[t] = true
 }
 
 // Way sets what addresses this door tells: an address may differ from one
 // sidecar to the next. It is set before the first call comes; f must not block.
 func (d *Door) Way(f func(Entry) string) { d.way = f }
 
+// Given is what Way was told.
+func (d *Door) Given() func(Entry) string { return d.way }
+
 // Open opens an address for an instance.
 func (r *Registry) Open(instance string) (*Door, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -319,6 +362,10 @@
 				continue
 			}
 		}
+		if time.Now().Before(d.from) {
+			c.Close()
+			continue
+		}
 		d.mu.Lock()
 		d.conns[c] = true
 		d.mu.Unlock()
--- a/internal/virtual/attempt.go
+++ b/internal/virtual/attempt.go
@@ -57,9 +57,11 @@
 	place := a.host.place
 	// The bound on a dial; nothing else ends one to a machine that is silent.
 	w.loop.in(w.storm.World.Sidecar.Dial, func() {
-		if a.conn == nil && !a.ended && !a.written {
-			p.end(a, balance.ConnectFailed)
-		}
+		p.awake(func() {
+			if a.conn == nil && !a.ended && !a.written {
+				p.end(a, balance.ConnectFailed)
+			}
+		})
 	})
 	if p.inst.cutOff(s, true) {
 		return
@@ -72,23 +74,24 @@
 			return
 		}
 		if !s.there || s.place != place {
-			w.loop.in(w.delay(), func() { p.end(a, balance.ConnectFailed) })
+			w.loop.in(w.delay(), func() { p.awake(func() { p.end(a, balance.ConnectFailed) }) })
 			return
 		}
-		s.conns++
-		w.counts.Conns++
+		s.opened()
 		c := &conn{host: a.host, life: s.life, fresh: true, over: s.conns > s.cfg.Cap}
 		w.loop.in(w.delay(), func() {
-			if a.ended || p.ended {
-				// Given up meanwhile: nothing was written on it.
-				if p.ended {
-					p.hangUp(c, nil)
-				} else {
-					p.put(c)
+			p.awake(func() {
+				if a.ended || p.ended {
+					// Given up meanwhile: nothing was written on it.
+					if p.ended {
+						p.hangUp(c, nil)
+					} else {
+						p.put(c)
+					}
+					return
 				}
-				return
-			}
-			a.write(c)
+				a.write(c)
+			})
 		})
 	})
 }
@@ -124,25 +127,27 @@
 		})
 	}
 	w.loop.in(lastByteAfter, func() {
-		if a.ended || p.ended || c.closed {
-			return
-		}
-		a.written = true
-		if p.inst.cutOff(s, true) {
-			return
-		}
-		w.loop.in(w.delay(), func() {
-			if s.gone || c.closed || strike == "reset-before" {
+		p.awake(func() {
+			if a.ended || p.ended || c.closed {
 				return
 			}
-			if c.life != s.life {
-				a.broken(c)
+			a.written = true
+			if p.inst.cutOff(s, true) {
 				return
 			}
-			if !begun {
-				first = w.loop.now
-			}
-			a.arrive(c, strike, first)
+			w.loop.in(w.delay(), func() {
+				if s.gone || c.closed || strike == "reset-before" {
+					return
+				}
+				if c.life != s.life {
+					a.broken(c)
+					return
+				}
+				if !begun {
+					first = w.loop.now
+				}
+				a.arrive(c, strike, first)
+			})
 		})
 	})
 }
@@ -155,11 +160,13 @@
 		return
 	}
 	p.inst.w.loop.in(p.inst.w.delay(), func() {
-		if a.written {
-			p.end(a, balance.Reset)
-		} else {
-			p.end(a, balance.Unwritten)
-		}
+		p.awake(func() {
+			if a.written {
+				p.end(a, balance.Reset)
+			} else {
+				p.end(a, balance.Unwritten)
+			}
+		})
 	})
 }
 
@@ -171,51 +178,45 @@
 		return
 	}
 	p.inst.w.loop.in(p.inst.w.delay()+after, func() {
-		ok := p.end(a, status)
-		if c.closed {
-			return
-		}
-		if ok && keep {
-			p.put(c)
-			return
-		}
-		p.hangUp(c, nil)
+		p.awake(func() {
+			ok := p.end(a, status)
+			if c.closed {
+				return
+			}
+			if ok && keep {
+				p.put(c)
+				return
+			}
+			p.hangUp(c, nil)
+		})
 	})
 }
 
 // arrive is the whole request at the server.
 func (a *attempt) arrive(c *conn, strike string, first time.Duration) {
 	s := a.host.srv
-	w := a.p.inst.w
 	if c.over || strike == "refuse" {
 		a.answer(c, balance.Full, true, 0)
 		return
 	}
+	// The first request on a connection pays for the handshake, which costs the
+	// server work.
+	handshake := time.Duration(0)
 	if c.fresh {
-		c.fresh = false
-		if d := s.cfg.Handshake; d > 0 {
-			// The first request on a connection pays for the handshake.
-			w.loop.in(d, func() {
-				if s.gone || c.closed || c.life != s.life {
-					return
-				}
-				a.submit(c, strike, first)
-			})
-			return
-		}
+		c.fresh, handshake = false, s.cfg.Handshake
 	}
-	a.submit(c, strike, first)
+	a.submit(c, strike, first, handshake)
 }
 
 // submit puts the request into the server.
-func (a *attempt) submit(c *conn, strike string, first time.Duration) {
+func (a *attempt) submit(c *conn, strike string, first, handshake time.Duration) {
 	s := a.host.srv
 	k := a.call.ask
 	idem := ""
 	if k.class.Effect == audit.Keyed {
 		idem = k.op
 	}
-	j := s.submit(a.call.id, k.a.Key, idem, &s.w.classes[k.a.Class], first)
+	j := s.submit(a.call.id, k.a.Key, idem, &s.w.classes[k.a.Class], first, handshake)
 	if j == nil {
 		a.answer(c, balance.Full, true, 0)
 		return
--- a/internal/virtual/client.go
+++ b/internal/virtual/client.go
@@ -24,6 +24,10 @@
 	w := k.inst.w
 	now := w.loop.now
 	wait := min(k.end-now, time.Duration(w.storm.Load.Try*float64(k.class.Deadline)))
+	early := w.storm.Load.Impatient > 0 && k.inst.rng.Float64() < w.storm.Load.Impatient
+	if early {
+		wait = time.Duration((0.1 + 0.4*k.inst.rng.Float64()) * float64(wait))
+	}
 	if wait <= 0 {
 		k.over(clients.EndNone)
 		return
@@ -41,11 +45,16 @@
 		if !c.heard {
 			c.heard = true
 			w.log.Gone(id, w.loop.now)
-			p.left(c)
-			k.again(clients.EndNone, k.class.Effect == audit.Repeat, 0)
+			p.awake(func() { p.left(c) })
+			pause := time.Duration(0)
+			if early {
+				pause = time.Millisecond
+			}
+			k.again(clients.EndNone, k.class.Effect == audit.Repeat, pause)
 		}
 	})
-	p.request(c, balance.Request{ID: id, Class: k.class.Name, Tenant: k.tenant(), Key: k.a.Key, Deadline: now + wait, Again: k.tries > 1})
+	q := balance.Request{ID: id, Class: k.class.Name, Tenant: k.tenant(), Key: k.a.Key, Deadline: now + wait, Again: k.tries > 1}
+	p.awake(func() { p.request(c, q) })
 }
 
 // tenant is whose request it is; empty for nobody's.
--- a/internal/virtual/registry.go
+++ b/internal/virtual/registry.go
@@ -4,12 +4,14 @@
 	"time"
 
 	"otterspring/balance"
+	"otterspring/internal/experiment"
+	"otterspring/internal/pace"
 )
 
 const (
 	watchFor      = 20 * time.Second // a watch that brings nothing ends after this, as the sidecar asks
-	listPatience  = 2 * time.Second  // a call that would wait longer fails
-	callSilent    = 6 * time.Second  // a call that is not answered fails after this
+	listPatience  = experiment.ListPatience
+	callSilent    = 6 * time.Second // a call that is not answered fails after this
 	rewatchWithin = time.Millisecond
 )
 
@@ -34,12 +36,18 @@
 	down     bool
 	silent   bool
 	late     time.Duration
+
+	calls, failed int           // taken, and failed for want of capacity
+	longest       time.Duration // that a call has waited for its turn
+	second, peak  int           // the second of the latest call, and the most calls in one
+	inSecond      int
 }
 
 // watch is a call that waits for news.
 type watch struct {
 	p     *process
 	since int
+	moves int // of the process, when it called: a move ends the call
 	over  bool
 }
 
@@ -82,7 +90,7 @@
 	for _, x := range waiting {
 		if !x.over {
 			x.over = true
-			r.serve(x.p, x.since)
+			r.serve(x.p, x.since, x.moves)
 		}
 	}
 }
@@ -90,23 +98,28 @@
 // call takes a call of a process: the whole list for since 0, else what is
 // newer, waiting for it.
 func (r *registry) call(p *process, since int) {
+	if r.w.loop.now < p.downUntil {
+		r.w.loop.in(r.w.delay(), p.callFailed)
+		return
+	}
+	moves := p.moves
 	switch {
 	case r.down && r.silent:
-		r.w.loop.in(callSilent, func() { p.listFailed() })
+		r.w.loop.in(callSilent, func() { p.callLost(moves) })
 	case r.down:
-		r.w.loop.in(r.w.delay(), func() { p.listFailed() })
+		r.w.loop.in(r.w.delay(), func() { p.callLost(moves) })
 	case since > 0 && r.index <= since:
-		x := &watch{p: p, since: since}
+		x := &watch{p: p, since: since, moves: moves}
 		r.watchers = append(r.watchers, x)
 		r.w.loop.in(watchFor, func() {
 			if !x.over && !r.down {
 				x.over = true
 				r.drop()
-				r.serve(p, since)
+				r.serve(p, since, moves)
 			}
 		})
 	default:
-		r.serve(p, since)
+		r.serve(p, since, moves)
 	}
 }
 
@@ -122,7 +135,8 @@
 }
 
 // serve books a call's work and answers when its turn has come.
-func (r *registry) serve(p *process, since int) {
+func (r *registry) serve(p *process, since, moves int) {
+	r.count()
 	var told []entry
 	for _, e := range r.entries {
 		if since == 0 || e.changed > since {
@@ -134,20 +148,23 @@
 	if d := r.w.storm.World.Discovery; d.Lines > 0 {
 		r.free = max(r.free, now)
 		if r.free-now > listPatience {
-			r.w.loop.in(r.w.delay(), func() { p.listFailed() })
+			r.failed++
+			r.w.loop.in(r.w.delay(), func() { p.callLost(moves) })
 			return
 		}
+		r.longest = max(r.longest, r.free-now)
 		r.free += time.Duration((d.CallLines + float64(len(told))) / d.Lines * float64(time.Second))
 		pause = r.free - now
 	}
 	r.w.loop.in(pause+r.w.delay(), func() {
-		if p.ended {
+		if p.ended || p.moves != moves {
 			return
 		}
 		if r.down {
 			p.listFailed()
 			return
 		}
+		p.tries = 0
 		for i := range told {
 			e := &told[i]
 			r.w.log.Told(p.inst.name, p.epoch, e.srv.name, e.life, e.state != balance.Ready, r.w.loop.now)
@@ -158,7 +175,7 @@
 		}
 		p.members(kind, told, index)
 		r.w.loop.in(rewatchWithin, func() {
-			if !p.ended {
+			if !p.ended && p.moves == moves {
 				r.call(p, p.index)
 			}
 		})
@@ -190,7 +207,7 @@
 		if r.silent {
 			wait = watchFor + callSilent
 		}
-		r.w.loop.in(wait, func() { x.p.listFailed() })
+		r.w.loop.in(wait, func() { x.p.callLost(x.moves) })
 	}
 }
 
@@ -199,3 +216,49 @@
 	r.w.log.Silent(false, r.w.loop.now)
 	r.down, r.late = false, r.w.storm.World.Discovery.Late
 }
+
+// count counts a call, and the most in a second.
+func (r *registry) count() {
+	r.calls++
+	if at := int(r.w.loop.now / time.Second); at != r.second {
+		r.second, r.inSecond = at, 0
+	}
+	r.inSecond++
+	r.peak = max(r.peak, r.inSecond)
+}
+
+// move mirrors internal/discovery: it turns to another address of discovery, which is down for a while. The
+// call to the old one ends; the next asks for the whole list.
+func (p *process) move(down time.Duration) {
+	w := p.inst.w
+	p.moves++
+	p.index, p.tries, p.downUntil = 0, pace.Tries, w.loop.now+down
+	w.reg.call(p, 0)
+}
+
+// callFailed takes the failure of a call: one to an address that is new is made
+// again soon, else the module decides when.
+func (p *process) callFailed() {
+	if p.ended {
+		return
+	}
+	if p.tries > 1 {
+		p.tries--
+		moves := p.moves
+		p.inst.w.loop.in(pace.Again(p.inst.rng, pace.Tries-p.tries), func() {
+			if !p.ended && p.moves == moves {
+				p.inst.w.reg.call(p, p.index)
+			}
+		})
+		return
+	}
+	p.tries = 0
+	p.listFailed()
+}
+
+// callLost takes the failure of a call that was made before so many moves.
+func (p *process) callLost(moves int) {
+	if p.moves == moves {
+		p.callFailed()
+	}
+}
--- a/internal/virtual/server.go
+++ b/internal/virtual/server.go
@@ -79,6 +79,10 @@
 	leaving bool
 	ill     experiment.State
 	conns   int
+	most    int // connections held at a time, those beyond the cap among them
+	second  int // the second of the latest connection, how many in it, and the most in any
+	made    int
+	peak    int
 	busy    int
 	queue   []*job
 	worked  float64
@@ -119,6 +123,18 @@
 	s.queue, s.busy, s.conns = nil, 0, 0
 }
 
+// opened counts a connection that came up.
+func (s *server) opened() {
+	s.conns++
+	s.w.counts.Conns++
+	s.most = max(s.most, s.conns)
+	if at := int(s.w.loop.now / time.Second); at != s.second {
+		s.second, s.made = at, 0
+	}
+	s.made++
+	s.peak = max(s.peak, s.made)
+}
+
 // set puts on what is wrong with it.
 func (s *server) set(ill experiment.State) {
 	s.ill = ill
@@ -165,9 +181,9 @@
 }
 
 // submit takes a request in; nil where it is turned away.
-func (s *server) submit(id, key, idem string, c *class, first time.Duration) *job {
+func (s *server) submit(id, key, idem string, c *class, first, handshake time.Duration) *job {
 	now := s.w.loop.now
-	work := s.workOf(c, key)
+	work := s.workOf(c, key) + handshake
 	share := s.capacity()
 	s.w.log.Arrived(s.name, s.life, id, first, now, work.Seconds(), share*s.full(), s.full())
 	s.weigh(work.Seconds(), share)
--- a/internal/virtual/sidecar.go
+++ b/internal/virtual/sidecar.go
@@ -34,14 +34,15 @@
 
 // instance is one sidecar: a name that outlives its processes.
 type instance struct {
-	w     *world
-	n     int
-	name  string
-	rng   *rand.Rand
-	procs []*process // the latest last
-	cut   map[int]int
-	known []entry
-	asks  int
+	w       *world
+	n       int
+	name    string
+	rng     *rand.Rand
+	procs   []*process // the latest last
+	cut     map[int]int
+	known   []entry // the list that its configuration holds, and its version
+	knownAt int
+	asks    int
 }
 
 // taking is the process that takes connections; nil while there is none.
@@ -70,6 +71,11 @@
 	queue     []func()
 	index     int
 	sweeping  bool
+	moves     int           // of discovery
+	tries     int           // left of the calls that follow a move
+	downUntil time.Duration // discovery's present address takes no call before
+	frozen    bool
+	thaw      []func()        // what came meanwhile
 	firsts    []time.Duration // sends of the budget's window, as seen from outside
 	repeats   []time.Duration
 }
@@ -156,7 +162,42 @@
 	}
 }
 
+// awake does what comes from outside, at once or when the process runs again.
+func (p *process) awake(f func()) {
+	if p.frozen {
+		p.thaw = append(p.thaw, f)
+		return
+	}
+	f()
+}
+
+// freeze makes the process stand still, or run again: all that came meanwhile
+// comes then, timers among it, with the time of then.
+func (p *process) freeze(on bool) {
+	p.frozen = on
+	for !p.frozen && len(p.thaw) > 0 {
+		next := p.thaw[0]
+		p.thaw = p.thaw[1:]
+		next()
+	}
+}
+
+// held counts the entries that the process keeps, its module's among them.
+func (p *process) held() int {
+	n := len(p.calls) + len(p.hosts) + len(p.out) + len(p.lapsed) + len(p.queue)
+	for _, h := range p.hosts {
+		n += len(h.idle)
+	}
+	if m, ok := p.mod.(interface{ Held() int }); ok {
+		n += m.Held()
+	}
+	return n
+}
+
 func (p *process) request(c *call, q balance.Request) {
+	if p.ended {
+		return
+	}
 	q.Deadline += clockOrigin
 	p.calls[c.id] = c
 	c.useful = q.Deadline
@@ -190,11 +231,13 @@
 	case balance.Timer:
 		token := x.Token
 		p.inst.w.loop.in(x.Wait, func() {
-			if p.ended {
-				return
-			}
-			p.expire()
-			p.tell(func(acts []balance.Action) []balance.Action { return p.mod.Timer(p.clock(), token, acts) })
+			p.awake(func() {
+				if p.ended {
+					return
+				}
+				p.expire()
+				p.tell(func(acts []balance.Action) []balance.Action { return p.mod.Timer(p.clock(), token, acts) })
+			})
 		})
 	case balance.Subscribe:
 		p.inst.w.reg.call(p, p.index)
@@ -345,6 +388,10 @@
 // members hands a list to the module.
 func (p *process) members(kind balance.ListKind, told []entry, index int) {
 	p.index = index
+	p.awake(func() { p.takeList(kind, told) })
+}
+
+func (p *process) takeList(kind balance.ListKind, told []entry) {
 	var servers []balance.Server
 	named := map[string]bool{}
 	for i := range told {
@@ -384,8 +431,10 @@
 	if p.ended {
 		return
 	}
-	p.tell(func(acts []balance.Action) []balance.Action {
-		return p.mod.Members(p.clock(), balance.ListFailed, nil, acts)
+	p.awake(func() {
+		p.tell(func(acts []balance.Action) []balance.Action {
+			return p.mod.Members(p.clock(), balance.ListFailed, nil, acts)
+		})
 	})
 }
 
--- a/internal/virtual/world.go
+++ b/internal/virtual/world.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -45,6 +46,7 @@
 	idle      time.Duration // after which a sidecar closes an idle connection
 	open      int           // arrivals that are not over
 	samples   []clients.Sample
+	held      []int // entries that all processes keep, at even times
 	counts    experiment.Counts
 	void      []string
 }
@@ -61,7 +63,7 @@
 	}
 	w := newWorld(plan, opt)
 	for _, in := range w.instances {
-		p, err := w.start(in, in.known, 0)
+		p, err := w.start(in, in.known, in.knownAt)
 		if err != nil {
 			return nil, err
 		}
@@ -73,6 +75,7 @@
 	for i, in := range w.instances {
 		w.feed(in, plan.Arrivals[i], 0)
 	}
+	w.weigh()
 	stop := func() bool {
 		if opt.Progress != nil {
 			opt.Progress(w.loop.now - warmUp)
@@ -122,7 +125,7 @@
 	}
 	for i := range s.World.Instances {
 		in := &instance{w: w, n: i, name: "n" + itoa(i+1), rng: rand.New(rand.NewPCG(seeds.Uint64(), 7)), cut: map[int]int{}}
-		in.known = w.list()
+		in.known, in.knownAt = w.list(), w.reg.index
 		w.instances = append(w.instances, in)
 	}
 	return w
@@ -212,6 +215,16 @@
 	case experiment.ListGood:
 		w.reg.good()
 		return
+	case experiment.Freeze, experiment.Thaw:
+		for _, p := range w.instances[s.Instance].procs {
+			p.freeze(s.Do == experiment.Freeze)
+		}
+		return
+	case experiment.Move:
+		if p := w.instances[s.Instance].taking(); p != nil {
+			p.awake(func() { p.move(f.Late) })
+		}
+		return
 	case experiment.Reload, experiment.BadFile, experiment.Rude:
 		w.track.Unseen(s)
 		return
@@ -238,6 +251,8 @@
 		v.set(do.State)
 	case experiment.Drain:
 		w.reg.set(v, balance.Draining)
+	case experiment.Break:
+		w.breakAll(v)
 	case experiment.Vanish:
 		v.gone, v.silent = true, v.life
 	case experiment.Crash, experiment.Remove:
@@ -274,6 +289,28 @@
 	}
 }
 
+// breakAll resets every connection of a server, which goes on: the work on them
+// stops, and idle ones are known by their end.
+func (w *world) breakAll(s *server) {
+	for _, in := range w.instances {
+		for _, p := range in.procs {
+			for _, a := range slices.Clone(p.out) {
+				if c := a.conn; c != nil && a.host.srv == s && !c.closed && c.life == s.life {
+					if a.job != nil {
+						s.cancel(a.job, a.life)
+					}
+					s.conns--
+					a.broken(c)
+				}
+			}
+			if h := p.hosts[s.name]; h != nil {
+				s.conns -= len(h.idle)
+				h.idle = nil
+			}
+		}
+	}
+}
+
 // restart ends an instance's process and starts another.
 func (w *world) restart(in *instance, how experiment.Op) {
 	old := in.taking()
@@ -283,9 +320,9 @@
 	var known []entry
 	index := 0
 	if how == experiment.HandOver {
-		known, index = w.list(), 0
+		known, index = w.list(), w.reg.index
 	} else {
-		known = in.known
+		known, index = in.known, in.knownAt
 	}
 	begin := func() {
 		if how != experiment.HandOver {
@@ -365,6 +402,40 @@
 	}
 }
 
+// weighings are how often a run's instances are weighed.
+const weighings = 40
+
+// weigh takes down what all processes keep, at even times of the run.
+func (w *world) weigh() {
+	for i := range weighings {
+		w.loop.at(warmUp+w.storm.For*time.Duration(i)/weighings, func() {
+			n := 0
+			for _, in := range w.instances {
+				for _, p := range in.procs {
+					n += p.held()
+				}
+			}
+			w.held = append(w.held, n)
+		})
+	}
+}
+
+// fleet are the figures of all instances together.
+func (w *world) fleet() map[string]float64 {
+	out := map[string]float64{
+		"conns_asked":  float64(w.counts.Conns) / float64(max(1, len(w.samples))),
+		"list_wait_s":  w.reg.longest.Seconds(),
+		"list_failed":  float64(w.reg.failed) / float64(max(1, w.reg.calls)),
+		"list_calls_s": float64(w.reg.peak) / float64(len(w.instances)),
+		"growth":       experiment.Growth(w.held),
+	}
+	for _, s := range w.servers {
+		out["conns_second"] = max(out["conns_second"], float64(s.peak))
+		out["cap_share"] = max(out["cap_share"], float64(s.most)/float64(s.cfg.Cap))
+	}
+	return out
+}
+
 // record is what was seen.
 func (w *world) record() *experiment.Record {
 	rec := &experiment.Record{Engine: "virtual", Seconds: w.log.Seconds(warmUp), Report: w.log.Report(), Counts: w.counts, Skipped: w.track.Skipped, Void: w.void}
@@ -373,6 +444,7 @@
 		rec.Samples = append(rec.Samples, s)
 	}
 	rec.Counts.Steps = w.loop.steps
+	rec.Fleet = w.fleet()
 	if w.open > 0 && len(w.void) == 0 {
 		rec.Void = append(rec.Void, fmt.Sprintf("%d requests were not over at the end", w.open))
 	}
