--- a/internal/experiment/check.go
+++ b/internal/experiment/check.go
@@ -157,7 +157,7 @@
 	s := c.s
 	d := &s.World.Discovery
 	whole := d.CallLines + float64(s.World.Servers)
-	if least := whole / ListPatience.Seconds(); d.Lines > 0 && d.Lines < least {
+	if least := whole / ListPatience.Seconds(); d.Lines > 0 && d.Lines < least && s.World.Servers <= mostServers { // more are a fault of their own
 		c.bad("world.discovery.lines", fmt.Sprintf("%g", d.Lines), fmt.Sprintf("0 for no bound, or %g at least: one whole list is %g lines and has to be told in %v", math.Ceil(least), whole, ListPatience))
 	}
 }
@@ -217,6 +217,9 @@
 	c.set(key+".instances", f.Instances, 'n', s.World.Instances)
 }
 
+// mostServers is the bound on World.Servers.
+const mostServers = 500
+
 // mostRude bounds the rude clients of a fault.
 const mostRude = 2000
 
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -77,6 +77,8 @@
 		calm + "[world.discovery]\nlines = 5\n":                                                                  {"x.toml:4: world.discovery.lines: found 5, wanted 0 for no bound, or 18 at least"},
 		calm + "[load]\nbusy = 21\n":                                                                             {"x.toml:4: load.busy: found 21, wanted 0 to 20, the instances"},
 		calm + "[load]\nsurge = [{at = \"1s\", for = \"1s\", times = 2, zone = 3}]\n":                            {"load.surge[1].zone: found 3, wanted 0 to 1, the zones"},
+		calm + "hold = [\"none: service >= 1\"]\n[world]\nservers = 9999\n[[fault]]\nkind = \"dance\"\nat = \"1s\"\n": {
+			"x.toml:5: world.servers: found 9999", "fault[1].kind: found \"dance\"", "hold[1]: found \"none: service >= 1\", wanted a phase that the file names"},
 		calm + "name = 3\n": {"wanted TOML"},
 	} {
 		_, errs := Parse("x.toml", []byte(text), false, nil)
@@ -294,3 +296,26 @@
 		}
 	}
 }
+
+// A run without trouble, or whose service never fell, has nothing to come back
+// from; one that ends in the middle of it has not come back.
+func TestNothingToRecoverFrom(t *testing.T) {
+	s, errs := Parse("x.toml", []byte(calm+"[[fault]]\nkind = \"grow\"\nat = \"9s\"\ncount = 1\n"), false, nil)
+	if len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	rec := func(failsFrom int) *Record {
+		r := &Record{}
+		for i := range 100 {
+			ok := i/10 < failsFrom
+			r.Samples = append(r.Samples, clients.Sample{At: time.Duration(i) * 100 * time.Millisecond, Took: time.Millisecond, OK: ok, End: clients.EndOf(ok, false, true)})
+		}
+		return r
+	}
+	if got := recovered(s, rec(99)); got != 0 {
+		t.Errorf("service that never fell: found %v, wanted 0", got)
+	}
+	if got := recovered(s, rec(9)); got != never {
+		t.Errorf("service that fell to the end: found %v, wanted %v", got, float64(never))
+	}
+}
--- a/internal/experiment/storm.go
+++ b/internal/experiment/storm.go
@@ -379,9 +379,9 @@
 // Parse reads a storm's text; name stands for the file in errors.
 func Parse(name string, text []byte, short bool, set []string) (*Storm, []error) {
 	s := Defaults()
-	lines, bad := strictfile.DecodeAll(name, text, &s)
+	lines, bad := strictfile.DecodePart(name, text, &s)
 	if len(bad) > 0 {
-		return nil, plain(bad)
+		return nil, plain(s.checkRest(name, lines, bad))
 	}
 	s.File, s.Hash, s.Line = name, hash(text), lines
 	if len(s.Load.Classes) == 0 {
@@ -408,6 +408,27 @@
 	return &s, nil
 }
 
+// checkRest adds to the faults of single values those that only the whole shows,
+// but for what follows from the former.
+func (s *Storm) checkRest(name string, lines strictfile.Lines, bad []*strictfile.Error) []*strictfile.Error {
+	if len(lines) == 0 {
+		return bad // not even TOML
+	}
+	if len(s.Load.Classes) == 0 {
+		s.Load.Classes = DelftClasses()
+	}
+	said := slices.Clone(bad)
+	for _, e := range s.check(name, lines) {
+		follows := slices.ContainsFunc(said, func(b *strictfile.Error) bool {
+			return b.Key == e.Key || strings.HasPrefix(b.Key, e.Key+".") || strings.HasPrefix(e.Key, b.Key+".")
+		})
+		if !follows {
+			bad = append(bad, e)
+		}
+	}
+	return bad
+}
+
 func hash(text []byte) string {
 	return fmt.Sprintf("%016x", xxhash.Sum64(text))
 }
--- a/internal/experiment/verdict.go
+++ b/internal/experiment/verdict.go
@@ -370,18 +370,23 @@
 	}
 	const span = 3
 	last := len(asked) - span
-	if last < end {
-		return never
+	bad := func(i int) bool {
+		a := sum(asked, i, span)
+		return a > 0 && sum(earned, i, span)/a < 0.9*base
 	}
 	good := last + 1
-	for i := last; i >= end; i-- {
-		if a := sum(asked, i, span); a > 0 && sum(earned, i, span)/a < 0.9*base {
-			break
-		}
+	for i := last; i >= end && !bad(i); i-- {
 		good = i
 	}
-	if good > last {
-		return never
+	if good > last || last < end {
+		// The run ends too soon after the trouble to tell, or in the middle of it:
+		// where service never fell there was nothing to come back from.
+		for i := max(0, min(start, last)); i <= last; i++ {
+			if bad(i) {
+				return never
+			}
+		}
+		return 0
 	}
 	return math.Max(0, float64(good)-s.LastEnd().Seconds())
 }
--- a/internal/strictfile/strictfile.go
+++ b/internal/strictfile/strictfile.go
@@ -152,6 +152,20 @@
 	return decode(name, text, into, true)
 }
 
+// DecodePart is DecodeAll, but what could be read is put into into though there
+// are errors: for who looks for further faults. It is not to be used.
+func DecodePart(name string, text []byte, into any) (Lines, []*Error) {
+	lines, errs := decode(name, text, into, true)
+	if len(errs) > 0 && lines != nil {
+		d := &decoder{file: name, lines: lines, need: true}
+		values := map[string]any{}
+		if toml.Unmarshal(text, &values) == nil {
+			d.table(values, reflect.ValueOf(into).Elem(), "")
+		}
+	}
+	return lines, errs
+}
+
 // Overlay does as Decode, over a struct that a whole file has filled: keys that
 // are needed need not come again.
 func Overlay(name string, text []byte, into any) error {
--- a/test.sh
+++ b/test.sh
@@ -11,8 +11,8 @@
 fi
 go vet ./...
 go test -race -count=1 ./...
-mkdir -p bin
-go build -o bin/ ./cmd/...
+mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/sandhinge ./cmd/wirehost
+go build -o bin/ ./cmd/otterspring ./cmd/rig
 
 # The adapter answers an empty batch and ends with its input.
 reply=$(printf '{"op":"begin-batch","ts-us":1}\n{"op":"over-to-you"}\n' | bin/wirehost)
