A new connection whose first request is turned away is not kept, and lets one go

A server over its cap takes the connection and turns away all that comes on it (PROTOCOL: 503 with X-Not-Run, too many connections). receive in internal/httpupstream kept such a connection, and used it first; observe in balance let idle connections go on ConnectFailed only. Ruled out: load, 35 of 288 connections would do.

Now a connection whose first request was turned away is closed, and counts like a refused one: the idle connections to one server, the least lately used, are let go; it was two servers'.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -81,6 +81,7 @@
 	number   int
 	sent     time.Duration
 	expected float64 // latency held likely when it was sent
+	fresh    bool    // on a new connection
 	ended    bool
 	status   Status
 }
@@ -312,7 +313,7 @@
 	r.attempts = append(r.attempts, a)
 	r.open++
 	s.out = append(s.out, a)
-	b.connect(s, now)
+	a.fresh = b.connect(s, now)
 	s.trial = s.outs > 0
 	if r.anchor == nil {
 		r.anchor = a
--- a/balance/members.go
+++ b/balance/members.go
@@ -186,10 +186,8 @@
 	default:
 		ratio = max(failurePenalty, ratio)
 	}
-	if status == ConnectFailed {
-		for range refusedCloses {
-			b.release()
-		}
+	if status == ConnectFailed || status == Full && a.fresh {
+		b.release()
 	}
 	b.sample(s, now, ratio)
 	if p := patience[status]; p > 0 {
@@ -198,19 +196,19 @@
 	}
 }
 
-// connect notes that an idle connection to a server is used, or a new one.
-func (b *Balancer) connect(s *server, now time.Duration) {
-	if !b.linked(s, now) {
+// connect notes that an idle connection to a server is used, or a fresh one.
+func (b *Balancer) connect(s *server, now time.Duration) (fresh bool) {
+	if fresh = !b.linked(s, now); fresh {
 		s.idle = nil // they have ended of old age
-		return
+	} else {
+		s.idle = s.idle[:len(s.idle)-1]
 	}
-	s.idle = s.idle[:len(s.idle)-1]
+	return fresh
 }
 
 // release closes the idle connections to the server that was used longest ago.
-// Servers cap their connections, and after the fleet shrinks those that
-// balancers hold idle keep others out: each connection refused here is answered
-// by some let go.
+// Servers cap their connections, and those that balancers hold idle keep others
+// out: each connection refused here is answered by some let go.
 func (b *Balancer) release() {
 	var oldest *server
 	for _, s := range b.all {
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -173,9 +173,8 @@
 }
 
 // drawKey takes, of the first few servers of a request's key, the first to which
-// an idle connection is held, else the first of all. A new connection costs work
-// and time, and a quiet balancer with many servers would need one for nearly every
-// request. A server that has just answered is also known to be there.
+// an idle connection is held, else the first of all: a quiet balancer would need a
+// new one for nearly every request. One that just answered is known to be there.
 func (b *Balancer) drawKey(r *request, now time.Duration, ok func(*server) bool) *server {
 	look := max(2, int(keyNear*float64(len(b.ready))))
 	var home *server
--- a/balance/settings.go
+++ b/balance/settings.go
@@ -36,8 +36,6 @@
 	ejectMost      = 16 * time.Second // longest ejection
 	ejectShare     = 0.5              // share of the list that may be ejected at one time
 
-	refusedCloses = 2 // servers whose idle connections are let go for each connection refused
-
 	coldMargin    = 0.5                    // share of the multiple at which a cold server falls over that is offered to it at most
 	coldSpread    = 4.0                    // bound on the ready servers for each warm one, in that sum
 	warmEvery     = 500 * time.Millisecond // the warm servers are counted anew after this
--- a/internal/httpupstream/attempt.go
+++ b/internal/httpupstream/attempt.go
@@ -463,8 +463,11 @@
 	if ok {
 		a.host.pool.learn(c.rested, err != nil && !c.begun)
 	}
+	// A server that holds as many connections as it takes turns away whatever comes
+	// on one more: one whose first request was turned away is of no use.
+	over := status == balance.Full && c.rested == 0
 	switch {
-	case clean && ok:
+	case clean && ok && !over:
 		c.SetReadDeadline(time.Time{})
 		a.host.pool.put(c)
 	case err != nil:
--- a/internal/virtual/attempt.go
+++ b/internal/virtual/attempt.go
@@ -196,7 +196,7 @@
 func (a *attempt) arrive(c *conn, strike string, first time.Duration) {
 	s := a.host.srv
 	if c.over || strike == "refuse" {
-		a.answer(c, balance.Full, true, 0)
+		a.answer(c, balance.Full, !c.fresh, 0)
 		return
 	}
 	// The first request on a connection pays for the handshake, which costs the
@@ -218,7 +218,7 @@
 	}
 	j := s.submit(a.call.id, k.a.Key, idem, &s.w.classes[k.a.Class], first, handshake)
 	if j == nil {
-		a.answer(c, balance.Full, true, 0)
+		a.answer(c, balance.Full, handshake == 0, 0)
 		return
 	}
 	a.job, a.life = j, s.life
