With every server cold the last measure of warm ones holds, where nothing was sent

At fault: drawCold in balance/pick.go rations cold servers by success, the share that warm servers serve, which close lets fade; with no warm server it fades to nothing, draw takes warm ones only, and nothing is sent until one is 23 s old. Ruled out: the list (told in time), ejections, descriptors.

Now, while every ready server is cold, the measure does not fade, and the last one holds: a server's even share at most, times how many servers there are of those it was measured with, and not for clients' repeats. Tried first, and broken by TestNothingSpinsWhenNothingWorks/dead (a cold server tipped over): a measure that also holds where servers are only put out, and one without the count of servers, when the first of a dead fleet is back alone.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -150,8 +150,10 @@
 	worthSum   float64 // worth of all classes
 	overload   float64 // share of requests to refuse, by how many were late of late
 	success    float64 // share of the requests sent that warm servers served, of late
+	perWarm    float64 // the same for each warm server, against an even share, when there last was one
+	warmLast   float64 // and how many there were
 	served     float64 // share of requests served at all, of late
-	warm       int     // warm servers when last counted
+	warm, aged int     // warm servers when last counted, and those put out among them, too
 	warmAt     time.Duration
 	salt       uint64 // makes the order of the ready list this balancer's own
 	listMark   uint64
@@ -180,9 +182,9 @@
 		requests:  map[string]*request{},
 		byID:      map[string]*server{},
 		tenantAt:  map[string]int{},
-		success:   1,
-		served:    1,
-		salt:      mix(seed + 1),
+		success:   1, perWarm: 1, warmLast: 1,
+		served: 1,
+		salt:   mix(seed + 1),
 	}
 	b.setTenants()
 	for i, c := range set.Classes[:len(set.Classes)-1] {
@@ -410,7 +412,7 @@
 	r.answered = true
 	// Requests refused at once drew no server: counted here, they would starve
 	// cold servers just when the warm ones drown.
-	if r.coldDrawn {
+	if r.coldDrawn && b.aged > 0 {
 		b.success *= 1 - successWeight
 	}
 	b.served *= 1 - successWeight
@@ -488,11 +490,7 @@
 
 // Held counts what is kept, for who watches that it does not grow.
 func (b *Balancer) Held() int {
-	n := len(b.requests) + len(b.wakes) + len(b.all) + len(b.ring.points) + len(b.budget.firsts) + len(b.budget.retries)
-	for _, s := range b.all {
-		n += len(s.idle) + len(s.out)
-	}
-	return n
+	return len(b.requests) + len(b.wakes) + len(b.all) + len(b.ring.points) + len(b.budget.firsts) + len(b.budget.retries)
 }
 
 // Started takes the start of a streamed answer: the attempt is the client's
--- a/balance/lifecycle_test.go
+++ b/balance/lifecycle_test.go
@@ -447,3 +447,47 @@
 	}
 	// Output: send r1 to 10.0.0.1:80
 }
+
+// With every server cold, first tries go out as far as what cold servers can do
+// for certain allows, and no repeat does: it would add to what they are sent
+// without anything to measure it by. Without a warm one to go by, nothing was
+// sent at all until the first was warm.
+func TestAllServersCold(t *testing.T) {
+	set := site()
+	set.CanCopy, set.ColdShare, set.ColdTime, set.TipMultiple = false, 0.2, 20*time.Second, 3
+	b, _ := New(set, 4)
+	list := fleet(8)
+	b.Members(time.Second, ListFull, list, nil)
+	now, n := time.Minute, 0
+	ask := func(again bool) bool {
+		n++
+		now += 5 * ms
+		id := fmt.Sprint(n)
+		to := sentTo(b.Request(now, Request{ID: id, Class: "read", Deadline: now + 500*ms, Again: again}, nil))
+		if to != "" {
+			b.Outcome(now+ms, Outcome{Request: id, Status: OK, Took: ms, Final: true}, nil)
+		}
+		b.Left(now+ms, id, nil)
+		return to != ""
+	}
+	for range 400 {
+		ask(false)
+	}
+	for i := range list {
+		list[i].Started = now
+	}
+	b.Members(now, ListChange, list, nil)
+	first, again := 0, 0
+	for range 400 {
+		if ask(false) {
+			first++
+		}
+		if ask(true) {
+			again++
+		}
+	}
+	// At 0.2 to 0.36 of their capacity, 1.5 times that is 0.42 on average.
+	if first < 120 || first > 220 || again > 0 {
+		t.Errorf("sent to servers that are all cold: %d of 400 first tries and %d repeats; want 120 to 220, and none", first, again)
+	}
+}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -111,19 +111,25 @@
 // whole list for each request, never for its retries. Its measure is what a
 // warm server serves of late, so that all balancers together offer a cold one
 // a safe multiple of what it can do for certain: however hot a key is, however
-// often clients and balancers repeat in an overload, and also while a grown
-// fleet is mostly cold and the warm ones drown.
+// often they repeat in an overload, and while a grown fleet is mostly cold. With
+// all cold the last measure holds, a server's even share at most, not for repeats.
 func (b *Balancer) drawCold(r *request, now time.Duration) *server {
 	if len(r.attempts) > 0 || r.coldDrawn || len(b.ready) == 0 {
 		return nil
 	}
 	r.coldDrawn = true
+	perWarm, n := 0.0, float64(len(b.ready))
+	if warm := float64(b.countWarm(now)); warm > 0 {
+		perWarm = b.success * min(coldSpread, n/warm)
+		b.perWarm, b.warmLast = min(perWarm, 1), warm
+	} else if !r.Again {
+		perWarm = b.perWarm * min(1, n/b.warmLast)
+	}
 	s := b.ready[b.rng.IntN(len(b.ready))]
 	c := b.certain(s, now)
 	if c >= 1 || !b.usable(r, s, now) {
 		return nil
 	}
-	perWarm := b.success * min(coldSpread, float64(len(b.ready))/float64(max(b.countWarm(now), 1)))
 	if b.rng.Float64() >= c*coldMargin*max(b.set.TipMultiple, 1)*perWarm {
 		return nil
 	}
@@ -133,10 +139,13 @@
 // countWarm counts the ready servers that are warm, now and then.
 func (b *Balancer) countWarm(now time.Duration) int {
 	if now >= b.warmAt {
-		b.warm, b.warmAt = 0, now+warmEvery
+		b.warm, b.aged, b.warmAt = 0, 0, now+warmEvery
 		for _, s := range b.ready {
-			if s.until <= now && b.certain(s, now) >= 1 {
-				b.warm++
+			if b.certain(s, now) >= 1 {
+				b.aged++
+				if s.until <= now {
+					b.warm++
+				}
 			}
 		}
 	}
--- a/balance/settings.go
+++ b/balance/settings.go
@@ -154,12 +154,8 @@
 		bad = "MaxAttempts: not positive"
 	case !(s.ColdShare > 0 && s.ColdShare <= 1):
 		bad = "ColdShare: outside (0,1]"
-	case s.ColdTime < 0:
-		bad = "ColdTime: negative"
-	case s.RetryAfter < 0:
-		bad = "RetryAfter: negative"
-	case s.Round < 0:
-		bad = "Round: negative"
+	case s.ColdTime < 0 || s.RetryAfter < 0 || s.Round < 0:
+		bad = "ColdTime, RetryAfter or Round: negative"
 	default:
 		return nil
 	}
