--- /dev/null
+++ b/internal/rig/mass_test.go
@@ -0,0 +1,86 @@
+package rig
+
+import (
+	"strings"
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"otterspring/internal/experiment"
+)
+
+// What full-fleet days are made of, on sockets and processes: instances that are
+// stopped and go on, connections that all break at once, discovery that moves to
+// an address that is down, restarts one by one, clients without patience. No rule
+// breaks, and the figures of the whole fleet are there.
+func TestMassFaultsOnSockets(t *testing.T) {
+	r := playSockets(t, `
+[world]
+instances = 4
+servers = 4
+zones = 2
+[load]
+rate = 60
+impatient = 0.2
+busy = 1
+busy_times = 3
+[[fault]]
+kind = "break"
+at = "1s"
+servers = "all"
+[[fault]]
+kind = "freeze"
+at = "1500ms"
+for = "300ms"
+instances = "zone 2"
+[[fault]]
+kind = "move"
+at = "2s"
+late = "500ms"
+instances = "n1 n3"
+[[fault]]
+kind = "roll-term"
+at = "2500ms"
+for = "1s"
+instances = "n2 n4"
+`)
+	t.Log(r.Line())
+	if r.Broken() {
+		t.Errorf("a rule broke: %s %v", r.Line(), r.Notes)
+	}
+	for _, figure := range []string{"conns_asked", "conns_second", "cap_share", "list_calls_s", "growth"} {
+		if r.Figures[figure] <= 0 {
+			t.Errorf("%s: found %v", figure, r.Figures[figure])
+		}
+	}
+	for _, v := range r.Void {
+		if !strings.Contains(v, "slower than their load") {
+			t.Errorf("void: %s", v)
+		}
+	}
+}
+
+// A storm with more instances than this machine has descriptors for is turned
+// down in one line that says where and how many would do.
+func TestMoreInstancesThanDescriptors(t *testing.T) {
+	var was unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
+		t.Skip(err)
+	}
+	text := "name = \"x\"\nfor = \"10s\"\n[load]\nrate = 10\n[world]\nservers = 500\ninstances = 4000\n"
+	s, errs := experiment.Parse("x.toml", []byte(text), false, nil)
+	if len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	if was.Cur >= 200_200 {
+		t.Skipf("this machine gives a process %d descriptors", was.Cur)
+	}
+	err := Fits(s)
+	if err == nil || !strings.HasPrefix(err.Error(), "x.toml:7: world.instances: found 4000, wanted ") {
+		t.Errorf("said %v", err)
+	}
+	s.World.Instances = 2
+	if err := Fits(s); err != nil {
+		t.Errorf("two instances: %v", err)
+	}
+}
