Discovery's stand-in sets a door's way and its time out of service under its mutex

The race detector found DownUntil written while the door's goroutine read it (TestMassFaultsOnSockets): the door accepts from Open on. Way had the same shape. internal/rig and internal/standin/registry pass with -race.

--- a/internal/standin/registry/registry.go
+++ b/internal/standin/registry/registry.go
@@ -286,7 +286,11 @@
 
 // DownUntil has the door close what comes before a time unheard. It is set before
 // the first call comes.
-func (d *Door) DownUntil(t time.Time) { d.from = t }
+func (d *Door) DownUntil(t time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.from = t
+}
 
 // CloseIn closes the door after a while: what is open until then is served.
 func (d *Door) CloseIn(after time.Duration) {
@@ -307,10 +311,18 @@
 
 // Way sets what addresses this door tells: an address may differ from one
 // sidecar to the next. It is set before the first call comes; f must not block.
-func (d *Door) Way(f func(Entry) string) { d.way = f }
+func (d *Door) Way(f func(Entry) string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.way = f
+}
 
 // Given is what Way was told.
-func (d *Door) Given() func(Entry) string { return d.way }
+func (d *Door) Given() func(Entry) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.way
+}
 
 // Open opens an address for an instance.
 func (r *Registry) Open(instance string) (*Door, error) {
@@ -362,11 +374,12 @@
 				continue
 			}
 		}
+		d.mu.Lock()
 		if time.Now().Before(d.from) {
+			d.mu.Unlock()
 			c.Close()
 			continue
 		}
-		d.mu.Lock()
 		d.conns[c] = true
 		d.mu.Unlock()
 		d.reg.wg.Add(1)
@@ -429,6 +442,7 @@
 // answer answers one call; false ends the connection.
 func (d *Door) answer(c net.Conn, epoch int, since int64, wait time.Duration) bool {
 	r := d.reg
+	way := d.Given()
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	r.mu.Lock()
@@ -452,7 +466,7 @@
 		}
 		return false
 	}
-	text, told := r.text(since, d.way)
+	text, told := r.text(since, way)
 	pause, ok := r.turn(len(told))
 	r.mu.Unlock()
 	if !ok {
