--- a/balance/lifecycle_test.go
+++ b/balance/lifecycle_test.go
@@ -491,3 +491,55 @@
 		t.Errorf("sent to servers that are all cold: %d of 400 first tries and %d repeats; want 120 to 220, and none", first, again)
 	}
 }
+
+// coldFleet is a balancer whose eight servers were warm, and how to ask it: the
+// server that a request was sent to, and served by, if any.
+func coldFleet(t *testing.T) (b *Balancer, list []Server, now *time.Duration, ask func() string) {
+	t.Helper()
+	set := site()
+	set.CanCopy, set.ColdShare, set.ColdTime, set.TipMultiple = false, 0.2, 20*time.Second, 3
+	b, _ = New(set, 4)
+	list = fleet(8)
+	b.Members(time.Second, ListFull, list, nil)
+	now, n := new(time.Duration), 0
+	*now = time.Minute
+	ask = func() string {
+		n++
+		*now += 5 * ms
+		id := fmt.Sprint(n)
+		to := sentTo(b.Request(*now, Request{ID: id, Class: "read", Deadline: *now + 500*ms}, nil))
+		if to != "" {
+			b.Outcome(*now+ms, Outcome{Request: id, Status: OK, Took: ms, Final: true}, nil)
+		}
+		b.Left(*now+ms, id, nil)
+		return to
+	}
+	for range 400 {
+		ask()
+	}
+	return b, list, now, ask
+}
+
+// The first server of a fleet that is back alone gets what one of eight did, not
+// what all did.
+func TestFirstColdServerBackAlone(t *testing.T) {
+	b, list, now, ask := coldFleet(t)
+	gone := append([]Server(nil), list...)
+	for i := range gone {
+		gone[i].State = Gone
+	}
+	b.Members(*now, ListChange, gone, nil)
+	*now += time.Second
+	list[0].Started = *now
+	b.Members(*now, ListChange, list[:1], nil)
+	sent := 0
+	for range 400 {
+		if ask() != "" {
+			sent++
+		}
+	}
+	// 1.5 times 0.2 to 0.28, of an eighth: 18 of 400.
+	if sent > 45 {
+		t.Errorf("%d of 400 requests went to the one cold server of what were eight", sent)
+	}
+}
