Three wings: what holds many together in internal/fleet, what tries both in internal/lab

internal/ had 31 rooms beside each other, and more are to come. fleetplan and fleet are internal/fleet/plan and internal/fleet/supervisor now; standin, audit, experiment, virtual, rig, mutant, report and stats are rooms of internal/lab. Only paths, package names and what the pages, the table of breakages and tests say of them change; the sidecar's rooms stay.

--- a/cmd/otterspring/fleet.go
+++ b/cmd/otterspring/fleet.go
@@ -15,7 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"otterspring/internal/cli"
-	"otterspring/internal/fleet"
+	"otterspring/internal/fleet/supervisor"
 )
 
 // fleetCommand is `otterspring fleet` with its verbs.
@@ -25,8 +25,8 @@
 			"until SIGTERM or SIGINT, and then stops them; the other verbs ask the supervisor that\n"+
 			"runs, over its control socket. If it is killed the instances live on; the next one\n"+
 			"adopts them. Exit codes: 0 done, 1 it could not be done, 2 usage.",
-		verb("run", "supervise until a signal, then stop all", func(f *fleet.File, _ string) error { return fleetRun(f, log()) }),
-		verb("check", "say what is wrong with a file, start nothing", func(f *fleet.File, path string) error { return fleetCheck(f, path, out) }),
+		verb("run", "supervise until a signal, then stop all", func(f *supervisor.File, _ string) error { return fleetRun(f, log()) }),
+		verb("check", "say what is wrong with a file, start nothing", func(f *supervisor.File, path string) error { return fleetCheck(f, path, out) }),
 		asks("status", "what each instance does", out), asks("resume", "go on with a roll that has paused", out),
 		asks("cancel", "end a roll", out), asks("stop", "stop all instances and the supervisor", out),
 		rolls("restart", "restart all instances, or those named, at most restart.at_once at a time", out),
@@ -35,7 +35,7 @@
 }
 
 // verb is a verb that takes a file and nothing behind it.
-func verb(name, does string, do func(f *fleet.File, path string) error) *cobra.Command {
+func verb(name, does string, do func(f *supervisor.File, path string) error) *cobra.Command {
 	return &cobra.Command{Use: name + " FILE", Short: does, DisableFlagsInUseLine: true, RunE: func(_ *cobra.Command, args []string) error {
 		switch len(args) {
 		case 0:
@@ -44,7 +44,7 @@
 		default:
 			return fmt.Errorf("%w: fleet %s: found %q, wanted nothing behind the file", errUsage, name, args[1])
 		}
-		f, err := fleet.LoadFile(args[0])
+		f, err := supervisor.LoadFile(args[0])
 		if err != nil {
 			return err
 		}
@@ -54,7 +54,7 @@
 
 // asks is a verb that only asks the supervisor.
 func asks(name, does string, out io.Writer) *cobra.Command {
-	return verb(name, does, func(f *fleet.File, _ string) error { return ask(f, out, name) })
+	return verb(name, does, func(f *supervisor.File, _ string) error { return ask(f, out, name) })
 }
 
 // rolls is a verb that rolls through instances.
@@ -65,7 +65,7 @@
 		if len(args) == 0 {
 			return fmt.Errorf("%w: fleet %s: wanted a file", errUsage, name)
 		}
-		f, err := fleet.LoadFile(args[0])
+		f, err := supervisor.LoadFile(args[0])
 		if err != nil {
 			return err
 		}
@@ -85,15 +85,15 @@
 	return c
 }
 
-func ask(f *fleet.File, out io.Writer, words ...string) error {
-	answer, err := fleet.Ask(f.Control, words...)
+func ask(f *supervisor.File, out io.Writer, words ...string) error {
+	answer, err := supervisor.Ask(f.Control, words...)
 	if err == nil {
 		_, err = io.WriteString(out, answer)
 	}
 	return err
 }
 
-func fleetCheck(f *fleet.File, path string, out io.Writer) error {
+func fleetCheck(f *supervisor.File, path string, out io.Writer) error {
 	specs, err := f.Specs()
 	if err == nil {
 		fmt.Fprintf(out, "%s: good; %s\n", path, plural(len(specs), "instance", "instances"))
@@ -102,10 +102,10 @@
 }
 
 // fleetRun supervises until a signal.
-func fleetRun(f *fleet.File, log *slog.Logger) error {
+func fleetRun(f *supervisor.File, log *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	s, err := fleet.New(f, log)
+	s, err := supervisor.New(f, log)
 	if err != nil {
 		return err
 	}
@@ -113,10 +113,10 @@
 }
 
 // fleetWait shows the progress of a roll until it is over.
-func fleetWait(f *fleet.File, out io.Writer) error {
+func fleetWait(f *supervisor.File, out io.Writer) error {
 	last := ""
 	for {
-		text, err := fleet.Ask(f.Control, "status")
+		text, err := supervisor.Ask(f.Control, "status")
 		if err != nil {
 			return err
 		}
--- a/cmd/rig/coap.go
+++ b/cmd/rig/coap.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"otterspring/internal/rig"
-	"otterspring/internal/standin/lossylink"
+	"otterspring/internal/lab/rig"
+	"otterspring/internal/lab/standin/lossylink"
 )
 
 // mixes are who asks whom; all is every one of them at once.
--- a/cmd/rig/fleet.go
+++ b/cmd/rig/fleet.go
@@ -9,8 +9,8 @@
 	"strconv"
 	"time"
 
-	"otterspring/internal/rig"
-	"otterspring/internal/standin/registry"
+	"otterspring/internal/lab/rig"
+	"otterspring/internal/lab/standin/registry"
 )
 
 // setFleet is `rig fleet`: it restarts the instances of a fleet while requests come.
--- a/cmd/rig/main_test.go
+++ b/cmd/rig/main_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"otterspring/internal/experiment"
+	"otterspring/internal/lab/experiment"
 	"otterspring/internal/logs"
 )
 
--- a/cmd/rig/mutants.go
+++ b/cmd/rig/mutants.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"otterspring/internal/mutant"
+	"otterspring/internal/lab/mutant"
 )
 
 // setMutants is `rig mutants`: it breaks the program one line at a time and tells what notices.
--- a/cmd/rig/report.go
+++ b/cmd/rig/report.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"otterspring/internal/experiment"
-	"otterspring/internal/report"
+	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/report"
 )
 
 // setReport is `rig report`: it makes one page of results.
--- a/cmd/rig/speed.go
+++ b/cmd/rig/speed.go
@@ -28,11 +28,11 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
-	"otterspring/internal/audit"
-	"otterspring/internal/rig"
-	"otterspring/internal/standin/callserver"
-	"otterspring/internal/standin/clients"
-	"otterspring/internal/stats"
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/rig"
+	"otterspring/internal/lab/standin/callserver"
+	"otterspring/internal/lab/standin/clients"
+	"otterspring/internal/lab/stats"
 )
 
 // speedOptions are the flags of rig speed.
--- a/cmd/rig/storm.go
+++ b/cmd/rig/storm.go
@@ -20,9 +20,9 @@
 	"golang.org/x/sys/unix"
 
 	"otterspring/internal/cli"
-	"otterspring/internal/experiment"
-	"otterspring/internal/rig"
-	"otterspring/internal/virtual"
+	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/rig"
+	"otterspring/internal/lab/virtual"
 )
 
 // errVoid is a run that shows nothing, errSaid one whose fault stands in the
--- a/cmd/rig/try.go
+++ b/cmd/rig/try.go
@@ -7,9 +7,9 @@
 	"io"
 	"time"
 
-	"otterspring/internal/audit"
-	"otterspring/internal/rig"
-	"otterspring/internal/standin/clients"
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/rig"
+	"otterspring/internal/lab/standin/clients"
 )
 
 // setTry is `rig try`: it shows the sidecar's main job to a newcomer.
--- a/internal/coapfront/front_test.go
+++ b/internal/coapfront/front_test.go
@@ -17,8 +17,8 @@
 	"otterspring/internal/coap/gate"
 	"otterspring/internal/coap/message"
 	"otterspring/internal/engine"
-	"otterspring/internal/standin/coapclient"
-	"otterspring/internal/standin/lossylink"
+	"otterspring/internal/lab/standin/coapclient"
+	"otterspring/internal/lab/standin/lossylink"
 )
 
 const patience = 60 * time.Second
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -15,9 +15,9 @@
 
 	"otterspring/internal/daemon"
 	"otterspring/internal/handover"
-	"otterspring/internal/rig"
-	"otterspring/internal/standin/callserver"
-	"otterspring/internal/standin/clients"
+	"otterspring/internal/lab/rig"
+	"otterspring/internal/lab/standin/callserver"
+	"otterspring/internal/lab/standin/clients"
 )
 
 // patience bounds every wait; the tests wait on conditions.
--- a/internal/daemon/notify_test.go
+++ b/internal/daemon/notify_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"otterspring/internal/rig"
+	"otterspring/internal/lab/rig"
 )
 
 // The states that a supervisor hears over the life of a sidecar, through a
--- a/internal/fleetplan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -1,8 +1,8 @@
-// Package fleetplan decides for a supervisor of many instances: who starts when,
+// Package plan decides for a supervisor of many instances: who starts when,
 // who is restarted or reloaded next, when a roll pauses, and when an instance
 // is given up. It does no I/O and has no clock: events come in with their times,
 // actions go out.
-package fleetplan
+package plan
 
 import (
 	"fmt"
@@ -129,13 +129,13 @@
 func New(cfg Config, n int, seed uint64) (*Plan, error) {
 	switch {
 	case n < 1:
-		return nil, fmt.Errorf("fleetplan: found %d instances, wanted 1 or more", n)
+		return nil, fmt.Errorf("plan: found %d instances, wanted 1 or more", n)
 	case cfg.AtOnce < 1:
-		return nil, fmt.Errorf("fleetplan: AtOnce: found %d, wanted 1 or more", cfg.AtOnce)
+		return nil, fmt.Errorf("plan: AtOnce: found %d, wanted 1 or more", cfg.AtOnce)
 	case cfg.ReadyWithin <= 0 || cfg.EndWithin <= 0 || cfg.BackoffFirst <= 0 || cfg.BackoffMost < cfg.BackoffFirst:
-		return nil, fmt.Errorf("fleetplan: ReadyWithin, EndWithin, BackoffFirst and BackoffMost must be above 0 and in order")
+		return nil, fmt.Errorf("plan: ReadyWithin, EndWithin, BackoffFirst and BackoffMost must be above 0 and in order")
 	case cfg.LoopCrashes < 2 || cfg.LoopWithin <= 0 || cfg.PauseAfter < 1:
-		return nil, fmt.Errorf("fleetplan: LoopCrashes, LoopWithin and PauseAfter must be above 1, 0 and 0")
+		return nil, fmt.Errorf("plan: LoopCrashes, LoopWithin and PauseAfter must be above 1, 0 and 0")
 	}
 	return &Plan{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x666c656574)), list: make([]instance, n)}, nil
 }
--- a/internal/fleetplan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -1,4 +1,4 @@
-package fleetplan
+package plan
 
 import (
 	"fmt"
--- a/internal/fleet/file.go
+++ b/internal/fleet/supervisor/file.go
@@ -1,7 +1,7 @@
-// Package fleet supervises many instances on one host as child processes: it
+// Package supervisor supervises many instances on one host as child processes: it
 // starts, watches, restarts and reloads them. What it does next is decided by
-// fleetplan; this package has the processes, sockets and files.
-package fleet
+// package plan; this package has the processes, sockets and files.
+package supervisor
 
 import (
 	"crypto/rand"
@@ -15,7 +15,7 @@
 	"strings"
 	"time"
 
-	"otterspring/internal/fleetplan"
+	"otterspring/internal/fleet/plan"
 	"otterspring/internal/strictfile"
 )
 
@@ -205,9 +205,9 @@
 }
 
 // plan is the file as the decisions see it.
-func (f *File) plan() fleetplan.Config {
+func (f *File) plan() plan.Config {
 	perStart := float64(f.Start.CallLines+f.Start.ListLines) / float64(f.Start.Lines)
-	return fleetplan.Config{
+	return plan.Config{
 		Gap:         time.Duration(perStart * float64(time.Second)),
 		ReadyWithin: f.Start.Ready, EndWithin: f.Restart.EndWithin,
 		AtOnce: f.Restart.AtOnce, HandOver: f.Restart.Mode == "handover", PauseAfter: f.Restart.PauseAfter,
--- a/internal/fleet/ignore_test.go
+++ b/internal/fleet/supervisor/ignore_test.go
@@ -1,4 +1,4 @@
-package fleet
+package supervisor
 
 import (
 	"os/signal"
--- a/internal/fleet/supervisor.go
+++ b/internal/fleet/supervisor/supervisor.go
@@ -1,4 +1,4 @@
-package fleet
+package supervisor
 
 import (
 	"bufio"
@@ -18,7 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"otterspring/internal/fleetplan"
+	"otterspring/internal/fleet/plan"
 	"otterspring/internal/logs"
 	"otterspring/internal/unixsocket"
 )
@@ -28,11 +28,11 @@
 type Supervisor struct {
 	file    *File
 	specs   []Spec
-	plan    *fleetplan.Plan
+	plan    *plan.Plan
 	procs   []map[int]*process // of each instance, by the plan's number
 	program string             // that starts are of
 	next    *release           // being rolled out; nil if nothing is
-	events  chan func(now time.Duration) []fleetplan.Action
+	events  chan func(now time.Duration) []plan.Action
 	origin  time.Time
 	lock    *os.File
 	ln      net.Listener
@@ -71,13 +71,13 @@
 	}
 	s := &Supervisor{
 		file: f, specs: specs, program: f.Program, origin: time.Now(),
-		events: make(chan func(time.Duration) []fleetplan.Action), log: log,
+		events: make(chan func(time.Duration) []plan.Action), log: log,
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	for range specs {
 		s.procs = append(s.procs, map[int]*process{})
 	}
-	if s.plan, err = fleetplan.New(f.plan(), len(specs), uint64(time.Now().UnixNano())); err != nil {
+	if s.plan, err = plan.New(f.plan(), len(specs), uint64(time.Now().UnixNano())); err != nil {
 		return nil, err
 	}
 	if s.lock, err = os.OpenFile(filepath.Join(f.Directory, "fleet.lock"), os.O_CREATE|os.O_RDWR|syscall.O_CLOEXEC, 0o600); err != nil {
@@ -147,7 +147,7 @@
 }
 
 // send hands an event to Run; it is dropped once that has returned.
-func (s *Supervisor) send(ctx context.Context, f func(time.Duration) []fleetplan.Action) {
+func (s *Supervisor) send(ctx context.Context, f func(time.Duration) []plan.Action) {
 	select {
 	case s.events <- f:
 	case <-ctx.Done():
@@ -259,7 +259,7 @@
 // ended passes the end of a process on. It is called by the goroutine that
 // waited for it; what it knows goes to Run.
 func (s *Supervisor) ended(i int, p *process, clean bool, how string) {
-	s.send(s.ctx, func(now time.Duration) []fleetplan.Action {
+	s.send(s.ctx, func(now time.Duration) []plan.Action {
 		unix.Close(p.fd)
 		delete(s.procs[i], p.id)
 		s.save()
@@ -275,24 +275,24 @@
 }
 
 // carry does what the plan says.
-func (s *Supervisor) carry(acts []fleetplan.Action) {
+func (s *Supervisor) carry(acts []plan.Action) {
 	for len(acts) > 0 {
 		a := acts[0]
 		acts = acts[1:]
 		switch a.Kind {
-		case fleetplan.Start:
+		case plan.Start:
 			acts = append(acts, s.start(a)...)
-		case fleetplan.Term:
+		case plan.Term:
 			s.signal(a, syscall.SIGTERM)
-		case fleetplan.KillIt:
+		case plan.KillIt:
 			s.signal(a, syscall.SIGKILL)
-		case fleetplan.Hup:
+		case plan.Hup:
 			s.reload(a)
-		case fleetplan.Keep:
+		case plan.Keep:
 			if s.next != nil {
 				s.program, s.specs, s.next = s.next.program, s.next.specs, nil
 			}
-		case fleetplan.Say:
+		case plan.Say:
 			name := "fleet"
 			if a.Instance >= 0 {
 				name = s.specs[a.Instance].Name
@@ -312,7 +312,7 @@
 
 // of returns the program and the instance's words that a start or a reload is
 // of.
-func (s *Supervisor) of(a fleetplan.Action) (string, Spec) {
+func (s *Supervisor) of(a plan.Action) (string, Spec) {
 	if a.New && s.next != nil {
 		return s.next.program, s.next.specs[a.Instance]
 	}
@@ -321,7 +321,7 @@
 
 // start starts a process and watches it. It returns what follows of a start
 // that failed.
-func (s *Supervisor) start(a fleetplan.Action) []fleetplan.Action {
+func (s *Supervisor) start(a plan.Action) []plan.Action {
 	program, spec := s.of(a)
 	env := []string{"RELAY_NAME=" + spec.Name, "RELAY_LISTEN=" + spec.Listen}
 	var err error
@@ -366,7 +366,7 @@
 	go func() {
 		defer s.wg.Done()
 		if awaitUp(ctx, addr, func(u upState) bool { return u.pid == p.pid }) {
-			s.send(ctx, func(now time.Duration) []fleetplan.Action { return s.plan.Ready(now, i, p.id) })
+			s.send(ctx, func(now time.Duration) []plan.Action { return s.plan.Ready(now, i, p.id) })
 		}
 	}()
 	go func() {
@@ -382,7 +382,7 @@
 }
 
 // reload brings an instance its configuration and tells it.
-func (s *Supervisor) reload(a fleetplan.Action) {
+func (s *Supervisor) reload(a plan.Action) {
 	_, spec := s.of(a)
 	p := s.procs[a.Instance][a.Proc]
 	if p == nil {
@@ -407,7 +407,7 @@
 		}) {
 			return // the plan's own time limit ends it
 		}
-		s.send(ctx, func(now time.Duration) []fleetplan.Action {
+		s.send(ctx, func(now time.Duration) []plan.Action {
 			if after.bad > before.bad {
 				return s.plan.Unready(now, a.Instance, a.Proc)
 			}
@@ -416,7 +416,7 @@
 	}()
 }
 
-func (s *Supervisor) signal(a fleetplan.Action, sig syscall.Signal) {
+func (s *Supervisor) signal(a plan.Action, sig syscall.Signal) {
 	p := s.procs[a.Instance][a.Proc]
 	if p == nil {
 		return
@@ -448,7 +448,7 @@
 				return
 			}
 			answer := make(chan string, 1)
-			s.send(ctx, func(now time.Duration) []fleetplan.Action {
+			s.send(ctx, func(now time.Duration) []plan.Action {
 				text, acts, err := s.command(now, strings.Fields(line))
 				if err != nil {
 					text = "error: " + err.Error() + "\n"
@@ -468,7 +468,7 @@
 }
 
 // command carries out one command of an operator.
-func (s *Supervisor) command(now time.Duration, words []string) (string, []fleetplan.Action, error) {
+func (s *Supervisor) command(now time.Duration, words []string) (string, []plan.Action, error) {
 	if len(words) == 0 {
 		return "", nil, errors.New("wanted a verb")
 	}
@@ -496,7 +496,7 @@
 
 // roll begins a rolling restart or reload: [-program PATH] [NAME...]. The fleet
 // file and its templates are read again.
-func (s *Supervisor) roll(now time.Duration, reload bool, args []string) ([]fleetplan.Action, error) {
+func (s *Supervisor) roll(now time.Duration, reload bool, args []string) ([]plan.Action, error) {
 	f, err := LoadFile(s.file.Path)
 	if err != nil {
 		return nil, err
@@ -527,7 +527,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var acts []fleetplan.Action
+	var acts []plan.Action
 	if reload {
 		acts, err = s.plan.ReloadAll(now, which, true)
 	} else {
@@ -560,7 +560,7 @@
 // status words the state of the fleet.
 func (s *Supervisor) status() string {
 	var b strings.Builder
-	counts := map[fleetplan.Phase]int{}
+	counts := map[plan.Phase]int{}
 	for i, spec := range s.specs {
 		phase, _ := s.plan.Phase(i)
 		counts[phase]++
@@ -570,8 +570,8 @@
 		}
 		b.WriteByte('\n')
 	}
-	fmt.Fprintf(&b, "%d instances, %d up", len(s.specs), counts[fleetplan.Up])
-	if n := counts[fleetplan.GivenUp]; n > 0 {
+	fmt.Fprintf(&b, "%d instances, %d up", len(s.specs), counts[plan.Up])
+	if n := counts[plan.GivenUp]; n > 0 {
 		fmt.Fprintf(&b, ", %d given up", n)
 	}
 	b.WriteByte('\n')
--- a/internal/audit/broken_test.go
+++ b/internal/lab/audit/broken_test.go
@@ -14,10 +14,10 @@
 	"testing"
 	"time"
 
-	"otterspring/internal/audit"
-	"otterspring/internal/standin/callserver"
-	"otterspring/internal/standin/clients"
-	"otterspring/internal/standin/registry"
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/standin/callserver"
+	"otterspring/internal/lab/standin/clients"
+	"otterspring/internal/lab/standin/registry"
 )
 
 // relay is a peer in the sidecar's place that a test breaks on purpose.
--- a/internal/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"otterspring/internal/audit"
-	"otterspring/internal/standin/clients"
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/standin/clients"
 )
 
 const calm = "name = \"x\"\nfor = \"10s\"\n"
@@ -23,7 +23,7 @@
 }
 
 func TestShippedStormsAreGood(t *testing.T) {
-	files, _ := filepath.Glob("../../experiments/*.toml")
+	files, _ := filepath.Glob("../../../experiments/*.toml")
 	if len(files) < 13 {
 		t.Fatalf("found %d storms", len(files))
 	}
--- a/internal/experiment/plan.go
+++ b/internal/lab/experiment/plan.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"otterspring/internal/standin/clients"
+	"otterspring/internal/lab/standin/clients"
 )
 
 // Op is one thing that an engine does to the world.
--- a/internal/experiment/storm.go
+++ b/internal/lab/experiment/storm.go
@@ -14,8 +14,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"otterspring/internal/audit"
-	"otterspring/internal/standin/clients"
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/standin/clients"
 	"otterspring/internal/strictfile"
 )
 
--- a/internal/experiment/verdict.go
+++ b/internal/lab/experiment/verdict.go
@@ -9,8 +9,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"otterspring/internal/audit"
-	"otterspring/internal/standin/clients"
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/standin/clients"
 )
 
 // Figure is something that a promise may bound.
--- a/internal/mutant/run.go
+++ b/internal/lab/mutant/run.go
@@ -41,7 +41,7 @@
 func packages(file string) []string {
 	dir := filepath.ToSlash(filepath.Dir(file))
 	more := map[string][]string{
-		"balance":                {"./internal/mutant"},
+		"balance":                {"./internal/lab/mutant"},
 		"internal/httpupstream":  {"./internal/sidecar", "./internal/daemon"},
 		"internal/httpfront":     {"./internal/sidecar", "./internal/daemon"},
 		"internal/discovery":     {"./internal/sidecar", "./internal/daemon"},
@@ -50,7 +50,7 @@
 		"internal/sidecar":       {"./internal/daemon"},
 		"internal/membership":    {"./internal/sidecar"},
 		"internal/handover":      {"./internal/daemon"},
-		"internal/fleetplan":     {"./internal/fleet"},
+		"internal/fleet/plan":    {"./internal/fleet/supervisor"},
 	}[dir]
 	return append([]string{"./" + dir}, more...)
 }
--- a/internal/mutant/run_test.go
+++ b/internal/lab/mutant/run_test.go
@@ -13,7 +13,7 @@
 // Every patch of the table applies to the sources as they are: one that does
 // not would try nothing.
 func TestTableApplies(t *testing.T) {
-	if err := Check("../..", slices.Concat(Table, Controls)); err != nil {
+	if err := Check("../../..", slices.Concat(Table, Controls)); err != nil {
 		t.Error(err)
 	}
 	names := map[string]bool{}
--- a/internal/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -176,13 +176,13 @@
 	{Name: "any-user", File: "internal/handover/offer.go", Breaks: "a process of another user may take the listener over",
 		Old: "if int(cred.Uid) != os.Getuid() {", New: "if int(cred.Uid) < 0 {",
 		Unseen: "a test would need a second user; CI runs as one"},
-	{Name: "crowded-starts", File: "internal/fleetplan/plan.go", Breaks: "instances start all at once",
+	{Name: "crowded-starts", File: "internal/fleet/plan/plan.go", Breaks: "instances start all at once",
 		Old: "if p.started && now < p.lastAt+p.cfg.Gap {", New: "if p.started && now < p.lastAt {"},
-	{Name: "never-killed", File: "internal/fleetplan/plan.go", Breaks: "a process that does not end is left",
+	{Name: "never-killed", File: "internal/fleet/plan/plan.go", Breaks: "a process that does not end is left",
 		Old: "\t\t\tp.act(Action{Kind: KillIt, Instance: i, Proc: q.id})\n", New: ""},
-	{Name: "roll-of-all", File: "internal/fleetplan/plan.go", Breaks: "a roll takes all instances at a time",
+	{Name: "roll-of-all", File: "internal/fleet/plan/plan.go", Breaks: "a roll takes all instances at a time",
 		Old: "len(r.active) < p.cfg.AtOnce {", New: "len(r.active) < 1000 {"},
-	{Name: "roll-on", File: "internal/fleetplan/plan.go", Breaks: "a roll goes on though none becomes ready",
+	{Name: "roll-on", File: "internal/fleet/plan/plan.go", Breaks: "a roll goes on though none becomes ready",
 		Old: "if r.back || r.inRow < p.cfg.PauseAfter {", New: "if r.back || r.inRow < 1000*p.cfg.PauseAfter {"},
 
 	// The simulator's wire.
--- a/internal/mutant/wrap.go
+++ b/internal/lab/mutant/wrap.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"otterspring/balance"
-	"otterspring/internal/virtual"
+	"otterspring/internal/lab/virtual"
 )
 
 // Wrapped is a breakage of the module by what stands before it.
--- a/internal/mutant/wrap_test.go
+++ b/internal/lab/mutant/wrap_test.go
@@ -5,13 +5,13 @@
 	"path/filepath"
 	"testing"
 
-	"otterspring/internal/experiment"
-	"otterspring/internal/virtual"
+	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/virtual"
 )
 
 func play(t *testing.T, storm string, m *Wrapped) *experiment.Result {
 	t.Helper()
-	s, errs := experiment.LoadFile(filepath.Join("..", "..", "experiments", storm+".toml"), true, nil)
+	s, errs := experiment.LoadFile(filepath.Join("..", "..", "..", "experiments", storm+".toml"), true, nil)
 	if len(errs) > 0 {
 		t.Fatal(errs)
 	}
--- a/internal/report/plot.go
+++ b/internal/lab/report/plot.go
@@ -13,7 +13,7 @@
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"otterspring/internal/experiment"
+	"otterspring/internal/lab/experiment"
 )
 
 const (
--- a/internal/report/report.go
+++ b/internal/lab/report/report.go
@@ -16,8 +16,8 @@
 	"slices"
 	"strings"
 
-	"otterspring/internal/experiment"
-	"otterspring/internal/stats"
+	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/stats"
 )
 
 const (
--- a/internal/report/report_test.go
+++ b/internal/lab/report/report_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"otterspring/internal/experiment"
+	"otterspring/internal/lab/experiment"
 )
 
 func result(storm, engine string, seed uint64, service float64) *experiment.Result {
--- a/internal/rig/coap.go
+++ b/internal/lab/rig/coap.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
-	"otterspring/internal/standin/callserver"
-	"otterspring/internal/standin/clients"
-	"otterspring/internal/standin/lossylink"
+	"otterspring/internal/lab/standin/callserver"
+	"otterspring/internal/lab/standin/clients"
+	"otterspring/internal/lab/standin/lossylink"
 )
 
 // CoAPOptions add CoAP to a world: clients and call servers that speak it, behind
--- a/internal/rig/coap_test.go
+++ b/internal/lab/rig/coap_test.go
@@ -12,8 +12,8 @@
 
 	"otterspring/internal/coap/gate"
 	"otterspring/internal/coap/message"
-	"otterspring/internal/standin/coapclient"
-	"otterspring/internal/standin/lossylink"
+	"otterspring/internal/lab/standin/coapclient"
+	"otterspring/internal/lab/standin/lossylink"
 )
 
 // coapWorld plays clients and call servers over HTTP and CoAP beside each other,
--- a/internal/rig/instance.go
+++ b/internal/lab/rig/instance.go
@@ -19,7 +19,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"otterspring/internal/standin/registry"
+	"otterspring/internal/lab/standin/registry"
 )
 
 // readyWithin bounds the start of a process. It is long: it ends a rig that
--- a/internal/rig/mass_test.go
+++ b/internal/lab/rig/mass_test.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"otterspring/internal/experiment"
+	"otterspring/internal/lab/experiment"
 )
 
 // What full-fleet days are made of, on sockets and processes: instances that are
--- a/internal/rig/run.go
+++ b/internal/lab/rig/run.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"otterspring/internal/standin/callserver"
-	"otterspring/internal/standin/clients"
+	"otterspring/internal/lab/standin/callserver"
+	"otterspring/internal/lab/standin/clients"
 )
 
 // Mode is how an instance is restarted.
--- a/internal/rig/storm.go
+++ b/internal/lab/rig/storm.go
@@ -15,11 +15,11 @@
 
 	"golang.org/x/sys/unix"
 
-	"otterspring/internal/experiment"
-	"otterspring/internal/standin/callserver"
-	"otterspring/internal/standin/clients"
-	"otterspring/internal/standin/registry"
-	"otterspring/internal/standin/relay"
+	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/standin/callserver"
+	"otterspring/internal/lab/standin/clients"
+	"otterspring/internal/lab/standin/registry"
+	"otterspring/internal/lab/standin/relay"
 	"otterspring/internal/strictfile"
 )
 
--- a/internal/rig/storm_test.go
+++ b/internal/lab/rig/storm_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"otterspring/internal/experiment"
-	"otterspring/internal/standin/clients"
+	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/standin/clients"
 )
 
 func playSockets(t *testing.T, text string) *experiment.Result {
--- a/internal/rig/world.go
+++ b/internal/lab/rig/world.go
@@ -14,13 +14,13 @@
 	"sync"
 	"time"
 
-	"otterspring/internal/audit"
-	"otterspring/internal/experiment"
-	"otterspring/internal/standin/callserver"
-	"otterspring/internal/standin/clients"
-	"otterspring/internal/standin/lossylink"
-	"otterspring/internal/standin/registry"
-	"otterspring/internal/standin/relay"
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/standin/callserver"
+	"otterspring/internal/lab/standin/clients"
+	"otterspring/internal/lab/standin/lossylink"
+	"otterspring/internal/lab/standin/registry"
+	"otterspring/internal/lab/standin/relay"
 )
 
 // Options describe a world. Zero values take the usual ones.
--- a/internal/standin/callserver/callserver.go
+++ b/internal/lab/standin/callserver/callserver.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"otterspring/internal/audit"
+	"otterspring/internal/lab/audit"
 )
 
 // Class is how much work a class of requests is.
--- a/internal/standin/callserver/callserver_test.go
+++ b/internal/lab/standin/callserver/callserver_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"otterspring/internal/audit"
+	"otterspring/internal/lab/audit"
 )
 
 // patience bounds waits that would otherwise hang; nothing is measured by it.
--- a/internal/standin/callserver/coap.go
+++ b/internal/lab/standin/callserver/coap.go
@@ -10,11 +10,11 @@
 	"sync"
 	"time"
 
-	"otterspring/internal/audit"
 	"otterspring/internal/coap/block"
 	"otterspring/internal/coap/exchange"
 	"otterspring/internal/coap/gate"
 	"otterspring/internal/coap/message"
+	"otterspring/internal/lab/audit"
 )
 
 // coapScheme stands before the address of a server that speaks CoAP.
--- a/internal/standin/callserver/fault.go
+++ b/internal/lab/standin/callserver/fault.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"otterspring/internal/standin/deaf"
+	"otterspring/internal/lab/standin/deaf"
 )
 
 // Spoil is a way to spoil an answer whose request has run.
--- a/internal/standin/clients/clients.go
+++ b/internal/lab/standin/clients/clients.go
@@ -17,9 +17,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"otterspring/internal/audit"
-	"otterspring/internal/standin/callserver"
-	"otterspring/internal/standin/coapclient"
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/standin/callserver"
+	"otterspring/internal/lab/standin/coapclient"
 )
 
 // Config describes the clients of one sidecar.
--- a/internal/standin/clients/clients_test.go
+++ b/internal/lab/standin/clients/clients_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"otterspring/internal/audit"
-	"otterspring/internal/standin/callserver"
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/standin/callserver"
 )
 
 var classes = []Class{
--- a/internal/standin/clients/coap.go
+++ b/internal/lab/standin/clients/coap.go
@@ -5,12 +5,12 @@
 	"strings"
 	"time"
 
-	"otterspring/internal/audit"
 	"otterspring/internal/coap/exchange"
 	"otterspring/internal/coap/gate"
 	"otterspring/internal/coap/message"
-	"otterspring/internal/standin/callserver"
-	"otterspring/internal/standin/coapclient"
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/standin/callserver"
+	"otterspring/internal/lab/standin/coapclient"
 )
 
 // openDevices opens the endpoints of clients over CoAP.
--- a/internal/standin/clients/plan.go
+++ b/internal/lab/standin/clients/plan.go
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"otterspring/internal/audit"
+	"otterspring/internal/lab/audit"
 )
 
 // Class is a class of requests as the clients see it.
--- a/internal/standin/registry/registry.go
+++ b/internal/lab/standin/registry/registry.go
@@ -18,7 +18,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"otterspring/internal/audit"
+	"otterspring/internal/lab/audit"
 )
 
 // Entry is one call server of the list.
--- a/internal/standin/registry/registry_test.go
+++ b/internal/lab/standin/registry/registry_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"otterspring/internal/audit"
+	"otterspring/internal/lab/audit"
 )
 
 type told struct {
--- a/internal/standin/relay/relay.go
+++ b/internal/lab/standin/relay/relay.go
@@ -18,7 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"otterspring/internal/standin/deaf"
+	"otterspring/internal/lab/standin/deaf"
 )
 
 const (
--- a/internal/virtual/attempt.go
+++ b/internal/lab/virtual/attempt.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"otterspring/balance"
-	"otterspring/internal/audit"
+	"otterspring/internal/lab/audit"
 )
 
 // send starts an attempt.
--- a/internal/virtual/client.go
+++ b/internal/lab/virtual/client.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"otterspring/balance"
-	"otterspring/internal/audit"
-	"otterspring/internal/standin/clients"
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/standin/clients"
 )
 
 // ask is one arrival of a client, over all its tries.
--- a/internal/virtual/mass_test.go
+++ b/internal/lab/virtual/mass_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"otterspring/balance"
-	"otterspring/internal/experiment"
+	"otterspring/internal/lab/experiment"
 )
 
 // A small full fleet: 60 instances, 36 servers in three zones, a few instances
--- a/internal/virtual/registry.go
+++ b/internal/lab/virtual/registry.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"otterspring/balance"
-	"otterspring/internal/experiment"
+	"otterspring/internal/lab/experiment"
 	"otterspring/internal/pace"
 )
 
--- a/internal/virtual/server.go
+++ b/internal/lab/virtual/server.go
@@ -4,8 +4,8 @@
 	"math/rand/v2"
 	"time"
 
-	"otterspring/internal/audit"
-	"otterspring/internal/experiment"
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/experiment"
 )
 
 // class is a class as a call server sees it.
--- a/internal/virtual/sidecar.go
+++ b/internal/lab/virtual/sidecar.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"otterspring/balance"
-	"otterspring/internal/audit"
+	"otterspring/internal/lab/audit"
 )
 
 const (
--- a/internal/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"otterspring/internal/experiment"
+	"otterspring/internal/lab/experiment"
 )
 
 func play(t *testing.T, s *experiment.Storm, seed uint64) *experiment.Result {
@@ -38,7 +38,7 @@
 // The storms that ship keep the rules and what they promise, in their short
 // form and by more than one seed.
 func TestShippedStormsKeepTheirWord(t *testing.T) {
-	files, _ := filepath.Glob("../../experiments/*.toml")
+	files, _ := filepath.Glob("../../../experiments/*.toml")
 	if len(files) == 0 {
 		t.Fatal("found no storm")
 	}
@@ -61,7 +61,7 @@
 // The same seed gives the same run to the byte, on one, two and four cores, and
 // another seed another.
 func TestSameSeedSameBytes(t *testing.T) {
-	s, errs := experiment.LoadFile("../../experiments/everything.toml", true, []string{"for=15s"})
+	s, errs := experiment.LoadFile("../../../experiments/everything.toml", true, []string{"for=15s"})
 	if len(errs) > 0 {
 		t.Fatal(errs)
 	}
--- a/internal/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"otterspring/balance"
-	"otterspring/internal/audit"
-	"otterspring/internal/experiment"
-	"otterspring/internal/standin/clients"
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/standin/clients"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
