--- a/internal/lab/experiment/verdict.go
+++ b/internal/lab/experiment/verdict.go
@@ -196,6 +196,9 @@
 	for _, ph := range s.Phases {
 		res.Phases[ph.Name] = figures(s, rec, ph.From.On(s.For), ph.To.On(s.For))
 	}
+	if rep.Unsure > 0 {
+		res.Void = append(res.Void, fmt.Sprintf("%d time limits were passed while the rig itself stood still, by no more than that: nobody can tell (%s)", rep.Unsure, first(rep.Unclear)))
+	}
 	if rep.Unwatched > 0 {
 		res.Void = append(res.Void, fmt.Sprintf("the audit was full: %d requests are held against nothing", rep.Unwatched))
 	}
@@ -544,3 +547,11 @@
 	}
 	return b.String()
 }
+
+// first is the first of some words; empty where there are none.
+func first(of []string) string {
+	if len(of) == 0 {
+		return ""
+	}
+	return of[0]
+}
--- a/internal/lab/mutant/run.go
+++ b/internal/lab/mutant/run.go
@@ -50,6 +50,7 @@
 		"internal/sidecar":       {"./internal/daemon"},
 		"internal/membership":    {"./internal/sidecar"},
 		"internal/handover":      {"./internal/daemon"},
+		"internal/lab/audit":     {"./internal/lab/standin/clients"},
 		"internal/fleet/plan":    {"./internal/fleet/supervisor"},
 	}[dir]
 	return append([]string{"./" + dir}, more...)
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -245,4 +245,10 @@
 	{Name: "note-ahead", File: "internal/coapfront/front.go", Breaks: "a datagram runs after the note was left",
 		Old: "\t\tif f.over {\n", New: "\t\tif f.over && n == 0 {\n",
 		Unseen: "the moment between the close of the socket and the note is some microseconds"},
+
+	// The lab's own: what a rig must not do itself.
+	{Name: "resends-after-a-kill", File: "internal/lab/audit/audit.go", Breaks: "a client sends what a killed sidecar held once more under its id",
+		Old: "\tresend = resend && !r.killed\n", New: ""},
+	{Name: "own-clock-for-arrivals", File: "internal/lab/standin/stamp/stamp.go", Breaks: "arrivals have the time at which they were read, not the kernel's",
+		Old: "\tif d := time.Now().Round(0).Sub(r.at); d > 0 && d < mostAge {\n\t\treturn d\n\t}\n", New: ""},
 }
--- /dev/null
+++ b/internal/lab/rig/meter.go
@@ -0,0 +1,92 @@
+package rig
+
+import (
+	"math"
+	"runtime"
+	"runtime/metrics"
+	"slices"
+	"sync"
+	"time"
+
+	"otterspring/internal/lab/audit"
+)
+
+const (
+	meterEvery = 5 * time.Millisecond
+	// A thread that comes back this much later than it asked for has stood still:
+	// what the rig reports of that time it may have seen late.
+	meterLate = 15 * time.Millisecond
+	// standstill is from when on a run shows nothing: the rig's own process was
+	// stopped, or its machine slept.
+	standstill = 2 * time.Second
+)
+
+// meter tells the audit when the rig's own threads stood still, and returns a
+// function that ends it and tells the longest time they did. A busy machine keeps
+// single threads waiting while others run, so that there is one on each core.
+func meter(log *audit.Log) func() time.Duration {
+	end := make(chan struct{})
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	longest := time.Duration(0)
+	for range runtime.GOMAXPROCS(0) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			runtime.LockOSThread()
+			defer runtime.UnlockOSThread()
+			tick := time.NewTimer(meterEvery)
+			defer tick.Stop()
+			for {
+				before := log.Now()
+				tick.Reset(meterEvery)
+				select {
+				case <-end:
+					return
+				case <-tick.C:
+				}
+				if now := log.Now(); now-before > meterEvery+meterLate {
+					log.Stalled(before+meterEvery, now)
+					mu.Lock()
+					longest = max(longest, now-before-meterEvery)
+					mu.Unlock()
+				}
+			}
+		}()
+	}
+	wg.Go(func() { queues(log, end) })
+	return func() time.Duration { close(end); wg.Wait(); return longest }
+}
+
+// queues tells the audit how long goroutines of the rig waited for a thread, by
+// the runtime's own count: with thousands that can run at once, one that a packet
+// woke reads its clock late though every thread runs.
+func queues(log *audit.Log, end <-chan struct{}) {
+	sample := []metrics.Sample{{Name: "/sched/latencies:seconds"}}
+	var before []uint64
+	tick := time.NewTicker(10 * meterEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-end:
+			return
+		case <-tick.C:
+		}
+		metrics.Read(sample)
+		if sample[0].Value.Kind() != metrics.KindFloat64Histogram {
+			return
+		}
+		h := sample[0].Value.Float64Histogram()
+		longest := 0.0
+		for i, n := range h.Counts {
+			if len(before) == len(h.Counts) && n > before[i] && !math.IsInf(h.Buckets[i+1], 0) {
+				longest = h.Buckets[i+1]
+			}
+		}
+		before = slices.Clone(h.Counts)
+		if d := time.Duration(longest * float64(time.Second)); d > meterLate {
+			now := log.Now()
+			log.Stalled(now-d, now)
+		}
+	}
+}
--- a/internal/lab/rig/storm.go
+++ b/internal/lab/rig/storm.go
@@ -273,10 +273,14 @@
 	}
 	stop := report(w, start, progress)
 	held := weigh(w, p.Storm.For)
+	still := meter(w.Log)
 	run.steps(ctx, start, &wg)
 	wg.Wait()
 	stop()
 	run.held = held()
+	if d := still(); d > standstill {
+		run.note(fmt.Errorf("the rig itself stood still for %.1f s", d.Seconds()))
+	}
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
--- a/internal/lab/standin/callserver/conn.go
+++ b/internal/lab/standin/callserver/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"otterspring/internal/lab/standin/stamp"
 )
 
 // serverConn is a connection of a sidecar.
@@ -18,6 +20,7 @@
 	srv   *Server
 	nc    *net.TCPConn
 	br    *bufio.Reader
+	stamp *stamp.Reader
 	fresh bool // its handshake has not been paid for yet
 	once  sync.Once
 	ended chan struct{} // closed when the connection has ended
@@ -37,7 +40,11 @@
 			continue
 		}
 		c := &serverConn{srv: s, nc: nc, fresh: true, ended: make(chan struct{})}
-		c.br = bufio.NewReaderSize(nc, 4<<10)
+		if c.stamp, err = stamp.New(nc); err != nil {
+			nc.Close()
+			continue
+		}
+		c.br = bufio.NewReaderSize(c.stamp, 4<<10)
 		s.mu.Lock()
 		if s.stopped || s.ln != ln {
 			s.mu.Unlock()
@@ -99,7 +106,7 @@
 			return
 		}
 		c.nc.SetReadDeadline(time.Time{})
-		first := c.srv.log.Now()
+		first := c.srv.log.Now() - c.stamp.Age()
 		f := c.srv.drawFault()
 		if f.ResetAt > 0 {
 			// The bytes are read as they come, and the break falls behind one
--- /dev/null
+++ b/internal/lab/standin/stamp/stamp.go
@@ -0,0 +1,86 @@
+// Package stamp reads from TCP connections and tells when the kernel received
+// what was read. A stand-in that takes the time itself takes it when its
+// goroutine runs, which on a crowded machine is tenths of a second later: enough
+// to hold a request that was sent in time for one that was sent too late.
+package stamp
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Reader reads from a connection. It belongs to one goroutine at a time.
+type Reader struct {
+	raw syscall.RawConn
+	oob [64]byte
+	at  time.Time // of the kernel, for what was read last; zero for none
+}
+
+// New has the kernel stamp what a connection receives from now on.
+func New(c *net.TCPConn) (*Reader, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var set error
+	if err := raw.Control(func(fd uintptr) { set = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_TIMESTAMPNS, 1) }); err != nil {
+		return nil, err
+	}
+	return &Reader{raw: raw}, set
+}
+
+// Read reads as the connection does, its deadlines included.
+func (r *Reader) Read(b []byte) (n int, err error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
+	var oobn int
+	var got error
+	err = r.raw.Read(func(fd uintptr) bool {
+		for {
+			n, oobn, _, _, got = unix.Recvmsg(int(fd), b, r.oob[:], 0)
+			if !errors.Is(got, unix.EINTR) {
+				return !errors.Is(got, unix.EAGAIN)
+			}
+		}
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case got != nil:
+		return 0, got
+	case n == 0:
+		return 0, io.EOF
+	}
+	r.at = time.Time{}
+	if msgs, err := unix.ParseSocketControlMessage(r.oob[:oobn]); err == nil {
+		for _, m := range msgs {
+			if m.Header.Level == unix.SOL_SOCKET && m.Header.Type == unix.SO_TIMESTAMPNS && len(m.Data) >= 16 {
+				r.at = time.Unix(int64(binary.NativeEndian.Uint64(m.Data)), int64(binary.NativeEndian.Uint64(m.Data[8:])))
+			}
+		}
+	}
+	return n, nil
+}
+
+// mostAge is the largest age that is believed: the kernel stamps by the wall
+// clock, which may be set meanwhile.
+const mostAge = 10 * time.Second
+
+// Age is how long ago the kernel received the last of what was read last; 0
+// where it did not tell.
+func (r *Reader) Age() time.Duration {
+	if r.at.IsZero() {
+		return 0
+	}
+	if d := time.Now().Round(0).Sub(r.at); d > 0 && d < mostAge {
+		return d
+	}
+	return 0
+}
