Histories: what happened in a run, in a file that is judged after it, too

Faults between processes need one history of what all of them did. internal/lab/history keeps lines of JSON on one monotonic clock: all that the audit takes down (Log.Tap, Log.Take), and orders, effects on behalf of the fleet, operations on registers and leases, what was seen, what was given out, faults. A breach comes with the entries that show it; for linearizability the smallest head of them, thinned out. rig judge FILE prints it, and porcupine's pictures.

--- /dev/null
+++ b/cmd/rig/judge.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"otterspring/internal/lab/history"
+)
+
+// setJudge is `rig judge`: it judges histories that were written before.
+func setJudge(f *flag.FlagSet) runner {
+	pictures := f.String("pictures", "", "a folder for pictures of what is not linearizable; empty for none")
+	return func(ctx context.Context, files []string, out io.Writer) error {
+		if len(files) == 0 {
+			return fmt.Errorf("%w: wanted a history", errUsage)
+		}
+		broken, void := false, false
+		for _, file := range files {
+			h, err := history.Load(file)
+			if err != nil {
+				return err
+			}
+			v := history.Judge(h)
+			fmt.Fprintf(out, "%s: storm %s, seed %d, %d entries\n", file, h.Storm, h.Seed, len(h.Entries))
+			printVerdict(out, v)
+			if err := draw(*pictures, file, v); err != nil {
+				return err
+			}
+			fmt.Fprintln(out, verdictLine(v))
+			broken, void = broken || v.Broken(), void || len(v.Void) > 0
+		}
+		switch {
+		case broken:
+			return errRules
+		case void:
+			return errVoid
+		}
+		return nil
+	}
+}
+
+// printVerdict tells each breach with what shows it.
+func printVerdict(out io.Writer, v *history.Verdict) {
+	if v.Cut {
+		fmt.Fprintln(out, "  the history has no end: judged as far as it goes")
+	}
+	for _, why := range v.Void {
+		fmt.Fprintln(out, "  void:", why)
+	}
+	for _, x := range v.Violations {
+		fmt.Fprintf(out, "  %s: %s\n", x.Rule, x.What)
+		for _, e := range x.Shown {
+			fmt.Fprintf(out, "    %s\n", e.Words())
+		}
+	}
+}
+
+// verdictLine is the last line: figures as key=value.
+func verdictLine(v *history.Verdict) string {
+	linear := "yes"
+	if v.Unlinear > 0 {
+		linear = "no"
+	}
+	kinds := make([]string, 0, len(v.Kinds))
+	for k := range v.Kinds {
+		kinds = append(kinds, k)
+	}
+	slices.Sort(kinds)
+	return fmt.Sprintf("ops=%d unknown=%d %s unasked=%d owners_twice=%d late_tried=%d linearizable=%s went_back=%d overgiven=%d most_at_once=%d void=%d kinds=%d (%s)",
+		v.Ops, v.Unknown, v.Rules.Line(), v.Unasked, v.OwnersTwice, v.LateTried, linear, v.WentBack, v.Overgiven, v.MostAtOnce, len(v.Void), len(kinds), strings.Join(kinds, " "))
+}
+
+// draw writes the pictures of a verdict into a folder.
+func draw(dir, of string, v *history.Verdict) error {
+	if dir == "" || len(v.Drawings) == 0 {
+		return nil
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	for key, html := range v.Drawings {
+		name := strings.TrimSuffix(filepath.Base(of), filepath.Ext(of)) + "-" + strings.ReplaceAll(key, "/", "_") + ".html"
+		if err := os.WriteFile(filepath.Join(dir, name), html, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -39,6 +39,7 @@
 	{"storm", "FILE...", "storms from files: faults at their times, what must hold, verdicts", setStorm},
 	{"check", "FILE...", "what is wrong with storms' files, a line a fault", setCheck},
 	{"coap", "", "clients and call servers over CoAP and HTTP beside each other, on links that lose datagrams", setCoAP},
+	{"judge", "FILE...", "histories that were written before, held against everything that must hold", setJudge},
 	{"report", "FILE...", "one page of storms' results, with plots", setReport},
 	{"mutants", "", "breaks the program one line at a time and tells which test and storm notice", setMutants},
 	{"speed", "", "one sidecar beside net/http/httputil's ReverseProxy, as ratios", setSpeed},
--- /dev/null
+++ b/internal/lab/history/history.go
@@ -0,0 +1,245 @@
+// Package history keeps what happened in a run of many processes, in a file that
+// is judged after the run as well: what clients asked and got, what call servers
+// ran, what discovery told, orders that were given, effects on behalf of the
+// fleet, faults. It is pure but for reading and writing that file.
+//
+// A file is lines of JSON: a head, entries in the order in which they were taken
+// down, all on one monotonic clock of the rig's, and an end that counts them. A
+// file without its end is one of a rig that was killed: it is judged as far as
+// it goes, and said to be cut.
+package history
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/strictfile"
+)
+
+// Version is the file's; another one is not read.
+const Version = 1
+
+// MostEntries bounds a history; what comes beyond is counted in the end line and
+// makes the run void.
+const MostEntries = 5_000_000
+
+// What an entry tells of beside what the audit takes.
+const (
+	Order   audit.Did = "order"   // To was told by Who to do Op; End and Result say how it went
+	Effect  audit.Did = "effect"  // Who did Op to To on behalf of the fleet, for Duty in epoch Number
+	Op      audit.Did = "op"      // Who did Op on Key: read, write, cas, take, check
+	Saw     audit.Did = "saw"     // Who held Number of Key: a list's index, an epoch
+	Grant   audit.Did = "grant"   // Who gave To Amount of Key until End
+	Limit   audit.Did = "limit"   // there is Amount of Key from now on
+	Fault   audit.Did = "fault"   // Op was brought in on Who, until End
+	Process audit.Did = "process" // Who: Op is started, ready, stopped, woken, ended, killed
+	Void    audit.Did = "void"    // why the run shows nothing
+)
+
+// How an order or an operation ended.
+const (
+	Done    = "done"
+	Refused = "refused"
+	Unknown = "unknown" // no answer: it may have been done, or may yet
+)
+
+// Entry is one thing that happened. Which fields it uses follows from Do.
+type Entry struct {
+	audit.Event
+	End    time.Duration `json:"end,omitempty"` // when it was over; 0 for never, or not known
+	Result string        `json:"result,omitempty"`
+	Who    string        `json:"who,omitempty"`
+	To     string        `json:"to,omitempty"`
+	Duty   string        `json:"duty,omitempty"`
+	Number uint64        `json:"number,omitempty"`
+	Op     string        `json:"op,omitempty"`
+	Key    string        `json:"key,omitempty"`
+	Old    string        `json:"old,omitempty"`
+	Value  string        `json:"value,omitempty"`
+	Amount float64       `json:"amount,omitempty"`
+
+	Line int `json:"-"` // of the file, from 1
+}
+
+// Head says of what run a history is.
+type Head struct {
+	Version int         `json:"otterspring_history"`
+	Clock   string      `json:"clock"` // names the clock: two of them can't be compared
+	Storm   string      `json:"storm"`
+	Seed    uint64      `json:"seed"`
+	Rules   audit.Rules `json:"rules"`
+	Rude    bool        `json:"rude,omitempty"` // some clients ask what the history does not tell
+}
+
+// tail is the last line.
+type tail struct {
+	End   int `json:"end_of_history"`
+	Extra int `json:"not_kept"`
+}
+
+// Writer writes a history. It may be used by many goroutines.
+type Writer struct {
+	mu    sync.Mutex
+	w     *bufio.Writer
+	c     io.Closer
+	enc   *json.Encoder
+	n     int
+	extra int
+	err   error
+}
+
+// Create begins a history at path.
+func Create(path string, h Head) (*Writer, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("history: %w", err)
+	}
+	w := NewWriter(f, h)
+	w.c = f
+	return w, nil
+}
+
+// NewWriter begins a history on w.
+func NewWriter(w io.Writer, h Head) *Writer {
+	h.Version = Version
+	b := bufio.NewWriterSize(w, 256<<10)
+	out := &Writer{w: b, enc: json.NewEncoder(b)}
+	out.err = out.enc.Encode(h)
+	return out
+}
+
+// Add takes an entry down.
+func (w *Writer) Add(e Entry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.err != nil:
+	case w.n >= MostEntries:
+		w.extra++
+	default:
+		w.n++
+		w.err = w.enc.Encode(&e)
+	}
+}
+
+// Tap is Add for what an audit takes down.
+func (w *Writer) Tap(e audit.Event) { w.Add(Entry{Event: e}) }
+
+// Close writes the end. It returns the first error of all writing.
+func (w *Writer) Close() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err == nil {
+		w.err = w.enc.Encode(tail{w.n, w.extra})
+	}
+	err := errors.Join(w.err, w.w.Flush())
+	if w.c != nil {
+		err = errors.Join(err, w.c.Close())
+	}
+	if err != nil {
+		return fmt.Errorf("history: %w", err)
+	}
+	return nil
+}
+
+// History is one that was read.
+type History struct {
+	Head
+	Entries []Entry
+	Cut     bool // it has no end: the rig was killed, or its disk was full
+	Extra   int  // entries that were not kept
+}
+
+// Load reads the history at path. What is wrong is one line with file, line, what
+// was found and what is wanted.
+func Load(path string) (*History, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, &strictfile.Error{File: path, Found: err.Error(), Wanted: "a history"}
+	}
+	defer f.Close()
+	return Read(path, f)
+}
+
+// Read reads a history; name stands for the file in errors.
+func Read(name string, r io.Reader) (*History, error) {
+	bad := func(line int, key, found, wanted string) error {
+		return &strictfile.Error{File: name, Line: line, Key: key, Found: found, Wanted: wanted}
+	}
+	sc := bufio.NewScanner(r)
+	sc.Buffer(make([]byte, 64<<10), 1<<20)
+	h := &History{Cut: true}
+	line := 0
+	for sc.Scan() {
+		line++
+		text := sc.Bytes()
+		if line == 1 {
+			if err := json.Unmarshal(text, &h.Head); err != nil || h.Version == 0 {
+				return nil, bad(1, "otterspring_history", "a line that is no head", "the head of a history")
+			}
+			if h.Version != Version {
+				return nil, bad(1, "otterspring_history", "version "+strconv.Itoa(h.Version), "version "+strconv.Itoa(Version))
+			}
+			continue
+		}
+		var probe struct {
+			Do    string
+			Head  int `json:"otterspring_history"`
+			Clock string
+			End   *int `json:"end_of_history"`
+			Extra int  `json:"not_kept"`
+		}
+		if err := json.Unmarshal(text, &probe); err != nil {
+			if peekEnd(sc) {
+				return h, nil // its last line was cut off midway
+			}
+			return nil, bad(line, "", "a line that is no JSON", "an entry")
+		}
+		switch {
+		case probe.Head > 0:
+			return nil, bad(line, "clock", "a second head, of clock "+strconv.Quote(probe.Clock), "one clock, "+strconv.Quote(h.Clock)+": times of two can't be compared")
+		case probe.End != nil:
+			if *probe.End != len(h.Entries) {
+				return nil, bad(line, "end_of_history", fmt.Sprintf("an end that counts %d entries behind %d", *probe.End, len(h.Entries)), "all of them")
+			}
+			h.Cut, h.Extra = false, probe.Extra
+		case !h.Cut:
+			return nil, bad(line, "", "an entry behind the end", "nothing")
+		default:
+			var e Entry
+			if err := json.Unmarshal(text, &e); err != nil {
+				return nil, bad(line, "", "an entry that can't be read", "numbers, strings and flags as this version writes them")
+			}
+			if !known[e.Do] {
+				return nil, bad(line, "do", strconv.Quote(probe.Do), "what this version knows")
+			}
+			e.Line = line
+			h.Entries = append(h.Entries, e)
+		}
+	}
+	if err := sc.Err(); err != nil {
+		return nil, bad(line+1, "", err.Error(), "lines of 1 MiB at most")
+	}
+	if line == 0 {
+		return nil, bad(1, "", "an empty file", "the head of a history")
+	}
+	return h, nil
+}
+
+// peekEnd tells whether nothing more follows.
+func peekEnd(sc *bufio.Scanner) bool { return !sc.Scan() }
+
+var known = map[audit.Did]bool{
+	audit.DidAsk: true, audit.DidAnswer: true, audit.DidBreak: true, audit.DidGo: true, audit.DidArrive: true, audit.DidRun: true, audit.DidTell: true,
+	audit.DidChange: true, audit.DidFallSilent: true, audit.DidRestart: true, audit.IsDying: true, audit.DidKill: true,
+	audit.DidStall: true, audit.DidCutOff: true,
+	Order: true, Effect: true, Op: true, Saw: true, Grant: true, Limit: true, Fault: true, Process: true, Void: true,
+}
