Faults can be brought into clock, files and points of the code, in test builds only

Faults between processes need a process that dies or stops at a named point, a wall clock that is off and a disk that fails. internal/inject marks 18 points of hand-over, start and supervisor; internal/wallclock is the one reader of the wall clock, internal/disk the one user of files (three copies of 'replace a file whole' became one). With the tag faults a process obeys a file that the rig keeps; without it all is empty functions.

The engine's start by the wall clock and by the monotonic one were one value; what discovery tells of starts is compared with the former only. The supervisor's seed is no longer the time.

Tests: the shipped binaries do not hold the mark that a test build has (cmd/sandhinge); each point that is told stands in the code once; no source reads the wall clock or changes files by itself; with the tag: steps and drift leave true time alone, and a file whose replacement fails at open, write, sync or rename stands whole with nothing beside it.

--- a/cmd/sandhinge/build_test.go
+++ b/cmd/sandhinge/build_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"debug/elf"
 	"os"
 	"os/exec"
@@ -10,6 +11,8 @@
 	"testing"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"otterspring/internal/inject"
 )
 
 // The line that deploy/balancer.toml builds with makes both programs that the
@@ -56,5 +59,8 @@
 			t.Errorf("%s: linked against %v (%v), wanted the C library", name, libs, err)
 		}
 		f.Close()
+		if text, err := os.ReadFile(filepath.Join(dir, name)); err != nil || bytes.Contains(text, []byte(inject.Mark)) {
+			t.Errorf("%s: faults can be brought into what is shipped (%v)", name, err)
+		}
 	}
 }
--- a/internal/coapfront/note.go
+++ b/internal/coapfront/note.go
@@ -9,13 +9,13 @@
 	"errors"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"otterspring/internal/coap/exchange"
+	"otterspring/internal/disk"
 )
 
 // A note is what a process leaves at a stop in order, so that the next one knows
@@ -60,7 +60,7 @@
 	token := make([]byte, 16)
 	rand.Read(token)
 	l = &life{path: path, mark: fmt.Sprintf("%s%d %s\n", markHead, os.Getpid(), hex.EncodeToString(token))}
-	text, err := os.ReadFile(path)
+	text, err := disk.Read(path)
 	switch {
 	case errors.Is(err, os.ErrNotExist):
 		clean = true
@@ -75,7 +75,7 @@
 		clean = err == nil
 	}
 	// The mark is on the disk before anything is received.
-	if err := replace(path, []byte(l.mark)); err != nil {
+	if err := disk.Replace(path, []byte(l.mark), true); err != nil {
 		return nil, nil, false, "", fmt.Errorf("coap: state: %w", err)
 	}
 	return l, left, clean, why, nil
@@ -115,7 +115,7 @@
 // end leaves a note, if the file is still this process's: where another has begun
 // meanwhile, its mark says more.
 func (l *life) end(table []byte, cleanIn time.Duration) error {
-	if text, err := os.ReadFile(l.path); err != nil || string(text) != l.mark {
+	if text, err := disk.Read(l.path); err != nil || string(text) != l.mark {
 		return fmt.Errorf("coap: state: %s: found another process's mark, wanted the own one: no note is left", l.path)
 	}
 	now, boot, err := sinceBoot()
@@ -128,28 +128,5 @@
 	}
 	body := append(append(head, '\n'), table...)
 	sum := sha256.Sum256(body)
-	return replace(l.path, bytes.Join([][]byte{[]byte(noteHead), body, sum[:]}, nil))
-}
-
-// replace writes a file whole or not at all, on the disk before it returns.
-func replace(path string, text []byte) error {
-	tmp := fmt.Sprintf("%s.%d", path, os.Getpid())
-	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(text)
-	err = errors.Join(err, f.Sync(), f.Close())
-	if err == nil {
-		err = os.Rename(tmp, path)
-	}
-	if err != nil {
-		os.Remove(tmp)
-		return err
-	}
-	dir, err := os.Open(filepath.Dir(path))
-	if err != nil {
-		return err
-	}
-	return errors.Join(dir.Sync(), dir.Close())
+	return disk.Replace(l.path, bytes.Join([][]byte{[]byte(noteHead), body, sum[:]}, nil), true)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"otterspring/internal/handover"
+	"otterspring/internal/inject"
 	"otterspring/internal/logs"
 	"otterspring/internal/notify"
 	"otterspring/internal/operator"
@@ -88,6 +89,7 @@
 			return err
 		}
 	}
+	inject.At("start")
 	slog.SetDefault(slog.Default().With("instance", cfg.Name))
 	if err := d.start(cfg); err != nil {
 		return err
--- /dev/null
+++ b/internal/disk/on_test.go
@@ -0,0 +1,39 @@
+//go:build faults
+
+package disk
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"otterspring/internal/inject"
+)
+
+// Whatever fails while a file is replaced, the old one stands whole and nothing
+// is left beside it.
+func TestReplaceUnderFaults(t *testing.T) {
+	faults, dir := t.TempDir(), t.TempDir()
+	t.Setenv(inject.Env, faults)
+	t.Setenv("RELAY_NAME", "n1")
+	path := filepath.Join(dir, "state.json")
+	if err := Replace(path, []byte("old"), true); err != nil {
+		t.Fatal(err)
+	}
+	for _, fault := range []string{"disk open enospc", "disk write enospc", "disk write eio", "disk sync eio", "disk rename eio", "disk all erofs", "disk write torn"} {
+		tmp := filepath.Join(faults, "tmp")
+		if err := os.WriteFile(tmp, []byte(fault+" state.json\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		os.Rename(tmp, filepath.Join(faults, "n1"))
+		if err := Replace(path, []byte("a newer text"), true); err == nil {
+			t.Errorf("%s: no error", fault)
+		}
+		if text, err := os.ReadFile(path); string(text) != "old" {
+			t.Errorf("%s: %q stands there (%v), wanted the old text", fault, text, err)
+		}
+		if all, _ := os.ReadDir(dir); len(all) != 1 {
+			t.Errorf("%s: left %v", fault, all)
+		}
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,7 @@
 
 	"otterspring/balance"
 	"otterspring/internal/membership"
+	"otterspring/internal/wallclock"
 )
 
 // clockOrigin is what the module's clock shows when the sidecar starts. The
@@ -52,6 +53,7 @@
 	mu      sync.Mutex
 	bal     *balance.Balancer
 	start   time.Time
+	wall    time.Time // the wall clock's time at start: what discovery tells of starts is by that
 	timer   *time.Timer
 	token   uint64
 	acts    []balance.Action
@@ -168,6 +170,7 @@
 	e := &Engine{
 		bal:     bal,
 		start:   time.Now(),
+		wall:    wallclock.Now(),
 		calls:   map[string]*Call{},
 		hosts:   map[string]*host{},
 		set:     set,
@@ -404,7 +407,7 @@
 	if ms <= 0 {
 		return 0
 	}
-	return max(0, clockOrigin+time.UnixMilli(ms).Sub(e.start))
+	return max(0, clockOrigin+time.UnixMilli(ms).Sub(e.wall))
 }
 
 // carry does what the module decided, and tells it of the attempts that ended
--- a/internal/fleet/supervisor/file.go
+++ b/internal/fleet/supervisor/file.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"otterspring/internal/disk"
 	"otterspring/internal/fleet/plan"
 	"otterspring/internal/strictfile"
 )
@@ -185,7 +186,7 @@
 		return "", nil
 	}
 	path = f.beside(path)
-	text, err := os.ReadFile(path)
+	text, err := disk.Read(path)
 	if err != nil {
 		return "", f.bad("config", err.Error(), "a readable template")
 	}
--- a/internal/fleet/supervisor/process.go
+++ b/internal/fleet/supervisor/process.go
@@ -8,13 +8,14 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"otterspring/internal/disk"
 )
 
 // process is a process of an instance, a child or one that was adopted.
@@ -57,9 +58,9 @@
 // the supervisor.
 func spawn(program string, args, env []string, logPath string) (*exec.Cmd, *process, error) {
 	if info, err := os.Stat(logPath); err == nil && info.Size() > mostLog {
-		os.Rename(logPath, logPath+".old")
+		disk.Rename(logPath, logPath+".old")
 	}
-	out, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	out, err := disk.Open(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -186,22 +187,3 @@
 	}
 	return line
 }
-
-// writeWhole replaces a file as a whole.
-func writeWhole(path string, text []byte) error {
-	tmp, err := os.CreateTemp(filepath.Dir(path), ".new-*")
-	if err != nil {
-		return err
-	}
-	_, err = tmp.Write(text)
-	if e := tmp.Close(); err == nil {
-		err = e
-	}
-	if err == nil {
-		err = os.Rename(tmp.Name(), path)
-	}
-	if err != nil {
-		os.Remove(tmp.Name())
-	}
-	return err
-}
--- a/internal/fleet/supervisor/supervisor.go
+++ b/internal/fleet/supervisor/supervisor.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -18,9 +19,12 @@
 
 	"golang.org/x/sys/unix"
 
+	"otterspring/internal/disk"
 	"otterspring/internal/fleet/plan"
+	"otterspring/internal/inject"
 	"otterspring/internal/logs"
 	"otterspring/internal/unixsocket"
+	"otterspring/internal/wallclock"
 )
 
 // Supervisor runs a fleet. All its state belongs to the goroutine of Run;
@@ -66,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := os.MkdirAll(f.Directory, 0o700); err != nil {
+	if err := disk.MkdirAll(f.Directory, 0o700); err != nil {
 		return nil, err
 	}
 	s := &Supervisor{
@@ -77,10 +81,10 @@
 	for range specs {
 		s.procs = append(s.procs, map[int]*process{})
 	}
-	if s.plan, err = plan.New(f.plan(), len(specs), uint64(time.Now().UnixNano())); err != nil {
+	if s.plan, err = plan.New(f.plan(), len(specs), rand.Uint64()); err != nil {
 		return nil, err
 	}
-	if s.lock, err = os.OpenFile(filepath.Join(f.Directory, "fleet.lock"), os.O_CREATE|os.O_RDWR|syscall.O_CLOEXEC, 0o600); err != nil {
+	if s.lock, err = disk.Open(filepath.Join(f.Directory, "fleet.lock"), os.O_CREATE|os.O_RDWR|syscall.O_CLOEXEC, 0o600); err != nil {
 		return nil, err
 	}
 	if err := unix.Flock(int(s.lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
@@ -157,7 +161,7 @@
 func (s *Supervisor) say(format string, args ...any) {
 	line := fmt.Sprintf(format, args...)
 	s.log.Info(line, logs.Cause(cause(format, args)))
-	s.said = append(s.said, time.Now().Format("15:04:05 ")+line)
+	s.said = append(s.said, wallclock.Now().Format("15:04:05 ")+line)
 	if n := len(s.said) - mostSaid; n > 0 {
 		s.said = s.said[n:]
 	}
@@ -165,7 +169,7 @@
 
 // adoptAll takes over what the supervisor before left running.
 func (s *Supervisor) adoptAll() {
-	text, err := os.ReadFile(s.statePath())
+	text, err := disk.Read(s.statePath())
 	if errors.Is(err, os.ErrNotExist) {
 		return
 	}
@@ -249,7 +253,7 @@
 	}
 	text, err := json.Marshal(list)
 	if err == nil {
-		err = writeWhole(s.statePath(), text)
+		err = disk.Replace(s.statePath(), text, false)
 	}
 	if err != nil {
 		s.say("state: %v", err)
@@ -262,6 +266,7 @@
 	s.send(s.ctx, func(now time.Duration) []plan.Action {
 		unix.Close(p.fd)
 		delete(s.procs[i], p.id)
+		inject.At("fleet-saw-the-end")
 		s.save()
 		if !clean {
 			line := ""
@@ -326,7 +331,7 @@
 	env := []string{"RELAY_NAME=" + spec.Name, "RELAY_LISTEN=" + spec.Listen}
 	var err error
 	if spec.Config != "" {
-		err = writeWhole(s.configPath(a.Instance), []byte(spec.Config))
+		err = disk.Replace(s.configPath(a.Instance), []byte(spec.Config), false)
 		env = append(env, "RELAY_CONFIG="+s.configPath(a.Instance))
 	}
 	if err == nil {
@@ -334,11 +339,14 @@
 		err = s.addressFree(a.Instance, spec.Listen)
 	}
 	if err == nil {
+		inject.At("fleet-starts")
 		cmd, p, e := spawn(program, spec.Args, env, s.logPath(a.Instance))
 		if err = e; err == nil {
 			p.id = a.Proc
 			s.procs[a.Instance][p.id] = p
+			inject.At("fleet-started")
 			s.save()
+			inject.At("fleet-saved")
 			s.watch(a.Instance, p, spec.Listen, cmd.Wait)
 			return nil
 		}
@@ -366,6 +374,7 @@
 	go func() {
 		defer s.wg.Done()
 		if awaitUp(ctx, addr, func(u upState) bool { return u.pid == p.pid }) {
+			inject.At("fleet-saw-it-ready")
 			s.send(ctx, func(now time.Duration) []plan.Action { return s.plan.Ready(now, i, p.id) })
 		}
 	}()
@@ -389,7 +398,7 @@
 		return
 	}
 	if spec.Config != "" {
-		if err := writeWhole(s.configPath(a.Instance), []byte(spec.Config)); err != nil {
+		if err := disk.Replace(s.configPath(a.Instance), []byte(spec.Config), false); err != nil {
 			s.say("%s: reload: %v", spec.Name, err)
 		}
 	}
@@ -421,6 +430,8 @@
 	if p == nil {
 		return
 	}
+	inject.At("fleet-ends")
+	defer inject.At("fleet-ended")
 	if err := p.signal(sig); err != nil {
 		s.say("%s: %v to process %d: %v", s.specs[a.Instance].Name, sig, p.pid, err)
 	}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -38,6 +38,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"otterspring/internal/inject"
 )
 
 const (
@@ -109,6 +111,7 @@
 	// One that is busy says so and closes, perhaps before this is written: what
 	// it said is there to be read all the same.
 	fmt.Fprintf(t.conn, "%s take %s\n", version, addr)
+	inject.At("handover-asked")
 	line, fds, err := t.receive()
 	if err != nil {
 		return err
@@ -251,6 +254,7 @@
 // After an error it must end without having accepted anything: the old process
 // goes on.
 func (t *Taking) Ready() error {
+	inject.At("handover-given")
 	t.conn.SetDeadline(time.Now().Add(t.patience))
 	if _, err := io.WriteString(t.conn, "ready\n"); err != nil {
 		return fmt.Errorf("handover: %s: the old process is gone or has given up waiting: %w", t.path, err)
@@ -262,6 +266,7 @@
 	if line != "yours" {
 		return fmt.Errorf("handover: %s: found %s, wanted \"yours\"", t.path, shown(line))
 	}
+	inject.At("handover-yours")
 	return nil
 }
 
@@ -269,6 +274,7 @@
 // From then on it goes on alone, whatever becomes of the old one. After an error
 // the old one lives and goes on: this one must drain and end.
 func (t *Taking) Taken() error {
+	inject.At("handover-accepts")
 	t.conn.SetDeadline(time.Now().Add(t.patience))
 	_, err := io.WriteString(t.conn, "taken\n")
 	line := ""
@@ -276,6 +282,7 @@
 		line, err = readLine(t.br)
 	}
 	if err == nil && line == "agreed" {
+		inject.At("handover-taken")
 		t.conn.SetDeadline(time.Time{})
 		return nil
 	}
--- a/internal/handover/offer.go
+++ b/internal/handover/offer.go
@@ -13,6 +13,8 @@
 
 	"golang.org/x/sys/unix"
 
+	"otterspring/internal/disk"
+	"otterspring/internal/inject"
 	"otterspring/internal/unixsocket"
 )
 
@@ -69,7 +71,7 @@
 		return fmt.Errorf("handover: %s: %w", o.path, err)
 	}
 	u.SetUnlinkOnClose(false)
-	if err := os.Rename(tmp, o.path); err != nil {
+	if err := disk.Rename(tmp, o.path); err != nil {
 		u.Close()
 		os.Remove(tmp)
 		return fmt.Errorf("handover: %w", err)
@@ -156,10 +158,12 @@
 		return fmt.Errorf("found %s, wanted %q", shown(line), want)
 	}
 	c.SetDeadline(time.Now().Add(o.patience))
+	inject.At("handover-gives")
 	if err := sendListener(c, o.src.Listener(), o.src.Packets(), o.src.Held()); err != nil {
 		return err
 	}
-	for _, step := range []struct{ hear, say string }{{"ready", "yours\n"}, {"taken", "agreed\n"}} {
+	inject.At("handover-gave")
+	for _, step := range []struct{ hear, say, point string }{{"ready", "yours\n", "handover-let"}, {"taken", "agreed\n", "handover-agreed"}} {
 		line, err := readLine(br)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return fmt.Errorf("the new process was not %s within %v", step.hear, o.patience)
@@ -173,6 +177,7 @@
 		if _, err := io.WriteString(c, step.say); err != nil {
 			return fmt.Errorf("the new process ended: %w", err)
 		}
+		inject.At(step.point)
 	}
 	c.SetDeadline(time.Time{})
 	g := &Giving{conn: c, gone: make(chan struct{})}
@@ -279,6 +284,7 @@
 
 // Done tells the new process that this one has answered everything.
 func (g *Giving) Done() {
+	inject.At("handover-drained")
 	g.conn.SetWriteDeadline(time.Now().Add(wordWithin))
 	io.WriteString(g.conn, "done\n")
 	g.conn.Close()
--- /dev/null
+++ b/internal/inject/inject_test.go
@@ -0,0 +1,87 @@
+package inject
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// sources are the texts of what runs in installations, by path from the root.
+func sources(t *testing.T) map[string]string {
+	t.Helper()
+	all := map[string]string{}
+	const root = "../.."
+	for _, dir := range []string{"balance", "cmd/sandhinge", "cmd/otterspring", "internal"} {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, d fs.DirEntry, err error) error {
+			if err != nil {
+				return err
+			}
+			rel, _ := filepath.Rel(root, path)
+			switch {
+			case d.IsDir() && (rel == "internal/lab" || rel == "internal/inject"):
+				return fs.SkipDir
+			case d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go"):
+				return nil
+			}
+			text, err := os.ReadFile(path)
+			all[rel] = string(text)
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(all) < 60 {
+		t.Fatalf("found %d sources only", len(all))
+	}
+	return all
+}
+
+// Every point that is told stands in the code, and every one in the code is told.
+func TestPointsStandInTheCode(t *testing.T) {
+	at := regexp.MustCompile(`"((?:handover|fleet)-[a-z-]+|start)"`)
+	found := map[string]int{}
+	for _, text := range sources(t) {
+		if !strings.Contains(text, "inject.At(") {
+			continue
+		}
+		for _, line := range strings.Split(text, "\n") {
+			if !strings.Contains(line, "inject.At(") && !strings.Contains(line, "point string") {
+				continue
+			}
+			for _, m := range at.FindAllStringSubmatch(line, -1) {
+				found[m[1]]++
+			}
+		}
+	}
+	for name, n := range found {
+		if Points[name] == "" || n != 1 {
+			t.Errorf("%s stands in the code %d times, and is told as %q", name, n, Points[name])
+		}
+	}
+	for name := range Points {
+		if found[name] == 0 {
+			t.Errorf("%s is told, and stands nowhere in the code", name)
+		}
+	}
+}
+
+// The wall clock is read by wallclock alone: its time may step, and a span that
+// is measured by it steps, too. Files are touched by disk alone.
+func TestOnePlaceForClockAndFiles(t *testing.T) {
+	wall := regexp.MustCompile(`time\.Now\(\)\.(Unix|Format|UTC|Local|Round|Date|Truncate|Equal|Year)`)
+	files := regexp.MustCompile(`os\.(WriteFile|Rename|CreateTemp|Create|MkdirAll)\(`)
+	for path, text := range sources(t) {
+		for i, line := range strings.Split(text, "\n") {
+			if wall.MatchString(line) {
+				t.Errorf("%s:%d reads the wall clock by itself: %s", path, i+1, strings.TrimSpace(line))
+			}
+			if files.MatchString(line) && !strings.HasPrefix(path, "internal/disk/") {
+				t.Errorf("%s:%d changes files by itself: %s", path, i+1, strings.TrimSpace(line))
+			}
+		}
+	}
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -12,6 +12,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"otterspring/internal/wallclock"
 )
 
 // Options say what lines look like and which are written.
@@ -145,7 +147,7 @@
 // Handle writes a line or leaves it out.
 func (h *handler) Handle(ctx context.Context, r slog.Record) error {
 	name := r.Message
-	out := slog.NewRecord(r.Time, r.Level, r.Message, r.PC)
+	out := slog.NewRecord(wallclock.Now(), r.Level, r.Message, r.PC)
 	r.Attrs(func(a slog.Attr) bool {
 		if a.Key == causeKey {
 			name = a.Value.String()
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"os"
 	"reflect"
 	"strconv"
 
@@ -16,6 +15,7 @@
 	"otterspring/balance"
 	"otterspring/internal/coapupstream"
 	"otterspring/internal/discovery"
+	"otterspring/internal/disk"
 	"otterspring/internal/engine"
 	"otterspring/internal/wire"
 )
@@ -45,7 +45,7 @@
 	if path == "" {
 		return Config{}, errors.New("RELAY_CONFIG is not set: expected the path of the configuration file")
 	}
-	text, err := os.ReadFile(path)
+	text, err := disk.Read(path)
 	if err != nil {
 		return Config{}, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
--- a/internal/strictfile/strictfile.go
+++ b/internal/strictfile/strictfile.go
@@ -31,6 +31,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
+
+	"otterspring/internal/disk"
 )
 
 // MostBytes is the largest file that is read.
@@ -118,7 +120,7 @@
 	if info.Size() > MostBytes {
 		return nil, &Error{File: path, Found: fmt.Sprintf("%d bytes", info.Size()), Wanted: fmt.Sprintf("%d at most", MostBytes)}
 	}
-	text, err := os.ReadFile(path)
+	text, err := disk.Read(path)
 	if err != nil {
 		return nil, &Error{File: path, Found: plainOS(err), Wanted: "a readable file"}
 	}
--- a/test.sh
+++ b/test.sh
@@ -11,6 +11,7 @@
 fi
 go vet ./...
 go test -race -count=1 ./...
+go test -race -count=1 -tags faults ./internal/inject ./internal/disk
 mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/sandhinge ./cmd/wirehost
 go build -o bin/ ./cmd/otterspring ./cmd/rig
 
