--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -20,6 +20,7 @@
 
 	"otterspring/internal/cli"
 	"otterspring/internal/daemon"
+	"otterspring/internal/lab/rig"
 	"otterspring/internal/logs"
 )
 
@@ -39,6 +40,7 @@
 	{"storm", "FILE...", "storms from files: faults at their times, what must hold, verdicts", setStorm},
 	{"check", "FILE...", "what is wrong with storms' files, a line a fault", setCheck},
 	{"coap", "", "clients and call servers over CoAP and HTTP beside each other, on links that lose datagrams", setCoAP},
+	{"nemesis", "FILE...", "many real processes with faults between them, drawn by seed; histories, judged; what breaks is made smaller", setNemesis},
 	{"judge", "FILE...", "histories that were written before, held against everything that must hold", setJudge},
 	{"report", "FILE...", "one page of storms' results, with plots", setReport},
 	{"mutants", "", "breaks the program one line at a time and tells which test and storm notice", setMutants},
@@ -59,6 +61,9 @@
 		// The rig is its own sidecar where no other program is at hand.
 		return daemon.Main(args[1:], os.Stderr)
 	}
+	if len(args) > 0 && args[0] == rig.ReaperWord {
+		return rig.Reap(os.Stdin)
+	}
 	if len(args) > 0 && args[0] == proxyWord {
 		return runProxy(args[1:])
 	}
--- /dev/null
+++ b/cmd/rig/nemesis.go
@@ -0,0 +1,306 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/history"
+	"otterspring/internal/lab/nemesis"
+	"otterspring/internal/lab/rig"
+)
+
+// nemesisFlags are what `rig nemesis` is told.
+type nemesisFlags struct {
+	files    []string
+	short    bool
+	seeds    []uint64
+	set      words
+	shrink   bool
+	tries    int
+	again    int
+	race     bool
+	tree     string
+	keep     string
+	sidecar  string
+	operator string
+	self     []string
+}
+
+// setNemesis is `rig nemesis`.
+func setNemesis(f *flag.FlagSet) runner {
+	o := &nemesisFlags{}
+	f.BoolVar(&o.short, "short", false, "the short form that each file gives")
+	f.Var(&o.set, "set", "a setting over the file's, key=value; may come several times")
+	seeds := f.String("seeds", "1", "a seed, or a range like 1..50")
+	length := f.Duration("for", 0, "how long requests come, in place of the file's; 0 for the file's")
+	f.BoolVar(&o.shrink, "shrink", false, "make a schedule that breaks something smaller, as long as it still does")
+	f.IntVar(&o.tries, "tries", 60, "plays that one shrink may take, 1 to 1000")
+	f.IntVar(&o.again, "again", 0, "plays of a schedule that broke, to tell how often it does, 0 to 20")
+	f.BoolVar(&o.race, "race", false, "build the programs with the race detector")
+	f.StringVar(&o.tree, "tree", ".", "the working tree that the programs are built from")
+	f.StringVar(&o.keep, "keep", "", "a folder for histories, and for schedules that broke; empty for none")
+	f.StringVar(&o.sidecar, "program", "", "a sidecar built with the tag faults; empty to build one")
+	f.StringVar(&o.operator, "operator-program", "", "the operators' command built so; empty to build one")
+	return func(ctx context.Context, files []string, out io.Writer) error {
+		if len(files) == 0 {
+			return fmt.Errorf("%w: wanted files", errUsage)
+		}
+		var err error
+		if o.seeds, err = seedRange(*seeds); err != nil {
+			return err
+		}
+		if *length > 0 {
+			o.set = append(o.set, "for="+length.String())
+		}
+		for _, err := range []error{within("tries", o.tries, 1, 1000), within("again", o.again, 0, 20)} {
+			if err != nil {
+				return err
+			}
+		}
+		o.files = files
+		return o.run(ctx, out)
+	}
+}
+
+// build builds both programs with faults compiled in, and returns the folder's end.
+func (o *nemesisFlags) build(ctx context.Context) (func(), error) {
+	exe, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	o.self = []string{exe}
+	if o.sidecar != "" && o.operator != "" {
+		return func() {}, nil
+	}
+	dir, err := os.MkdirTemp("", "rig-faults")
+	if err != nil {
+		return nil, err
+	}
+	args := []string{"build", "-tags", "faults", "-o", dir + "/"}
+	if o.race {
+		args = append(args, "-race")
+	}
+	cmd := exec.CommandContext(ctx, "go", append(args, "./cmd/sandhinge", "./cmd/otterspring")...)
+	cmd.Dir = o.tree
+	if text, err := cmd.CombinedOutput(); err != nil {
+		os.RemoveAll(dir)
+		return nil, fmt.Errorf("go build -tags faults in %s: %v: %s", o.tree, err, text)
+	}
+	o.sidecar, o.operator = filepath.Join(dir, "sandhinge"), filepath.Join(dir, "otterspring")
+	return func() { os.RemoveAll(dir) }, nil
+}
+
+// nemesisTotals add up the runs of a call.
+type nemesisTotals struct {
+	runs, processes, faults, ops, unknown, left, atOnce, lateTried int
+	broken, void, failed                                           int
+	kinds                                                          map[string]int
+	rules                                                          map[string]int
+	owners                                                         int
+}
+
+func (o *nemesisFlags) run(ctx context.Context, out io.Writer) error {
+	clean, err := o.build(ctx)
+	if err != nil {
+		return err
+	}
+	defer clean()
+	if o.keep != "" {
+		if err := os.MkdirAll(o.keep, 0o755); err != nil {
+			return err
+		}
+	}
+	t := nemesisTotals{kinds: map[string]int{}, rules: map[string]int{}}
+	show := progress(os.Stderr, len(o.files)*len(o.seeds))
+	for _, file := range o.files {
+		s, errs := experiment.LoadFile(file, o.short, o.set)
+		for _, err := range errs {
+			fmt.Fprintln(os.Stderr, err)
+		}
+		if len(errs) > 0 {
+			return fmt.Errorf("%w: %w", errUsage, errSaid)
+		}
+		for _, seed := range o.seeds {
+			p, err := o.play(ctx, s, seed, show)
+			if err != nil {
+				return err
+			}
+			show.clear()
+			show.step()
+			t.add(p)
+			p.print(out)
+			if p.broken() {
+				if err := o.pursue(ctx, out, file, s, seed, show); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	fmt.Fprintln(out, t.line())
+	switch {
+	case t.broken+t.failed > 0 || t.left > 0:
+		return errRules
+	case t.void > 0:
+		return errVoid
+	}
+	return nil
+}
+
+// played is one run and what two judges say of it: the audit beside the run, and
+// the one that reads its history.
+type played struct {
+	res     *experiment.Result
+	verdict *history.Verdict
+	took    time.Duration
+}
+
+func (p *played) broken() bool { return p.res.Broken() || p.verdict.Broken() }
+
+// play plays a storm once.
+func (o *nemesisFlags) play(ctx context.Context, s *experiment.Storm, seed uint64, show *bar) (*played, error) {
+	plan, err := experiment.Resolve(s, seed)
+	if err != nil {
+		return nil, err
+	}
+	dir, clean, err := scratch()
+	if err != nil {
+		return nil, err
+	}
+	defer clean()
+	path := filepath.Join(dir, "history.jsonl")
+	if o.keep != "" {
+		path = filepath.Join(o.keep, fmt.Sprintf("%s-%d.jsonl", s.Name, seed))
+	}
+	began := time.Now()
+	h := rig.Hosted{Supervisor: []string{o.operator}, Self: o.self, History: path}
+	rec, err := rig.PlayHosted(ctx, plan, []string{o.sidecar}, dir, h, func(at time.Duration) { show.at(s.Name, at, s.For) })
+	if err != nil {
+		return nil, err
+	}
+	hist, err := history.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	p := &played{res: experiment.Judge(plan, rec, nil), verdict: history.Judge(hist), took: time.Since(began)}
+	if a, b := rec.Report.Line(), p.verdict.Rules.Line(); len(rec.Void) == 0 && !p.res.Broken() && a != b {
+		p.res.Void = append(p.res.Void, fmt.Sprintf("the run and its history differ: %s; %s", a, b))
+	}
+	return p, nil
+}
+
+func (p *played) print(out io.Writer) {
+	b := p.res.Between
+	fmt.Fprintf(out, "%s; %d processes, %d kinds of fault, most at once %d, %.0f s\n", p.res.Line(), b.Processes, len(b.Kinds), b.AtOnce, p.took.Seconds())
+	for _, n := range p.res.Notes {
+		fmt.Fprintln(out, "  "+n)
+	}
+	if p.verdict.Broken() {
+		printVerdict(out, p.verdict)
+	}
+	for _, n := range p.res.Skipped {
+		fmt.Fprintln(out, "  not played: "+n)
+	}
+}
+
+// pursue plays what broke again, and makes it smaller.
+func (o *nemesisFlags) pursue(ctx context.Context, out io.Writer, file string, s *experiment.Storm, seed uint64, show *bar) error {
+	if o.again > 0 {
+		n := 0
+		for range o.again {
+			p, err := o.play(ctx, s, seed, show)
+			if err != nil {
+				return err
+			}
+			if p.broken() {
+				n++
+			}
+		}
+		show.clear()
+		fmt.Fprintf(out, "  again: it broke in %d of %d\n", n, o.again)
+	}
+	if !o.shrink {
+		return nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	drawn := s.Drawn(seed)
+	var failed error
+	small, plays := nemesis.Shrink(nemesis.Of(drawn), s.World.Hosts, o.tries, func(c nemesis.Schedule) bool {
+		if failed != nil || ctx.Err() != nil {
+			return false
+		}
+		t, errs := experiment.Parse(file, []byte(nemesis.Text(string(text), c, "")), false, nil)
+		if len(errs) > 0 {
+			return false // it names a process that is no longer there, say
+		}
+		p, err := o.play(ctx, t, seed, show)
+		if err != nil {
+			failed = err
+			return false
+		}
+		return p.broken() && len(p.res.Void) == 0
+	})
+	if failed != nil {
+		return failed
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	show.clear()
+	about := fmt.Sprintf("Made smaller from %s, seed %d, in %d plays.", s.Name, seed, plays)
+	standing := nemesis.Text(string(text), small, about)
+	fmt.Fprintf(out, "  %d of %d faults left after %d plays:\n", len(small.Faults), len(drawn.Faults), plays)
+	for _, line := range strings.Split(strings.TrimSpace(standing), "\n") {
+		fmt.Fprintln(out, "    "+line)
+	}
+	if o.keep == "" {
+		return nil
+	}
+	return os.WriteFile(filepath.Join(o.keep, fmt.Sprintf("%s-%d-small.toml", s.Name, seed)), []byte(standing), 0o644)
+}
+
+func (t *nemesisTotals) add(p *played) {
+	t.runs++
+	switch {
+	case p.broken():
+		t.broken++
+	case p.res.Verdict() == "void":
+		t.void++
+	case p.res.Verdict() == "failed":
+		t.failed++
+	}
+	b := p.res.Between
+	t.processes += b.Processes
+	t.left += b.Left
+	t.atOnce = max(t.atOnce, b.AtOnce)
+	for k, n := range b.Kinds {
+		t.kinds[k] += n
+		t.faults += n
+	}
+	for name, n := range p.res.Rules {
+		t.rules[name] += n
+	}
+	t.ops += p.verdict.Ops
+	t.unknown += p.verdict.Unknown
+	t.owners += p.verdict.OwnersTwice
+	t.lateTried += p.verdict.LateTried
+}
+
+func (t *nemesisTotals) line() string {
+	return fmt.Sprintf("runs=%d processes=%d faults=%d kinds=%d ops=%d broken=%d failed=%d void=%d unknown=%d twice=%d lost=%d late_sends=%d tipped=%d owners_twice=%d late_tried=%d most_at_once=%d left_behind=%d kinds_seen=%s",
+		t.runs, t.processes, t.faults, len(t.kinds), t.ops, t.broken, t.failed, t.void, t.unknown, t.rules["twice"]+t.rules["untrue"],
+		t.rules["lost"]+t.rules["late"]+t.rules["forged"]+t.rules["after"], t.rules["late_sends"], t.rules["tipped"], t.owners, t.lateTried, t.atOnce, t.left,
+		strings.Join(slices.Sorted(maps.Keys(t.kinds)), ","))
+}
--- a/cmd/rig/storm.go
+++ b/cmd/rig/storm.go
@@ -304,6 +304,9 @@
 }
 
 func (o *stormFlags) playSockets(ctx context.Context, p point, show *bar) (*experiment.Result, error) {
+	if p.storm.World.Hosts > 0 {
+		return nil, fmt.Errorf("%w: %s: found hosts, wanted a world without: rig nemesis plays those", errUsage, p.storm.File)
+	}
 	plan, err := experiment.Resolve(p.storm, p.seed)
 	if err != nil {
 		return nil, err
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -11,6 +11,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -123,6 +124,7 @@
 	silences  []silence
 	deaf      map[string][]silence // of single instances: their way to discovery is cut
 	stalls    []silence            // in which who reports stood still himself
+	blamed    []blame              // requests that count as lost by a break
 	rep       Report
 	tap       func(Event)
 }
@@ -155,6 +157,9 @@
 	}
 }
 
+// Rules are the figures that are held.
+func (l *Log) Rules() Rules { return l.rules }
+
 // Now reads the clock of the log.
 func (l *Log) Now() time.Duration { return l.now() }
 
@@ -252,6 +257,32 @@
 	l.deaf[name] = mark(l.deaf[name], on, at)
 }
 
+// blame is a request that counts as lost since its connection broke.
+type blame struct {
+	r  *request
+	id string
+	at time.Duration
+}
+
+// Excuse takes down that an instance was killed at some time from then on, by
+// somebody who did not say so before: what broke since was held by it, and
+// clients retry it.
+func (l *Log) Excuse(name string, from time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard(Event{Do: IsExcused, Name: name, At: from})
+	l.blamed = slices.DeleteFunc(l.blamed, func(b blame) bool {
+		if b.r.instance != name || b.at < from {
+			return false
+		}
+		b.r.killed = true
+		l.rep.Lost--
+		l.rep.Held++
+		l.rep.Problems = slices.DeleteFunc(l.rep.Problems, func(p string) bool { return strings.HasPrefix(p, b.id+": sent on by") })
+		return true
+	})
+}
+
 // of returns the record of an instance.
 func (l *Log) of(name string) *instance {
 	i := l.instances[name]
@@ -361,6 +392,7 @@
 		l.rep.Failed++ // the first on a connection that was closed unread
 	default:
 		l.problem(&l.rep.Lost, "%s: sent on by %s, and its connection ended with no whole answer", id, r.instance)
+		l.blamed = append(l.blamed, blame{r, id, at})
 	}
 	return resend
 }
--- a/internal/lab/audit/event.go
+++ b/internal/lab/audit/event.go
@@ -24,6 +24,7 @@
 	DidKill       Did = "killed"
 	DidStall      Did = "stalled"
 	DidCutOff     Did = "cut off"
+	IsExcused     Did = "excused"
 )
 
 // Event is one thing that was taken down. Which fields it uses follows from Do;
@@ -86,6 +87,8 @@
 		l.Restarted(e.Name, e.At)
 	case IsDying:
 		l.Dying(e.Name)
+	case IsExcused:
+		l.Excuse(e.Name, e.At)
 	case DidStall:
 		l.Stalled(e.First, e.At)
 	case DidCutOff:
--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"otterspring/internal/inject"
 	"otterspring/internal/strictfile"
 )
 
@@ -19,7 +21,11 @@
 	Chance    bool   // it strikes each request with a chance
 	Factor    bool
 	NeedCount bool
-	Sockets   bool // it shows on sockets only; in virtual time it does nothing and is named
+	Sockets   bool     // it shows on sockets only; in virtual time it does nothing and is named
+	Hosts     bool     // it needs hosts
+	Only      string   // of processes: the letters of those that it strikes; empty for any
+	Takes     []string // further keys that it needs
+	May       []string // and that it may have
 }
 
 // Kinds are the faults that a file may name.
@@ -52,6 +58,22 @@
 	"reload":        {Does: "the sidecar reads its configuration anew", On: "instances", Sockets: true},
 	"reload-bad":    {Does: "the sidecar is told to read a configuration that is no good", On: "instances", Sockets: true},
 	"rude":          {Does: "count clients at each instance send what can't be used", On: "instances", Lasts: true, NeedCount: true, Sockets: true},
+	"stop":          {Does: "SIGSTOP, and SIGCONT when it is over: the old one that wakes up late", On: "processes", Lasts: true, Sockets: true, Hosts: true},
+	"sigkill":       {Does: "SIGKILL; a sidecar is started anew by its supervisor, a supervisor at once", On: "processes", Sockets: true, Hosts: true},
+	"host-down":     {Does: "all processes of a host are killed, and started again when it is over", On: "processes", Only: "h", Lasts: true, Sockets: true, Hosts: true},
+	"kill-at":       {Does: "the process kills itself when it next comes to a point of its code", On: "processes", Only: "nf", Sockets: true, Hosts: true, Lasts: true, Takes: []string{"point"}},
+	"stop-at":       {Does: "the process stops itself at a point of its code, and is woken when it is over", On: "processes", Only: "nf", Sockets: true, Hosts: true, Lasts: true, Takes: []string{"point"}},
+	"never-ready":   {Does: "starts of the sidecar never become ready", On: "processes", Only: "n", Lasts: true, Sockets: true, Hosts: true},
+	"starve":        {Does: "the process gets a share of its time only", On: "processes", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"share"}},
+	"descriptors":   {Does: "the process has no descriptor left", On: "processes", Only: "nf", Lasts: true, Sockets: true, Hosts: true},
+	"clock":         {Does: "the wall clock of the process is off by shift, or drifts", On: "processes", Only: "nf", Lasts: true, Sockets: true, Hosts: true, May: []string{"shift", "drift"}},
+	"disk":          {Does: "what the process does with files fails", On: "processes", Only: "nf", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"disk"}},
+	"way-cut":       {Does: "the way between a sidecar and its peer is cut, in one direction or both", On: "processes", Only: "n", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"peer"}, May: []string{"held", "way"}},
+	"way-slow":      {Does: "what passes between a sidecar and its peer comes late", On: "processes", Only: "n", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"peer", "late"}},
+	"way-reset":     {Does: "connections between a sidecar and its peer break in their first bytes", On: "processes", Only: "n", Lasts: true, Chance: true, Sockets: true, Hosts: true, Takes: []string{"peer"}},
+	"way-half-open": {Does: "the far side of all connections with its peer goes, and nothing says so", On: "processes", Only: "n", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"peer"}},
+	"order":         {Does: "an operator orders a supervisor to roll", On: "processes", Only: "f", Sockets: true, Hosts: true, Takes: []string{"order"}},
+	"list-lag":      {Does: "half of the sidecars are told by a second discovery, which lags by late and then catches up", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"late"}},
 	"roll-handover": {Does: "the instances are handed over one by one", On: "instances", Lasts: true},
 }
 
@@ -88,6 +110,7 @@
 	for i := range s.Faults {
 		c.fault(fmt.Sprintf("fault[%d]", i+1), &s.Faults[i])
 	}
+	c.hosts()
 	c.phases()
 	c.sweeps()
 	return c.errs
@@ -202,11 +225,12 @@
 	wants(f.Servers.Text != "", onServers, "servers", "which servers")
 	wants(f.Instances.Text != "", onInstances, "instances", "which instances")
 	if f.Kind != "move" {
-		wants(f.Late > 0, f.Kind == "list-late", "late", "how late")
+		wants(f.Late > 0, f.Kind == "list-late" || slices.Contains(k.Takes, "late"), "late", "how late")
 	}
 	if f.Way != "" {
-		wants(true, f.Kind == "partition", "way", "")
+		wants(true, f.Kind == "partition" || slices.Contains(k.May, "way"), "way", "")
 	}
+	c.process(key, f, &k, wants)
 	if f.Move {
 		wants(true, f.Kind == "vanish" || f.Kind == "crash", "move", "")
 	}
@@ -217,6 +241,86 @@
 	c.set(key+".instances", f.Instances, 'n', s.World.Instances)
 }
 
+// process holds what a fault says of processes against its kind and the world.
+func (c *checker) process(key string, f *Fault, k *Kind, wants func(have, want bool, field, what string)) {
+	s := c.s
+	for field, have := range map[string]bool{
+		"point": f.Point != "", "shift": f.Shift != 0, "drift": f.Drift != 0, "disk": f.Disk != "", "share": f.Share > 0,
+		"peer": f.Peer != "", "held": f.Held != "", "order": f.Order != "",
+	} {
+		if !have || !slices.Contains(k.May, field) {
+			wants(have, slices.Contains(k.Takes, field), field, "it")
+		}
+	}
+	wants(f.Processes.Text != "", k.On == "processes", "processes", "which processes")
+	if k.Hosts && s.World.Hosts == 0 {
+		c.bad(key+".kind", strconv.Quote(f.Kind)+" in a world without hosts", "world.hosts of 1 or more")
+	}
+	if f.Point != "" && inject.Points[f.Point] == "" {
+		c.bad(key+".point", strconv.Quote(f.Point), "one of "+strings.Join(slices.Sorted(maps.Keys(inject.Points)), ", "))
+	}
+	if f.Kind == "clock" && (f.Shift != 0) == (f.Drift != 0) {
+		c.bad(key, "clock with both of shift and drift, or neither", "one of them")
+	}
+	if k.On != "processes" || f.Processes.Text == "" {
+		return
+	}
+	words := strings.Fields(f.Processes.Text)
+	most := map[byte]int{'n': s.World.Instances, 'f': s.World.Hosts, 'h': s.World.Hosts}
+	only := func(letter byte) {
+		if k.Only != "" && !strings.ContainsRune(k.Only, rune(letter)) {
+			c.bad(key+".processes", strconv.Quote(f.Processes.Text), f.Kind+" on "+strings.Join(strings.Split(k.Only, ""), " or ")+" (n sidecars, f supervisors, h hosts)")
+		}
+	}
+	switch first := words[0]; {
+	case first == "zone":
+		if atoi(words[1]) > s.World.Zones {
+			c.bad(key+".processes", strconv.Quote(f.Processes.Text), fmt.Sprintf("zone 1 to %d", s.World.Zones))
+		}
+	case len(words) == 2 && procLetter[words[1]] != 0:
+		letter := procLetter[words[1]]
+		only(letter)
+		if n := atoi(first); n > most[letter] {
+			c.bad(key+".processes", first, fmt.Sprintf("of %d", most[letter]))
+		}
+	default:
+		for _, w := range words {
+			only(w[0])
+			if n := atoi(w[1:]); n > most[w[0]] {
+				c.bad(key+".processes", strconv.Quote(w), fmt.Sprintf("a process that exists: %c1 to %c%d", w[0], w[0], most[w[0]]))
+			}
+		}
+	}
+}
+
+// procLetter are the letters of the words for processes.
+var procLetter = map[string]byte{"sidecars": 'n', "supervisors": 'f', "hosts": 'h'}
+
+// hosts holds the hosts, and what is to be drawn, against the rest.
+func (c *checker) hosts() {
+	s := c.s
+	if s.World.Hosts > s.World.Instances {
+		c.bad("world.hosts", strconv.Itoa(s.World.Hosts), fmt.Sprintf("%d (world.instances) at most", s.World.Instances))
+	}
+	if s.World.Hosts > 0 && s.World.Hosts%s.World.Zones != 0 {
+		c.bad("world.hosts", strconv.Itoa(s.World.Hosts), fmt.Sprintf("a multiple of the zones, %d: a host stands in one", s.World.Zones))
+	}
+	n := &s.Nemesis
+	for i, kind := range n.Kinds {
+		if k, ok := Kinds[kind]; !ok || Drawable[kind] == nil {
+			c.bad("nemesis.kinds", fmt.Sprintf("%q at place %d", kind, i+1), "kinds that can be drawn: "+strings.Join(slices.Sorted(maps.Keys(Drawable)), ", "))
+		} else if k.Hosts && s.World.Hosts == 0 {
+			c.bad("nemesis.kinds", strconv.Quote(kind)+" in a world without hosts", "world.hosts of 1 or more")
+		}
+	}
+	if n.Faults > 0 && len(n.Kinds) == 0 {
+		c.bad("nemesis.faults", strconv.Itoa(n.Faults), "kinds to draw from")
+	}
+	if n.Least > n.Most {
+		c.bad("nemesis.least", n.Least.String(), "nemesis.most, "+n.Most.String()+", at most")
+	}
+}
+
 // mostServers is the bound on World.Servers.
 const mostServers = 500
 
--- /dev/null
+++ b/internal/lab/experiment/draw.go
@@ -0,0 +1,233 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"otterspring/internal/inject"
+)
+
+// HostOf is the host that an instance runs on, from 1; 0 without hosts.
+func (s *Storm) HostOf(instance int) int {
+	if s.World.Hosts == 0 {
+		return 0
+	}
+	return instance%s.World.Hosts + 1
+}
+
+// drawProcs draws processes by name.
+func (s *Storm) drawProcs(set Procs, rng *rand.Rand) []string {
+	words := strings.Fields(set.Text)
+	if len(words) == 0 {
+		return nil
+	}
+	if words[0] == "zone" {
+		var all []string
+		for h := range s.World.Hosts {
+			if h%s.World.Zones+1 == atoi(words[1]) {
+				all = append(all, fmt.Sprintf("h%d", h+1))
+			}
+		}
+		return all
+	}
+	letter := byte(0)
+	if len(words) == 2 {
+		letter = procLetter[words[1]]
+	}
+	if letter == 0 {
+		return words
+	}
+	n := s.World.Hosts
+	if letter == 'n' {
+		n = s.World.Instances
+	}
+	count := n
+	if words[0] != "all" {
+		count = min(n, atoi(words[0]))
+	}
+	some := rng.Perm(n)[:count]
+	slices.Sort(some)
+	var all []string
+	for _, i := range some {
+		all = append(all, fmt.Sprintf("%c%d", letter, i+1))
+	}
+	return all
+}
+
+// Drawable are the kinds that a nemesis may draw, each with what it draws beside
+// time and length.
+var Drawable = map[string]func(s *Storm, f *Fault, rng *rand.Rand){
+	"stop":        func(s *Storm, f *Fault, rng *rand.Rand) { s.some(f, rng, "nfh") },
+	"sigkill":     func(s *Storm, f *Fault, rng *rand.Rand) { s.some(f, rng, "nf") },
+	"host-down":   func(s *Storm, f *Fault, rng *rand.Rand) { s.some(f, rng, "h") },
+	"kill-at":     func(s *Storm, f *Fault, rng *rand.Rand) { s.atPoint(f, rng) },
+	"stop-at":     func(s *Storm, f *Fault, rng *rand.Rand) { s.atPoint(f, rng) },
+	"never-ready": func(s *Storm, f *Fault, rng *rand.Rand) { s.some(f, rng, "n") },
+	"starve": func(s *Storm, f *Fault, rng *rand.Rand) {
+		s.some(f, rng, "nf")
+		f.Share = 0.1
+	},
+	"descriptors": func(s *Storm, f *Fault, rng *rand.Rand) { s.some(f, rng, "nf") },
+	"clock": func(s *Storm, f *Fault, rng *rand.Rand) {
+		s.some(f, rng, "nf")
+		switch rng.IntN(3) {
+		case 0:
+			f.Shift = -time.Hour
+		case 1:
+			f.Shift = 24 * time.Hour
+		default:
+			f.Drift = 0.01
+		}
+	},
+	"disk": func(s *Storm, f *Fault, rng *rand.Rand) {
+		s.some(f, rng, "nf")
+		f.Disk = []string{"enospc", "eio-write", "eio-sync", "eio-rename", "torn", "gone", "read-only"}[rng.IntN(7)]
+	},
+	"way-cut": func(s *Storm, f *Fault, rng *rand.Rand) {
+		s.peer(f, rng)
+		f.Way = []string{"to", "from", "both"}[rng.IntN(3)]
+		f.Held = []string{"deliver", "drop"}[rng.IntN(2)]
+	},
+	"way-slow": func(s *Storm, f *Fault, rng *rand.Rand) {
+		s.peer(f, rng)
+		f.Late = time.Duration(20+rng.IntN(200)) * time.Millisecond
+	},
+	"way-reset": func(s *Storm, f *Fault, rng *rand.Rand) {
+		s.peer(f, rng)
+		f.Chance = 0.1 + 0.1*float64(rng.IntN(5))
+	},
+	"way-half-open": func(s *Storm, f *Fault, rng *rand.Rand) { s.peer(f, rng) },
+	"order": func(s *Storm, f *Fault, rng *rand.Rand) {
+		s.some(f, rng, "f")
+		f.Order = []string{"restart", "restart", "reload"}[rng.IntN(3)]
+	},
+	"list-lag":  func(s *Storm, f *Fault, rng *rand.Rand) { f.Late = time.Duration(2+rng.IntN(8)) * time.Second },
+	"list-down": func(*Storm, *Fault, *rand.Rand) {},
+	"hang": func(s *Storm, f *Fault, rng *rand.Rand) {
+		f.Servers = Set{fmt.Sprintf("s%d", 1+rng.IntN(s.World.Servers))}
+	},
+	"crash": func(s *Storm, f *Fault, rng *rand.Rand) {
+		f.Servers = Set{fmt.Sprintf("s%d", 1+rng.IntN(s.World.Servers))}
+	},
+	"drain": func(s *Storm, f *Fault, rng *rand.Rand) {
+		f.Servers = Set{fmt.Sprintf("s%d", 1+rng.IntN(s.World.Servers))}
+	},
+	"partition": func(s *Storm, f *Fault, rng *rand.Rand) {
+		f.Servers, f.Instances = Set{fmt.Sprintf("s%d", 1+rng.IntN(s.World.Servers))}, Set{fmt.Sprintf("n%d", 1+rng.IntN(s.World.Instances))}
+		f.Way = []string{"to", "from", "both"}[rng.IntN(3)]
+	},
+}
+
+// some names a process of one of the letters.
+func (s *Storm) some(f *Fault, rng *rand.Rand, letters string) {
+	letter := letters[rng.IntN(len(letters))]
+	n := s.World.Hosts
+	if letter == 'n' {
+		n = s.World.Instances
+	}
+	f.Processes = Procs{fmt.Sprintf("%c%d", letter, 1+rng.IntN(n))}
+}
+
+func (s *Storm) peer(f *Fault, rng *rand.Rand) {
+	s.some(f, rng, "n")
+	f.Peer = []string{"clients", "discovery"}[rng.IntN(2)]
+}
+
+// atPoint draws a point, and a process that comes there.
+func (s *Storm) atPoint(f *Fault, rng *rand.Rand) {
+	var points []string
+	for name := range inject.Points {
+		if s.World.Supervisor.Mode == "handover" || !strings.HasPrefix(name, "handover-") {
+			points = append(points, name)
+		}
+	}
+	slices.Sort(points)
+	f.Point = points[rng.IntN(len(points))]
+	letters := "n"
+	if strings.HasPrefix(f.Point, "fleet-") {
+		letters = "f"
+	}
+	s.some(f, rng, letters)
+}
+
+// Drawn is the storm with the faults that its nemesis draws from a seed put in
+// by name and time, so that it stands by itself; the storm itself where it draws
+// none.
+func (s *Storm) Drawn(seed uint64) *Storm {
+	n := &s.Nemesis
+	if n.Faults == 0 {
+		return s
+	}
+	c := s.clone()
+	rng := rand.New(rand.NewPCG(seed, 0x6e656d65736973))
+	calm := n.Calm.On(s.For)
+	for range n.Faults {
+		f := Fault{Kind: n.Kinds[rng.IntN(len(n.Kinds))]}
+		const grain = 10 * time.Millisecond
+		at := time.Duration(rng.Int64N(int64(max(calm, grain)))) / grain * grain
+		f.At = Moment{Time: at, set: true}
+		length := n.Least + time.Duration(rng.Int64N(int64(n.Most-n.Least+grain)))/grain*grain
+		if Kinds[f.Kind].Lasts {
+			f.For = Moment{Time: min(length, s.For-at), set: true}
+		}
+		Drawable[f.Kind](&c, &f, rng)
+		c.Faults = append(c.Faults, f)
+	}
+	c.Nemesis.Faults = 0
+	return &c
+}
+
+// Text is a fault as a file has it.
+func (f *Fault) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[[fault]]\nkind = %q\n", f.Kind)
+	word := func(key, value string) {
+		if value != "" {
+			fmt.Fprintf(&b, "%s = %q\n", key, value)
+		}
+	}
+	moment := func(key string, m Moment) {
+		switch {
+		case !m.set:
+		case m.Time > 0 || m.Share == 0:
+			word(key, m.Time.String())
+		default:
+			word(key, fmt.Sprintf("%g%%", 100*m.Share))
+		}
+	}
+	number := func(key string, v float64) {
+		if v != 0 {
+			fmt.Fprintf(&b, "%s = %v\n", key, v)
+		}
+	}
+	span := func(key string, d time.Duration) {
+		if d != 0 {
+			word(key, d.String())
+		}
+	}
+	moment("at", f.At)
+	moment("for", f.For)
+	word("servers", f.Servers.Text)
+	word("instances", f.Instances.Text)
+	word("processes", f.Processes.Text)
+	number("chance", f.Chance)
+	number("factor", f.Factor)
+	number("count", float64(f.Count))
+	span("late", f.Late)
+	if f.Move {
+		b.WriteString("move = true\n")
+	}
+	word("way", f.Way)
+	word("point", f.Point)
+	span("shift", f.Shift)
+	number("drift", f.Drift)
+	word("disk", f.Disk)
+	number("share", f.Share)
+	word("peer", f.Peer)
+	word("held", f.Held)
+	word("order", f.Order)
+	return b.String()
+}
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -54,7 +54,7 @@
 		calm + "hold = [\"no: service >= 1\"]": {"wanted a phase that the file names"},
 		calm + "[world]\ninstances = 0\nservers = 9999\n": {
 			"x.toml:4: world.instances: found 0, wanted 1 to 4000", "x.toml:5: world.servers: found 9999, wanted 1 to 500"},
-		calm + "[[fault]]\nkind = \"dance\"\nat = \"1s\"\n":                                                      {"x.toml:4: fault[1].kind: found \"dance\", wanted one of break, crash, drain"},
+		calm + "[[fault]]\nkind = \"dance\"\nat = \"1s\"\n":                                                      {"x.toml:4: fault[1].kind: found \"dance\", wanted one of break, clock, crash"},
 		calm + "[[fault]]\nkind = \"hang\"\nat = \"11s\"\nfor = \"1s\"\nservers = \"all\"\n":                     {"x.toml:5: fault[1].at: found 11s, wanted a time before the end"},
 		calm + "[[fault]]\nkind = \"hang\"\nat = \"1s\"\n":                                                       {"no for with hang", "no servers with hang"},
 		calm + "[[fault]]\nkind = \"hang\"\nat = \"1x\"\nfor = \"1s\"\nservers = \"s99x\"\n":                     {"fault[1].at: found \"1x\"", "fault[1].servers: found \"s99x\""},
--- a/internal/lab/experiment/plan.go
+++ b/internal/lab/experiment/plan.go
@@ -40,6 +40,8 @@
 	Freeze   Op = "freeze"
 	Thaw     Op = "thaw"
 	Move     Op = "move"
+	Begin    Op = "begin" // a fault between processes begins on Proc
+	End      Op = "end"   // and is over
 )
 
 // Step is one thing to do at its time. Server and Instance are numbers from 0,
@@ -51,6 +53,7 @@
 	Server   int
 	Instance int
 	Move     bool
+	Proc     string // of Begin and End: n3, f1, h2; empty for all
 }
 
 // Plan is a storm with all chance drawn: the same at every engine.
@@ -64,6 +67,7 @@
 
 // Resolve draws a plan.
 func Resolve(s *Storm, seed uint64) (*Plan, error) {
+	s = s.Drawn(seed)
 	rng := rand.New(rand.NewPCG(seed, 0x73746f726d))
 	p := &Plan{Storm: s, Seed: seed}
 	grown := s.World.Servers
@@ -71,6 +75,10 @@
 		f := &s.Faults[i]
 		frng := rand.New(rand.NewPCG(seed, 0x6661756c74+uint64(i)))
 		servers, instances := s.drawServers(f.Servers, frng), s.drawInstances(f.Instances, frng)
+		if k := Kinds[f.Kind]; k.Hosts {
+			p.between(i, f, &k, s.drawProcs(f.Processes, frng))
+			continue
+		}
 		p.expand(i, f, servers, instances, &grown)
 	}
 	// Ends come before beginnings of the same time, in the file's order else.
@@ -98,6 +106,20 @@
 	return p, nil
 }
 
+// between turns a fault between processes into steps.
+func (p *Plan) between(i int, f *Fault, k *Kind, procs []string) {
+	at := f.At.On(p.Storm.For)
+	if len(procs) == 0 {
+		procs = []string{""}
+	}
+	for _, name := range procs {
+		p.Steps = append(p.Steps, Step{At: at, Do: Begin, Fault: i, Server: -1, Instance: -1, Proc: name})
+		if k.Lasts {
+			p.Steps = append(p.Steps, Step{At: min(at+f.For.On(p.Storm.For), p.Storm.For), Do: End, Fault: i, Server: -1, Instance: -1, Proc: name})
+		}
+	}
+}
+
 // expand turns a fault into steps.
 func (p *Plan) expand(i int, f *Fault, servers, instances []int, grown *int) {
 	run := p.Storm.For
@@ -295,7 +317,8 @@
 type Tracker struct {
 	storm   *Storm
 	servers []tracked
-	Skipped []string // steps that met a server that is not there
+	cuts    map[[2]int]map[int]string // of a way between instance and server: the faults that cut it, and how
+	Skipped []string                  // steps that met a server that is not there
 }
 
 type tracked struct {
@@ -314,6 +337,27 @@
 	return t
 }
 
+// Way takes a step that cuts or heals a way, and says what of it is cut then: a
+// fault that ends leaves what another one cuts.
+func (t *Tracker) Way(s Step) (to, from bool) {
+	pair := [2]int{s.Instance, s.Server}
+	if t.cuts == nil {
+		t.cuts = map[[2]int]map[int]string{}
+	}
+	if t.cuts[pair] == nil {
+		t.cuts[pair] = map[int]string{}
+	}
+	if s.Do == Cut {
+		t.cuts[pair][s.Fault] = t.storm.Faults[s.Fault].Way
+	} else {
+		delete(t.cuts[pair], s.Fault)
+	}
+	for _, way := range t.cuts[pair] {
+		to, from = to || way != "from", from || way != "to"
+	}
+	return to, from
+}
+
 // Unseen notes that an engine can't play a step; once a fault.
 func (t *Tracker) Unseen(s Step) {
 	why := fmt.Sprintf("fault[%d] (%s): not played: it shows on sockets only", s.Fault+1, t.storm.Faults[s.Fault].Kind)
--- a/internal/lab/experiment/storm.go
+++ b/internal/lab/experiment/storm.go
@@ -32,8 +32,9 @@
 	Phases []Phase  `toml:"phase" max:"20"`
 	// Holds are bounds on figures: "service >= 0.9", or of a phase "storm:
 	// retry_ratio <= 0.22". That no rule breaks is held in any case.
-	Holds  []Promise `toml:"hold" max:"50"`
-	Sweeps []Sweep   `toml:"sweep" max:"4"`
+	Holds   []Promise `toml:"hold" max:"50"`
+	Sweeps  []Sweep   `toml:"sweep" max:"4"`
+	Nemesis Nemesis   `toml:"nemesis"`
 
 	File string         `toml:"-"`
 	Line map[string]int `toml:"-"` // of each key that the file has
@@ -50,6 +51,28 @@
 	Discovery Discovery `toml:"discovery"`
 	Network   Network   `toml:"network"`
 	Sidecar   Sidecar   `toml:"sidecar"`
+	// Hosts are groups of processes that share a fate and a directory: a supervisor
+	// and its instances, dealt out in turn. 0 for none: the rig starts the
+	// instances itself. On sockets only.
+	Hosts      int        `toml:"hosts" min:"0" max:"50"`
+	Supervisor Supervisor `toml:"supervisor"`
+}
+
+// Supervisor is how each host's is set.
+type Supervisor struct {
+	Mode      string        `toml:"mode" oneof:"term|handover"`
+	AtOnce    int           `toml:"at_once" min:"1" max:"100"`
+	EndWithin time.Duration `toml:"end_within" min:"100ms" max:"10m"`
+	Ready     time.Duration `toml:"ready_within" min:"100ms" max:"10m"`
+}
+
+// Nemesis says which faults are drawn beside those of the file, by the seed.
+type Nemesis struct {
+	Kinds  []string      `toml:"kinds" max:"40"`
+	Faults int           `toml:"faults" min:"0" max:"60"`
+	Least  time.Duration `toml:"least" min:"10ms" max:"10m"` // that a fault lasts
+	Most   time.Duration `toml:"most" min:"10ms" max:"10m"`
+	Calm   Moment        `toml:"calm"` // nothing begins later: the rest is for coming back
 }
 
 // Server is what each call server is.
@@ -169,6 +192,15 @@
 	Late      time.Duration `toml:"late" min:"0s" max:"1m"`
 	Move      bool          `toml:"move"` // comes back at another address
 	Way       string        `toml:"way" oneof:"to|from|both"`
+	Processes Procs         `toml:"processes"`
+	Point     string        `toml:"point"` // of the code, of package inject
+	Shift     time.Duration `toml:"shift" min:"-48h" max:"48h"`
+	Drift     float64       `toml:"drift" min:"-0.5" max:"0.5"`
+	Disk      string        `toml:"disk" oneof:"enospc|eio-write|eio-sync|eio-rename|torn|gone|read-only"`
+	Share     float64       `toml:"share" min:"0" max:"0.9"` // of a core that is left
+	Peer      string        `toml:"peer" oneof:"clients|discovery"`
+	Held      string        `toml:"held" oneof:"deliver|drop"`
+	Order     string        `toml:"order" oneof:"restart|reload|resume|cancel"`
 }
 
 // Phase is a part of the run that promises can speak of.
@@ -234,6 +266,22 @@
 	return nil
 }
 
+// Procs names processes: "n3 f1" by name (n a sidecar, f the supervisor of host
+// 1, h the whole host), "zone 1", or "2 sidecars", "all supervisors", "1 hosts"
+// drawn.
+type Procs struct{ Text string }
+
+var procsForm = regexp.MustCompile(`^((all|[1-9][0-9]{0,3}) (sidecars|supervisors|hosts)|zone [1-9][0-9]?|[nfh][1-9][0-9]{0,3}( [nfh][1-9][0-9]{0,3})*)$`)
+
+// UnmarshalText reads processes.
+func (p *Procs) UnmarshalText(text []byte) error {
+	if !procsForm.Match(text) {
+		return errors.New(`names like "n3 f1 h2", "zone 1", or "2 sidecars", "all supervisors", "1 hosts"`)
+	}
+	p.Text = string(text)
+	return nil
+}
+
 // Promise is a bound on a figure, over the whole run or a phase of it.
 type Promise struct {
 	Phase  string // empty for the whole run
@@ -284,11 +332,13 @@
 				Speeds: []float64{1.6, 0.95, 0.6}, Cores: 2, Slots: 1, Queue: 400, Cap: 450, Idle: 5 * time.Second, Handshake: time.Millisecond,
 				ColdFrom: 0.2, ColdWork: 15 * time.Second, ColdTime: 23 * time.Second, TipAt: 3, TipFor: 3 * time.Second, KeyMemory: 5 * time.Second, KeySaves: 0.4, Window: 4 * time.Second,
 			},
-			Discovery: Discovery{Lines: 400, CallLines: 23, Late: 500 * time.Millisecond},
-			Network:   Network{Delay: 50 * time.Microsecond, Jitter: 50 * time.Microsecond},
-			Sidecar:   Sidecar{MemoryMB: 64, Sockets: 512, Dial: 100 * time.Millisecond, Attempts: 3, Advice: time.Second, OverShare: 0.3},
+			Discovery:  Discovery{Lines: 400, CallLines: 23, Late: 500 * time.Millisecond},
+			Network:    Network{Delay: 50 * time.Microsecond, Jitter: 50 * time.Microsecond},
+			Supervisor: Supervisor{Mode: "handover", AtOnce: 1, EndWithin: 5 * time.Second, Ready: 5 * time.Second},
+			Sidecar:    Sidecar{MemoryMB: 64, Sockets: 512, Dial: 100 * time.Millisecond, Attempts: 3, Advice: time.Second, OverShare: 0.3},
 		},
-		Load: Load{Times: 0.5, Skew: 0.7, BusyTimes: 1, Keys: 3000, KeySkew: 0.7, Retries: 2, Try: 0.7, Body: 200, Kept: 2 * time.Second},
+		Nemesis: Nemesis{Least: 500 * time.Millisecond, Most: 5 * time.Second, Calm: Moment{Share: 0.7, set: true}},
+		Load:    Load{Times: 0.5, Skew: 0.7, BusyTimes: 1, Keys: 3000, KeySkew: 0.7, Retries: 2, Try: 0.7, Body: 200, Kept: 2 * time.Second},
 	}
 }
 
--- a/internal/lab/experiment/verdict.go
+++ b/internal/lab/experiment/verdict.go
@@ -84,6 +84,16 @@
 	Fleet   map[string]float64
 	Skipped []string
 	Void    []string // why the run shows nothing
+	Between *Between // of a world with hosts; nil without
+}
+
+// Between is what was seen of the processes of a world with hosts.
+type Between struct {
+	Processes int            // started over the run
+	Kinds     map[string]int // faults that took place, by kind
+	Orders    int            // that a supervisor took
+	AtOnce    int            // instances under way at a time, the most: without a process, or not ready yet
+	Left      int            // processes that were left behind
 }
 
 // Counts are what an engine's carriers saw. Those that an engine can't see are
@@ -122,6 +132,7 @@
 	Notes   []string               `json:"problems,omitempty"`
 	Series  []Second               `json:"series,omitempty"`
 	Marks   []Mark                 `json:"marks,omitempty"`
+	Between *Between               `json:"between,omitempty"`
 }
 
 // Mark is a fault as it is drawn into a timeline, in seconds.
@@ -166,6 +177,7 @@
 		Storm: s.Name, Hash: s.Hash, Engine: rec.Engine, Seed: p.Seed, Set: set, Void: slices.Clone(rec.Void), Skipped: rec.Skipped, Notes: rep.Problems,
 		Size:    fmt.Sprintf("%dx%d, %.0f/s, %v", s.World.Instances, s.World.Servers, s.Rate(), s.For),
 		Phases:  map[string]map[string]float64{},
+		Between: rec.Between,
 		Rules:   map[string]int{"lost": rep.Lost, "late": rep.Late, "forged": rep.Forged, "after": rep.After, "twice": rep.Twice, "untrue": rep.Untrue, "late_sends": rep.LateSends, "tipped": rep.Tipped},
 		Figures: figures(s, rec, 0, s.For),
 	}
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -240,6 +240,6 @@
 var known = map[audit.Did]bool{
 	audit.DidAsk: true, audit.DidAnswer: true, audit.DidBreak: true, audit.DidGo: true, audit.DidArrive: true, audit.DidRun: true, audit.DidTell: true,
 	audit.DidChange: true, audit.DidFallSilent: true, audit.DidRestart: true, audit.IsDying: true, audit.DidKill: true,
-	audit.DidStall: true, audit.DidCutOff: true,
+	audit.DidStall: true, audit.DidCutOff: true, audit.IsExcused: true,
 	Order: true, Effect: true, Op: true, Saw: true, Grant: true, Limit: true, Fault: true, Process: true, Void: true,
 }
--- /dev/null
+++ b/internal/lab/nemesis/nemesis_test.go
@@ -0,0 +1,132 @@
+package nemesis
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"otterspring/internal/lab/experiment"
+)
+
+const file = `name = "t"
+about = "what it was"
+for = "20s"
+short = ["for=5s"]
+
+[world]
+instances = 12
+hosts = 3
+servers = 4
+
+[nemesis]
+kinds = ["stop", "kill-at", "clock", "disk", "way-cut", "way-slow", "way-half-open", "order", "list-lag", "starve"]
+faults = 9
+
+[[fault]]
+kind = "hang"
+at = "50%"
+for = "10%"
+servers = "s1"
+`
+
+func storm(t testing.TB, text string) *experiment.Storm {
+	t.Helper()
+	s, errs := experiment.Parse("t.toml", []byte(text), false, nil)
+	if len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	return s
+}
+
+// A drawn schedule, written and read again, is the same schedule; the same seed
+// draws the same, another one another.
+func TestDrawnSchedulesStandByThemselves(t *testing.T) {
+	s := storm(t, file)
+	seen := map[string]bool{}
+	for seed := range uint64(30) {
+		d := s.Drawn(seed)
+		text := Text(file, Of(d), "drawn")
+		again := storm(t, text)
+		if got := Text(text, Of(again), "drawn"); got != text || len(again.Faults) != 10 {
+			t.Fatalf("seed %d: %d faults; read again:\n%s\nwas\n%s", seed, len(again.Faults), got, text)
+		}
+		a, err := experiment.Resolve(s, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, _ := experiment.Resolve(again, seed)
+		if fmt.Sprint(a.Steps) != fmt.Sprint(b.Steps) {
+			t.Fatalf("seed %d: steps differ:\n%v\n%v", seed, a.Steps, b.Steps)
+		}
+		seen[text] = true
+	}
+	if len(seen) != 30 {
+		t.Errorf("30 seeds drew %d schedules", len(seen))
+	}
+}
+
+// Whatever set of faults it takes to break, just that is left, short and with few
+// processes.
+func TestShrinkLeavesWhatBreaks(t *testing.T) {
+	s := storm(t, file)
+	rapid.Check(t, func(t *rapid.T) {
+		d := Of(s.Drawn(rapid.Uint64().Draw(t, "seed")))
+		need := rapid.SliceOfNDistinct(rapid.IntRange(0, len(d.Faults)-1), 1, 3, rapid.ID[int]).Draw(t, "need")
+		for i := range d.Faults {
+			d.Faults[i].Late = time.Duration(i+1) * time.Millisecond // its name here
+		}
+		has := func(c Schedule, i int) bool {
+			for _, f := range c.Faults {
+				if f.Late == time.Duration(i+1)*time.Millisecond {
+					return true
+				}
+			}
+			return false
+		}
+		breaks := func(c Schedule) bool {
+			for _, i := range need {
+				if !has(c, i) {
+					return false
+				}
+			}
+			return true
+		}
+		got, played := Shrink(d, 3, 500, breaks)
+		if len(got.Faults) != len(need) || !breaks(got) || played > 500 {
+			t.Fatalf("left %d faults after %d plays, wanted %d", len(got.Faults), played, len(need))
+		}
+		for _, f := range got.Faults {
+			if f.For.On(got.For) >= 2*least {
+				t.Fatalf("a fault of %v is left, wanted it halved down to %v", f.For.On(got.For), least)
+			}
+		}
+		if got.Instances/2 >= max(3, named(got.Faults)) {
+			t.Fatalf("%d instances left", got.Instances)
+		}
+	})
+	// Bounded, and what does not break by chance stays as it is.
+	d := Of(s.Drawn(1))
+	if got, played := Shrink(d, 3, 7, func(Schedule) bool { return false }); len(got.Faults) != 10 || played != 7 {
+		t.Errorf("left %d faults after %d plays, wanted 10 after 7", len(got.Faults), played)
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	for text, want := range map[string]string{
+		"[[fault]]\nkind=\"stop\"\nat=\"1s\"\nfor=\"1s\"\nprocesses=\"n99\"\n":                          `t.toml:24: fault[2].processes: found "n99", wanted a process that exists: n1 to n12`,
+		"[[fault]]\nkind=\"stop\"\nat=\"1s\"\nfor=\"1s\"\nprocesses=\"f4\"\n":                           `a process that exists: f1 to f3`,
+		"[[fault]]\nkind=\"order\"\nat=\"1s\"\nprocesses=\"n1\"\norder=\"restart\"\n":                   `wanted order on f`,
+		"[[fault]]\nkind=\"kill-at\"\nat=\"1s\"\nfor=\"1s\"\nprocesses=\"n1\"\npoint=\"lunch\"\n":       `fault[2].point: found "lunch", wanted one of fleet-ended`,
+		"[[fault]]\nkind=\"clock\"\nat=\"1s\"\nfor=\"1s\"\nprocesses=\"n1\"\nshift=\"1h\"\ndrift=0.1\n": `clock with both of shift and drift`,
+		"[[fault]]\nkind=\"way-cut\"\nat=\"1s\"\nfor=\"1s\"\nprocesses=\"n1\"\npeer=\"n1\"\n":           `wanted one of clients, discovery`,
+		"[[fault]]\nkind=\"stop\"\nat=\"1s\"\nfor=\"1s\"\nprocesses=\"n1\"\npeer=\"clients\"\n":         `wanted it left out`,
+	} {
+		_, errs := experiment.Parse("t.toml", []byte(file+text), false, nil)
+		if len(errs) != 1 || !strings.Contains(errs[0].Error(), want) {
+			t.Errorf("%q: %v, wanted one line with %q", text, errs, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/rig/between_test.go
@@ -0,0 +1,279 @@
+package rig
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"otterspring/internal/inject"
+	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/history"
+)
+
+// built are the programs with faults compiled in, under the race detector.
+var built = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "faults")
+	if err != nil {
+		return "", err
+	}
+	cmd := exec.Command("go", "build", "-race", "-tags", "faults", "-o", dir+"/", "./cmd/sandhinge", "./cmd/otterspring")
+	cmd.Dir = "../../.."
+	if text, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%v: %s", err, text)
+	}
+	return dir, nil
+})
+
+func programs(t *testing.T) (sidecar, operator string) {
+	t.Helper()
+	dir, err := built()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return filepath.Join(dir, "sandhinge"), filepath.Join(dir, "otterspring")
+}
+
+// between plays a storm with hosts and judges its history, too.
+func between(t *testing.T, text string, seed uint64) (*experiment.Result, *history.History, *history.Verdict) {
+	t.Helper()
+	s, errs := experiment.Parse("between.toml", []byte(text), false, nil)
+	if len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	plan, err := experiment.Resolve(s, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sidecar, operator := programs(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	path := filepath.Join(t.TempDir(), "history.jsonl")
+	rec, err := PlayHosted(ctx, plan, []string{sidecar}, t.TempDir(), Hosted{Supervisor: []string{operator}, Self: []string{os.Args[0]}, History: path}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, err := history.Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, v := experiment.Judge(plan, rec, nil), history.Judge(h)
+	t.Logf("%s; %+v", res.Line(), *res.Between)
+	if res.Broken() || v.Broken() {
+		t.Errorf("seed %d broke: %v; %+v", seed, res.Notes, v.Violations)
+	}
+	if res.Between.Left != 0 {
+		t.Errorf("%d processes left behind", res.Between.Left)
+	}
+	if len(res.Void) == 0 && rec.Report.Line() != v.Rules.Line() {
+		t.Errorf("the run and its history differ:\n%s\n%s", rec.Report.Line(), v.Rules.Line())
+	}
+	return res, h, v
+}
+
+// All programs are stretched: the race detector makes them several times as slow.
+const betweenWorld = `name = "between"
+for = "%s"
+[world]
+instances = 9
+hosts = 3
+servers = 4
+[world.supervisor]
+mode = "%s"
+end_within = "3s"
+ready_within = "20s"
+[load]
+rate = 40
+`
+
+// Three hosts, 12 processes and more, faults of all kinds, drawn: no rule breaks.
+func TestBetweenDrawn(t *testing.T) {
+	const seed = 11
+	res, _, v := between(t, fmt.Sprintf(betweenWorld, "8s", "handover")+`
+[nemesis]
+faults = 9
+least = "300ms"
+most = "1500ms"
+kinds = ["stop", "sigkill", "kill-at", "clock", "disk", "way-cut", "way-half-open", "order", "list-lag", "starve"]
+`, seed)
+	if res.Between.Processes < 12 || len(res.Between.Kinds) < 3 {
+		t.Errorf("seed %d: %d processes, kinds %v; wanted 12 and 3 kinds at least", seed, res.Between.Processes, res.Between.Kinds)
+	}
+	total := 0
+	for _, n := range v.Kinds {
+		total += n
+	}
+	if total == 0 {
+		t.Errorf("the history tells of no fault")
+	}
+}
+
+// count is how often a process did something, by the history.
+func count(h *history.History, who, op string) int {
+	n := 0
+	for _, e := range h.Entries {
+		if e.Do == history.Process && e.Who == who && e.Op == op {
+			n++
+		}
+	}
+	return n
+}
+
+// The hard cases between faults: a stop that ends while another on the same
+// process lasts, a process that is killed while it is stopped, and a point at
+// which a supervisor dies in the middle of a roll.
+func TestOverlappingFaults(t *testing.T) {
+	res, h, _ := between(t, fmt.Sprintf(betweenWorld, "9s", "term")+`
+[[fault]]
+kind = "stop"
+at = "500ms"
+for = "1s"
+processes = "n1"
+[[fault]]
+kind = "stop"
+at = "800ms"
+for = "2s"
+processes = "n1"
+[[fault]]
+kind = "stop"
+at = "500ms"
+for = "2s"
+processes = "n2"
+[[fault]]
+kind = "sigkill"
+at = "1s"
+processes = "n2"
+[[fault]]
+kind = "kill-at"
+at = "200ms"
+for = "8s"
+processes = "f3"
+point = "fleet-ended"
+[[fault]]
+kind = "order"
+at = "1s"
+processes = "f3"
+order = "restart"
+`, 1)
+	if s, w := count(h, "n1", "stopped"), count(h, "n1", "woken"); s != 2 || w != 1 {
+		t.Errorf("n1 was stopped %d times and woken %d, wanted 2 and 1: when the last stop is over", s, w)
+	}
+	if k, s := count(h, "n2", "killed"), count(h, "n2", "started"); k != 1 || s != 2 {
+		t.Errorf("n2 was killed %d times and started %d, wanted 1 and 2", k, s)
+	}
+	if s := count(h, "f3", "started"); s != 2 {
+		t.Errorf("f3 was started %d times, wanted 2: it died in the middle of its roll", s)
+	}
+	if res.Between.Kinds["kill-at"] != 1 {
+		t.Errorf("kinds %v, wanted a kill at its point", res.Between.Kinds)
+	}
+}
+
+// playAsRig is a rig of its own, for the test that kills it.
+func playAsRig() int {
+	os.Unsetenv("TEST_RUNS_PROGRAM")
+	s, errs := experiment.Parse("x.toml", []byte(fmt.Sprintf(betweenWorld, "60s", "handover")), false, nil)
+	if len(errs) > 0 {
+		return 2
+	}
+	plan, err := experiment.Resolve(s, 1)
+	if err != nil {
+		return 2
+	}
+	dir := os.Getenv("TEST_DIR")
+	h := Hosted{Supervisor: []string{os.Getenv("TEST_OPERATOR")}, Self: []string{os.Args[0]}, History: filepath.Join(dir, "h.jsonl")}
+	PlayHosted(context.Background(), plan, []string{os.Getenv("TEST_SIDECAR")}, dir, h, func(at time.Duration) {
+		if at > 0 {
+			os.WriteFile(filepath.Join(dir, "plays"), nil, 0o600)
+		}
+	})
+	return 0
+}
+
+// marked are the processes whose environment names a folder.
+func marked(dir string) (pids []int) {
+	list, _ := os.ReadDir("/proc")
+	for _, e := range list {
+		pid, err := strconv.Atoi(e.Name())
+		if err != nil || sessionOf(pid) == 0 {
+			continue
+		}
+		env, err := os.ReadFile(fmt.Sprintf("/proc/%d/environ", pid))
+		if err == nil && bytes.Contains(env, []byte(inject.Env+"="+dir)) {
+			pids = append(pids, pid)
+		}
+	}
+	return pids
+}
+
+// A rig that is killed outright leaves no process behind, though its supervisors'
+// instances outlive those, and the history that it wrote can be judged.
+func TestKilledRigLeavesNothing(t *testing.T) {
+	sidecar, operator := programs(t)
+	dir := t.TempDir()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "TEST_RUNS_PROGRAM=rig", "TEST_DIR="+dir, "TEST_SIDECAR="+sidecar, "TEST_OPERATOR="+operator)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.Now().Add(90 * time.Second)
+	until := func(what string, is func() bool) {
+		t.Helper()
+		for !is() {
+			if time.Now().After(deadline) {
+				cmd.Process.Kill()
+				t.Fatalf("%s: not in time; there are %v", what, marked(dir))
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	until("the rig plays", func() bool { _, err := os.Stat(filepath.Join(dir, "plays")); return err == nil })
+	if n := len(marked(dir)); n < 12 {
+		t.Errorf("%d processes while the rig plays, wanted 3 supervisors and 9 sidecars", n)
+	}
+	cmd.Process.Signal(syscall.SIGKILL)
+	cmd.Wait()
+	until("all have ended", func() bool { return len(marked(dir)) == 0 })
+}
+
+// A rig that was itself stopped has seen nothing for a while: its run is void, and
+// says so, and is not kept.
+func TestStoppedRigIsVoid(t *testing.T) {
+	s, errs := experiment.Parse("x.toml", []byte("name = \"x\"\nfor = \"5s\"\n[world]\ninstances = 1\nservers = 1\n[load]\nrate = 5\n"), false, nil)
+	if len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	plan, err := experiment.Resolve(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// It stops itself; a shell wakes it.
+	wake := exec.Command("sh", "-c", fmt.Sprintf("sleep 6; kill -CONT %d", os.Getpid()))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var once sync.Once
+	rec, err := PlayStorm(ctx, plan, []string{os.Args[0]}, t.TempDir(), func(at time.Duration) {
+		if at > time.Second {
+			once.Do(func() {
+				if wake.Start() == nil {
+					syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+				}
+			})
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	wake.Wait()
+	if res := experiment.Judge(plan, rec, nil); !strings.Contains(strings.Join(res.Void, "; "), "the rig itself stood still for") || res.Verdict() == "kept" {
+		t.Errorf("verdict %s, void %v; wanted it to say that the rig stood still", res.Verdict(), res.Void)
+	}
+}
--- /dev/null
+++ b/internal/lab/rig/disturb.go
@@ -0,0 +1,369 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/history"
+)
+
+// disturb begins a fault between processes, or ends it. What takes time goes on
+// beside the next step.
+func (h *hosts) disturb(st experiment.Step) error {
+	f := &h.plan.Storm.Faults[st.Fault]
+	if st.Do == experiment.End {
+		return h.finish(st, f)
+	}
+	h.mu.Lock()
+	if h.active[st.Proc] == nil {
+		h.active[st.Proc] = map[int]int{}
+	}
+	h.active[st.Proc][st.Fault]++
+	h.mu.Unlock()
+	done, err := h.begin(st, f)
+	if err == nil && done {
+		h.took(st, f)
+	}
+	return err
+}
+
+// took notes a fault that took place.
+func (h *hosts) took(st experiment.Step, f *experiment.Fault) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.played[f.Kind]++
+	end := time.Duration(0)
+	if f.For.On(h.plan.Storm.For) > 0 {
+		end = h.w.Log.Now() + f.For.On(h.plan.Storm.For)
+	}
+	h.note(history.Entry{Event: audit.Event{Do: history.Fault}, End: end, Who: st.Proc, Op: f.Kind, Value: f.Point + f.Disk + f.Peer + f.Order})
+}
+
+// begin brings a fault in; false where it met no process, or takes place later,
+// at a point.
+func (h *hosts) begin(st experiment.Step, f *experiment.Fault) (bool, error) {
+	switch f.Kind {
+	case "stop":
+		return h.hold(st.Proc, true) > 0, nil
+	case "starve":
+		h.wg.Go(func() { h.starve(st, f) })
+		return true, nil
+	case "sigkill":
+		return h.kill(st.Proc), nil
+	case "host-down":
+		one := h.host(st.Proc)
+		if one.down {
+			return false, nil // it is down already
+		}
+		one.down = true
+		return h.kill(st.Proc), nil
+	case "kill-at", "stop-at", "never-ready", "clock", "disk":
+		if f.Kind == "disk" {
+			h.host(st.Proc).broken = true
+		}
+		return f.Kind == "clock" || f.Kind == "disk", h.tellFaults(st.Proc)
+	case "descriptors":
+		h.host(st.Proc).broken = true
+		return h.descriptors(st.Proc, true), nil
+	case "way-cut", "way-slow", "way-reset", "way-half-open":
+		return true, h.way(st.Proc, f)
+	case "order":
+		h.wg.Go(func() { h.order(st, f) })
+		return false, nil
+	case "list-lag":
+		h.w.lagging(f.Late)
+		for i, in := range h.w.Instances {
+			if i%2 == 1 {
+				h.w.Log.Deaf(in.Name, true, h.w.Log.Now())
+			}
+		}
+		return true, nil
+	}
+	return false, fmt.Errorf("rig: fault %q has no player", f.Kind)
+}
+
+// finish ends a fault.
+func (h *hosts) finish(st experiment.Step, f *experiment.Fault) error {
+	h.mu.Lock()
+	if n := h.active[st.Proc][st.Fault] - 1; n > 0 {
+		h.active[st.Proc][st.Fault] = n
+	} else {
+		delete(h.active[st.Proc], st.Fault)
+	}
+	h.mu.Unlock()
+	switch f.Kind {
+	case "stop":
+		h.hold(st.Proc, false)
+	case "host-down":
+		one := h.host(st.Proc)
+		if !one.down {
+			return nil
+		}
+		<-one.sup.done
+		return h.startSupervisor(one)
+	case "kill-at", "stop-at", "never-ready", "clock", "disk":
+		if f.Kind != "clock" && f.Kind != "disk" {
+			if pid := h.hit(st.Proc, st.Fault); pid > 0 {
+				h.took(st, f)
+				if f.Kind != "kill-at" {
+					syscall.Kill(pid, syscall.SIGCONT)
+				}
+			}
+		}
+		if err := h.tellFaults(st.Proc); err != nil {
+			return err
+		}
+		if st.Proc[0] == 'f' {
+			return h.revive(h.host(st.Proc))
+		}
+	case "descriptors":
+		h.descriptors(st.Proc, false)
+		if st.Proc[0] == 'f' {
+			return h.revive(h.host(st.Proc))
+		}
+	case "way-cut", "way-slow", "way-reset", "way-half-open":
+		return h.way(st.Proc, f)
+	case "list-lag":
+		h.w.lagging(0)
+		for i, in := range h.w.Instances {
+			if i%2 == 1 {
+				// It catches up: what it had not told yet comes within its lag.
+				h.w.Log.Deaf(in.Name, false, h.w.Log.Now()+f.Late)
+			}
+		}
+	}
+	return nil
+}
+
+// hold stops all processes of a name, or lets them go on where no other fault
+// stops them. It returns how many it met.
+func (h *hosts) hold(name string, on bool) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, f := range h.of(name) {
+		key := fmt.Sprint(f.pid)
+		if on {
+			h.stopped[key]++
+			unix.PidfdSendSignal(f.fd, syscall.SIGSTOP, nil, 0)
+			h.note(history.Entry{Event: audit.Event{Do: history.Process}, Who: f.name, Op: "stopped", Number: uint64(f.pid)})
+		} else if h.stopped[key] > 0 {
+			// One that was started meanwhile was not stopped.
+			if h.stopped[key]--; h.stopped[key] == 0 {
+				unix.PidfdSendSignal(f.fd, syscall.SIGCONT, nil, 0)
+				h.note(history.Entry{Event: audit.Event{Do: history.Process}, Who: f.name, Op: "woken", Number: uint64(f.pid)})
+			}
+		}
+		n++
+	}
+	return n
+}
+
+// starve lets a process run for a share of the time only, while the fault lasts.
+func (h *hosts) starve(st experiment.Step, f *experiment.Fault) {
+	end := time.Now().Add(f.For.On(h.plan.Storm.For))
+	runs := time.Duration(f.Share * float64(starveEvery))
+	for time.Now().Before(end) {
+		h.hold(st.Proc, true)
+		time.Sleep(starveEvery - runs)
+		h.hold(st.Proc, false)
+		select {
+		case <-h.end:
+			return
+		case <-time.After(runs):
+		}
+	}
+}
+
+// kill kills all processes of a name outright, stopped or not. A supervisor that
+// is killed by itself is started again; instances have one who does so.
+func (h *hosts) kill(name string) bool {
+	h.mu.Lock()
+	all := h.of(name)
+	for _, f := range all {
+		if f.name[0] == 'n' {
+			h.w.Log.Dying(f.name)
+		} else {
+			f.host.sup.over.Store(true)
+		}
+	}
+	// Supervisors first: they would start what is killed before them anew.
+	slices.SortStableFunc(all, func(a, b *found) int { return int(a.name[0]) - int(b.name[0]) })
+	for _, f := range all {
+		unix.PidfdSendSignal(f.fd, syscall.SIGKILL, nil, 0)
+		h.note(history.Entry{Event: audit.Event{Do: history.Process}, Who: f.name, Op: "killed", Number: uint64(f.pid)})
+	}
+	h.mu.Unlock()
+	if name[0] == 'f' && len(all) > 0 {
+		one := h.host(name)
+		h.wg.Go(func() {
+			<-one.sup.done
+			if err := h.revive(one); err != nil {
+				h.fail(err)
+			}
+		})
+	}
+	return len(all) > 0
+}
+
+// revive starts a host's supervisor again where it has ended and the host is up.
+func (h *hosts) revive(one *host) error {
+	h.mu.Lock()
+	sup, down := one.sup, one.down
+	h.mu.Unlock()
+	select {
+	case <-sup.done:
+	default:
+		return nil
+	}
+	select {
+	case <-h.end:
+		return nil
+	default:
+	}
+	if down {
+		return nil // it is started when the host is up again
+	}
+	return h.startSupervisor(one)
+}
+
+// disks are the lines of package inject for each state of a disk.
+var disks = map[string]string{
+	"enospc": "disk write enospc\ndisk open enospc\n", "eio-write": "disk write eio\n", "eio-sync": "disk sync eio\n", "eio-rename": "disk rename eio\n",
+	"torn": "disk write torn\n", "gone": "disk all enoent\n", "read-only": "disk all erofs\n",
+}
+
+// tellFaults writes what a process is to suffer by itself: of all faults on it
+// that last, so that one that ends leaves the others.
+func (h *hosts) tellFaults(name string) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var b strings.Builder
+	faults := make([]int, 0, len(h.active[name]))
+	for n := range h.active[name] {
+		faults = append(faults, n)
+	}
+	slices.Sort(faults)
+	for _, n := range faults {
+		switch f := &h.plan.Storm.Faults[n]; f.Kind {
+		case "kill-at":
+			fmt.Fprintf(&b, "at %s kill %d\n", f.Point, n)
+		case "stop-at":
+			fmt.Fprintf(&b, "at %s stop %d\n", f.Point, n)
+		case "never-ready":
+			fmt.Fprintf(&b, "at start hang %d\n", n)
+		case "clock":
+			if f.Shift != 0 {
+				fmt.Fprintf(&b, "wall %s\n", f.Shift)
+			} else {
+				fmt.Fprintf(&b, "drift %v\n", f.Drift)
+			}
+		case "disk":
+			b.WriteString(disks[f.Disk])
+		}
+	}
+	return write(filepath.Join(h.dir, name), b.String())
+}
+
+// descriptors takes away all descriptors that a process does not hold yet, or
+// gives them back.
+func (h *hosts) descriptors(name string, on bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	all := h.of(name)
+	for _, f := range all {
+		var limit unix.Rlimit
+		if unix.Prlimit(f.pid, unix.RLIMIT_NOFILE, nil, &limit) != nil {
+			continue
+		}
+		limit.Cur = limit.Max
+		if on {
+			list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", f.pid))
+			if err != nil {
+				continue
+			}
+			limit.Cur = uint64(len(list))
+		}
+		unix.Prlimit(f.pid, unix.RLIMIT_NOFILE, &limit, nil)
+	}
+	return len(all) > 0
+}
+
+// way sets a way as all faults on it want it together.
+func (h *hosts) way(name string, f *experiment.Fault) error {
+	r := h.ways[wayKey{name, f.Peer}]
+	h.mu.Lock()
+	to, from, half, drop := false, false, false, f.Kind == "way-cut" && f.Held == "drop"
+	late, breaks := time.Duration(0), 0.0
+	for n := range h.active[name] {
+		switch g := &h.plan.Storm.Faults[n]; {
+		case g.Peer != f.Peer:
+		case g.Kind == "way-cut":
+			to, from = to || g.Way != "from", from || g.Way != "to"
+		case g.Kind == "way-slow":
+			late += g.Late
+		case g.Kind == "way-reset":
+			breaks = max(breaks, g.Chance)
+		case g.Kind == "way-half-open":
+			half = true
+		}
+	}
+	h.mu.Unlock()
+	if f.Peer == "discovery" {
+		h.w.Log.Deaf(name, to || from || half || late > 0 || breaks > 0, h.w.Log.Now())
+	}
+	r.Late(late)
+	r.Breaks(breaks)
+	r.HalfOpen(half)
+	if drop && !to && !from {
+		r.Drop()
+	}
+	return r.Cut(to, from)
+}
+
+// orderWithin is how long an operator waits for an answer.
+const orderWithin = 15 * time.Second
+
+// order gives a supervisor an order as an operator does, by the command.
+func (h *hosts) order(st experiment.Step, f *experiment.Fault) {
+	one := h.host(st.Proc)
+	ctx, cancel := context.WithTimeout(context.Background(), orderWithin)
+	defer cancel()
+	go func() {
+		select {
+		case <-h.end:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	argv := append(slices.Clone(h.w.opt.Supervisor), "fleet", f.Order, one.file)
+	begin := h.w.Log.Now()
+	cmd := exec.CommandContext(ctx, argv[0], argv[1:]...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := cmd.CombinedOutput()
+	result := history.Done
+	switch {
+	case err != nil && (ctx.Err() != nil || strings.Contains(string(out), "timeout")):
+		result = history.Unknown
+	case err != nil:
+		result = history.Refused
+	}
+	h.took(st, f)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if result == history.Done {
+		h.orders++
+	}
+	h.note(history.Entry{Event: audit.Event{Do: history.Order, At: begin}, End: h.w.Log.Now(), Who: "operator", To: one.role, Op: f.Order, Result: result, Value: strings.TrimSpace(string(out))})
+}
--- a/internal/lab/rig/fleet_test.go
+++ b/internal/lab/rig/fleet_test.go
@@ -15,6 +15,12 @@
 
 // TestMain runs the very program where a test asks for it.
 func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == ReaperWord {
+		os.Exit(Reap(os.Stdin))
+	}
+	if os.Getenv("TEST_RUNS_PROGRAM") == "rig" {
+		os.Exit(playAsRig())
+	}
 	if os.Getenv("TEST_RUNS_PROGRAM") == "sidecar" {
 		os.Exit(daemon.Main(os.Args[1:], os.Stderr))
 	}
--- /dev/null
+++ b/internal/lab/rig/hosts.go
@@ -0,0 +1,573 @@
+package rig
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"otterspring/internal/inject"
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/history"
+	"otterspring/internal/lab/standin/relay"
+)
+
+// hosts are a world's groups of processes that share a fate and a directory, each
+// a supervisor and its instances, and the faults between all of them. Its steps
+// come from one goroutine, what processes do from others.
+type hosts struct {
+	w    *World
+	plan *experiment.Plan
+	all  []*host
+	hist *history.Writer // nil for none
+	dir  string          // of the files that processes take their faults from
+
+	end chan struct{}
+	wg  sync.WaitGroup
+
+	mu       sync.Mutex
+	sessions map[int]*host          // each supervisor's session, those that have ended, too
+	procs    map[int]*found         // by number, those that have not ended
+	active   map[string]map[int]int // faults of the plan on each process, by their number
+	stopped  map[string]int         // how many faults stop a process
+	begun    map[string]time.Duration
+	ways     map[wayKey]*relay.Relay
+	played   map[string]int // kinds that took place
+	errs     []error
+	started  int
+	orders   int // orders that a supervisor took
+	atOnce   int // instances under way at a time, the most
+	under    map[string]time.Duration
+}
+
+// host is a supervisor with its instances.
+type host struct {
+	name, role string // h1, f1
+	file       string
+	mine       []*Instance
+	sup        *Process
+	down       bool
+	broken     bool // a disk or descriptors fail: a supervisor that ends then has its reason
+}
+
+// found is a process of the world, found among all of the machine.
+type found struct {
+	pid  int
+	name string // n3, f1
+	host *host
+	fd   int
+}
+
+// wayKey is a way of the rig's own between a sidecar and its peer.
+type wayKey struct{ name, peer string }
+
+const (
+	lookEvery   = 50 * time.Millisecond
+	starveEvery = 100 * time.Millisecond
+	// mostUnder bounds the processes of one world.
+	mostProcs = 1000
+)
+
+// newHosts writes what each host's supervisor is told, and opens the ways that
+// the plan disturbs. Nothing is started.
+func newHosts(w *World, p *experiment.Plan, hist *history.Writer) (*hosts, error) {
+	h := &hosts{w: w, plan: p, hist: hist, dir: w.path("faults"), end: make(chan struct{}), sessions: map[int]*host{}, procs: map[int]*found{},
+		active: map[string]map[int]int{}, stopped: map[string]int{}, ways: map[wayKey]*relay.Relay{}, played: map[string]int{}, under: map[string]time.Duration{}, begun: map[string]time.Duration{}}
+	if err := os.MkdirAll(h.dir, 0o700); err != nil {
+		return nil, err
+	}
+	if err := h.openWays(); err != nil {
+		return nil, err
+	}
+	s := p.Storm
+	for n := range s.World.Hosts {
+		one := &host{name: fmt.Sprintf("h%d", n+1), role: fmt.Sprintf("f%d", n+1)}
+		dir := w.path(one.name)
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return nil, err
+		}
+		one.file = filepath.Join(dir, "fleet.toml")
+		var b strings.Builder
+		fmt.Fprintf(&b, "program = %q\nargs = [\"-operator\", \"{dir}/{name}.toml\"]\ndirectory = \"run\"\n", w.opt.Program[0])
+		fmt.Fprintf(&b, "[start]\ndiscovery_lines = 100000\nready_within = %q\n[restart]\nmode = %q\nat_once = %d\nend_within = %q\n[crash]\nfirst = \"100ms\"\nmost = \"1s\"\nloop = 100\nwithin = \"1s\"\n",
+			s.World.Supervisor.Ready, s.World.Supervisor.Mode, s.World.Supervisor.AtOnce, s.World.Supervisor.EndWithin)
+		if err := os.MkdirAll(filepath.Join(dir, "run"), 0o700); err != nil {
+			return nil, err
+		}
+		for i, in := range w.Instances {
+			if s.HostOf(i) != n+1 {
+				continue
+			}
+			in.hosted = true
+			one.mine = append(one.mine, in)
+			fmt.Fprintf(&b, "[[instance]]\nname = %q\nlisten = %q\nconfig = %q\n", in.Name, in.Addr, in.Name+".tmpl")
+			text := seedForm.ReplaceAllString(w.configText(in, 1, h.discoveryOf(in), in.known), `"seed":"{seed}"`)
+			if err := write(filepath.Join(dir, in.Name+".tmpl"), text); err != nil {
+				return nil, err
+			}
+			operator := ""
+			if s.World.Supervisor.Mode == "handover" {
+				operator = fmt.Sprintf("[handover]\nsocket = %q\n", filepath.Join(dir, "run", in.Name+".sock"))
+			}
+			if err := write(filepath.Join(dir, "run", in.Name+".toml"), operator); err != nil {
+				return nil, err
+			}
+		}
+		if err := write(one.file, b.String()); err != nil {
+			return nil, err
+		}
+		h.all = append(h.all, one)
+	}
+	return h, nil
+}
+
+var seedForm = regexp.MustCompile(`"seed":"[0-9a-f]*"`)
+
+// openWays puts a relay on each way that a fault of the plan disturbs.
+func (h *hosts) openWays() error {
+	for _, st := range h.plan.Steps {
+		f := &h.plan.Storm.Faults[st.Fault]
+		if st.Do != experiment.Begin || f.Peer == "" {
+			continue
+		}
+		key := wayKey{st.Proc, f.Peer}
+		if h.ways[key] != nil {
+			continue
+		}
+		in := h.instance(st.Proc)
+		target := in.Addr
+		if f.Peer == "discovery" {
+			target = in.door.Addr()
+		}
+		r, err := relay.StartWay(func() string { return target }, relay.Way{Seed: h.plan.Seed})
+		if err != nil {
+			return err
+		}
+		h.ways[key] = r
+		if f.Peer == "clients" {
+			in.asked = r.Addr()
+		}
+	}
+	return nil
+}
+
+func (h *hosts) discoveryOf(in *Instance) string {
+	if r := h.ways[wayKey{in.Name, "discovery"}]; r != nil {
+		return r.Addr()
+	}
+	return in.door.Addr()
+}
+
+// instance is the one of a name like n3.
+func (h *hosts) instance(name string) *Instance {
+	n, _ := strconv.Atoi(name[1:])
+	return h.w.Instances[n-1]
+}
+
+// host is the one that a process of a name runs on.
+func (h *hosts) host(name string) *host {
+	n, _ := strconv.Atoi(name[1:])
+	if name[0] == 'n' {
+		n = h.plan.Storm.HostOf(n - 1)
+	}
+	return h.all[n-1]
+}
+
+// start starts all supervisors and waits until all instances are up.
+func (h *hosts) start(ctx context.Context) error {
+	for _, one := range h.all {
+		if err := h.startSupervisor(one); err != nil {
+			return err
+		}
+	}
+	h.wg.Go(h.look)
+	for _, in := range h.w.Instances {
+		if err := in.awaitUp(ctx); err != nil {
+			return fmt.Errorf("%w: %s", err, h.all[0].sup.tail.String())
+		}
+	}
+	h.lookOnce()
+	h.progress()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.atOnce = len(h.under) // what is counted begins with the load
+	return nil
+}
+
+// startSupervisor starts a host's supervisor as operators do, in a session of its
+// own: whatever is left of it is found by that.
+func (h *hosts) startSupervisor(one *host) error {
+	cmd := exec.Command(h.w.opt.Supervisor[0], append(slices.Clone(h.w.opt.Supervisor[1:]), "fleet", "run", one.file)...)
+	p := &Process{cmd: cmd, tail: &tail{}, done: make(chan struct{})}
+	cmd.Env = append(os.Environ(), inject.Env+"="+h.dir, inject.Role+"="+one.role, "GORACE=halt_on_error=1")
+	cmd.Stdout = p.tail
+	cmd.Stderr = &ears{tail: p.tail, h: h}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setsid: true, Pdeathsig: syscall.SIGKILL}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("%s: %w", one.role, err)
+	}
+	h.w.reaper.watch(cmd.Process.Pid)
+	h.sessions[cmd.Process.Pid] = one
+	one.sup, one.down = p, false
+	h.started++
+	h.note(history.Entry{Event: audit.Event{Do: history.Process}, Who: one.role, Op: "started", Number: uint64(cmd.Process.Pid)})
+	h.wg.Go(func() {
+		p.err = cmd.Wait()
+		close(p.done)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.note(history.Entry{Event: audit.Event{Do: history.Process}, Who: one.role, Op: "ended", Number: uint64(cmd.Process.Pid)})
+		if !p.over.Load() && !h.diedAt(one.role) {
+			if one.broken && p.err != nil && strings.HasPrefix(p.err.Error(), "exit status 1") {
+				return // it said that its disk or its descriptors are no good
+			}
+			h.errs = append(h.errs, fmt.Errorf("%s ended by itself with %v: %s: %w", one.role, p.err, strings.TrimSpace(p.tail.String()), ErrCrashed))
+		}
+	})
+	return nil
+}
+
+// note writes an entry; its time is now where it has none.
+func (h *hosts) note(e history.Entry) {
+	if h.hist == nil {
+		return
+	}
+	if e.At == 0 {
+		e.At = h.w.Log.Now()
+	}
+	h.hist.Add(e)
+}
+
+// ears hears what a supervisor says of its processes' ends.
+type ears struct {
+	tail *tail
+	h    *hosts
+	rest []byte
+}
+
+var (
+	wasKilled = regexp.MustCompile(`msg="(n\d+): (?:process \d+ ended: signal: killed|.*: killed"$)`)
+	wentWrong = regexp.MustCompile(`msg="(n\d+): process \d+ ended: (exit status (?:2|66)|signal: (?:segmentation|aborted|illegal)[^"]*)`)
+)
+
+func (e *ears) Write(p []byte) (int, error) {
+	e.tail.Write(p)
+	e.rest = append(e.rest, p...)
+	for {
+		i := bytes.IndexByte(e.rest, '\n')
+		if i < 0 {
+			break
+		}
+		line := string(e.rest[:i])
+		e.rest = e.rest[i+1:]
+		if m := wasKilled.FindStringSubmatch(line); m != nil {
+			e.h.w.Log.Excuse(m[1], e.h.w.Log.Now()-3*time.Second)
+		}
+		if wentWrong.MatchString(line) {
+			e.h.fail(fmt.Errorf("%s: %w", line, ErrCrashed))
+		}
+	}
+	if len(e.rest) > 64<<10 {
+		e.rest = nil
+	}
+	return len(p), nil
+}
+
+func (h *hosts) fail(err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.errs = append(h.errs, err)
+}
+
+// look finds processes that come, until the end. Their ends are awaited one by
+// one.
+func (h *hosts) look() {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-h.end:
+			return
+		case <-tick.C:
+		}
+		h.lookOnce()
+		h.progress()
+	}
+}
+
+func (h *hosts) lookOnce() {
+	for _, pid := range inSessions(func(session int) bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.sessions[session] != nil
+	}) {
+		h.mu.Lock()
+		known := h.procs[pid] != nil
+		h.mu.Unlock()
+		if known {
+			continue
+		}
+		env, err := os.ReadFile(fmt.Sprintf("/proc/%d/environ", pid))
+		session := sessionOf(pid)
+		if err != nil || len(env) == 0 {
+			continue
+		}
+		h.mu.Lock()
+		one := h.sessions[session]
+		if one == nil {
+			h.mu.Unlock()
+			continue
+		}
+		name := one.role
+		if pid != session {
+			name = ""
+			for _, v := range strings.Split(string(env), "\x00") {
+				if rest, ok := strings.CutPrefix(v, "RELAY_NAME="); ok {
+					name = rest
+				}
+			}
+		}
+		fd, err := unix.PidfdOpen(pid, 0)
+		if name == "" || err != nil || len(h.procs) >= mostProcs {
+			if err == nil {
+				unix.Close(fd)
+			}
+			h.mu.Unlock()
+			continue // not yet the program that it is to be, or gone again
+		}
+		f := &found{pid: pid, name: name, host: one, fd: fd}
+		h.procs[pid] = f
+		if name[0] == 'n' {
+			h.started++
+			h.note(history.Entry{Event: audit.Event{Do: history.Process}, Who: name, Op: "started", Number: uint64(pid)})
+			h.beginUnder(name)
+		}
+		h.mu.Unlock()
+		h.wg.Go(func() { h.awaitEnd(f) })
+	}
+}
+
+// awaitEnd waits for the end of a process. An instance without any has its next
+// one with nothing handed on.
+func (h *hosts) awaitEnd(f *found) {
+	for {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(f.fd), Events: unix.POLLIN}}, 100)
+		if n > 0 || err != nil && !errors.Is(err, unix.EINTR) {
+			break
+		}
+		select {
+		case <-h.end:
+			unix.Close(f.fd)
+			return
+		default:
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	unix.Close(f.fd)
+	delete(h.procs, f.pid)
+	if f.name[0] != 'n' {
+		return
+	}
+	h.note(history.Entry{Event: audit.Event{Do: history.Process}, Who: f.name, Op: "ended", Number: uint64(f.pid)})
+	died := h.diedAt(f.name)
+	if died {
+		h.w.Log.Excuse(f.name, h.w.Log.Now()-time.Second)
+	}
+	if len(h.of(f.name)) == 0 {
+		h.beginUnder(f.name)
+		h.w.Log.Killed(f.name, h.w.Log.Now())
+		h.w.Log.Restarted(f.name, h.w.Log.Now())
+	}
+}
+
+// beginUnder notes that an instance is under way: without a process, or with one
+// that is not known to be ready. The caller holds the mutex.
+func (h *hosts) beginUnder(name string) {
+	if _, is := h.under[name]; !is {
+		h.under[name] = h.w.Log.Now()
+		h.atOnce = max(h.atOnce, len(h.under))
+	}
+}
+
+// progress looks which instances that were under way are up again.
+func (h *hosts) progress() {
+	h.mu.Lock()
+	names := slices.Sorted(maps.Keys(h.under))
+	h.mu.Unlock()
+	for _, name := range names {
+		pid := h.instance(name).upPid()
+		h.mu.Lock()
+		if f := h.procs[pid]; f != nil && f.name == name && len(h.of(name)) == 1 {
+			at := h.under[name]
+			delete(h.under, name)
+			one := f.host
+			h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: at}, End: h.w.Log.Now(), Who: one.role, To: name, Duty: "roll", Op: "restart", Result: history.Done})
+		}
+		h.mu.Unlock()
+	}
+}
+
+// upPid is the process that says it is up; 0 for none.
+func (in *Instance) upPid() int {
+	r, err := quickClient.Get("http://" + in.Addr + "/up")
+	if err != nil {
+		return 0
+	}
+	r.Body.Close()
+	if r.StatusCode != 200 {
+		return 0
+	}
+	pid, _ := strconv.Atoi(r.Header.Get("X-Pid"))
+	return pid
+}
+
+var quickClient = http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 200 * time.Millisecond}
+
+// of are the processes of a name: one, of a whole host, or none. The caller holds
+// the mutex.
+func (h *hosts) of(name string) []*found {
+	var all []*found
+	for _, f := range h.procs {
+		if f.name == name || name[0] == 'h' && f.host.name == name {
+			all = append(all, f)
+		}
+	}
+	slices.SortFunc(all, func(a, b *found) int { return a.pid - b.pid })
+	return all
+}
+
+// diedAt tells whether a process of a name has killed itself at a point. The
+// caller holds the mutex.
+func (h *hosts) diedAt(name string) bool {
+	for n := range h.plan.Storm.Faults {
+		if h.plan.Storm.Faults[n].Kind == "kill-at" && h.hit(name, n) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// hit is the process that a fault struck at its point; 0 for none yet.
+func (h *hosts) hit(name string, fault int) int {
+	text, err := os.ReadFile(filepath.Join(h.dir, fmt.Sprintf("%s.%d", name, fault)))
+	if err != nil {
+		return 0
+	}
+	pid, _ := strconv.Atoi(strings.Fields(string(text) + " 0")[0])
+	return pid
+}
+
+// sessionOf is the session of a process; 0 for none.
+func sessionOf(pid int) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	f := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
+	if len(f) < 4 || f[0] == "Z" || f[0] == "X" {
+		return 0
+	}
+	n, _ := strconv.Atoi(f[3])
+	return n
+}
+
+// inSessions are the processes of sessions, those that have ended aside.
+func inSessions(is func(session int) bool) []int {
+	list, err := os.ReadDir("/proc")
+	if err != nil {
+		return nil
+	}
+	var pids []int
+	for _, e := range list {
+		pid, err := strconv.Atoi(e.Name())
+		if err != nil {
+			continue
+		}
+		if s := sessionOf(pid); s > 0 && is(s) {
+			pids = append(pids, pid)
+		}
+	}
+	return pids
+}
+
+// stop ends all: nothing of any session is left when it returns. It tells how
+// many processes were still there afterwards.
+func (h *hosts) stop() (left int) {
+	close(h.end)
+	h.mu.Lock()
+	for _, one := range h.all {
+		if one.sup != nil {
+			one.sup.over.Store(true)
+		}
+	}
+	sessions := maps.Clone(h.sessions)
+	h.mu.Unlock()
+	left = endSessions(func(s int) bool { return sessions[s] != nil })
+	for _, r := range h.ways {
+		r.Close()
+	}
+	h.wg.Wait()
+	return left
+}
+
+// endSessions kills all processes of sessions, as often as new ones are found.
+func endSessions(is func(int) bool) (left int) {
+	for range 200 {
+		pids := inSessions(is)
+		if len(pids) == 0 {
+			return 0
+		}
+		for _, pid := range pids {
+			syscall.Kill(pid, syscall.SIGKILL)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return len(inSessions(is))
+}
+
+// marks are what a process writes when something went wrong in it.
+var marks = []string{"panic: ", "DATA RACE", "fatal error: "}
+
+// wrongs are the logs that tell of a panic or a race, with what stands there.
+func (h *hosts) wrongs() []error {
+	var errs []error
+	logs, _ := filepath.Glob(filepath.Join(h.w.opt.Dir, "h*", "run", "*.log"))
+	for _, path := range logs {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		for _, mark := range marks {
+			if i := bytes.Index(text, []byte(mark)); i >= 0 {
+				errs = append(errs, fmt.Errorf("%s: %s: %w", filepath.Base(path), text[i:min(len(text), i+2000)], ErrCrashed))
+				break
+			}
+		}
+	}
+	return errs
+}
+
+// result is what was seen.
+func (h *hosts) result() *experiment.Between {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return &experiment.Between{Processes: h.started, Kinds: maps.Clone(h.played), Orders: h.orders, AtOnce: h.atOnce}
+}
--- a/internal/lab/rig/instance.go
+++ b/internal/lab/rig/instance.go
@@ -32,6 +32,8 @@
 	Addr string
 
 	world    *World
+	hosted   bool   // a supervisor has its processes, not the rig
+	asked    string // where its clients ask; empty for Addr
 	config   string
 	operator string
 
@@ -249,6 +251,20 @@
 	return r.StatusCode == 200
 }
 
+// awaitUp waits until an instance that a supervisor starts is up.
+func (in *Instance) awaitUp(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for !in.up(ctx) {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("instance %s: not ready", in.Name)
+		case <-time.After(askFirst):
+		}
+	}
+	return nil
+}
+
 // running returns the processes that have not ended.
 func (in *Instance) running() []*Process {
 	in.mu.Lock()
--- a/internal/lab/rig/storm.go
+++ b/internal/lab/rig/storm.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,7 +16,9 @@
 
 	"golang.org/x/sys/unix"
 
+	"otterspring/internal/lab/audit"
 	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/history"
 	"otterspring/internal/lab/standin/callserver"
 	"otterspring/internal/lab/standin/clients"
 	"otterspring/internal/lab/standin/registry"
@@ -145,6 +148,7 @@
 	track *experiment.Tracker
 	rng   *rand.Rand
 
+	hosts *hosts       // nil without hosts
 	turns []sync.Mutex // of each instance: restarts and reloads, one at a time
 
 	held []int // resident memory of all instances at even times, in KiB
@@ -238,24 +242,105 @@
 		Wanted: fmt.Sprintf("%d at most on sockets, for this machine gives a process %d descriptors", most, limit.Cur)}
 }
 
+// Hosted is what a storm with hosts needs beside the sidecar, and where its
+// history goes.
+type Hosted struct {
+	Supervisor []string // the operators' command
+	Self       []string // this program, which calls Reap with ReaperWord behind it
+	History    string   // path of the file; empty for none
+}
+
+// open begins the history.
+func (h *Hosted) open(w *World, p *experiment.Plan) (*history.Writer, error) {
+	if h.History == "" {
+		return nil, nil
+	}
+	rude := slices.ContainsFunc(p.Storm.Faults, func(f experiment.Fault) bool { return f.Kind == "rude" })
+	hist, err := history.Create(h.History, history.Head{Clock: fmt.Sprintf("%d-%d", os.Getpid(), time.Now().UnixNano()), Storm: p.Storm.Name, Seed: p.Seed, Rules: w.Log.Rules(), Rude: rude})
+	if err == nil {
+		w.Log.Tap(hist.Tap)
+	}
+	return hist, err
+}
+
+// splitList gives every second instance a discovery of its own where a fault has
+// that one lag.
+func (w *World) splitList(p *experiment.Plan) error {
+	if !slices.ContainsFunc(p.Storm.Faults, func(f experiment.Fault) bool { return f.Kind == "list-lag" }) {
+		return nil
+	}
+	w.lag = w.Registry.Fork(w.Registry.Index())
+	w.regs = append(w.regs, w.lag)
+	for i, in := range w.Instances {
+		if i%2 == 0 {
+			continue
+		}
+		door, err := w.lag.Open(in.Name)
+		if err != nil {
+			return err
+		}
+		in.door.Close()
+		in.door = door
+		if err := in.writeConfig(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // PlayStorm plays a plan on sockets and processes; the world's instances are
 // started here. progress is called a few times a second; nil for none.
 func PlayStorm(ctx context.Context, p *experiment.Plan, program []string, dir string, progress func(at time.Duration)) (*experiment.Record, error) {
+	return PlayHosted(ctx, p, program, dir, Hosted{}, progress)
+}
+
+// PlayHosted is PlayStorm for storms with hosts as well.
+func PlayHosted(ctx context.Context, p *experiment.Plan, program []string, dir string, h Hosted, progress func(at time.Duration)) (*experiment.Record, error) {
+	if p.Storm.World.Hosts > 0 && (len(h.Supervisor) == 0 || len(h.Self) == 0) {
+		return nil, errors.New("rig: a storm with hosts needs the operators' command and a reaper")
+	}
 	if err := Fits(p.Storm); err != nil {
 		return nil, err
 	}
-	w, err := New(StormOptions(p, program, dir))
+	o := StormOptions(p, program, dir)
+	o.Supervisor, o.Self = h.Supervisor, h.Self
+	w, err := New(o)
 	if err != nil {
 		return nil, err
 	}
 	defer w.Close()
+	if err := w.splitList(p); err != nil {
+		return nil, err
+	}
 	if err := w.ways(p); err != nil {
 		return nil, err
 	}
-	if err := w.StartAll(ctx, 8); err != nil {
+	hist, err := h.open(w, p)
+	if err != nil {
 		return nil, err
 	}
-	run := &stormRun{w: w, plan: p, track: experiment.NewTracker(p.Storm), rng: rand.New(rand.NewPCG(p.Seed, 0x72756e)), turns: make([]sync.Mutex, len(w.Instances))}
+	var between *hosts
+	if p.Storm.World.Hosts == 0 {
+		if err := w.StartAll(ctx, 8); err != nil {
+			return nil, err
+		}
+	} else {
+		if w.reaper, err = startReaper(o.Self); err != nil {
+			return nil, err
+		}
+		if between, err = newHosts(w, p, hist); err != nil {
+			return nil, err
+		}
+		defer func() {
+			if between != nil {
+				between.stop()
+			}
+		}()
+		if err := between.start(ctx); err != nil {
+			return nil, err
+		}
+	}
+	run := &stormRun{w: w, plan: p, hosts: between, track: experiment.NewTracker(p.Storm), rng: rand.New(rand.NewPCG(p.Seed, 0x72756e)), turns: make([]sync.Mutex, len(w.Instances))}
 	// The first lists are asked for within two seconds of the start.
 	if !wait(ctx, 3*time.Second) {
 		return nil, ctx.Err()
@@ -287,7 +372,35 @@
 	for _, err := range w.Crashes() {
 		run.note(err)
 	}
-	return run.record(start, all), nil
+	rec := run.record(start, all)
+	if between != nil {
+		rec.Between = between.result()
+		rec.Between.Left = between.stop()
+		for _, err := range append(between.errs, between.wrongs()...) {
+			run.crash(rec, err)
+		}
+		between = nil
+	}
+	if hist != nil {
+		for _, why := range rec.Void {
+			hist.Add(history.Entry{Event: audit.Event{Do: history.Void, At: w.Log.Now()}, Value: why})
+		}
+		w.Log.Tap(nil)
+		if err := hist.Close(); err != nil {
+			return nil, err
+		}
+	}
+	return rec, nil
+}
+
+// crash takes the end of a process that nobody asked for into a record.
+func (r *stormRun) crash(rec *experiment.Record, err error) {
+	if !errors.Is(err, ErrCrashed) {
+		rec.Void = append(rec.Void, err.Error())
+		return
+	}
+	rec.Report.Lost++
+	rec.Report.Problems = append(rec.Report.Problems, err.Error())
 }
 
 // report calls progress until the function returned is called.
@@ -402,10 +515,10 @@
 		w.Registry.Late(r.plan.Storm.World.Discovery.Late)
 		w.Registry.Down(false, false)
 		return nil
-	case experiment.Cut:
-		return w.relays[[2]int{st.Instance, st.Server}].Cut(f.Way != "from", f.Way != "to")
-	case experiment.Heal:
-		return w.relays[[2]int{st.Instance, st.Server}].Cut(false, false)
+	case experiment.Cut, experiment.Heal:
+		return w.relays[[2]int{st.Instance, st.Server}].Cut(r.track.Way(st))
+	case experiment.Begin, experiment.End:
+		return r.hosts.disturb(st)
 	}
 	do := r.track.Step(st)
 	if do.Op == experiment.Grow {
@@ -446,7 +559,7 @@
 			return err
 		}
 		v.Set(r.fault(do.State))
-		w.Registry.Set(w.entry(v, "active"))
+		w.tell(w.entry(v, "active"))
 	}
 	return nil
 }
@@ -508,12 +621,7 @@
 		rec.Void = append(rec.Void, fmt.Sprintf("the clients were slower than their load: of %d arrivals %d began late and %d found no connection", n, late, overflow))
 	}
 	for _, err := range r.errs {
-		if errors.Is(err, ErrCrashed) {
-			rec.Report.Lost++
-			rec.Report.Problems = append(rec.Report.Problems, err.Error())
-			continue
-		}
-		rec.Void = append(rec.Void, err.Error())
+		r.crash(rec, err)
 	}
 	rec.Fleet = r.fleet(n)
 	return rec
--- a/internal/lab/rig/world.go
+++ b/internal/lab/rig/world.go
@@ -4,6 +4,7 @@
 package rig
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -36,14 +37,17 @@
 	Cold      time.Duration // work after which a fresh server is warm
 	Registry  registry.Config
 	Program   []string // the sidecar: path and arguments
-	Env       []string // what its environment has beside the platform's variables
-	Dir       string   // for configurations and logs; must exist
-	MemoryMB  int
-	Sockets   int
-	Limit     int                                   // on each process's descriptors; 0 for none but the system's
-	Operator  func(instance int, dir string) string // text of each instance's operator's file; nil for none
-	CoAP      *CoAPOptions                          // nil for none
-	Storm     *experiment.Storm                     // the world is this one's; it goes before what stands above
+	// Supervisor is the operators' command, for worlds with hosts, and Self this
+	// program: with ReaperWord behind it, it calls Reap.
+	Supervisor, Self []string
+	Env              []string // what its environment has beside the platform's variables
+	Dir              string   // for configurations and logs; must exist
+	MemoryMB         int
+	Sockets          int
+	Limit            int                                   // on each process's descriptors; 0 for none but the system's
+	Operator         func(instance int, dir string) string // text of each instance's operator's file; nil for none
+	CoAP             *CoAPOptions                          // nil for none
+	Storm            *experiment.Storm                     // the world is this one's; it goes before what stands above
 }
 
 func (o *Options) defaults() {
@@ -85,7 +89,9 @@
 	regs   []*registry.Registry // those that a move left behind, too
 	relays map[[2]int]*relay.Relay
 	links  []*lossylink.Link
-	linked map[string]string // address at which discovery tells of a server over CoAP
+	lag    *registry.Registry // tells half of the instances, where it may lag; nil for none
+	reaper *reaper            // nil for none
+	linked map[string]string  // address at which discovery tells of a server over CoAP
 }
 
 // Classes are the classes of the site, stretched.
@@ -214,13 +220,13 @@
 
 // Drain makes discovery tell that a server drains; the server finishes what it
 // has and goes on serving what comes all the same, so that a late send shows.
-func (w *World) Drain(s *callserver.Server) { w.Registry.Set(w.entry(s, "leaving")) }
+func (w *World) Drain(s *callserver.Server) { w.tell(w.entry(s, "leaving")) }
 
 // Remove ends a server and makes discovery tell that it is gone.
 func (w *World) Remove(s *callserver.Server) {
 	e := w.entry(s, "left")
 	s.Crash()
-	w.Registry.Set(e)
+	w.tell(e)
 }
 
 // Return starts a server anew, cold, and makes discovery tell it.
@@ -228,7 +234,7 @@
 	if err := s.Restart(""); err != nil {
 		return err
 	}
-	w.Registry.Set(w.entry(s, "active"))
+	w.tell(w.entry(s, "active"))
 	return nil
 }
 
@@ -253,6 +259,22 @@
 	for _, l := range w.links {
 		l.Close()
 	}
+	w.reaper.close()
+}
+
+// tell has discovery tell of a server, also the one that may lag.
+func (w *World) tell(e registry.Entry) {
+	w.Registry.Set(e)
+	if w.lag != nil {
+		w.lag.Set(e)
+	}
+}
+
+// lagging sets by how much more the second discovery lags than the first.
+func (w *World) lagging(d time.Duration) {
+	if w.lag != nil {
+		w.lag.Late(w.opt.Registry.Late + d)
+	}
 }
 
 // StartAll starts the instances, at most lanes of them at a time, and waits
@@ -279,7 +301,7 @@
 // Clients returns the clients of an instance.
 func (w *World) Clients(in *Instance, seed uint64) *clients.Clients {
 	c := clients.Config{
-		Instance: in.Name, Addr: in.Addr, Classes: w.Classes, Retries: 2, TryShare: 0.7, Body: 200,
+		Instance: in.Name, Addr: cmp.Or(in.asked, in.Addr), Classes: w.Classes, Retries: 2, TryShare: 0.7, Body: 200,
 		Most: w.opt.Sockets / 3, Seed: seed,
 	}
 	if s := w.opt.Storm; s != nil {
--- a/internal/lab/standin/registry/registry.go
+++ b/internal/lab/standin/registry/registry.go
@@ -70,6 +70,7 @@
 	second  int64         // of the latest call, how many in it, and the most in any
 	inSec   int
 	peak    int
+	lastDue time.Time // when the latest change is known
 }
 
 // New returns a registry that knows nothing; the index begins at from.
@@ -91,13 +92,18 @@
 		r.set(e)
 	}
 	r.mu.Lock()
-	late := r.cfg.Late
-	r.mu.Unlock()
-	if late <= 0 {
+	// Changes are known in their order, also where it has become less late since.
+	due := time.Now().Add(r.cfg.Late)
+	if due.Before(r.lastDue) {
+		due = r.lastDue.Add(time.Microsecond)
+	}
+	r.lastDue = due
+	late := time.Until(due)
+	if r.cfg.Late <= 0 && late <= 0 {
+		r.mu.Unlock()
 		know()
 		return
 	}
-	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed {
 		return
--- a/internal/lab/standin/relay/relay.go
+++ b/internal/lab/standin/relay/relay.go
@@ -45,6 +45,9 @@
 	target func() string
 	way    Way
 
+	late atomic.Int64 // nanoseconds that each piece comes later than by way
+	bad  atomic.Int64 // chance that a connection breaks in its first bytes, in a millionth
+
 	dice sync.Mutex
 	rng  *rand.Rand // of dice
 
@@ -54,7 +57,9 @@
 	from   bool       // what the server sends is held
 	fill   []net.Conn
 	conns  map[net.Conn]bool
-	parked bool // nothing is being accepted
+	ups    map[net.Conn]bool // of conns: those to the server
+	parked bool              // nothing is being accepted
+	mute   bool              // when the far side goes the near one is told nothing
 	closed bool
 	wg     sync.WaitGroup
 }
@@ -71,7 +76,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	r := &Relay{ln: ln.(*net.TCPListener), target: target, way: way, rng: rand.New(rand.NewPCG(way.Seed, 0x776179)), conns: map[net.Conn]bool{}}
+	r := &Relay{ln: ln.(*net.TCPListener), target: target, way: way, rng: rand.New(rand.NewPCG(way.Seed, 0x776179)), conns: map[net.Conn]bool{}, ups: map[net.Conn]bool{}}
 	r.open = sync.NewCond(&r.mu)
 	r.wg.Add(1)
 	go r.accept()
@@ -198,6 +203,7 @@
 	c.Close()
 	r.mu.Lock()
 	delete(r.conns, c)
+	delete(r.ups, c)
 	r.mu.Unlock()
 }
 
@@ -217,16 +223,62 @@
 		return
 	}
 	defer r.forget(up)
+	r.mu.Lock()
+	r.ups[up] = true
+	r.mu.Unlock()
 	// fresh is set while the next bytes to the server are a request's first.
 	var fresh atomic.Bool
 	fresh.Store(true)
-	there := &direction{r: r, from: c, to: up.(*net.TCPConn), held: func() bool { return r.to }, lost: func() bool { return fresh.Swap(false) && r.draw() < r.way.Loss }}
+	there := &direction{r: r, from: c, to: up.(*net.TCPConn), held: func() bool { return r.to }, lost: func() bool { return fresh.Swap(false) && r.draw() < max(r.way.Loss, float64(r.bad.Load())/1e6) }}
 	back := &direction{r: r, from: there.to, to: c, held: func() bool { return r.from }, lost: func() bool { fresh.Store(true); return false }}
 	done := make(chan bool, 2)
 	r.wg.Add(2)
 	go there.run(done)
 	go back.run(done)
 	<-done
+	if r.muted() {
+		// The far side has gone, and nothing says so: what is sent is taken, and
+		// never answered.
+		up.Close()
+		io.Copy(io.Discard, c)
+	}
+}
+
+func (r *Relay) muted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mute && !r.closed
+}
+
+// Late makes each piece come that much later from now on; 0 for no more.
+func (r *Relay) Late(d time.Duration) { r.late.Store(int64(d)) }
+
+// Breaks sets the chance that a connection is reset at a request's first bytes.
+func (r *Relay) Breaks(chance float64) { r.bad.Store(int64(chance * 1e6)) }
+
+// HalfOpen makes the far side of all connections go now, and of those that come
+// while it lasts when it ends, without the near side being told.
+func (r *Relay) HalfOpen(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mute = on
+	if on {
+		for c := range r.ups {
+			c.Close()
+		}
+	}
+}
+
+// Drop resets all connections: what a cut way holds is lost.
+func (r *Relay) Drop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		c.Close()
+	}
 }
 
 // draw draws from 0 to 1.
@@ -345,6 +397,9 @@
 // deliver passes on what was read, and its end; a reset comes through as one.
 // It returns false at the end.
 func (d *direction) deliver(text []byte, err error) bool {
+	if late := time.Duration(d.r.late.Load()); late > 0 {
+		time.Sleep(late)
+	}
 	// What is read while the way is cut waits, news of an end as well: the
 	// sender's kernel would repeat it until the way is whole. Not so where the
 	// sender has reset the connection meanwhile: it repeats nothing then.
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -225,20 +225,21 @@
 			p.awake(func() { p.move(f.Late) })
 		}
 		return
-	case experiment.Reload, experiment.BadFile, experiment.Rude:
+	case experiment.Reload, experiment.BadFile, experiment.Rude, experiment.Begin, experiment.End:
 		w.track.Unseen(s)
 		return
 	case experiment.Kill, experiment.Term, experiment.HandOver:
 		w.restart(w.instances[s.Instance], s.Do)
 		return
 	case experiment.Cut, experiment.Heal:
-		way := map[string]int{"to": cutTo, "from": cutFrom}[f.Way]
-		if way == 0 {
-			way = cutTo | cutFrom
-		}
+		to, from := w.track.Way(s)
 		in := w.instances[s.Instance]
-		if in.cut[s.Server] |= way; s.Do == experiment.Heal {
-			in.cut[s.Server] &^= way
+		in.cut[s.Server] = 0
+		if to {
+			in.cut[s.Server] |= cutTo
+		}
+		if from {
+			in.cut[s.Server] |= cutFrom
 		}
 		return
 	}
