A supervisor that wakes late no longer kills what became ready while it slept

Cause: Plan.Tick runs before the event that the process is ready has been taken; expire holds the supervisor's own sleep against its processes. Ruled out: the sidecar's drain (it had none).

Supervisor.look is where every decision has its time from now. Where more time has gone by since the last look, or since the end of the wait behind it, than this goroutine can have worked, it stood still, and Plan.Stood makes all time limits that much longer.

With s.plan.Stood(d) taken out TestSupervisorThatWakesLateKillsNothing fails.

--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -206,6 +206,18 @@
 }
 
 // expire kills the processes whose time is up.
+// Stood makes all time limits longer: the caller itself stood still for d, as one
+// that was stopped or whose machine slept, and has not seen what its processes
+// did meanwhile. What is known at once when it wakes is that it is late, not that
+// they are.
+func (p *Plan) Stood(d time.Duration) {
+	for i := range p.list {
+		for k := range p.list[i].procs {
+			p.list[i].procs[k].due += d
+		}
+	}
+}
+
 func (p *Plan) expire(now time.Duration) {
 	for i := range p.list {
 		in := &p.list[i]
--- a/internal/fleet/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -491,3 +491,34 @@
 		}
 	})
 }
+
+// A supervisor that stood still while a process became ready must not kill it for
+// being late: it did not look.
+func TestStoodStill(t *testing.T) {
+	cfg := Config{ReadyWithin: 5 * time.Second, EndWithin: 5 * time.Second, AtOnce: 1, PauseAfter: 1, BackoffFirst: time.Second, BackoffMost: time.Second, LoopCrashes: 5, LoopWithin: time.Minute}
+	for _, stood := range []bool{true, false} {
+		p, err := New(cfg, 1, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Tick(0)
+		const slept = 9 * time.Second
+		if stood {
+			p.Stood(slept)
+		}
+		killed := false
+		for _, a := range p.Tick(slept) {
+			killed = killed || a.Kind == KillIt
+		}
+		if killed == stood {
+			t.Errorf("stood still: %v; killed: %v", stood, killed)
+		}
+		killed = false
+		for _, a := range p.Tick(slept + 6*time.Second) {
+			killed = killed || a.Kind == KillIt
+		}
+		if killed != stood {
+			t.Errorf("6 s after a standstill: killed %v, wanted the limit to hold from then on", killed)
+		}
+	}
+}
--- a/internal/fleet/supervisor/supervisor.go
+++ b/internal/fleet/supervisor/supervisor.go
@@ -38,6 +38,7 @@
 	next    *release           // being rolled out; nil if nothing is
 	events  chan func(now time.Duration) []plan.Action
 	origin  time.Time
+	seen    time.Duration // of the latest look, or the end of the wait behind it
 	lock    *os.File
 	ln      net.Listener
 	wg      sync.WaitGroup
@@ -120,27 +121,49 @@
 	defer func() { s.end(); s.ln.Close(); s.wg.Wait() }()
 	s.adoptAll()
 	go s.control(s.ctx)
-	s.carry(s.plan.Tick(s.now()))
+	s.seen = s.now() // adopting asks each instance whether it is up
+	s.carry(s.plan.Tick(s.look()))
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	stop := ctx.Done()
 	for !s.plan.Stopped() {
-		timer.Reset(s.plan.Next(s.now()) - s.now())
+		s.seen = s.plan.Next(s.look())
+		timer.Reset(s.seen - s.now())
 		select {
 		case <-stop:
 			stop = nil
 			s.say("stopping")
-			s.carry(s.plan.StopAll(s.now()))
+			s.carry(s.plan.StopAll(s.look()))
 		case f := <-s.events:
-			s.carry(f(s.now()))
+			s.carry(f(s.look()))
 		case <-timer.C:
 		}
-		s.carry(s.plan.Tick(s.now()))
+		s.carry(s.plan.Tick(s.look()))
 	}
 	s.say("all instances have ended")
 	return nil
 }
 
+// stoodAfter is by how much later than it should a supervisor may come to itself
+// before it takes it that it stood still.
+const stoodAfter = 500 * time.Millisecond
+
+// look reads the clock for a decision. Where more time has gone by since the last
+// look, or the end of the wait after it, than this goroutine can have worked, it
+// stood still. A supervisor that was stopped in the middle of a roll and woken
+// killed what it had started, for it had not become ready in its time as far as
+// the supervisor knew; it had been serving for seconds. Every decision has its
+// time from here: a stop may strike between any two instructions.
+func (s *Supervisor) look() time.Duration {
+	now := s.now()
+	if d := now - s.seen; d > stoodAfter {
+		s.say("stood still for %v: all time limits are that much longer", d.Round(10*time.Millisecond))
+		s.plan.Stood(d)
+	}
+	s.seen = now
+	return now
+}
+
 // cause is what a line is said for: its form and the instance that it speaks of
 // first, so that one instance which crashes without end does not fill the log.
 func cause(format string, args []any) string {
@@ -304,6 +327,7 @@
 			}
 			s.say("%s: %s", name, a.Text)
 		}
+		s.look()
 	}
 }
 
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -45,6 +45,22 @@
 }
 
 // All that is wrong with a file is said, one line each, with its place.
+// A partition that ends leaves what another one on the same way still cuts.
+func TestWaysThatAreCutTwice(t *testing.T) {
+	s := Defaults()
+	s.Faults = []Fault{{Kind: "partition", Way: "to"}, {Kind: "partition", Way: "both"}, {Kind: "partition", Way: "from"}}
+	tr := NewTracker(&s)
+	for i, c := range []struct {
+		do       Op
+		fault    int
+		to, from bool
+	}{{Cut, 0, true, false}, {Cut, 1, true, true}, {Heal, 1, true, false}, {Cut, 2, true, true}, {Heal, 0, false, true}, {Heal, 2, false, false}} {
+		if to, from := tr.Way(Step{Do: c.do, Fault: c.fault}); to != c.to || from != c.from {
+			t.Errorf("step %d: cut to %v, from %v, wanted %v, %v", i, to, from, c.to, c.from)
+		}
+	}
+}
+
 func TestBadFilesAreNamed(t *testing.T) {
 	for text, want := range map[string][]string{
 		"for = \"10s\"\n":                      {"found no name"},
--- a/internal/lab/experiment/verdict.go
+++ b/internal/lab/experiment/verdict.go
@@ -43,6 +43,10 @@
 	"lost_failed":    {Means: "worth that ended failed, likewise"},
 	"lost_none":      {Means: "worth that had no answer in its time, likewise"},
 	"back_s":         {Means: "seconds from the first trouble until the first second from which service is back above 0.9 for three; 0 if it never fell, 999 for never", WholeOnly: true},
+	"worst_third":    {Means: "service of the worst third of the run", WholeOnly: true},
+	"closed_unread":  {Means: "requests whose new connection was closed with no answer, as a share of the asked; sockets only", WholeOnly: true},
+	"most_at_once":   {Means: "instances without a ready process at a time, the most; with hosts only", WholeOnly: true},
+	"kinds":          {Means: "kinds of fault between processes that took place; with hosts only", WholeOnly: true},
 	"conns_asked":    {Means: "connections opened at call servers for each request asked", WholeOnly: true},
 	"conns_second":   {Means: "connections opened in one second at one call server, the most", WholeOnly: true},
 	"cap_share":      {Means: "connections held at one call server, the most, as a share of its cap", WholeOnly: true},
@@ -196,7 +200,17 @@
 	for name, v := range rec.Fleet {
 		res.Figures[name] = v
 	}
+	if rec.Between != nil {
+		res.Figures["most_at_once"] = float64(rec.Between.AtOnce)
+		res.Figures["kinds"] = float64(len(rec.Between.Kinds))
+	}
 	res.Figures["back_s"] = back(s, rec)
+	res.Figures["worst_third"] = 1
+	for i := range time.Duration(3) {
+		if part := figures(s, rec, i*s.For/3, (i+1)*s.For/3); part["asked"] > 0 {
+			res.Figures["worst_third"] = min(res.Figures["worst_third"], part["service"])
+		}
+	}
 	if r := rec.Counts.Rude; r != nil && r.Sent > 0 {
 		res.Figures["rude_left"] = float64(r.Left) / float64(r.Sent)
 	}
--- a/internal/lab/mutant/run.go
+++ b/internal/lab/mutant/run.go
@@ -41,17 +41,18 @@
 func packages(file string) []string {
 	dir := filepath.ToSlash(filepath.Dir(file))
 	more := map[string][]string{
-		"balance":                {"./internal/lab/mutant"},
-		"internal/httpupstream":  {"./internal/sidecar", "./internal/daemon"},
-		"internal/httpfront":     {"./internal/sidecar", "./internal/daemon"},
-		"internal/discovery":     {"./internal/sidecar", "./internal/daemon"},
-		"internal/coap/exchange": {"./internal/coap/gate"},
-		"internal/engine":        {"./internal/sidecar", "./internal/daemon"},
-		"internal/sidecar":       {"./internal/daemon"},
-		"internal/membership":    {"./internal/sidecar"},
-		"internal/handover":      {"./internal/daemon"},
-		"internal/lab/audit":     {"./internal/lab/standin/clients"},
-		"internal/fleet/plan":    {"./internal/fleet/supervisor"},
+		"balance":                   {"./internal/lab/mutant"},
+		"internal/httpupstream":     {"./internal/sidecar", "./internal/daemon"},
+		"internal/httpfront":        {"./internal/sidecar", "./internal/daemon"},
+		"internal/discovery":        {"./internal/sidecar", "./internal/daemon"},
+		"internal/coap/exchange":    {"./internal/coap/gate"},
+		"internal/engine":           {"./internal/sidecar", "./internal/daemon"},
+		"internal/sidecar":          {"./internal/daemon"},
+		"internal/membership":       {"./internal/sidecar"},
+		"internal/handover":         {"./internal/daemon"},
+		"internal/lab/audit":        {"./internal/lab/standin/clients"},
+		"internal/fleet/supervisor": {"./internal/lab/rig"},
+		"internal/fleet/plan":       {"./internal/fleet/supervisor"},
 	}[dir]
 	return append([]string{"./" + dir}, more...)
 }
--- a/internal/lab/rig/between_test.go
+++ b/internal/lab/rig/between_test.go
@@ -177,6 +177,40 @@
 	}
 }
 
+// A supervisor that is stopped in the middle of a roll, for longer than a start
+// may take, and wakes: it must not kill what became ready meanwhile.
+func TestSupervisorThatWakesLateKillsNothing(t *testing.T) {
+	res, h, _ := between(t, strings.Replace(fmt.Sprintf(betweenWorld, "10s", "term"), `ready_within = "20s"`, `ready_within = "4s"`, 1)+`
+[[fault]]
+kind = "stop-at"
+at = "200ms"
+for = "7s"
+processes = "f1"
+point = "fleet-saved"
+[[fault]]
+kind = "order"
+at = "500ms"
+processes = "f1"
+order = "restart"
+`, 1)
+	if res.Between.Kinds["stop-at"] != 1 {
+		t.Errorf("kinds %v, wanted a stop at its point", res.Between.Kinds)
+	}
+	woke := false
+	for _, e := range h.Entries {
+		if e.Do != history.Process || e.Op != "said" || e.Who != "f1" {
+			continue
+		}
+		woke = woke || strings.Contains(e.Value, "stood still for")
+		if strings.Contains(e.Value, ": killed") {
+			t.Errorf("f1 said %s", e.Value)
+		}
+	}
+	if !woke {
+		t.Errorf("f1 did not say that it stood still")
+	}
+}
+
 // playAsRig is a rig of its own, for the test that kills it.
 func playAsRig() int {
 	os.Unsetenv("TEST_RUNS_PROGRAM")
--- a/internal/lab/standin/clients/clients.go
+++ b/internal/lab/standin/clients/clients.go
@@ -94,6 +94,7 @@
 	overflow atomic.Int64 // arrivals with no connection left for them
 	late     atomic.Int64 // arrivals that began more than lateBy after they were due
 	conns    atomic.Int64 // connections made
+	unread   atomic.Int64 // requests whose new connection ended with no answer
 	ids      atomic.Int64
 	devices  []*coapclient.Client
 	own      int64 // number of these clients, so that no two have an id in common
@@ -130,6 +131,9 @@
 // Late is how many arrivals began late.
 func (c *Clients) Late() int { return int(c.late.Load()) }
 
+// Unread is how many requests found their new connection closed with no answer.
+func (c *Clients) Unread() int { return int(c.unread.Load()) }
+
 // Conns is how many connections were made.
 func (c *Clients) Conns() int { return int(c.conns.Load()) }
 
@@ -285,6 +289,9 @@
 		if got != broken {
 			return got, advice
 		}
+		if !kept && !begun {
+			c.unread.Add(1)
+		}
 		if !c.log.Broke(id, kept && !begun, c.log.Now()) {
 			return broken, 0
 		}
