--- a/cmd/rig/nemesis.go
+++ b/cmd/rig/nemesis.go
@@ -33,6 +33,8 @@
 	race     bool
 	tree     string
 	keep     string
+	old      string
+	earlier  string // its program
 	sidecar  string
 	operator string
 	self     []string
@@ -52,6 +54,7 @@
 	f.BoolVar(&o.race, "race", false, "build the programs with the race detector")
 	f.StringVar(&o.tree, "tree", ".", "the working tree that the programs are built from")
 	f.StringVar(&o.keep, "keep", "", "a folder for histories, and for schedules that broke; empty for none")
+	f.StringVar(&o.old, "old", "", "a commit of this project that the earlier version is built from; empty for none")
 	f.StringVar(&o.sidecar, "program", "", "a sidecar built with the tag faults; empty to build one")
 	f.StringVar(&o.operator, "operator-program", "", "the operators' command built so; empty to build one")
 	return func(ctx context.Context, files []string, out io.Writer) error {
@@ -82,13 +85,19 @@
 		return nil, err
 	}
 	o.self = []string{exe}
-	if o.sidecar != "" && o.operator != "" {
-		return func() {}, nil
-	}
 	dir, err := os.MkdirTemp("", "rig-faults")
 	if err != nil {
 		return nil, err
 	}
+	if o.old != "" {
+		if err := o.buildOld(ctx, dir); err != nil {
+			os.RemoveAll(dir)
+			return nil, err
+		}
+	}
+	if o.sidecar != "" && o.operator != "" {
+		return func() { os.RemoveAll(dir) }, nil
+	}
 	args := []string{"build", "-tags", "faults", "-o", dir + "/"}
 	if o.race {
 		args = append(args, "-race")
@@ -103,6 +112,31 @@
 	return func() { os.RemoveAll(dir) }, nil
 }
 
+// buildOld builds the sidecar of an earlier commit, of the tree's own history.
+func (o *nemesisFlags) buildOld(ctx context.Context, dir string) error {
+	src := filepath.Join(dir, "old-src")
+	if err := os.Mkdir(src, 0o755); err != nil {
+		return err
+	}
+	tar := filepath.Join(dir, "old.tar")
+	o.earlier = filepath.Join(dir, "sandhinge-old")
+	for _, c := range []struct {
+		in   string
+		argv []string
+	}{
+		{o.tree, []string{"git", "archive", "--format=tar", "-o", tar, o.old}},
+		{src, []string{"tar", "-xf", tar}},
+		{src, []string{"go", "build", "-o", o.earlier, "./cmd/sandhinge"}},
+	} {
+		cmd := exec.CommandContext(ctx, c.argv[0], c.argv[1:]...)
+		cmd.Dir = c.in
+		if text, err := cmd.CombinedOutput(); err != nil {
+			return fmt.Errorf("-old %s: %s: %v: %s", o.old, strings.Join(c.argv, " "), err, text)
+		}
+	}
+	return nil
+}
+
 // nemesisTotals add up the runs of a call.
 type nemesisTotals struct {
 	runs, processes, faults, ops, unknown, left, atOnce, lateTried int
@@ -252,7 +286,7 @@
 		path = filepath.Join(o.keep, pt.name+".jsonl")
 	}
 	began := time.Now()
-	h := rig.Hosted{Supervisor: []string{o.operator}, Self: o.self, History: path}
+	h := rig.Hosted{Supervisor: []string{o.operator}, Self: o.self, History: path, Old: o.earlier}
 	rec, err := rig.PlayHosted(ctx, plan, []string{o.sidecar}, dir, h, func(at time.Duration) { show.at(s.Name, at, s.For) })
 	if err != nil {
 		return nil, err
--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -73,6 +73,7 @@
 	"way-reset":     {Does: "connections between a sidecar and its peer break in their first bytes", On: "processes", Only: "n", Lasts: true, Chance: true, Sockets: true, Hosts: true, Takes: []string{"peer"}},
 	"way-half-open": {Does: "the far side of all connections with its peer goes, and nothing says so", On: "processes", Only: "n", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"peer"}},
 	"order":         {Does: "an operator orders a supervisor to roll", On: "processes", Only: "f", Sockets: true, Hosts: true, Takes: []string{"order"}},
+	"version":       {Does: "an operator has a supervisor roll to an earlier version of the program, or back", On: "processes", Only: "f", Sockets: true, Hosts: true, Takes: []string{"program"}},
 	"list-lag":      {Does: "half of the sidecars are told by a second discovery, which lags by late and then catches up", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"late"}},
 	"roll-handover": {Does: "the instances are handed over one by one", On: "instances", Lasts: true},
 }
@@ -246,7 +247,7 @@
 	s := c.s
 	for field, have := range map[string]bool{
 		"point": f.Point != "", "shift": f.Shift != 0, "drift": f.Drift != 0, "disk": f.Disk != "", "share": f.Share > 0,
-		"peer": f.Peer != "", "held": f.Held != "", "order": f.Order != "",
+		"peer": f.Peer != "", "program": f.Program != "", "held": f.Held != "", "order": f.Order != "",
 	} {
 		if !have || !slices.Contains(k.May, field) {
 			wants(have, slices.Contains(k.Takes, field), field, "it")
--- a/internal/lab/experiment/draw.go
+++ b/internal/lab/experiment/draw.go
@@ -229,5 +229,6 @@
 	word("peer", f.Peer)
 	word("held", f.Held)
 	word("order", f.Order)
+	word("program", f.Program)
 	return b.String()
 }
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -335,3 +335,30 @@
 		t.Errorf("service that fell to the end: found %v, wanted %v", got, float64(never))
 	}
 }
+
+// A trouble that lasts to the end of the run: service that fell and rose again in
+// it is back, service that is down at the end is not.
+func TestRecoveredWithinALastingTrouble(t *testing.T) {
+	s, errs := Parse("x.toml", []byte("name = \"x\"\nfor = \"30s\"\n[load]\nrate = 10\nsurge = [{ at = \"10s\", for = \"20s\", times = 2.0 }]\n"), false, nil)
+	if len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	for name, c := range map[string]struct {
+		down func(second int) bool
+		want float64
+	}{
+		"never down":      {func(int) bool { return false }, 0},
+		"down for a time": {func(n int) bool { return n >= 10 && n < 16 }, 0},
+		"down at the end": {func(n int) bool { return n >= 20 }, never},
+	} {
+		rec := &Record{}
+		for n := range 30 {
+			for k := range 10 {
+				rec.Samples = append(rec.Samples, clients.Sample{At: time.Duration(n)*time.Second + time.Duration(k)*100*time.Millisecond, Took: time.Millisecond, OK: !c.down(n)})
+			}
+		}
+		if got := recovered(s, rec); got != c.want {
+			t.Errorf("%s: recovers after %g s, wanted %g", name, got, c.want)
+		}
+	}
+}
--- a/internal/lab/experiment/storm.go
+++ b/internal/lab/experiment/storm.go
@@ -201,6 +201,7 @@
 	Peer      string        `toml:"peer" oneof:"clients|discovery"`
 	Held      string        `toml:"held" oneof:"deliver|drop"`
 	Order     string        `toml:"order" oneof:"restart|reload|resume|cancel"`
+	Program   string        `toml:"program" oneof:"old|new"` // of the sidecar
 }
 
 // Phase is a part of the run that promises can speak of.
--- a/internal/lab/rig/disturb.go
+++ b/internal/lab/rig/disturb.go
@@ -78,7 +78,7 @@
 		return h.descriptors(st.Proc, true), nil
 	case "way-cut", "way-slow", "way-reset", "way-half-open":
 		return true, h.way(st.Proc, f)
-	case "order":
+	case "order", "version":
 		h.wg.Go(func() { h.order(st, f) })
 		return false, nil
 	case "list-lag":
@@ -347,7 +347,16 @@
 		case <-ctx.Done():
 		}
 	}()
+	do := f.Order
 	argv := append(slices.Clone(h.w.opt.Supervisor), "fleet", f.Order, one.file)
+	if f.Kind == "version" {
+		do = "restart to " + f.Program
+		program := h.w.opt.Program[0]
+		if f.Program == "old" {
+			program = h.w.opt.Old
+		}
+		argv = append(slices.Clone(h.w.opt.Supervisor), "fleet", "restart", "-program", program, one.file)
+	}
 	begin := h.w.Log.Now()
 	cmd := exec.CommandContext(ctx, argv[0], argv[1:]...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -365,5 +374,5 @@
 	if result == history.Done {
 		h.orders++
 	}
-	h.note(history.Entry{Event: audit.Event{Do: history.Order, At: begin}, End: h.w.Log.Now(), Who: "operator", To: one.role, Op: f.Order, Result: result, Value: strings.TrimSpace(string(out))})
+	h.note(history.Entry{Event: audit.Event{Do: history.Order, At: begin}, End: h.w.Log.Now(), Who: "operator", To: one.role, Op: do, Result: result, Value: strings.TrimSpace(string(out))})
 }
--- a/internal/lab/rig/world.go
+++ b/internal/lab/rig/world.go
@@ -40,6 +40,7 @@
 	// Supervisor is the operators' command, for worlds with hosts, and Self this
 	// program: with ReaperWord behind it, it calls Reap.
 	Supervisor, Self []string
+	Old              string   // an earlier version of the sidecar; empty for none
 	Env              []string // what its environment has beside the platform's variables
 	Dir              string   // for configurations and logs; must exist
 	MemoryMB         int
