A supervisor may kill and replace an instance that answers nobody

alive.within in the fleet's file, off by default: each instance that is up by itself is asked GET /up four times in that time, and killed and followed by another when it has not answered once in it (Plan.Silent decides). A supervisor that stood still itself begins to count anew.

TestSilentSidecarIsReplaced: n1 stopped for 9 s is started twice, the eight others once.

--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -206,6 +206,19 @@
 }
 
 // expire kills the processes whose time is up.
+// Silent takes down that the process id of an instance has not answered for so long
+// that nobody is served by it: it is killed, and followed by another as after a
+// crash. Only one that was up by itself counts: what starts, reloads, drains or
+// ends has time limits of its own.
+func (p *Plan) Silent(now time.Duration, i, id int, span time.Duration) []Action {
+	in := &p.list[i]
+	if in.phase == Up && len(in.procs) == 1 && in.procs[0].id == id {
+		p.say(i, "process has not answered for %v: killed", span)
+		p.act(Action{Kind: KillIt, Instance: i, Proc: id})
+	}
+	return p.done()
+}
+
 // Stood makes all time limits longer: the caller itself stood still for d, as one
 // that was stopped or whose machine slept, and has not seen what its processes
 // did meanwhile. What is known at once when it wakes is that it is late, not that
--- a/internal/fleet/supervisor/file.go
+++ b/internal/fleet/supervisor/file.go
@@ -39,6 +39,13 @@
 	Start     Start      `toml:"start"`
 	Restart   Restart    `toml:"restart"`
 	Crash     Crash      `toml:"crash"`
+	Alive     Alive      `toml:"alive"`
+}
+
+// Alive says when an instance that runs and answers nobody is killed and started
+// anew.
+type Alive struct {
+	Within time.Duration `toml:"within" min:"0s" max:"10m"` // 0 for never
 }
 
 // Instance is one instance that is named by itself.
--- a/internal/fleet/supervisor/supervisor.go
+++ b/internal/fleet/supervisor/supervisor.go
@@ -121,6 +121,9 @@
 	defer func() { s.end(); s.ln.Close(); s.wg.Wait() }()
 	s.adoptAll()
 	go s.control(s.ctx)
+	if s.file.Alive.Within > 0 {
+		s.wg.Go(s.listen)
+	}
 	s.seen = s.now() // adopting asks each instance whether it is up
 	s.carry(s.plan.Tick(s.look()))
 	timer := time.NewTimer(0)
--- a/internal/lab/experiment/storm.go
+++ b/internal/lab/experiment/storm.go
@@ -64,6 +64,7 @@
 	AtOnce    int           `toml:"at_once" min:"1" max:"100"`
 	EndWithin time.Duration `toml:"end_within" min:"100ms" max:"10m"`
 	Ready     time.Duration `toml:"ready_within" min:"100ms" max:"10m"`
+	Alive     time.Duration `toml:"alive_within" min:"0s" max:"10m"` // 0 for never
 }
 
 // Nemesis says which faults are drawn beside those of the file, by the seed.
--- a/internal/lab/mutant/run.go
+++ b/internal/lab/mutant/run.go
@@ -52,7 +52,7 @@
 		"internal/handover":         {"./internal/daemon"},
 		"internal/lab/audit":        {"./internal/lab/standin/clients"},
 		"internal/fleet/supervisor": {"./internal/lab/rig"},
-		"internal/fleet/plan":       {"./internal/fleet/supervisor"},
+		"internal/fleet/plan":       {"./internal/fleet/supervisor", "./internal/lab/rig"},
 	}[dir]
 	return append([]string{"./" + dir}, more...)
 }
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -257,4 +257,6 @@
 		Old: "if h.stopped[key]--; h.stopped[key] == 0 {", New: "if h.stopped[key]--; h.stopped[key] >= 0 {"},
 	{Name: "heals-for-others", File: "internal/lab/experiment/plan.go", Breaks: "a partition that ends heals what another one cuts",
 		Old: "\t\tdelete(t.cuts[pair], s.Fault)\n", New: "\t\tclear(t.cuts[pair])\n"},
+	{Name: "never-silent", File: "internal/fleet/plan/plan.go", Breaks: "an instance that answers nobody is left",
+		Old: "in.phase == Up && len(in.procs) == 1 && in.procs[0].id == id", New: "in.phase == Up && len(in.procs) > 1 && in.procs[0].id == id"},
 }
--- a/internal/lab/rig/between_test.go
+++ b/internal/lab/rig/between_test.go
@@ -177,6 +177,26 @@
 	}
 }
 
+// A sidecar that stands still holds its listener: its supervisor kills it and
+// starts another, and one that answers is left alone.
+func TestSilentSidecarIsReplaced(t *testing.T) {
+	_, h, _ := between(t, strings.Replace(fmt.Sprintf(betweenWorld, "10s", "term"), "[load]", "alive_within = \"3s\"\n[load]", 1)+`
+[[fault]]
+kind = "stop"
+at = "500ms"
+for = "9s"
+processes = "n1"
+`, 1)
+	if s := count(h, "n1", "started"); s != 2 {
+		t.Errorf("n1, which stood still, was started %d times, wanted 2", s)
+	}
+	for _, name := range []string{"n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9"} {
+		if s := count(h, name, "started"); s != 1 {
+			t.Errorf("%s, which answers, was started %d times, wanted once", name, s)
+		}
+	}
+}
+
 // A supervisor that is stopped in the middle of a roll, for longer than a start
 // may take, and wakes: it must not kill what became ready meanwhile.
 func TestSupervisorThatWakesLateKillsNothing(t *testing.T) {
--- a/internal/lab/rig/hosts.go
+++ b/internal/lab/rig/hosts.go
@@ -51,6 +51,7 @@
 	errs     []error
 	started  int
 	orders   int // orders that a supervisor took
+	kills    int // by supervisors' own decision
 	atOnce   int // instances under way at a time, the most
 	under    map[string]time.Duration
 }
@@ -106,6 +107,7 @@
 		fmt.Fprintf(&b, "program = %q\nargs = [\"-operator\", \"{dir}/{name}.toml\"]\ndirectory = \"run\"\n", w.opt.Program[0])
 		fmt.Fprintf(&b, "[start]\ndiscovery_lines = 100000\nready_within = %q\n[restart]\nmode = %q\nat_once = %d\nend_within = %q\n[crash]\nfirst = \"100ms\"\nmost = \"1s\"\nloop = 100\nwithin = \"1s\"\n",
 			s.World.Supervisor.Ready, s.World.Supervisor.Mode, s.World.Supervisor.AtOnce, s.World.Supervisor.EndWithin)
+		fmt.Fprintf(&b, "[alive]\nwithin = %q\n", s.World.Supervisor.Alive)
 		if err := os.MkdirAll(filepath.Join(dir, "run"), 0o700); err != nil {
 			return nil, err
 		}
@@ -264,6 +266,7 @@
 
 var (
 	wasKilled = regexp.MustCompile(`msg="(n\d+): (?:process \d+ ended: signal: killed|.*: killed"$)`)
+	killed    = regexp.MustCompile(`msg="n\d+: .*: killed"$`) // by the supervisor's own decision
 	wentWrong = regexp.MustCompile(`msg="(n\d+): process \d+ ended: (exit status (?:2|66)|signal: (?:segmentation|aborted|illegal)[^"]*)`)
 )
 
@@ -281,6 +284,11 @@
 		if m := wasKilled.FindStringSubmatch(line); m != nil {
 			e.h.w.Log.Excuse(m[1], e.h.w.Log.Now()-3*time.Second)
 		}
+		if killed.MatchString(line) {
+			e.h.mu.Lock()
+			e.h.kills++
+			e.h.mu.Unlock()
+		}
 		if wentWrong.MatchString(line) {
 			e.h.fail(fmt.Errorf("%s: %w", line, ErrCrashed))
 		}
@@ -570,5 +578,5 @@
 func (h *hosts) result() *experiment.Between {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return &experiment.Between{Processes: h.started, Kinds: maps.Clone(h.played), Orders: h.orders, AtOnce: h.atOnce}
+	return &experiment.Between{Processes: h.started, Kinds: maps.Clone(h.played), Orders: h.orders, AtOnce: h.atOnce, Kills: h.kills}
 }
