A wall clock that is behind no longer makes replaced servers cold for hours

Cause: Engine.started compares discovery's since_ms with the wall clock; the start lies ahead of now, the module takes the server for wholly cold until the clock has caught up, and each list that tells the entry works it out anew.

What was told has happened: a start is never later than now, and is worked out once for each start of a server.

TestStartsThatLieAhead fails with either of the two taken back; both are in rig mutants.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -74,9 +74,10 @@
 
 // host is an upstream as the list names it.
 type host struct {
-	addr  string
-	since int64
-	up    Upstream
+	addr    string
+	since   int64
+	started time.Duration // that start, on the module's clock
+	up      Upstream
 }
 
 // List is what discovery tells.
@@ -274,7 +275,6 @@
 	for i := range entries {
 		n := &entries[i]
 		servers[i] = n.Server
-		servers[i].Started = e.started(n.Since)
 		named[n.ID] = true
 		h := e.hosts[n.ID]
 		// A machine that vanished leaves connections that are silent for good:
@@ -286,8 +286,12 @@
 			}
 			h = nil
 		}
-		if h == nil && n.State != balance.Gone {
-			e.hosts[n.ID] = &host{addr: n.Addr, since: n.Since, up: e.set.Open(n.Addr, n.Since)}
+		switch {
+		case h != nil:
+			servers[i].Started = h.started
+		case n.State != balance.Gone:
+			servers[i].Started = e.started(n.Since)
+			e.hosts[n.ID] = &host{addr: n.Addr, since: n.Since, started: servers[i].Started, up: e.set.Open(n.Addr, n.Since)}
 		}
 	}
 	if kind == balance.ListFull || kind == balance.ListSaved {
@@ -403,11 +407,17 @@
 }
 
 // started turns Unix milliseconds into the module's clock; 0 stays "long ago".
+// What was told has happened: where the wall clock of this machine is behind,
+// a start that would lie ahead was just now. Left ahead, each server that was
+// replaced counted as wholly cold until the clock had caught up: for an hour, or a
+// day. It is worked out once for each start, so that it does not move with each
+// list. A clock that is ahead makes a server warm too early; that can't be told
+// from here.
 func (e *Engine) started(ms int64) time.Duration {
 	if ms <= 0 {
 		return 0
 	}
-	return max(0, clockOrigin+time.UnixMilli(ms).Sub(e.wall))
+	return min(max(0, clockOrigin+time.UnixMilli(ms).Sub(e.wall)), e.now())
 }
 
 // carry does what the module decided, and tells it of the attempts that ended
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -41,3 +41,41 @@
 		t.Errorf("%d and %d ids are kept", len(u.has), len(u.ring))
 	}
 }
+
+type idleUpstream struct{}
+
+func (idleUpstream) Run(*Attempt) {}
+func (idleUpstream) CloseIdle()   {}
+func (idleUpstream) Retire()      {}
+
+// A machine whose wall clock is behind is told of starts that lie ahead of it:
+// they were just now, once, and do not stay ahead of every list.
+func TestStartsThatLieAhead(t *testing.T) {
+	e, err := New(Settings{
+		Balance: balance.Settings{MaxAttempts: 1, ColdShare: 0.1, ColdTime: 20 * time.Second, TipMultiple: 3, Classes: []balance.Class{{Name: "read", Deadline: time.Second}}},
+		Open:    func(string, int64) Upstream { return idleUpstream{} },
+	}, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.wall = e.wall.Add(-24 * time.Hour)
+	tell := func(since int64) time.Duration {
+		e.Members(balance.ListFull, List{Index: 1, Full: true, Entries: []Entry{{Server: balance.Server{ID: "s1"}, Addr: "127.0.0.1:1", Since: since}}}, 0)
+		return e.hosts["s1"].started
+	}
+	now := time.Now().UnixMilli()
+	first := tell(now)
+	if first <= 0 || first > e.now() {
+		t.Errorf("a start that lies a day ahead is at %v, and it is %v", first, e.now())
+	}
+	time.Sleep(5 * time.Millisecond)
+	if again := tell(now); again != first {
+		t.Errorf("told again it is at %v, was at %v", again, first)
+	}
+	if anew := tell(now + 1); anew <= first {
+		t.Errorf("a later start is at %v, the one before at %v", anew, first)
+	}
+	if old := tell(0); old != 0 {
+		t.Errorf("long ago is at %v", old)
+	}
+}
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -259,4 +259,8 @@
 		Old: "\t\tdelete(t.cuts[pair], s.Fault)\n", New: "\t\tclear(t.cuts[pair])\n"},
 	{Name: "never-silent", File: "internal/fleet/plan/plan.go", Breaks: "an instance that answers nobody is left",
 		Old: "in.phase == Up && len(in.procs) == 1 && in.procs[0].id == id", New: "in.phase == Up && len(in.procs) > 1 && in.procs[0].id == id"},
+	{Name: "starts-ahead", File: "internal/engine/engine.go", Breaks: "a start that lies ahead of a wall clock that is behind stays there",
+		Old: "return min(max(0, clockOrigin+time.UnixMilli(ms).Sub(e.wall)), e.now())", New: "return max(0, clockOrigin+time.UnixMilli(ms).Sub(e.wall))"},
+	{Name: "starts-anew", File: "internal/engine/engine.go", Breaks: "a start moves with each list that tells of it",
+		Old: "\t\t\tservers[i].Started = h.started\n", New: "\t\t\tservers[i].Started = e.started(n.Since)\n"},
 }
