--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -286,13 +286,10 @@
 			}
 			h = nil
 		}
-		switch {
-		case h != nil:
-			servers[i].Started = h.started
-		case n.State != balance.Gone:
-			servers[i].Started = e.started(n.Since)
-			e.hosts[n.ID] = &host{addr: n.Addr, since: n.Since, started: servers[i].Started, up: e.set.Open(n.Addr, n.Since)}
+		if h == nil && n.State != balance.Gone {
+			e.hosts[n.ID] = &host{addr: n.Addr, since: n.Since, started: e.started(n.Since), up: e.set.Open(n.Addr, n.Since)}
 		}
+		servers[i].Started = e.startOf(n)
 	}
 	if kind == balance.ListFull || kind == balance.ListSaved {
 		for name, h := range e.hosts {
@@ -406,6 +403,15 @@
 	return n
 }
 
+// startOf is when a server that is listed started, on the module's clock; 0 for
+// long ago, and for one that is gone.
+func (e *Engine) startOf(n *Entry) time.Duration {
+	if h := e.hosts[n.ID]; h != nil {
+		return h.started
+	}
+	return 0
+}
+
 // started turns Unix milliseconds into the module's clock; 0 stays "long ago".
 // What was told has happened: where the wall clock of this machine is behind,
 // a start that would lie ahead was just now. Left ahead, each server that was
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -60,8 +60,9 @@
 	}
 	e.wall = e.wall.Add(-24 * time.Hour)
 	tell := func(since int64) time.Duration {
-		e.Members(balance.ListFull, List{Index: 1, Full: true, Entries: []Entry{{Server: balance.Server{ID: "s1"}, Addr: "127.0.0.1:1", Since: since}}}, 0)
-		return e.hosts["s1"].started
+		l := List{Index: 1, Full: true, Entries: []Entry{{Server: balance.Server{ID: "s1"}, Addr: "127.0.0.1:1", Since: since}}}
+		e.Members(balance.ListFull, l, 0)
+		return e.startOf(&l.Entries[0])
 	}
 	now := time.Now().UnixMilli()
 	first := tell(now)
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -262,5 +262,5 @@
 	{Name: "starts-ahead", File: "internal/engine/engine.go", Breaks: "a start that lies ahead of a wall clock that is behind stays there",
 		Old: "return min(max(0, clockOrigin+time.UnixMilli(ms).Sub(e.wall)), e.now())", New: "return max(0, clockOrigin+time.UnixMilli(ms).Sub(e.wall))"},
 	{Name: "starts-anew", File: "internal/engine/engine.go", Breaks: "a start moves with each list that tells of it",
-		Old: "\t\t\tservers[i].Started = h.started\n", New: "\t\t\tservers[i].Started = e.started(n.Since)\n"},
+		Old: "\t\treturn h.started\n", New: "\t\treturn e.started(n.Since)\n"},
 }
