--- a/internal/lab/experiment/verdict.go
+++ b/internal/lab/experiment/verdict.go
@@ -47,6 +47,7 @@
 	"closed_unread":  {Means: "requests whose new connection was closed with no answer, as a share of the asked; sockets only", WholeOnly: true},
 	"most_at_once":   {Means: "instances without a ready process at a time, the most; with hosts only", WholeOnly: true},
 	"fleet_kills":    {Means: "instances that supervisors killed by their own decision; with hosts only", WholeOnly: true},
+	"fleet_up":       {Means: "share of the instances that are up at the end by their supervisors' word; with hosts only", WholeOnly: true},
 	"kinds":          {Means: "kinds of fault between processes that took place; with hosts only", WholeOnly: true},
 	"conns_asked":    {Means: "connections opened at call servers for each request asked", WholeOnly: true},
 	"conns_second":   {Means: "connections opened in one second at one call server, the most", WholeOnly: true},
@@ -99,6 +100,7 @@
 	Orders    int            // that a supervisor took
 	AtOnce    int            // instances under way at a time, the most: without a process, or not ready yet
 	Kills     int            // that supervisors decided on by themselves
+	Up        int            // instances that are up at the end, by their supervisors' word
 	Left      int            // processes that were left behind
 }
 
@@ -205,6 +207,7 @@
 	if rec.Between != nil {
 		res.Figures["most_at_once"] = float64(rec.Between.AtOnce)
 		res.Figures["fleet_kills"] = float64(rec.Between.Kills)
+		res.Figures["fleet_up"] = float64(rec.Between.Up) / float64(s.World.Instances)
 		res.Figures["kinds"] = float64(len(rec.Between.Kinds))
 	}
 	res.Figures["back_s"] = back(s, rec)
--- a/internal/lab/rig/hosts.go
+++ b/internal/lab/rig/hosts.go
@@ -574,9 +574,28 @@
 	return errs
 }
 
+// known asks each supervisor how many of its instances are up, as an operator
+// does. One that does not answer knows of none.
+func (h *hosts) known() (up int) {
+	for _, one := range h.all {
+		ctx, cancel := context.WithTimeout(context.Background(), orderWithin)
+		argv := append(slices.Clone(h.w.opt.Supervisor), "fleet", "status", one.file)
+		out, _ := exec.CommandContext(ctx, argv[0], argv[1:]...).Output()
+		cancel()
+		for _, line := range strings.Split(string(out), "\n") {
+			n, m := 0, 0
+			if k, _ := fmt.Sscanf(line, "%d instances, %d up", &n, &m); k == 2 {
+				up += m
+			}
+		}
+	}
+	return up
+}
+
 // result is what was seen.
 func (h *hosts) result() *experiment.Between {
+	up := h.known()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return &experiment.Between{Processes: h.started, Kinds: maps.Clone(h.played), Orders: h.orders, AtOnce: h.atOnce, Kills: h.kills}
+	return &experiment.Between{Processes: h.started, Kinds: maps.Clone(h.played), Orders: h.orders, AtOnce: h.atOnce, Kills: h.kills, Up: up}
 }
