The guard that kept the share of warm servers while all are cold is out

b.aged counted warm servers that were put out, so that refusals while all are cold should not let the measure of warm ones fade. The breakage all-cold-nothing took the guard away and nothing noticed: the measure is kept aside while all are cold, and what fades is made good by the first requests to the first warm server.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -153,7 +153,7 @@
 	perWarm    float64 // the same for each warm server, against an even share, when there last was one
 	warmLast   float64 // and how many there were
 	served     float64 // share of requests served at all, of late
-	warm, aged int     // warm servers when last counted, and those put out among them, too
+	warm       int     // warm servers when last counted
 	warmAt     time.Duration
 	salt       uint64 // makes the order of the ready list this balancer's own
 	listMark   uint64
@@ -412,7 +412,7 @@
 	r.answered = true
 	// Requests refused at once drew no server: counted here, they would starve
 	// cold servers just when the warm ones drown.
-	if r.coldDrawn && b.aged > 0 {
+	if r.coldDrawn {
 		b.success *= 1 - successWeight
 	}
 	b.served *= 1 - successWeight
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -139,13 +139,10 @@
 // countWarm counts the ready servers that are warm, now and then.
 func (b *Balancer) countWarm(now time.Duration) int {
 	if now >= b.warmAt {
-		b.warm, b.aged, b.warmAt = 0, 0, now+warmEvery
+		b.warm, b.warmAt = 0, now+warmEvery
 		for _, s := range b.ready {
-			if b.certain(s, now) >= 1 {
-				b.aged++
-				if s.until <= now {
-					b.warm++
-				}
+			if b.certain(s, now) >= 1 && s.until <= now {
+				b.warm++
 			}
 		}
 	}
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -110,9 +110,6 @@
 		Old: "perWarm = b.perWarm * min(1, n/b.warmLast)", New: "perWarm = b.perWarm"},
 	{Name: "all-cold-again", File: "balance/pick.go", Breaks: "with no warm server repeats go to cold ones, too",
 		Old: "} else if !r.Again {", New: "} else {"},
-	{Name: "all-cold-nothing", File: "balance/balance.go", Breaks: "while all are cold the share that warm servers serve fades to nothing",
-		Old: "if r.coldDrawn && b.aged > 0 {", New: "if r.coldDrawn {",
-		Unseen: "the measure is kept aside while all are cold; what fades is made good by the first few requests to the first warm server"},
 	{Name: "requests-kept", File: "balance/balance.go", Breaks: "answered requests are never forgotten",
 		Old: "\tif r.open == 0 {\n\t\tdelete(b.requests, r.ID)\n\t}\n", New: ""},
 
