--- a/internal/lab/rig/between_test.go
+++ b/internal/lab/rig/between_test.go
@@ -128,8 +128,9 @@
 }
 
 // The hard cases between faults: a stop that ends while another on the same
-// process lasts, a process that is killed while it is stopped, and a point at
-// which a supervisor dies in the middle of a roll.
+// process lasts, a process that is killed while it is stopped, a host that goes
+// down while it is down, and a point at which a supervisor dies in the middle of a
+// roll.
 func TestOverlappingFaults(t *testing.T) {
 	res, h, _ := between(t, fmt.Sprintf(betweenWorld, "9s", "term")+`
 [[fault]]
@@ -152,6 +153,16 @@
 at = "1s"
 processes = "n2"
 [[fault]]
+kind = "host-down"
+at = "4s"
+for = "2s"
+processes = "h2"
+[[fault]]
+kind = "host-down"
+at = "4500ms"
+for = "500ms"
+processes = "h2"
+[[fault]]
 kind = "kill-at"
 at = "200ms"
 for = "8s"
@@ -166,8 +177,23 @@
 	if s, w := count(h, "n1", "stopped"), count(h, "n1", "woken"); s != 2 || w != 1 {
 		t.Errorf("n1 was stopped %d times and woken %d, wanted 2 and 1: when the last stop is over", s, w)
 	}
-	if k, s := count(h, "n2", "killed"), count(h, "n2", "started"); k != 1 || s != 2 {
-		t.Errorf("n2 was killed %d times and started %d, wanted 1 and 2", k, s)
+	if k, s := count(h, "n2", "killed"), count(h, "n2", "started"); k != 2 || s != 3 {
+		t.Errorf("n2 was killed %d times and started %d, wanted 2 and 3: by itself, and once with its host", k, s)
+	}
+	if s := count(h, "f2", "started"); s != 2 || res.Between.Kinds["host-down"] != 1 {
+		t.Errorf("f2 was started %d times, kinds %v; wanted 2 and one host-down: the second met a host that was down", s, res.Between.Kinds)
+	}
+	var down, again time.Duration
+	for _, e := range h.Entries {
+		if e.Do == history.Fault && e.Op == "host-down" {
+			down = e.At
+		}
+		if e.Do == history.Process && e.Who == "f2" && e.Op == "started" {
+			again = e.At
+		}
+	}
+	if again-down < 1900*time.Millisecond {
+		t.Errorf("f2 was started %v after its host went down, wanted 2 s: the fault that ended first is not the last", again-down)
 	}
 	if s := count(h, "f3", "started"); s != 2 {
 		t.Errorf("f3 was started %d times, wanted 2: it died in the middle of its roll", s)
--- a/internal/lab/rig/disturb.go
+++ b/internal/lab/rig/disturb.go
@@ -107,8 +107,8 @@
 		h.hold(st.Proc, false)
 	case "host-down":
 		one := h.host(st.Proc)
-		if !one.down {
-			return nil
+		if !one.down || h.lasts(st.Proc, f.Kind) {
+			return nil // another fault of the kind holds it down
 		}
 		<-one.sup.done
 		return h.startSupervisor(one)
@@ -146,6 +146,18 @@
 	return nil
 }
 
+// lasts tells whether a fault of a kind lasts on a process.
+func (h *hosts) lasts(name, kind string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for n := range h.active[name] {
+		if h.plan.Storm.Faults[n].Kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
 // hold stops all processes of a name, or lets them go on where no other fault
 // stops them. It returns how many it met.
 func (h *hosts) hold(name string, on bool) int {
--- a/internal/lab/standin/relay/relay_test.go
+++ b/internal/lab/standin/relay/relay_test.go
@@ -210,3 +210,80 @@
 		t.Errorf("of 40 first requests %d were lost at a chance of a half", ends)
 	}
 }
+
+func started(t *testing.T) *Relay {
+	t.Helper()
+	addr := echo(t)
+	r, err := Start(func() string { return addr })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+// A way that is cut in the middle of a message holds its rest, and the message is
+// whole when the way is; dropped, the connection breaks instead.
+func TestCutInTheMiddleOfAMessage(t *testing.T) {
+	for _, drop := range []bool{false, true} {
+		r := started(t)
+		c, br := dial(t, r)
+		if got := say(c, br, "one", 5*time.Second); got != "one" {
+			t.Fatalf("before the cut: %q", got)
+		}
+		fmt.Fprint(c, "first half, ")
+		if err := r.Cut(true, false); err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintln(c, "second half")
+		if got := hear(c, br, 100*time.Millisecond); strings.Contains(got, "half") {
+			t.Errorf("through a cut way came %q", got)
+		}
+		if drop {
+			r.Drop()
+		}
+		if err := r.Cut(false, false); err != nil {
+			t.Fatal(err)
+		}
+		got := hear(c, br, 5*time.Second)
+		if drop && strings.Contains(got, "half") || !drop && got != "first half, second half" {
+			t.Errorf("dropped %v: after the cut came %q", drop, got)
+		}
+	}
+}
+
+// The far side goes and nothing says so: what is written is taken, nothing comes,
+// and the connection does not end. New connections work once it is over.
+func TestHalfOpen(t *testing.T) {
+	r := started(t)
+	c, br := dial(t, r)
+	if got := say(c, br, "one", 5*time.Second); got != "one" {
+		t.Fatalf("before: %q", got)
+	}
+	r.HalfOpen(true)
+	fmt.Fprintln(c, "two")
+	c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	if _, err := br.ReadString('\n'); err == nil || !strings.Contains(err.Error(), "timeout") {
+		t.Errorf("half open: %v, wanted silence", err)
+	}
+	r.HalfOpen(false)
+	d, dr := dial(t, r)
+	if got := say(d, dr, "three", 5*time.Second); got != "three" {
+		t.Errorf("a new connection after it: %q", got)
+	}
+}
+
+// Connections break by their chance, and no more when it is over.
+func TestBreaksByChance(t *testing.T) {
+	r := started(t)
+	r.Breaks(1)
+	c, br := dial(t, r)
+	if got := say(c, br, "one", 5*time.Second); got == "one" {
+		t.Errorf("a connection that must break answered")
+	}
+	r.Breaks(0)
+	d, dr := dial(t, r)
+	if got := say(d, dr, "two", 5*time.Second); got != "two" {
+		t.Errorf("after it: %q", got)
+	}
+}
