The rig's notes on hosts are under their mutex; its tests remove what they build

Found on reading the change once more: steps set a host's down and broken, and read its supervisor, while other goroutines did so under the mutex; a race that the detector had not met yet. The tests left a folder of programs behind at each run. TestBetweenDrawn and TestOverlappingFaults pass with -race; the breakage host-up-too-soon still applies.

--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -261,5 +261,5 @@
 	{Name: "starts-anew", File: "internal/engine/engine.go", Breaks: "a start moves with each list that tells of it",
 		Old: "\t\treturn h.started\n", New: "\t\treturn e.started(n.Since)\n"},
 	{Name: "host-up-too-soon", File: "internal/lab/rig/disturb.go", Breaks: "the rig starts a host though another fault still holds it down",
-		Old: "if !one.down || h.lasts(st.Proc, f.Kind) {", New: "if !one.down {"},
+		Old: "if !down || h.lasts(st.Proc, f.Kind) {", New: "if !down {"},
 }
--- a/internal/lab/rig/between_test.go
+++ b/internal/lab/rig/between_test.go
@@ -19,12 +19,16 @@
 	"otterspring/internal/lab/history"
 )
 
+// builtIn is the folder of the programs, which TestMain removes.
+var builtIn string
+
 // built are the programs with faults compiled in, under the race detector.
 var built = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "faults")
 	if err != nil {
 		return "", err
 	}
+	builtIn = dir
 	cmd := exec.Command("go", "build", "-race", "-tags", "faults", "-o", dir+"/", "./cmd/sandhinge", "./cmd/otterspring")
 	cmd.Dir = "../../.."
 	if text, err := cmd.CombinedOutput(); err != nil {
--- a/internal/lab/rig/disturb.go
+++ b/internal/lab/rig/disturb.go
@@ -63,18 +63,17 @@
 		return h.kill(st.Proc), nil
 	case "host-down":
 		one := h.host(st.Proc)
-		if one.down {
+		if !h.takeDown(one) {
 			return false, nil // it is down already
 		}
-		one.down = true
 		return h.kill(st.Proc), nil
 	case "kill-at", "stop-at", "never-ready", "clock", "disk":
 		if f.Kind == "disk" {
-			h.host(st.Proc).broken = true
+			h.spoil(st.Proc)
 		}
 		return f.Kind == "clock" || f.Kind == "disk", h.tellFaults(st.Proc)
 	case "descriptors":
-		h.host(st.Proc).broken = true
+		h.spoil(st.Proc)
 		return h.descriptors(st.Proc, true), nil
 	case "way-cut", "way-slow", "way-reset", "way-half-open":
 		return true, h.way(st.Proc, f)
@@ -107,10 +106,11 @@
 		h.hold(st.Proc, false)
 	case "host-down":
 		one := h.host(st.Proc)
-		if !one.down || h.lasts(st.Proc, f.Kind) {
+		sup, down := h.supervisor(one)
+		if !down || h.lasts(st.Proc, f.Kind) {
 			return nil // another fault of the kind holds it down
 		}
-		<-one.sup.done
+		<-sup.done
 		return h.startSupervisor(one)
 	case "kill-at", "stop-at", "never-ready", "clock", "disk":
 		if f.Kind != "clock" && f.Kind != "disk" {
@@ -146,6 +146,30 @@
 	return nil
 }
 
+// supervisor is a host's newest supervisor, and whether the host is down.
+func (h *hosts) supervisor(one *host) (*Process, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return one.sup, one.down
+}
+
+// takeDown notes that a host goes down; false where it is down already.
+func (h *hosts) takeDown(one *host) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	was := one.down
+	one.down = true
+	return !was
+}
+
+// spoil notes that a process's disk or descriptors fail: a supervisor that ends
+// then has its reason.
+func (h *hosts) spoil(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.host(name).broken = true
+}
+
 // lasts tells whether a fault of a kind lasts on a process.
 func (h *hosts) lasts(name, kind string) bool {
 	h.mu.Lock()
@@ -220,7 +244,8 @@
 	if name[0] == 'f' && len(all) > 0 {
 		one := h.host(name)
 		h.wg.Go(func() {
-			<-one.sup.done
+			sup, _ := h.supervisor(one)
+			<-sup.done
 			if err := h.revive(one); err != nil {
 				h.fail(err)
 			}
@@ -231,9 +256,7 @@
 
 // revive starts a host's supervisor again where it has ended and the host is up.
 func (h *hosts) revive(one *host) error {
-	h.mu.Lock()
-	sup, down := one.sup, one.down
-	h.mu.Unlock()
+	sup, down := h.supervisor(one)
 	select {
 	case <-sup.done:
 	default:
--- a/internal/lab/rig/fleet_test.go
+++ b/internal/lab/rig/fleet_test.go
@@ -25,7 +25,11 @@
 		os.Exit(daemon.Main(os.Args[1:], os.Stderr))
 	}
 	os.Setenv("TEST_RUNS_PROGRAM", "sidecar") // for what the tests start
-	os.Exit(m.Run())
+	code := m.Run()
+	if builtIn != "" {
+		os.RemoveAll(builtIn)
+	}
+	os.Exit(code)
 }
 
 // descriptors counts the open ones of this process.
