An instance that a killed supervisor did not write down is adopted by its mark

A supervisor that dies after a start and before save() leaves a process that state.json does not name; the next one finds its address in use and starts nothing. Now each process has OTTERSPRING_FLEET=<directory> in its environment, and adoptAll (supervisor.go) takes what has it and leads its process group; between fork and exec the child holds the directory's lock, so nobody looks too early. Broken by hand (no mark looked for): TestSupervisorKilled fails; the mutant start-unwritten is that.

--- a/internal/fleet/supervisor/fleet_test.go
+++ b/internal/fleet/supervisor/fleet_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -390,6 +392,7 @@
 		}
 	}
 	before := pids(r.until(t, "3 instances, 3 up"))
+	state := filepath.Join(f.Directory, "state.json")
 	if _, err := New(f, logs.New(r.out, logs.Options{})); err == nil || !strings.Contains(err.Error(), "another supervisor") {
 		t.Errorf("a second supervisor: %v", err)
 	}
@@ -403,8 +406,20 @@
 	for startTime(before["n2"][0]) != "" {
 		time.Sleep(time.Millisecond)
 	}
+	// It did not live to write n3 down: that is adopted all the same.
+	text, _ := os.ReadFile(state)
+	var list []saved
+	if err := json.Unmarshal(text, &list); err != nil || len(list) != 3 {
+		t.Fatalf("state %s: %v", text, err)
+	}
+	list = slices.DeleteFunc(list, func(v saved) bool { return v.Name == "n3" })
+	text, _ = json.Marshal(list)
+	os.WriteFile(state, text, 0o600)
 	r2 := supervise(t, path)
 	after := pids(r2.until(t, "3 instances, 3 up"))
+	if !strings.Contains(r2.out.String(), fmt.Sprintf("n3: process %d was started and not written down", before["n3"][0])) {
+		t.Errorf("not told of n3: %s", r2.out)
+	}
 	for _, name := range []string{"n1", "n3"} {
 		if fmt.Sprint(after[name]) != fmt.Sprint(before[name]) {
 			t.Errorf("%s: processes %v, before %v", name, after[name], before[name])
--- a/internal/fleet/supervisor/process.go
+++ b/internal/fleet/supervisor/process.go
@@ -51,6 +51,61 @@
 	return f[19]
 }
 
+// markKey names the variable by which a fleet's processes are known: its value is
+// the fleet's directory. A process has it from its first instruction on. Between
+// fork and exec, where it has not, the child still holds the lock of the directory,
+// so that no other supervisor is there to look for it.
+const markKey = "OTTERSPRING_FLEET"
+
+// mostEnviron bounds what is read of a process's environment, in bytes.
+const mostEnviron = 1 << 20
+
+// marked finds the processes that a supervisor of this directory started, whether
+// it lived to write that down or not. What they start themselves inherits the mark,
+// but leads no process group.
+func marked(directory string) (list []saved) {
+	dirs, err := os.ReadDir("/proc")
+	if err != nil {
+		return nil
+	}
+	for _, d := range dirs {
+		pid, err := strconv.Atoi(d.Name())
+		if err != nil {
+			continue
+		}
+		if group, err := unix.Getpgid(pid); err != nil || group != pid {
+			continue
+		}
+		start := startTime(pid) // before the rest is read: adopt compares it
+		env := environ(pid)
+		if start != "" && env[markKey] == directory {
+			list = append(list, saved{env["RELAY_NAME"], env["RELAY_LISTEN"], pid, start})
+		}
+	}
+	return list
+}
+
+// environ reads the environment that a process was started with; empty where that
+// can't be seen.
+func environ(pid int) map[string]string {
+	f, err := os.Open(fmt.Sprintf("/proc/%d/environ", pid))
+	if err != nil {
+		return nil
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, mostEnviron))
+	if err != nil {
+		return nil
+	}
+	env := map[string]string{}
+	for _, word := range strings.Split(string(text), "\x00") {
+		if key, value, ok := strings.Cut(word, "="); ok {
+			env[key] = value
+		}
+	}
+	return env
+}
+
 // mostLog is the size from which on a log is put aside at a start.
 const mostLog = 1 << 20
 
--- a/internal/fleet/supervisor/supervisor.go
+++ b/internal/fleet/supervisor/supervisor.go
@@ -12,6 +12,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -193,19 +194,24 @@
 	}
 }
 
-// adoptAll takes over what the supervisor before left running.
+// adoptAll takes over what the supervisor before left running: what it wrote down,
+// and what bears its mark, since it may have been killed between a start and the
+// note of it, or its disk been full.
 func (s *Supervisor) adoptAll() {
-	text, err := disk.Read(s.statePath())
-	if errors.Is(err, os.ErrNotExist) {
-		return
-	}
 	var list []saved
+	text, err := disk.Read(s.statePath())
 	if err == nil {
 		err = json.Unmarshal(text, &list)
 	}
-	if err != nil {
-		s.say("state of the supervisor before: %v; nothing is adopted", err)
-		return
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		s.say("state of the supervisor before: %v; what bears this fleet's mark is adopted", err)
+		list = nil
+	}
+	for _, v := range marked(s.file.Directory) {
+		if !slices.ContainsFunc(list, func(w saved) bool { return w.PID == v.PID && w.Start == v.Start }) {
+			s.say("%s: process %d was started and not written down", v.Name, v.PID)
+			list = append(list, v)
+		}
 	}
 	at := map[string]int{}
 	for i, spec := range s.specs {
@@ -355,7 +361,7 @@
 // that failed.
 func (s *Supervisor) start(a plan.Action) []plan.Action {
 	program, spec := s.of(a)
-	env := []string{"RELAY_NAME=" + spec.Name, "RELAY_LISTEN=" + spec.Listen}
+	env := []string{"RELAY_NAME=" + spec.Name, "RELAY_LISTEN=" + spec.Listen, markKey + "=" + s.file.Directory}
 	var err error
 	if spec.Config != "" {
 		err = disk.Replace(s.configPath(a.Instance), []byte(spec.Config), false)
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -56,6 +56,10 @@
 	{Name: "late-is-good", File: "balance/balance.go", Breaks: "a request waits past its aim up to its deadline",
 		Old: "if r.class.LateWorth > 0 {", New: "if r.class.Deadline > 0 {"},
 
+	// Supervisors.
+	{Name: "start-unwritten", File: "internal/fleet/supervisor/supervisor.go", Breaks: "a supervisor killed between a start and its note leaves an instance that nobody owns",
+		Old: "range marked(s.file.Directory) {", New: "range marked(\"\") {"},
+
 	// Picks and health.
 	{Name: "worse-of-two", File: "balance/pick.go", Breaks: "of two sampled servers the worse is taken",
 		Old: "b.cost(first, now) <= bias*b.cost(second, now)", New: "b.cost(first, now) > bias*b.cost(second, now)"},
