--- a/cmd/otterspring/fleet.go
+++ b/cmd/otterspring/fleet.go
@@ -54,7 +54,7 @@
 
 // asks is a verb that only asks the supervisor.
 func asks(name, does string, out io.Writer) *cobra.Command {
-	return verb(name, does, func(f *supervisor.File, _ string) error { return ask(f, out, name) })
+	return verb(name, does, func(f *supervisor.File, _ string) error { return askFleet(f, out, name) })
 }
 
 // rolls is a verb that rolls through instances.
@@ -73,7 +73,7 @@
 		if program != "" {
 			words = append(words, "-program", program)
 		}
-		if err := ask(f, out, append(words, args[1:]...)...); err != nil || !wait {
+		if err := askFleet(f, out, append(words, args[1:]...)...); err != nil || !wait {
 			return err
 		}
 		return fleetWait(f, out)
@@ -85,7 +85,7 @@
 	return c
 }
 
-func ask(f *supervisor.File, out io.Writer, words ...string) error {
+func askFleet(f *supervisor.File, out io.Writer, words ...string) error {
 	answer, err := supervisor.Ask(f.Control, words...)
 	if err == nil {
 		_, err = io.WriteString(out, answer)
--- /dev/null
+++ b/internal/fleet/council/ask/ask.go
@@ -0,0 +1,240 @@
+// Package ask is how supervisors and operators ask a council: the form of
+// questions and answers, and a client that finds the leader. It knows nothing of
+// how the council agrees.
+package ask
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"otterspring/internal/fleet/council"
+)
+
+// Path is where a member is asked, Header what names the council in all calls.
+const (
+	Path   = "/v1/ask"
+	Header = "X-Council"
+)
+
+// Bounds of a call.
+const (
+	MostBytes = 4 << 20
+	MostWait  = 10 * time.Second // of a long poll
+)
+
+// Question asks a member. Kind is one of the kinds of council.Command that clients
+// may ask for, or one of the below.
+type Question struct {
+	Kind  string          `json:"kind"`
+	Who   string          `json:"who,omitempty"`
+	Duty  string          `json:"duty,omitempty"`
+	Epoch council.Epoch   `json:"epoch,omitempty"`
+	ID    string          `json:"id,omitempty"`
+	Data  json.RawMessage `json:"data,omitempty"`
+	// Member and Address are of a change of members.
+	Member  uint64 `json:"member,omitempty"`
+	Address string `json:"address,omitempty"`
+	// WaitMS and Seen are of Hear: until what is agreed on is newer than Seen.
+	WaitMS int    `json:"wait_ms,omitempty"`
+	Seen   uint64 `json:"seen,omitempty"`
+}
+
+// The kinds of question beside those of commands.
+const (
+	Renew    = "renew"  // the owner is there
+	State    = "state"  // all, as a majority knows it
+	Hear     = "hear"   // the duties as this member knows them; any member answers
+	Report   = "report" // how host Who is, kept by the leader alone
+	Add      = "add"
+	Remove   = "remove"
+	StepDown = "step-down" // the leader, or the owner of Duty
+)
+
+// Answer is a member's.
+type Answer struct {
+	Council string `json:"council"`
+	Member  uint64 `json:"member"`
+	// No says why it can't be done here now; Leader whom to ask instead.
+	No     string `json:"no,omitempty"`
+	Leader string `json:"leader,omitempty"`
+	// Unknown is set where the question may have taken effect or not.
+	Unknown bool   `json:"unknown,omitempty"`
+	Refused string `json:"refused,omitempty"`
+
+	Duty     *council.Duty             `json:"duty,omitempty"`
+	Index    uint64                    `json:"index,omitempty"`
+	Duties   map[string]council.Tenant `json:"duties,omitempty"`
+	State    *council.State            `json:"state,omitempty"`
+	Reports  map[string]Said           `json:"reports,omitempty"`
+	LeaseMS  int64                     `json:"lease_ms,omitempty"`
+	MarginMS int64                     `json:"margin_ms,omitempty"`
+
+	Term    uint64   `json:"term,omitempty"`
+	Leads   bool     `json:"leads,omitempty"`
+	Voters  []uint64 `json:"voters,omitempty"`
+	Learn   []uint64 `json:"learners,omitempty"`
+	Syncs   int      `json:"syncs,omitempty"`
+	Strange int      `json:"strange,omitempty"` // messages of another council that were refused
+	Version int      `json:"version,omitempty"`
+}
+
+// Said is what a host said of itself, and how old that is.
+type Said struct {
+	Data  json.RawMessage `json:"data"`
+	AgeMS int64           `json:"age_ms"`
+}
+
+// Lease and Margin are those of the council.
+func (a *Answer) Lease() time.Duration  { return time.Duration(a.LeaseMS) * time.Millisecond }
+func (a *Answer) Margin() time.Duration { return time.Duration(a.MarginMS) * time.Millisecond }
+
+// Client asks a council. It may be used by several goroutines.
+type Client struct {
+	addresses []string
+	http      http.Client
+
+	mu      sync.Mutex
+	council string // the first that answered; another is not believed
+	leader  string // to be asked first
+	next    int
+}
+
+// NewClient returns a client of the council whose members listen at addresses.
+// name is the council's.
+func NewClient(name string, addresses []string) *Client {
+	return &Client{addresses: addresses, council: name, http: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}}
+}
+
+// Close lets idle connections go.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// ErrUnknown is an answer that does not tell whether the question took effect.
+var ErrUnknown = errors.New("not known whether it took effect")
+
+// Do asks until a member answers that can, or ctx ends. What may have taken effect
+// is not asked again: that is the caller's to decide.
+func (c *Client) Do(ctx context.Context, q Question) (*Answer, error) {
+	if len(c.addresses) == 0 {
+		return nil, errors.New("found no member's address, wanted one")
+	}
+	pause := 20 * time.Millisecond
+	for tries := 0; ; tries++ {
+		to := c.pick()
+		a, err := c.one(ctx, to, q)
+		switch {
+		case err == nil && a.No == "":
+			c.believe(to)
+			if a.Refused != "" {
+				return a, nil
+			}
+			return a, nil
+		case err == nil && a.Unknown:
+			return nil, fmt.Errorf("%s: %s: %w", to, a.No, ErrUnknown)
+		case err == nil && a.Leader != "" && a.Leader != to:
+			c.believe(a.Leader)
+			if tries < 3 {
+				continue
+			}
+			err = errors.New(a.No)
+		case err == nil:
+			err = errors.New(a.No)
+		}
+		c.doubt(to)
+		if ctx.Err() != nil {
+			return nil, fmt.Errorf("council: %s: %w", to, err)
+		}
+		if (tries+1)%len(c.addresses) != 0 {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fmt.Errorf("council: %s: %w", to, err)
+		case <-time.After(pause):
+			pause = min(2*pause, 500*time.Millisecond)
+		}
+	}
+}
+
+func (c *Client) pick() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != "" {
+		return c.leader
+	}
+	c.next = (c.next + 1) % len(c.addresses)
+	return c.addresses[c.next]
+}
+
+func (c *Client) believe(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = address
+}
+
+func (c *Client) doubt(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == address {
+		c.leader = ""
+	}
+}
+
+// perTry bounds one call to one member beyond what it may wait.
+const perTry = 2 * time.Second
+
+func (c *Client) one(ctx context.Context, to string, q Question) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, perTry+time.Duration(q.WaitMS)*time.Millisecond)
+	defer cancel()
+	c.mu.Lock()
+	of := c.council
+	c.mu.Unlock()
+	a, err := Call(ctx, &c.http, to, of, q)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if bare(c.council) && a.No == "" {
+		c.council = a.Council
+	}
+	return a, nil
+}
+
+func bare(of string) bool { return !bytes.ContainsRune([]byte(of), '#') }
+
+// Call asks one member once.
+func Call(ctx context.Context, h *http.Client, to, of string, q Question) (*Answer, error) {
+	text, err := json.Marshal(q)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+to+Path, bytes.NewReader(text))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(Header, of)
+	r, err := h.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Body.Close()
+	text, err = io.ReadAll(io.LimitReader(r.Body, MostBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(text) > MostBytes {
+		return nil, fmt.Errorf("%s: found an answer of more than %d bytes", to, MostBytes)
+	}
+	a := &Answer{}
+	if err := json.Unmarshal(text, a); err != nil {
+		return nil, fmt.Errorf("%s: found %d bytes with status %d, wanted a member's answer", to, len(text), r.StatusCode)
+	}
+	return a, nil
+}
--- a/internal/fleet/council/member.go
+++ b/internal/fleet/council/member.go
@@ -30,6 +30,7 @@
 	MostSnapshot   = 8 << 20 // bytes
 	compactAfter   = 1024    // applied entries, then a snapshot is taken
 	compactKeeps   = 128     // entries that stand for a member that is behind
+	learnerNear    = 2       // entries by which a learner may be behind when it begins to count
 	mostUncommited = 4 << 20
 )
 
@@ -58,6 +59,25 @@
 	Entries  []*raftpb.Entry
 }
 
+// Count is the newest count that a disk has heard of, agreed on or not.
+func (d Disk) Count() (uint64, error) {
+	if d.Snapshot == nil {
+		return 0, nil
+	}
+	s, err := Unseal(d.Snapshot.GetData())
+	if err != nil {
+		return 0, err
+	}
+	count := s.Count
+	for _, e := range d.Entries {
+		var c Command
+		if e.GetType() == raftpb.EntryNormal && len(e.Data) > 0 && json.Unmarshal(e.Data, &c) == nil {
+			count = max(count, c.Count)
+		}
+	}
+	return count, nil
+}
+
 // FirstDisk is the disk of each member that a new council begins with: the members
 // are agreed on by the operator, in a file that is the same for all.
 func FirstDisk(name string, members map[uint64]string) (Disk, error) {
@@ -136,6 +156,7 @@
 	snap  *raftpb.Snapshot
 
 	applied, snapAt uint64
+	changed         bool   // members: a new one takes no snapshot that does not name it
 	now             uint64 // ticks since the start
 	counted         uint64 // tick at which the leadership began, with the count then
 	countThen       uint64
@@ -163,15 +184,17 @@
 // ticks.
 func NewMember(id uint64, d Disk, lease uint64) (*Member, error) {
 	m := &Member{ID: id, store: raft.NewMemoryStorage(), lease: lease, asks: map[uint64]*ask{}}
-	if d.Snapshot == nil {
-		return nil, errors.New("found no snapshot, wanted the first one at least")
-	}
 	var err error
-	if m.state, err = Unseal(d.Snapshot.GetData()); err != nil {
-		return nil, err
-	}
-	if err := m.store.ApplySnapshot(d.Snapshot); err != nil {
-		return nil, err
+	m.conf = &raftpb.ConfState{}
+	if m.state = NewState(""); d.Snapshot != nil { // none: it was added, and hears all from the leader
+		if m.state, err = Unseal(d.Snapshot.GetData()); err != nil {
+			return nil, err
+		}
+		if err := m.store.ApplySnapshot(d.Snapshot); err != nil {
+			return nil, err
+		}
+		m.conf = d.Snapshot.GetMetadata().GetConfState()
+		m.applied = d.Snapshot.GetMetadata().GetIndex()
 	}
 	if err := m.store.Append(d.Entries); err != nil {
 		return nil, err
@@ -179,8 +202,6 @@
 	if d.Hard != nil {
 		m.store.SetHardState(d.Hard)
 	}
-	m.conf = d.Snapshot.GetMetadata().GetConfState()
-	m.applied = d.Snapshot.GetMetadata().GetIndex()
 	m.snapAt = m.applied
 	m.raw, err = raft.NewRawNode(&raft.Config{
 		ID: id, ElectionTick: ElectionTicks, HeartbeatTick: HeartbeatTicks, Storage: m.store, Applied: m.applied,
@@ -340,7 +361,9 @@
 // it counts.
 func (m *Member) Change(kind raftpb.ConfChangeType, id uint64, address string, done func(Result, error)) {
 	if err := m.mayChange(kind, id); err != nil {
-		done(Result{}, err)
+		if done != nil {
+			done(Result{}, err)
+		}
 		return
 	}
 	ticket, err := m.waits(done)
@@ -365,7 +388,7 @@
 		if !slices.Contains(learners, id) {
 			return fmt.Errorf("member %d: found no learner, wanted one", id)
 		}
-		if _, commit, _ := m.Status(); m.raw.Status().Progress[id].Match+compactKeeps < commit {
+		if _, commit, _ := m.Status(); m.raw.Status().Progress[id].Match+learnerNear < commit {
 			return fmt.Errorf("member %d: found it behind, wanted it to have heard all: ask again", id)
 		}
 	case raftpb.ConfChangeRemoveNode:
@@ -379,6 +402,20 @@
 	return nil
 }
 
+// EndTenure lets a duty's lease run out: its owner hears no more that it has it.
+// It returns why that can't be.
+func (m *Member) EndTenure(duty string) string {
+	d := m.state.Duties[duty]
+	switch {
+	case m.leases == nil:
+		return NotLeader{m.Leader()}.Error()
+	case d == nil || d.Owner == "":
+		return fmt.Sprintf("%s: found no owner, wanted one that ends", duty)
+	}
+	m.leases.End(duty, d.Epoch, m.now, m.lease)
+	return ""
+}
+
 // StepDown lets another lead.
 func (m *Member) StepDown() error {
 	for id, p := range m.raw.Status().Progress {
@@ -551,7 +588,7 @@
 			return fmt.Errorf("entry %d: %w", e.GetIndex(), err)
 		}
 	}
-	m.conf = m.raw.ApplyConfChange(&cc)
+	m.conf, m.changed = m.raw.ApplyConfChange(&cc), true
 	switch cc.GetType() {
 	case raftpb.ConfChangeRemoveNode:
 		m.state.Members[cc.GetNodeId()] = "" // its number is never given again
@@ -573,15 +610,19 @@
 
 // compact takes a snapshot when much was applied since the last.
 func (m *Member) compact() error {
-	if m.applied < m.snapAt+compactAfter {
+	if m.applied < m.snapAt+compactAfter && !m.changed {
 		return nil
 	}
+	m.changed = false
 	snap, err := m.Snapshot()
 	if err != nil {
 		return err
 	}
 	m.snapAt, m.snap = m.applied, snap
-	return m.store.Compact(m.applied - compactKeeps)
+	if err := m.store.Compact(m.applied - min(m.applied, compactKeeps)); !errors.Is(err, raft.ErrCompacted) {
+		return err
+	}
+	return nil
 }
 
 // Snapshot makes a snapshot of what is applied.
--- a/internal/fleet/council/rules.go
+++ b/internal/fleet/council/rules.go
@@ -102,6 +102,16 @@
 	return true
 }
 
+// End lets a lease run out: it is renewed no more.
+func (l *Leases) End(duty string, e Epoch, now, length uint64) {
+	have, ok := l.ticks[duty]
+	if !ok || have.epoch != e {
+		have = lease{epoch: e, end: now + length}
+	}
+	have.ending = true
+	l.ticks[duty] = have
+}
+
 // RunOut returns the duties whose owner was not heard of for a lease. What it sees
 // for the first time has its time from now.
 func (l *Leases) RunOut(s *State, now, length uint64) (out []Command) {
--- a/internal/inject/inject.go
+++ b/internal/inject/inject.go
@@ -31,6 +31,9 @@
 // Points are the places of the code that At names, each with what has just been
 // done there.
 var Points = map[string]string{
+	"council-answers":    "council member: has decided on an answer, and not given it",
+	"council-stored":     "council member: has stored what it owes, and told nobody",
+	"council-stores":     "council member: is about to store what it owes",
 	"start":              "a sidecar's process has read its files, and listens nowhere yet",
 	"handover-asked":     "new process: has asked for the listener",
 	"handover-given":     "new process: holds the listener, and has not said that it is ready",
