The duty roll: one owner restarts all hosts' instances, each host refuses late owners

Two supervisors told to roll had 2 of 10 instances under way. Now a fleet file's [council] lets supervisors take the council's duty roll: fleet restart -everywhere gives an order, one supervisor owns it, asks all hosts (by which each hears of its epoch), and restarts at most so many in the fleet and in a zone; internal/fleet/everywhere decides from what the processes themselves bear (OTTERSPRING_ORDER), so that an owner that follows restarts none twice and leaves none out. Check and effect are one step of the receiver's goroutine. If the new program does not become ready all go back. Owner on BOOTTIME.

--- a/cmd/otterspring/council.go
+++ b/cmd/otterspring/council.go
@@ -29,7 +29,7 @@
 		"council runs one of 3 or 5 members that agree on who does what for all hosts\n"+
 			"(docs/operate/council.md), and asks them. Exit codes: 0 done, 1 it could not be done, 2 usage.",
 		councilRun(log), councilCheck(out), councilStatus(out), councilDuties(out), councilStepDown(out), councilMembers(out),
-		councilSnapshot(out), councilRestore(out))
+		councilForget(out), councilSnapshot(out), councilRestore(out))
 }
 
 // ofCouncil is a verb that takes a council's file and a fixed number of words.
@@ -195,6 +195,17 @@
 		change(ask.Add, "add FILE NUMBER ADDRESS", "add a member", 2), change(ask.Remove, "remove FILE NUMBER", "remove a member", 1))
 }
 
+// councilForget takes a host out that will not come back: a roll waits for all.
+func councilForget(out io.Writer) *cobra.Command {
+	return ofCouncil("forget FILE HOST", "a host has gone for good: nothing waits for it", 1, func(f *node.File, args []string) error {
+		_, err := askCouncil(f, ask.Question{Kind: council.Facts, Who: args[0]})
+		if err == nil {
+			fmt.Fprintf(out, "%s: forgotten\n", args[0])
+		}
+		return err
+	})
+}
+
 func councilSnapshot(out io.Writer) *cobra.Command {
 	return ofCouncil("snapshot FILE OUT", "keep what is agreed on in a file", 1, func(f *node.File, args []string) error {
 		data, err := node.FetchSnapshot(f)
--- a/cmd/otterspring/fleet.go
+++ b/cmd/otterspring/fleet.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"strings"
@@ -15,6 +17,9 @@
 	"github.com/spf13/cobra"
 
 	"otterspring/internal/cli"
+	"otterspring/internal/fleet/council"
+	"otterspring/internal/fleet/council/ask"
+	"otterspring/internal/fleet/everywhere"
 	"otterspring/internal/fleet/supervisor"
 )
 
@@ -59,8 +64,9 @@
 
 // rolls is a verb that rolls through instances.
 func rolls(name, does string, out io.Writer) *cobra.Command {
-	var wait bool
+	var wait, all bool
 	var program string
+	order := everywhere.Order{}
 	c := &cobra.Command{Use: name + " [flags] FILE [NAME...]", Short: does, DisableFlagsInUseLine: true, RunE: func(_ *cobra.Command, args []string) error {
 		if len(args) == 0 {
 			return fmt.Errorf("%w: fleet %s: wanted a file", errUsage, name)
@@ -69,6 +75,10 @@
 		if err != nil {
 			return err
 		}
+		if all {
+			order.Program = program
+			return restartEverywhere(f, order, args[1:], wait, out)
+		}
 		words := []string{name}
 		if program != "" {
 			words = append(words, "-program", program)
@@ -81,6 +91,9 @@
 	c.Flags().BoolVar(&wait, "wait", false, "return when the roll is over")
 	if name == "restart" {
 		c.Flags().StringVar(&program, "program", "", "the program to roll out; empty for the one that runs")
+		c.Flags().BoolVar(&all, "everywhere", false, "restart on all hosts of the file's council, by its owner")
+		c.Flags().IntVar(&order.AtOnce, "at-once", 1, "with -everywhere: instances that may be under way in the fleet")
+		c.Flags().IntVar(&order.ZoneOnce, "zone-at-once", 0, "with -everywhere: in a zone; 0 for no bound of its own")
 	}
 	return c
 }
@@ -146,6 +159,80 @@
 	}
 }
 
+// restartEverywhere gives the council an order and, where that is wanted, shows how
+// it goes until it has ended.
+func restartEverywhere(f *supervisor.File, order everywhere.Order, names []string, wait bool, out io.Writer) error {
+	switch {
+	case f.Council.Name == "":
+		return fmt.Errorf("%s: found no [council], wanted one for -everywhere", f.Path)
+	case len(names) > 0:
+		return fmt.Errorf("%w: fleet restart -everywhere: found %q, wanted nothing behind the file", errUsage, names[0])
+	case order.AtOnce < 1 || order.AtOnce > 100 || order.ZoneOnce < 0:
+		return fmt.Errorf("%w: fleet restart -everywhere: found -at-once %d and -zone-at-once %d, wanted 1 to 100, and 0 or more", errUsage, order.AtOnce, order.ZoneOnce)
+	}
+	c := ask.NewClient(f.Council.Name, f.Council.Members)
+	defer c.Close()
+	text, err := json.Marshal(order)
+	if err != nil {
+		return err
+	}
+	id := fmt.Sprintf("r%08x", rand.Uint32())
+	for { // the order has a number: asked twice it is one
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		a, err := c.Do(ctx, ask.Question{Kind: council.Begin, ID: id, Duty: supervisor.Duty, Data: text})
+		cancel()
+		if errors.Is(err, ask.ErrUnknown) {
+			continue
+		}
+		if err == nil && a.Refused != "" {
+			err = errors.New(a.Refused)
+		}
+		if err != nil {
+			return err
+		}
+		break
+	}
+	fmt.Fprintf(out, "order %s\n", id)
+	if !wait {
+		return nil
+	}
+	return waitEverywhere(c, id, out)
+}
+
+func waitEverywhere(c *ask.Client, id string, out io.Writer) error {
+	last := ""
+	for ; ; time.Sleep(200 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		a, err := c.Do(ctx, ask.Question{Kind: ask.State})
+		cancel()
+		if err != nil {
+			return err
+		}
+		line := ""
+		if d := a.State.Duties[supervisor.Duty]; d != nil && d.Note != nil {
+			var n everywhere.Note
+			if json.Unmarshal(d.Note, &n) == nil && n.Order == id {
+				line = fmt.Sprintf("%d of %d by %s, epoch %v", n.Done, n.Of, d.Owner, d.Epoch)
+				if n.Wait != "" {
+					line += ": " + n.Wait
+				}
+			}
+		}
+		if line != last && line != "" {
+			fmt.Fprintln(out, line)
+			last = line
+		}
+		for _, o := range a.State.Orders {
+			if o.ID == id && o.End == "done" {
+				fmt.Fprintln(out, "done")
+				return nil
+			} else if o.ID == id && o.End != "" {
+				return errors.New(o.End)
+			}
+		}
+	}
+}
+
 // plural words a count.
 func plural(n int, one, many string) string {
 	if n == 1 {
--- a/internal/fleet/council/ask/ask.go
+++ b/internal/fleet/council/ask/ask.go
@@ -71,6 +71,7 @@
 	Duty     *council.Duty             `json:"duty,omitempty"`
 	Index    uint64                    `json:"index,omitempty"`
 	Duties   map[string]council.Tenant `json:"duties,omitempty"`
+	Open     map[string]bool           `json:"open,omitempty"` // duties with an order that has not ended
 	State    *council.State            `json:"state,omitempty"`
 	Reports  map[string]Said           `json:"reports,omitempty"`
 	LeaseMS  int64                     `json:"lease_ms,omitempty"`
--- a/internal/fleet/council/node/node.go
+++ b/internal/fleet/council/node/node.go
@@ -144,7 +144,7 @@
 // Run is the member until ctx ends or its disk fails.
 func (n *Node) Run(ctx context.Context) (err error) {
 	server := &http.Server{Handler: n.handler(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
-	n.wg.Go(func() { server.Serve(&bounded{n.ln, make(chan bool, mostConns)}) })
+	n.wg.Go(func() { server.Serve(ask.Bounded(n.ln, mostConns)) })
 	defer func() {
 		n.end()
 		server.Close()
@@ -423,29 +423,6 @@
 	return nil
 }
 
-// bounded is a listener with a bound on connections.
-type bounded struct {
-	net.Listener
-	slots chan bool
-}
-
-func (b *bounded) Accept() (net.Conn, error) {
-	b.slots <- true
-	c, err := b.Listener.Accept()
-	if err != nil {
-		<-b.slots
-		return nil, err
-	}
-	return &slotted{Conn: c, free: sync.OnceFunc(func() { <-b.slots })}, nil
-}
-
-type slotted struct {
-	net.Conn
-	free func()
-}
-
-func (s *slotted) Close() error { s.free(); return s.Conn.Close() }
-
 func (n *Node) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /raft", n.takeRaft)
@@ -647,7 +624,12 @@
 	case ask.State:
 		read(func() { a.State, a.Reports, a.Duties = m.State().Copy(), n.said(), tenants(m.State()) })
 	case ask.Hear:
-		a.Duties = tenants(m.State())
+		a.Duties, a.Open = tenants(m.State()), map[string]bool{}
+		for _, o := range m.State().Orders {
+			if o.End == "" {
+				a.Open[o.Duty] = true
+			}
+		}
 		got <- a
 	case ask.Report:
 		if len(q.Data) > mostReport || len(n.reports) >= council.MostHosts && n.reports[q.Who].data == nil {
--- /dev/null
+++ b/internal/fleet/supervisor/everywhere.go
@@ -0,0 +1,475 @@
+package supervisor
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"otterspring/internal/fleet/council"
+	"otterspring/internal/fleet/council/ask"
+	"otterspring/internal/fleet/everywhere"
+	"otterspring/internal/fleet/plan"
+	"otterspring/internal/inject"
+	"otterspring/internal/logs"
+)
+
+// What a supervisor does where its hosts have a council. It may be the owner of the
+// duty roll, one process at a time in the whole fleet, and it is always a receiver:
+// it refuses what an owner of before wants. Without an answer of the council it
+// supervises as ever.
+
+// Duty is the one whose owner rolls through all hosts.
+const Duty = "roll"
+
+const (
+	effectPath  = "/v1/effect"
+	mostEffect  = 64 << 10
+	mostEffects = 64 // connections of owners at a time
+	effectFor   = 3 * time.Second
+	hearFor     = 5 * time.Second
+	ownEvery    = 100 * time.Millisecond // an owner looks at all hosts
+	noteEvery   = time.Second
+)
+
+// effect is what an owner wants of a supervisor.
+type effect struct {
+	Duty     string        `json:"duty"`
+	Owner    string        `json:"owner"`
+	Epoch    council.Epoch `json:"epoch"`
+	Do       string        `json:"do"` // look or restart
+	Instance string        `json:"instance,omitempty"`
+	Order    string        `json:"order,omitempty"`
+	Program  string        `json:"program,omitempty"`
+}
+
+// told is its answer.
+type told struct {
+	Refused string          `json:"refused,omitempty"`
+	Host    everywhere.Host `json:"host"`
+	Late    int             `json:"late"` // effects that were refused since the start
+}
+
+// fact is what the council keeps of a host.
+type fact struct {
+	Zone      string `json:"zone"`
+	Address   string `json:"address"`
+	Instances int    `json:"instances"`
+	Program   string `json:"program"`
+}
+
+// bootTime is a clock that goes on while the machine sleeps, from an arbitrary
+// beginning.
+func bootTime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return time.Duration(1 << 62) // no tenure is held: fail safe
+	}
+	return time.Duration(ts.Nano())
+}
+
+// joinCouncil begins to listen to owners and to the council.
+func (s *Supervisor) joinCouncil(ctx context.Context) error {
+	c := s.file.Council
+	if c.Name == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("council.listen: %w", err)
+	}
+	s.client = ask.NewClient(c.Name, c.Members)
+	server := &http.Server{Handler: http.HandlerFunc(s.takeEffect), ReadTimeout: effectFor, WriteTimeout: effectFor + time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 4 << 10}
+	s.wg.Go(func() { server.Serve(ask.Bounded(ln, mostEffects)) })
+	s.wg.Go(func() { <-ctx.Done(); server.Close(); s.client.Close() })
+	s.wg.Go(func() { s.hear(ctx) })
+	return nil
+}
+
+// hear asks the council which epochs there are, first a majority and then whoever
+// answers, and becomes the owner of the roll when an order waits for one.
+func (s *Supervisor) hear(ctx context.Context) {
+	known, seen := false, uint64(0)
+	me := fmt.Sprintf("%s.%04x", s.file.Council.Host, rand.Uint32()&0xffff)
+	for ctx.Err() == nil {
+		q := ask.Question{Kind: ask.Hear, WaitMS: int(hearFor.Milliseconds()), Seen: seen}
+		if !known {
+			q = ask.Question{Kind: ask.State}
+		}
+		a, err := s.asks(ctx, q, hearFor+effectFor)
+		if err != nil {
+			s.log.Warn(fmt.Sprintf("council: not heard of, going on by itself: %v", err), logs.Cause("council"))
+			pause(ctx, time.Second/2)
+			continue
+		}
+		if seen = a.Index; !known {
+			seen = 0
+		}
+		s.send(ctx, func(time.Duration) []plan.Action {
+			for duty, t := range a.Duties {
+				s.fence.Hear(duty, t)
+			}
+			if !known {
+				// A majority knows of no owner: any is newer than nobody.
+				s.fence.Hear(Duty, council.Tenant{})
+			}
+			return nil
+		})
+		if !known {
+			known = s.tellFacts(ctx)
+			continue
+		}
+		if a.Open[Duty] && a.Duties[Duty].Owner == "" {
+			s.tryToOwn(ctx, me)
+			seen = 0
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (s *Supervisor) asks(ctx context.Context, q ask.Question, within time.Duration) (*ask.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	return s.client.Do(ctx, q)
+}
+
+// tellFacts tells the council of this host.
+func (s *Supervisor) tellFacts(ctx context.Context) bool {
+	text, _ := json.Marshal(fact{s.file.Council.Zone, s.file.Council.Listen, len(s.specs), s.file.Program})
+	a, err := s.asks(ctx, ask.Question{Kind: council.Facts, Who: s.file.Council.Host, Data: text}, effectFor)
+	if err == nil && a.Refused != "" {
+		err = errors.New(a.Refused)
+	}
+	if err != nil {
+		s.log.Warn(fmt.Sprintf("council: facts of %s: %v", s.file.Council.Host, err), logs.Cause("facts"))
+		pause(ctx, time.Second/2)
+	}
+	return err == nil
+}
+
+// tryToOwn asks for the duty, and does it where it is given.
+func (s *Supervisor) tryToOwn(ctx context.Context, me string) {
+	pause(ctx, time.Duration(rand.Int64N(int64(200*time.Millisecond)))) // not all hosts at once
+	asked := bootTime()
+	a, err := s.asks(ctx, ask.Question{Kind: council.Take, Duty: Duty, Who: me}, effectFor)
+	if err != nil || a.Duty == nil || a.Duty.Owner != me {
+		return
+	}
+	o := &owner{s: s, me: me, epoch: a.Duty.Epoch, lease: a.Lease(), margin: a.Margin()}
+	o.tenure.Renewed(asked, o.epoch, o.lease, o.margin)
+	s.log.Info(fmt.Sprintf("council: %s owns %s under epoch %v", me, Duty, o.epoch))
+	own, end := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { defer end(); o.renew(own) })
+	why := o.roll(own)
+	end()
+	wg.Wait()
+	s.log.Info(fmt.Sprintf("council: %s ends epoch %v: %s", me, o.epoch, why))
+	s.asks(ctx, ask.Question{Kind: council.Give, Duty: Duty, Who: me, Epoch: o.epoch}, effectFor)
+}
+
+// owner is this process while it owns the duty.
+type owner struct {
+	s             *Supervisor
+	me            string
+	epoch         council.Epoch
+	lease, margin time.Duration
+	mu            sync.Mutex
+	tenure        council.Tenure
+	note          everywhere.Note
+	noted         time.Time
+}
+
+// held tells whether an effect may be begun. It may have ended by the time at which
+// the effect is there: receivers know that by the epoch.
+func (o *owner) held() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.tenure.Held(bootTime())
+}
+
+// renew keeps the tenure until it is refused or over.
+func (o *owner) renew(ctx context.Context) {
+	for o.held() {
+		pause(ctx, o.lease/4)
+		if ctx.Err() != nil {
+			return
+		}
+		asked := bootTime()
+		a, err := o.s.asks(ctx, ask.Question{Kind: ask.Renew, Duty: Duty, Epoch: o.epoch}, o.lease/2)
+		if err == nil && a.Refused != "" {
+			return
+		}
+		if err == nil {
+			o.mu.Lock()
+			o.tenure.Renewed(asked, o.epoch, o.lease, o.margin)
+			o.mu.Unlock()
+		}
+	}
+}
+
+// roll goes through the hosts until the order has ended or the tenure has. It
+// returns why it ended.
+func (o *owner) roll(ctx context.Context) string {
+	first := true
+	for ; ; pause(ctx, ownEvery) {
+		if ctx.Err() != nil || !o.held() {
+			return "the tenure is over"
+		}
+		a, err := o.s.asks(ctx, ask.Question{Kind: ask.State}, effectFor)
+		if err != nil {
+			continue // the tenure ends by itself where that lasts
+		}
+		open := a.State.Open(Duty)
+		if open == nil {
+			return "no order is left"
+		}
+		var order everywhere.Order
+		if err := json.Unmarshal(open.Words, &order); err != nil {
+			o.end(ctx, open.ID, fmt.Sprintf("found no order in %.100s: %v", open.Words, err))
+			continue
+		}
+		if d := a.State.Duties[Duty]; first && d != nil && d.Note != nil {
+			json.Unmarshal(d.Note, &o.note)
+		}
+		hosts := o.look(ctx, a.State.Facts)
+		if first && o.note.Order != open.ID {
+			// What runs now is what to go back to: it is written down before anything begins.
+			o.note = everywhere.Note{Order: open.ID, Before: map[string]string{}}
+			for _, h := range hosts {
+				o.note.Before[h.Name] = h.Program
+			}
+			if !o.tell(ctx, true) {
+				continue
+			}
+		}
+		first = false
+		d := everywhere.Next(open.ID, order, o.note, hosts)
+		if d.Back && !o.note.Back {
+			o.note.Back = true
+			if !o.tell(ctx, true) {
+				o.note.Back = false
+			}
+			continue
+		}
+		changed := o.note.Done != d.Done || o.note.Of != d.Of || o.note.Wait != d.Wait
+		o.note.Done, o.note.Of, o.note.Wait = d.Done, d.Of, d.Wait
+		if changed {
+			o.tell(ctx, false)
+		}
+		if d.End != "" {
+			o.tell(ctx, true)
+			o.end(ctx, open.ID, d.End)
+			continue
+		}
+		o.act(ctx, d.Steps, a.State.Facts)
+	}
+}
+
+// tell writes down what stands; not more often than once in noteEvery, unless it
+// must be.
+func (o *owner) tell(ctx context.Context, must bool) bool {
+	if !must && time.Since(o.noted) < noteEvery {
+		return true
+	}
+	text, _ := json.Marshal(o.note)
+	a, err := o.s.asks(ctx, ask.Question{Kind: council.Note, Duty: Duty, Who: o.me, Epoch: o.epoch, Data: text}, effectFor)
+	o.noted = time.Now()
+	return err == nil && a.Refused == ""
+}
+
+func (o *owner) end(ctx context.Context, id, how string) {
+	text, _ := json.Marshal(how)
+	o.s.asks(ctx, ask.Question{Kind: council.End, Duty: Duty, Who: o.me, Epoch: o.epoch, ID: id, Data: text}, effectFor)
+}
+
+// look asks all hosts how they are. By it each hears of this epoch.
+func (o *owner) look(ctx context.Context, facts map[string]json.RawMessage) []everywhere.Host {
+	hosts := make([]everywhere.Host, 0, len(facts))
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	slots := make(chan bool, mostAsking)
+	for name, text := range facts {
+		var f fact
+		json.Unmarshal(text, &f)
+		slots <- true
+		wg.Go(func() {
+			defer func() { <-slots }()
+			t, err := o.effect(ctx, f.Address, effect{Do: "look"})
+			h := everywhere.Host{Name: name, Zone: f.Zone}
+			if err == nil && t.Refused == "" {
+				h = t.Host
+				h.Reached = true
+			}
+			mu.Lock()
+			hosts = append(hosts, h)
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	return hosts
+}
+
+// act carries the steps out, each behind its own look at the tenure.
+func (o *owner) act(ctx context.Context, steps []everywhere.Step, facts map[string]json.RawMessage) {
+	var wg sync.WaitGroup
+	for _, step := range steps {
+		if ctx.Err() != nil || !o.held() {
+			break
+		}
+		inject.At("owner-acts") // a stop here is longer than any lease: the fence is there for it
+		var f fact
+		json.Unmarshal(facts[step.Host], &f)
+		wg.Go(func() {
+			t, err := o.effect(ctx, f.Address, effect{Do: "restart", Instance: step.Instance, Order: step.Order, Program: step.Program})
+			switch {
+			case err != nil:
+				o.s.log.Warn(fmt.Sprintf("council: %s of %s: %v", step.Instance, step.Host, err), logs.Cause("effect"))
+			case t.Refused != "":
+				o.s.log.Warn(fmt.Sprintf("council: %s of %s: refused: %s", step.Instance, step.Host, t.Refused), logs.Cause("refused"))
+			}
+		})
+	}
+	wg.Wait()
+}
+
+var effectClient = http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}, Timeout: effectFor}
+
+// effect wants something of one supervisor.
+func (o *owner) effect(ctx context.Context, address string, e effect) (*told, error) {
+	e.Duty, e.Owner, e.Epoch = Duty, o.me, o.epoch
+	text, err := json.Marshal(e)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+address+effectPath, bytes.NewReader(text))
+	if err != nil {
+		return nil, err
+	}
+	r, err := effectClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Body.Close()
+	t := &told{}
+	return t, json.NewDecoder(io.LimitReader(r.Body, 1<<20)).Decode(t)
+}
+
+// takeEffect is the receiver: the fence is asked and the effect begun in one step
+// of the goroutine of Run, so that an owner who was answered knows of all that an
+// earlier one has begun here.
+func (s *Supervisor) takeEffect(w http.ResponseWriter, r *http.Request) {
+	var e effect
+	if r.Method != http.MethodPost || r.URL.Path != effectPath {
+		http.NotFound(w, r)
+		return
+	}
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostEffect)).Decode(&e); err != nil {
+		http.Error(w, "found no effect, wanted one: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	answer := make(chan told, 1)
+	s.send(r.Context(), func(now time.Duration) []plan.Action {
+		t, acts := s.effect(now, e)
+		answer <- t
+		return acts
+	})
+	select {
+	case t := <-answer:
+		json.NewEncoder(w).Encode(t)
+	case <-r.Context().Done():
+	case <-s.ctx.Done():
+	}
+}
+
+func (s *Supervisor) effect(now time.Duration, e effect) (told, []plan.Action) {
+	refused := func(err error) (told, []plan.Action) {
+		s.say("refused: %s of epoch %v of %s: %v", e.Do, e.Epoch, e.Owner, err)
+		return told{Refused: err.Error(), Late: s.fence.Refused}, nil
+	}
+	if err := s.fence.Check(e.Duty, council.Tenant{Owner: e.Owner, Epoch: e.Epoch}); err != nil {
+		return refused(err)
+	}
+	var acts []plan.Action
+	switch e.Do {
+	case "look":
+	case "restart":
+		which, err := s.named([]string{e.Instance})
+		if err != nil {
+			return refused(err)
+		}
+		if s.orders[which[0]] == e.Order || s.next != nil && s.next.order == e.Order && s.next.which == which[0] && s.plan.Rolling() {
+			break // it was done, or is under way: the owner asks again what it has no answer to
+		}
+		if phase, n := s.plan.Phase(which[0]); phase != plan.Up || n != 1 {
+			return refused(fmt.Errorf("%s: found it %v, wanted it up", e.Instance, phase))
+		}
+		args := []string{e.Instance}
+		if e.Program != "" {
+			args = []string{"-program", e.Program, e.Instance}
+		}
+		if acts, err = s.roll(now, false, args); err != nil {
+			return refused(err)
+		}
+		s.next.order, s.next.which = e.Order, which[0]
+		inject.At("fleet-takes-order")
+	default:
+		return refused(fmt.Errorf("found %q, wanted look or restart", e.Do))
+	}
+	return told{Host: s.host(), Late: s.fence.Refused}, acts
+}
+
+// host is this host as an owner needs it.
+func (s *Supervisor) host() everywhere.Host {
+	h := everywhere.Host{Name: s.file.Council.Host, Zone: s.file.Council.Zone, Program: s.program}
+	if s.plan.Rolling() {
+		h.Rolling = s.plan.RollText()
+	}
+	for i, spec := range s.specs {
+		phase, n := s.plan.Phase(i)
+		h.Instances = append(h.Instances, everywhere.Instance{Name: spec.Name, Up: phase == plan.Up && n == 1, Order: s.orders[i], Failed: s.failed[i]})
+	}
+	return h
+}
+
+// orderOver takes that the turn of one instance for an order has ended, well or not.
+func (s *Supervisor) orderOver(well bool) {
+	switch {
+	case s.next == nil || s.next.order == "" || !well && s.plan.Rolling():
+		return
+	case well:
+		s.orders[s.next.which] = s.next.order
+	default:
+		s.failed[s.next.which] = s.next.order
+	}
+	s.next = nil
+}
+
+// leaveCouncil tells the council that this host has nothing any more.
+func (s *Supervisor) leaveCouncil() {
+	if s.client == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	c := ask.NewClient(s.file.Council.Name, s.file.Council.Members)
+	defer c.Close()
+	if _, err := c.Do(ctx, ask.Question{Kind: council.Facts, Who: s.file.Council.Host}); err != nil {
+		s.log.Warn(fmt.Sprintf("council: it does not know that %s has ended (%v): otterspring council forget", s.file.Council.Host, err))
+	}
+}
--- a/internal/fleet/supervisor/file.go
+++ b/internal/fleet/supervisor/file.go
@@ -40,6 +40,16 @@
 	Restart   Restart    `toml:"restart"`
 	Crash     Crash      `toml:"crash"`
 	Alive     Alive      `toml:"alive"`
+	Council   Council    `toml:"council"`
+}
+
+// Council says which council this host belongs to; none without a name.
+type Council struct {
+	Name    string   `toml:"name"`
+	Members []string `toml:"members" max:"7"` // where its members listen
+	Host    string   `toml:"host"`            // what this host is called there
+	Zone    string   `toml:"zone"`
+	Listen  string   `toml:"listen"` // where owners reach this supervisor
 }
 
 // Alive says when an instance that runs and answers nobody is killed and started
@@ -121,12 +131,38 @@
 	if info, err := os.Stat(f.Program); err != nil || info.IsDir() || info.Mode()&0o111 == 0 {
 		return nil, f.bad("program", fmt.Sprintf("no program at %q", f.Program), "an executable file")
 	}
+	if err := f.council(); err != nil {
+		return nil, err
+	}
 	if f.Crash.Most < f.Crash.First {
 		return nil, f.bad("crash.most", f.Crash.Most.String(), fmt.Sprintf("%v (crash.first) or more", f.Crash.First))
 	}
 	return &f, nil
 }
 
+// council checks the part of the council.
+func (f *File) council() error {
+	c := f.Council
+	if c.Name == "" {
+		if c.Host != "" || c.Listen != "" || c.Zone != "" || len(c.Members) > 0 {
+			return f.bad("council.name", "none", "the council's name, where the rest is set")
+		}
+		return nil
+	}
+	if len(c.Members) == 0 {
+		return f.bad("council.members", "none", "the addresses of the council's members")
+	}
+	for _, a := range append([]string{c.Listen}, c.Members...) {
+		if addr, err := netip.ParseAddrPort(a); err != nil || addr.Port() == 0 {
+			return f.bad("council", strconv.Quote(a), "listen and members: an IP address and a port each")
+		}
+	}
+	if c.Host == "" || len(c.Host) > 32 || strings.ContainsAny(c.Host, "/. \n") {
+		return f.bad("council.host", strconv.Quote(c.Host), "a name of 1 to 32 bytes without blanks, dots and slashes")
+	}
+	return nil
+}
+
 // beside makes a path absolute, from the fleet file's folder.
 func (f *File) beside(path string) string {
 	if path == "" || filepath.IsAbs(path) {
--- a/internal/fleet/supervisor/process.go
+++ b/internal/fleet/supervisor/process.go
@@ -57,6 +57,10 @@
 // so that no other supervisor is there to look for it.
 const markKey = "OTTERSPRING_FLEET"
 
+// orderKey names the variable that says for which order of the council a process
+// was started last: what was done for an order stands at the processes themselves.
+const orderKey = "OTTERSPRING_ORDER"
+
 // mostEnviron bounds what is read of a process's environment, in bytes.
 const mostEnviron = 1 << 20
 
--- a/internal/fleet/supervisor/supervisor.go
+++ b/internal/fleet/supervisor/supervisor.go
@@ -21,6 +21,8 @@
 	"golang.org/x/sys/unix"
 
 	"otterspring/internal/disk"
+	"otterspring/internal/fleet/council"
+	"otterspring/internal/fleet/council/ask"
 	"otterspring/internal/fleet/plan"
 	"otterspring/internal/inject"
 	"otterspring/internal/logs"
@@ -45,7 +47,11 @@
 	wg      sync.WaitGroup
 	ctx     context.Context // ends with Run: what waits for a process does, too
 	end     context.CancelFunc
-	said    []string // the latest words, for status
+	said    []string       // the latest words, for status
+	client  *ask.Client    // of the council; nil where there is none
+	fence   *council.Fence // of owners
+	orders  map[int]string // the council's order that each instance was started for last
+	failed  map[int]string // and the one of which its new process did not become ready
 	log     *slog.Logger
 }
 
@@ -53,6 +59,8 @@
 type release struct {
 	program string
 	specs   []Spec
+	order   string // the council's; empty for a roll of this host alone
+	which   int    // the one instance of an order
 }
 
 const mostSaid = 50
@@ -78,6 +86,7 @@
 	s := &Supervisor{
 		file: f, specs: specs, program: f.Program, origin: time.Now(),
 		events: make(chan func(time.Duration) []plan.Action), log: log,
+		fence: council.NewFence(), orders: map[int]string{}, failed: map[int]string{},
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	for range specs {
@@ -122,6 +131,9 @@
 	defer func() { s.end(); s.ln.Close(); s.wg.Wait() }()
 	s.adoptAll()
 	go s.control(s.ctx)
+	if err := s.joinCouncil(s.ctx); err != nil {
+		return err
+	}
 	if s.file.Alive.Within > 0 {
 		s.wg.Go(s.listen)
 	}
@@ -143,8 +155,10 @@
 		case <-timer.C:
 		}
 		s.carry(s.plan.Tick(s.look()))
+		s.orderOver(false)
 	}
 	s.say("all instances have ended")
+	s.leaveCouncil()
 	return nil
 }
 
@@ -255,6 +269,7 @@
 func (s *Supervisor) adoptOne(i int, p *process, up bool) {
 	if _, n := s.plan.Phase(i); n == 0 && up {
 		p.id = s.plan.Adopt(i)
+		s.orders[i] = environ(p.pid)[orderKey]
 		s.say("%s: process %d adopted", s.specs[i].Name, p.pid)
 	} else if n == 0 {
 		p.id = s.plan.AdoptEnding(s.now(), i)
@@ -327,7 +342,9 @@
 			s.reload(a)
 		case plan.Keep:
 			if s.next != nil {
-				s.program, s.specs, s.next = s.next.program, s.next.specs, nil
+				s.program, s.specs = s.next.program, s.next.specs
+				s.orderOver(true)
+				s.next = nil
 			}
 		case plan.Say:
 			name := "fleet"
@@ -361,7 +378,10 @@
 // that failed.
 func (s *Supervisor) start(a plan.Action) []plan.Action {
 	program, spec := s.of(a)
-	env := []string{"RELAY_NAME=" + spec.Name, "RELAY_LISTEN=" + spec.Listen, markKey + "=" + s.file.Directory}
+	env := []string{"RELAY_NAME=" + spec.Name, "RELAY_LISTEN=" + spec.Listen, markKey + "=" + s.file.Directory, orderKey + "=" + s.orders[a.Instance]}
+	if a.New && s.next != nil && s.next.order != "" {
+		env[len(env)-1] = orderKey + "=" + s.next.order
+	}
 	var err error
 	if spec.Config != "" {
 		err = disk.Replace(s.configPath(a.Instance), []byte(spec.Config), false)
--- a/internal/inject/inject.go
+++ b/internal/inject/inject.go
@@ -34,6 +34,8 @@
 	"council-answers":    "council member: has decided on an answer, and not given it",
 	"council-stored":     "council member: has stored what it owes, and told nobody",
 	"council-stores":     "council member: is about to store what it owes",
+	"fleet-takes-order":  "supervisor: has begun what the owner of the roll wants, and not answered",
+	"owner-acts":         "owner of the roll: has looked at its tenure, and not sent the effect",
 	"start":              "a sidecar's process has read its files, and listens nowhere yet",
 	"handover-asked":     "new process: has asked for the listener",
 	"handover-given":     "new process: holds the listener, and has not said that it is ready",
