Storms with a council: members, ways that are cut, orders for all hosts, late owners

Need: the duty roll shown by several processes with faults between them. A storm's [world.council] starts members beside the supervisors; faults act on members (m1), cut-off takes away what a process sends to others (one way, by package inject), the order everywhere is an operator's.

--- a/internal/fleet/council/ask/ask.go
+++ b/internal/fleet/council/ask/ask.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"otterspring/internal/fleet/council"
+	"otterspring/internal/inject"
 )
 
 // Path is where a member is asked, Header what names the council in all calls.
@@ -221,6 +222,9 @@
 		return nil, err
 	}
 	req.Header.Set(Header, of)
+	if err := inject.Way(ctx, to); err != nil {
+		return nil, err
+	}
 	r, err := h.Do(req)
 	if err != nil {
 		return nil, err
--- a/internal/fleet/council/node/node.go
+++ b/internal/fleet/council/node/node.go
@@ -290,6 +290,9 @@
 		return m, err
 	}
 	req.Header.Set(ask.Header, n.of)
+	if err := inject.Way(ctx, address); err != nil {
+		return m, err
+	}
 	r, err := n.client.Do(req)
 	if err != nil {
 		return m, err
@@ -411,6 +414,9 @@
 		return err
 	}
 	req.Header.Set(ask.Header, n.of)
+	if err := inject.Way(ctx, address); err != nil {
+		return err
+	}
 	r, err := n.client.Do(req)
 	if err != nil {
 		return err
--- a/internal/fleet/supervisor/everywhere.go
+++ b/internal/fleet/supervisor/everywhere.go
@@ -361,6 +361,11 @@
 	if err != nil {
 		return nil, err
 	}
+	way, cancel := context.WithTimeout(ctx, effectFor)
+	defer cancel()
+	if err := inject.Way(way, address); err != nil {
+		return nil, err
+	}
 	r, err := effectClient.Do(req)
 	if err != nil {
 		return nil, err
@@ -427,6 +432,7 @@
 			return refused(err)
 		}
 		s.next.order, s.next.which = e.Order, which[0]
+		s.say("takes restart of %s for order %s of %s, epoch %v", e.Instance, e.Order, e.Owner, e.Epoch)
 		inject.At("fleet-takes-order")
 	default:
 		return refused(fmt.Errorf("found %q, wanted look or restart", e.Do))
--- a/internal/inject/off.go
+++ b/internal/inject/off.go
@@ -2,7 +2,10 @@
 
 package inject
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Compiled tells whether faults can be brought into this binary.
 const Compiled = false
@@ -10,6 +13,9 @@
 // At marks a point of the code.
 func At(string) {}
 
+// Way is asked before a process sends something to an address.
+func Way(context.Context, string) error { return nil }
+
 // Wall is the wall clock, with no monotonic reading in it.
 func Wall() time.Time { return time.Now().Round(0) }
 
--- a/internal/inject/on.go
+++ b/internal/inject/on.go
@@ -3,6 +3,7 @@
 package inject
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -29,6 +30,7 @@
 	seen   os.FileInfo
 	at     []order
 	disk   []fail
+	cut    map[string]bool
 	shift  time.Duration
 	drift  float64
 	origin time.Time
@@ -57,7 +59,7 @@
 	}
 	info, err := os.Stat(p)
 	if err != nil {
-		state.seen, state.at, state.disk, state.shift, state.drift = nil, nil, nil, 0, 0
+		state.seen, state.at, state.disk, state.cut, state.shift, state.drift = nil, nil, nil, nil, 0, 0
 		return
 	}
 	if state.seen != nil && os.SameFile(state.seen, info) && state.seen.ModTime().Equal(info.ModTime()) && state.seen.Size() == info.Size() {
@@ -67,12 +69,14 @@
 	if err != nil {
 		return
 	}
-	state.seen, state.at, state.disk, state.shift, state.drift = info, nil, nil, 0, 0
+	state.seen, state.at, state.disk, state.cut, state.shift, state.drift = info, nil, nil, map[string]bool{}, 0, 0
 	for _, line := range strings.Split(string(text), "\n") {
 		f := strings.Fields(line)
 		switch {
 		case len(f) == 4 && f[0] == "at":
 			state.at = append(state.at, order{f[1], f[2], f[3]})
+		case len(f) == 2 && f[0] == "cut":
+			state.cut[f[1]] = true
 		case len(f) == 2 && f[0] == "wall":
 			state.shift, _ = time.ParseDuration(f[1])
 		case len(f) == 2 && f[0] == "drift":
@@ -117,6 +121,20 @@
 	}
 }
 
+// Way is asked before a process sends something to an address. On one that is cut
+// it stands as a lost packet does, until ctx ends.
+func Way(ctx context.Context, to string) error {
+	state.mu.Lock()
+	load()
+	cut := state.cut[to]
+	state.mu.Unlock()
+	if !cut {
+		return nil
+	}
+	<-ctx.Done()
+	return fmt.Errorf("%s: %w", to, ctx.Err())
+}
+
 // Wall is the wall clock, with no monotonic reading in it.
 func Wall() time.Time {
 	state.mu.Lock()
--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -61,13 +61,13 @@
 	"stop":          {Does: "SIGSTOP, and SIGCONT when it is over: the old one that wakes up late", On: "processes", Lasts: true, Sockets: true, Hosts: true},
 	"sigkill":       {Does: "SIGKILL; a sidecar is started anew by its supervisor, a supervisor at once", On: "processes", Sockets: true, Hosts: true},
 	"host-down":     {Does: "all processes of a host are killed, and started again when it is over", On: "processes", Only: "h", Lasts: true, Sockets: true, Hosts: true},
-	"kill-at":       {Does: "the process kills itself when it next comes to a point of its code", On: "processes", Only: "nf", Sockets: true, Hosts: true, Lasts: true, Takes: []string{"point"}},
-	"stop-at":       {Does: "the process stops itself at a point of its code, and is woken when it is over", On: "processes", Only: "nf", Sockets: true, Hosts: true, Lasts: true, Takes: []string{"point"}},
+	"kill-at":       {Does: "the process kills itself when it next comes to a point of its code", On: "processes", Only: "nfm", Sockets: true, Hosts: true, Lasts: true, Takes: []string{"point"}},
+	"stop-at":       {Does: "the process stops itself at a point of its code, and is woken when it is over", On: "processes", Only: "nfm", Sockets: true, Hosts: true, Lasts: true, Takes: []string{"point"}},
 	"never-ready":   {Does: "starts of the sidecar never become ready", On: "processes", Only: "n", Lasts: true, Sockets: true, Hosts: true},
 	"starve":        {Does: "the process gets a share of its time only", On: "processes", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"share"}},
-	"descriptors":   {Does: "the process has no descriptor left", On: "processes", Only: "nf", Lasts: true, Sockets: true, Hosts: true},
-	"clock":         {Does: "the wall clock of the process is off by shift, or drifts", On: "processes", Only: "nf", Lasts: true, Sockets: true, Hosts: true, May: []string{"shift", "drift"}},
-	"disk":          {Does: "what the process does with files fails", On: "processes", Only: "nf", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"disk"}},
+	"descriptors":   {Does: "the process has no descriptor left", On: "processes", Only: "nfm", Lasts: true, Sockets: true, Hosts: true},
+	"clock":         {Does: "the wall clock of the process is off by shift, or drifts", On: "processes", Only: "nfm", Lasts: true, Sockets: true, Hosts: true, May: []string{"shift", "drift"}},
+	"disk":          {Does: "what the process does with files fails", On: "processes", Only: "nfm", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"disk"}},
 	"way-cut":       {Does: "the way between a sidecar and its peer is cut, in one direction or both", On: "processes", Only: "n", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"peer"}, May: []string{"held", "way"}},
 	"way-slow":      {Does: "what passes between a sidecar and its peer comes late", On: "processes", Only: "n", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"peer", "late"}},
 	"way-reset":     {Does: "connections between a sidecar and its peer break in their first bytes", On: "processes", Only: "n", Lasts: true, Chance: true, Sockets: true, Hosts: true, Takes: []string{"peer"}},
@@ -75,6 +75,7 @@
 	"order":         {Does: "an operator orders a supervisor to roll", On: "processes", Only: "f", Sockets: true, Hosts: true, Takes: []string{"order"}},
 	"version":       {Does: "an operator has a supervisor roll to an earlier version of the program, or back", On: "processes", Only: "f", Sockets: true, Hosts: true, Takes: []string{"program"}},
 	"list-lag":      {Does: "half of the sidecars are told by a second discovery, which lags by late and then catches up", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"late"}},
+	"cut-off":       {Does: "nothing that the process sends comes to the processes of to; what they send comes", On: "processes", Only: "fm", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"to"}},
 	"roll-handover": {Does: "the instances are handed over one by one", On: "instances", Lasts: true},
 }
 
@@ -247,7 +248,7 @@
 	s := c.s
 	for field, have := range map[string]bool{
 		"point": f.Point != "", "shift": f.Shift != 0, "drift": f.Drift != 0, "disk": f.Disk != "", "share": f.Share > 0,
-		"peer": f.Peer != "", "program": f.Program != "", "held": f.Held != "", "order": f.Order != "",
+		"peer": f.Peer != "", "program": f.Program != "", "held": f.Held != "", "order": f.Order != "", "to": f.To.Text != "",
 	} {
 		if !have || !slices.Contains(k.May, field) {
 			wants(have, slices.Contains(k.Takes, field), field, "it")
@@ -267,10 +268,10 @@
 		return
 	}
 	words := strings.Fields(f.Processes.Text)
-	most := map[byte]int{'n': s.World.Instances, 'f': s.World.Hosts, 'h': s.World.Hosts}
+	most := map[byte]int{'n': s.World.Instances, 'f': s.World.Hosts, 'h': s.World.Hosts, 'm': s.World.Council.Members}
 	only := func(letter byte) {
 		if k.Only != "" && !strings.ContainsRune(k.Only, rune(letter)) {
-			c.bad(key+".processes", strconv.Quote(f.Processes.Text), f.Kind+" on "+strings.Join(strings.Split(k.Only, ""), " or ")+" (n sidecars, f supervisors, h hosts)")
+			c.bad(key+".processes", strconv.Quote(f.Processes.Text), f.Kind+" on "+strings.Join(strings.Split(k.Only, ""), " or ")+" (n sidecars, f supervisors, h hosts, m members of the council)")
 		}
 	}
 	switch first := words[0]; {
@@ -295,7 +296,7 @@
 }
 
 // procLetter are the letters of the words for processes.
-var procLetter = map[string]byte{"sidecars": 'n', "supervisors": 'f', "hosts": 'h'}
+var procLetter = map[string]byte{"sidecars": 'n', "supervisors": 'f', "hosts": 'h', "members": 'm'}
 
 // hosts holds the hosts, and what is to be drawn, against the rest.
 func (c *checker) hosts() {
@@ -306,6 +307,20 @@
 	if s.World.Hosts > 0 && s.World.Hosts%s.World.Zones != 0 {
 		c.bad("world.hosts", strconv.Itoa(s.World.Hosts), fmt.Sprintf("a multiple of the zones, %d: a host stands in one", s.World.Zones))
 	}
+	if m := s.World.Council.Members; m > 0 && (m%2 == 0 || s.World.Hosts == 0) {
+		c.bad("world.council.members", strconv.Itoa(m), "an odd number, in a world with hosts")
+	}
+	for i, f := range s.Faults {
+		key := fmt.Sprintf("fault[%d]", i+1)
+		if f.Order == "everywhere" && s.World.Council.Members == 0 {
+			c.bad(key+".order", strconv.Quote(f.Order)+" in a world without a council", "world.council.members of 1 or more")
+		}
+		for _, w := range strings.Fields(f.To.Text) {
+			if n := atoi(w[1:]); w[0] == 'f' && n > s.World.Hosts || w[0] == 'm' && n > s.World.Council.Members || w[0] != 'f' && w[0] != 'm' {
+				c.bad(key+".to", strconv.Quote(w), "a supervisor or member that exists, like f1 or m2")
+			}
+		}
+	}
 	n := &s.Nemesis
 	for i, kind := range n.Kinds {
 		if k, ok := Kinds[kind]; !ok || Drawable[kind] == nil {
--- a/internal/lab/experiment/draw.go
+++ b/internal/lab/experiment/draw.go
@@ -41,8 +41,11 @@
 		return words
 	}
 	n := s.World.Hosts
-	if letter == 'n' {
+	switch letter {
+	case 'n':
 		n = s.World.Instances
+	case 'm':
+		n = s.World.Council.Members
 	}
 	count := n
 	if words[0] != "all" {
@@ -104,6 +107,16 @@
 		s.some(f, rng, "f")
 		f.Order = []string{"restart", "restart", "reload"}[rng.IntN(3)]
 	},
+	"cut-off": func(s *Storm, f *Fault, rng *rand.Rand) {
+		s.some(f, rng, "fm")
+		var to []string
+		for m := range s.World.Council.Members {
+			if rng.IntN(2) == 0 {
+				to = append(to, fmt.Sprintf("m%d", m+1))
+			}
+		}
+		f.To = Procs{strings.Join(append(to, fmt.Sprintf("f%d", 1+rng.IntN(s.World.Hosts))), " ")}
+	},
 	"list-lag":  func(s *Storm, f *Fault, rng *rand.Rand) { f.Late = time.Duration(2+rng.IntN(8)) * time.Second },
 	"list-down": func(*Storm, *Fault, *rand.Rand) {},
 	"hang": func(s *Storm, f *Fault, rng *rand.Rand) {
@@ -123,10 +136,16 @@
 
 // some names a process of one of the letters.
 func (s *Storm) some(f *Fault, rng *rand.Rand, letters string) {
+	if s.World.Council.Members > 0 && letters != "n" && letters != "h" && letters != "f" {
+		letters += "m"
+	}
 	letter := letters[rng.IntN(len(letters))]
 	n := s.World.Hosts
-	if letter == 'n' {
+	switch letter {
+	case 'n':
 		n = s.World.Instances
+	case 'm':
+		n = s.World.Council.Members
 	}
 	f.Processes = Procs{fmt.Sprintf("%c%d", letter, 1+rng.IntN(n))}
 }
@@ -140,15 +159,19 @@
 func (s *Storm) atPoint(f *Fault, rng *rand.Rand) {
 	var points []string
 	for name := range inject.Points {
-		if s.World.Supervisor.Mode == "handover" || !strings.HasPrefix(name, "handover-") {
+		ofCouncil := strings.HasPrefix(name, "council-") || strings.HasPrefix(name, "owner-") || name == "fleet-takes-order"
+		if (s.World.Supervisor.Mode == "handover" || !strings.HasPrefix(name, "handover-")) && (s.World.Council.Members > 0 || !ofCouncil) {
 			points = append(points, name)
 		}
 	}
 	slices.Sort(points)
 	f.Point = points[rng.IntN(len(points))]
 	letters := "n"
-	if strings.HasPrefix(f.Point, "fleet-") {
+	switch {
+	case strings.HasPrefix(f.Point, "fleet-"), strings.HasPrefix(f.Point, "owner-"):
 		letters = "f"
+	case strings.HasPrefix(f.Point, "council-"):
+		letters = "m"
 	}
 	s.some(f, rng, letters)
 }
@@ -229,6 +252,7 @@
 	word("peer", f.Peer)
 	word("held", f.Held)
 	word("order", f.Order)
+	word("to", f.To.Text)
 	word("program", f.Program)
 	return b.String()
 }
--- a/internal/lab/experiment/storm.go
+++ b/internal/lab/experiment/storm.go
@@ -56,6 +56,15 @@
 	// instances itself. On sockets only.
 	Hosts      int        `toml:"hosts" min:"0" max:"50"`
 	Supervisor Supervisor `toml:"supervisor"`
+	Council    Council    `toml:"council"`
+}
+
+// Council is the one that the hosts' supervisors belong to.
+type Council struct {
+	Members int           `toml:"members" min:"0" max:"7"` // 0 for none
+	Lease   time.Duration `toml:"lease" min:"100ms" max:"5m"`
+	Margin  time.Duration `toml:"margin" min:"1ms" max:"1m"`
+	Tick    time.Duration `toml:"tick" min:"10ms" max:"1s"`
 }
 
 // Supervisor is how each host's is set.
@@ -201,8 +210,9 @@
 	Share     float64       `toml:"share" min:"0" max:"0.9"` // of a core that is left
 	Peer      string        `toml:"peer" oneof:"clients|discovery"`
 	Held      string        `toml:"held" oneof:"deliver|drop"`
-	Order     string        `toml:"order" oneof:"restart|reload|resume|cancel"`
+	Order     string        `toml:"order" oneof:"restart|reload|resume|cancel|everywhere"`
 	Program   string        `toml:"program" oneof:"old|new"` // of the sidecar
+	To        Procs         `toml:"to"`                      // that nothing is sent to
 }
 
 // Phase is a part of the run that promises can speak of.
@@ -273,7 +283,7 @@
 // drawn.
 type Procs struct{ Text string }
 
-var procsForm = regexp.MustCompile(`^((all|[1-9][0-9]{0,3}) (sidecars|supervisors|hosts)|zone [1-9][0-9]?|[nfh][1-9][0-9]{0,3}( [nfh][1-9][0-9]{0,3})*)$`)
+var procsForm = regexp.MustCompile(`^((all|[1-9][0-9]{0,3}) (sidecars|supervisors|hosts|members)|zone [1-9][0-9]?|[nfhm][1-9][0-9]{0,3}( [nfhm][1-9][0-9]{0,3})*)$`)
 
 // UnmarshalText reads processes.
 func (p *Procs) UnmarshalText(text []byte) error {
@@ -337,6 +347,7 @@
 			Discovery:  Discovery{Lines: 400, CallLines: 23, Late: 500 * time.Millisecond},
 			Network:    Network{Delay: 50 * time.Microsecond, Jitter: 50 * time.Microsecond},
 			Supervisor: Supervisor{Mode: "handover", AtOnce: 1, EndWithin: 5 * time.Second, Ready: 5 * time.Second},
+			Council:    Council{Lease: 2 * time.Second, Margin: 200 * time.Millisecond, Tick: 50 * time.Millisecond},
 			Sidecar:    Sidecar{MemoryMB: 64, Sockets: 512, Dial: 100 * time.Millisecond, Attempts: 3, Advice: time.Second, OverShare: 0.3},
 		},
 		Nemesis: Nemesis{Least: 500 * time.Millisecond, Most: 5 * time.Second, Calm: Moment{Share: 0.7, set: true}},
--- a/internal/lab/experiment/verdict.go
+++ b/internal/lab/experiment/verdict.go
@@ -48,6 +48,11 @@
 	"most_at_once":   {Means: "instances without a ready process at a time, the most; with hosts only", WholeOnly: true},
 	"fleet_kills":    {Means: "instances that supervisors killed by their own decision; with hosts only", WholeOnly: true},
 	"fleet_up":       {Means: "share of the instances that are up at the end by their supervisors' word; with hosts only", WholeOnly: true},
+	"rolled_twice":   {Means: "instances that were started twice for one order; with a council only", WholeOnly: true},
+	"left_out":       {Means: "instances that an order which is done has left out; with a council only", WholeOnly: true},
+	"orders_done":    {Means: "orders for all hosts that were carried out whole; with a council only", WholeOnly: true},
+	"late_tried":     {Means: "effects of an owner of before that receivers refused; with a council only", WholeOnly: true},
+	"handovers":      {Means: "how often somebody became the owner of the roll; with a council only", WholeOnly: true},
 	"kinds":          {Means: "kinds of fault between processes that took place; with hosts only", WholeOnly: true},
 	"conns_asked":    {Means: "connections opened at call servers for each request asked", WholeOnly: true},
 	"conns_second":   {Means: "connections opened in one second at one call server, the most", WholeOnly: true},
@@ -102,6 +107,13 @@
 	Kills     int            // that supervisors decided on by themselves
 	Up        int            // instances that are up at the end, by their supervisors' word
 	Left      int            // processes that were left behind
+	Council   *Owned         // nil without a council
+}
+
+// Owned is what was seen of the duty roll.
+type Owned struct {
+	Handovers, LateTried, Twice, LeftOut, Done int
+	Gaps                                       []time.Duration // from an owner's death to the next owner
 }
 
 // Counts are what an engine's carriers saw. Those that an engine can't see are
@@ -209,6 +221,10 @@
 		res.Figures["fleet_kills"] = float64(rec.Between.Kills)
 		res.Figures["fleet_up"] = float64(rec.Between.Up) / float64(s.World.Instances)
 		res.Figures["kinds"] = float64(len(rec.Between.Kinds))
+		if o := rec.Between.Council; o != nil {
+			res.Figures["rolled_twice"], res.Figures["left_out"], res.Figures["orders_done"] = float64(o.Twice), float64(o.LeftOut), float64(o.Done)
+			res.Figures["late_tried"], res.Figures["handovers"] = float64(o.LateTried), float64(o.Handovers)
+		}
 	}
 	res.Figures["back_s"] = back(s, rec)
 	res.Figures["worst_third"] = 1
--- /dev/null
+++ b/internal/lab/rig/council.go
@@ -0,0 +1,208 @@
+package rig
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"otterspring/internal/lab/audit"
+	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/history"
+)
+
+// owned is what is seen of a council and the duty roll.
+type owned struct {
+	members  []*host
+	file     string
+	address  map[string]string // of m1, f1
+	begun    map[string]bool   // members that began once
+	starts   map[string]map[string][]int
+	res      experiment.Owned
+	vacant   time.Duration // since when the owner is known to be gone; 0 for not
+	owner    string        // role of the supervisor that owns
+	lastDone string
+}
+
+// newCouncil writes a council's file and takes addresses for it and for the
+// supervisors.
+func (h *hosts) newCouncil() error {
+	c := &h.plan.Storm.World.Council
+	if c.Members == 0 {
+		return nil
+	}
+	o := &owned{file: h.w.path("council.toml"), address: map[string]string{}, begun: map[string]bool{}, starts: map[string]map[string][]int{}}
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = \"world\"\ndirectory = \"council\"\nlease = %q\nmargin = %q\ntick = %q\n", c.Lease, c.Margin, c.Tick)
+	var held []net.Listener
+	take := func(role string) error {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, 1+os.Getpid()/250%250, 200))
+		if err != nil {
+			return err
+		}
+		held = append(held, ln)
+		o.address[role] = ln.Addr().String()
+		return nil
+	}
+	defer func() {
+		for _, ln := range held {
+			ln.Close()
+		}
+	}()
+	for n := range c.Members {
+		role := fmt.Sprintf("m%d", n+1)
+		if err := take(role); err != nil {
+			return err
+		}
+		fmt.Fprintf(&b, "[[member]]\nnumber = %d\naddress = %q\n", n+1, o.address[role])
+		o.members = append(o.members, &host{name: fmt.Sprintf("c%d", n+1), role: role})
+	}
+	for n := range h.plan.Storm.World.Hosts {
+		if err := take(fmt.Sprintf("f%d", n+1)); err != nil {
+			return err
+		}
+	}
+	h.owned = o
+	return write(o.file, b.String())
+}
+
+// councilOf is what a host's fleet file says of the council.
+func (h *hosts) councilOf(one *host) string {
+	if h.owned == nil {
+		return ""
+	}
+	var members []string
+	for _, m := range h.owned.members {
+		members = append(members, strconv.Quote(h.owned.address[m.role]))
+	}
+	return fmt.Sprintf("[council]\nname = \"world\"\nmembers = [%s]\nhost = %q\nzone = \"z%d\"\nlisten = %q\n",
+		strings.Join(members, ", "), one.name, len(one.name)%2, h.owned.address[one.role])
+}
+
+// argv is what a role is started with. The caller holds the mutex.
+func (h *hosts) argv(one *host) []string {
+	argv := slices.Clone(h.w.opt.Supervisor)
+	if one.role[0] != 'm' {
+		return append(argv, "fleet", "run", one.file)
+	}
+	argv = append(argv, "council", "run", "-member", one.role[1:])
+	if !h.owned.begun[one.role] {
+		// A member that was killed before it had a state begins anew; the word is for
+		// that alone.
+		if _, err := os.Stat(filepath.Join(h.w.opt.Dir, "council", "member-"+one.role[1:], "council.db")); err != nil {
+			argv = append(argv, "-new")
+		}
+		h.owned.begun[one.role] = true
+	}
+	return append(argv, h.owned.file)
+}
+
+var (
+	ownsLine    = regexp.MustCompile(`council: (\S+) owns roll under epoch (\d+)\.(\d+)`)
+	takesLine   = regexp.MustCompile(`takes restart of (\S+) for order (\S+) of (\S+), epoch (\d+)\.(\d+)`)
+	refusesLine = regexp.MustCompile(`refused: (\S+) of epoch (\d+)\.(\d+) of (\S+): .*(?:a late owner|two councils)`)
+)
+
+func epochOf(space, number string) uint64 {
+	a, _ := strconv.ParseUint(space, 10, 32)
+	b, _ := strconv.ParseUint(number, 10, 32)
+	return a<<32 | b
+}
+
+// heard takes a line of a supervisor. The caller holds the mutex.
+func (h *hosts) heard(role, line string) {
+	if h.owned == nil {
+		return
+	}
+	now := h.w.Log.Now()
+	if m := ownsLine.FindStringSubmatch(line); m != nil {
+		h.owned.res.Handovers++
+		if h.owned.vacant > 0 {
+			h.owned.res.Gaps = append(h.owned.res.Gaps, now-h.owned.vacant)
+			h.owned.vacant = 0
+		}
+		h.owned.owner = role
+	}
+	if m := takesLine.FindStringSubmatch(line); m != nil {
+		h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: now}, Who: m[3], To: role, Duty: "roll-of-all", Op: m[2], Value: m[1], Number: epochOf(m[4], m[5]), Result: history.Done})
+	}
+	if m := refusesLine.FindStringSubmatch(line); m != nil {
+		h.owned.res.LateTried++
+		h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: now}, Who: m[4], To: role, Duty: "roll-of-all", Op: m[1], Number: epochOf(m[2], m[3]), Result: history.Refused})
+	}
+}
+
+// lost notes that a role was killed or stopped. The caller holds the mutex.
+func (h *hosts) lost(role string) {
+	if h.owned != nil && h.owned.owner == role && h.owned.vacant == 0 {
+		h.owned.vacant = h.w.Log.Now()
+		h.owned.owner = ""
+	}
+}
+
+// ordered notes for which order a process was started. The caller holds the mutex.
+func (h *hosts) ordered(name string, pid int, env []byte) {
+	if h.owned == nil {
+		return
+	}
+	for _, v := range bytes.Split(env, []byte{0}) {
+		id, ok := bytes.CutPrefix(v, []byte("OTTERSPRING_ORDER="))
+		if !ok || len(id) == 0 {
+			continue
+		}
+		of := h.owned.starts[string(id)]
+		if of == nil {
+			of = map[string][]int{}
+			h.owned.starts[string(id)] = of
+		}
+		of[name] = append(of[name], pid)
+	}
+}
+
+// orders asks the council which orders were carried out, and holds what was started
+// against them. The caller does not hold the mutex.
+func (h *hosts) ownedResult() *experiment.Owned {
+	if h.owned == nil {
+		return nil
+	}
+	var out []byte
+	for range 20 {
+		argv := append(slices.Clone(h.w.opt.Supervisor), "council", "duties", h.owned.file)
+		text, err := exec.Command(argv[0], argv[1:]...).Output()
+		if out = text; err == nil && !bytes.Contains(text, []byte("under way")) {
+			break
+		}
+		time.Sleep(500 * time.Millisecond) // what is under way has its time to end
+	}
+	h.lookOnce()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	res := &h.owned.res
+	for _, line := range strings.Split(string(out), "\n") {
+		var id string
+		if n, _ := fmt.Sscanf(line, "order %s", &id); n != 1 {
+			continue
+		}
+		h.note(history.Entry{Event: audit.Event{Do: history.Process}, Who: "council", Op: "said", Value: line})
+		if !strings.HasSuffix(line, ": done") {
+			continue
+		}
+		res.Done++
+		res.LeftOut += len(h.w.Instances) - len(h.owned.starts[id])
+	}
+	for _, of := range h.owned.starts {
+		for _, pids := range of {
+			if len(pids) > 1 {
+				res.Twice++
+			}
+		}
+	}
+	return res
+}
--- a/internal/lab/rig/disturb.go
+++ b/internal/lab/rig/disturb.go
@@ -67,11 +67,11 @@
 			return false, nil // it is down already
 		}
 		return h.kill(st.Proc), nil
-	case "kill-at", "stop-at", "never-ready", "clock", "disk":
+	case "kill-at", "stop-at", "never-ready", "clock", "disk", "cut-off":
 		if f.Kind == "disk" {
 			h.spoil(st.Proc)
 		}
-		return f.Kind == "clock" || f.Kind == "disk", h.tellFaults(st.Proc)
+		return f.Kind == "clock" || f.Kind == "disk" || f.Kind == "cut-off", h.tellFaults(st.Proc)
 	case "descriptors":
 		h.spoil(st.Proc)
 		return h.descriptors(st.Proc, true), nil
@@ -112,8 +112,8 @@
 		}
 		<-sup.done
 		return h.startSupervisor(one)
-	case "kill-at", "stop-at", "never-ready", "clock", "disk":
-		if f.Kind != "clock" && f.Kind != "disk" {
+	case "kill-at", "stop-at", "never-ready", "clock", "disk", "cut-off":
+		if f.Kind != "clock" && f.Kind != "disk" && f.Kind != "cut-off" {
 			if pid := h.hit(st.Proc, st.Fault); pid > 0 {
 				h.took(st, f)
 				if f.Kind != "kill-at" {
@@ -124,12 +124,12 @@
 		if err := h.tellFaults(st.Proc); err != nil {
 			return err
 		}
-		if st.Proc[0] == 'f' {
+		if st.Proc[0] == 'f' || st.Proc[0] == 'm' {
 			return h.revive(h.host(st.Proc))
 		}
 	case "descriptors":
 		h.descriptors(st.Proc, false)
-		if st.Proc[0] == 'f' {
+		if st.Proc[0] == 'f' || st.Proc[0] == 'm' {
 			return h.revive(h.host(st.Proc))
 		}
 	case "way-cut", "way-slow", "way-reset", "way-half-open":
@@ -191,6 +191,7 @@
 	for _, f := range h.of(name) {
 		key := fmt.Sprint(f.pid)
 		if on {
+			h.lost(f.name)
 			h.stopped[key]++
 			unix.PidfdSendSignal(f.fd, syscall.SIGSTOP, nil, 0)
 			h.note(history.Entry{Event: audit.Event{Do: history.Process}, Who: f.name, Op: "stopped", Number: uint64(f.pid)})
@@ -238,10 +239,11 @@
 	slices.SortStableFunc(all, func(a, b *found) int { return int(a.name[0]) - int(b.name[0]) })
 	for _, f := range all {
 		unix.PidfdSendSignal(f.fd, syscall.SIGKILL, nil, 0)
+		h.lost(f.name)
 		h.note(history.Entry{Event: audit.Event{Do: history.Process}, Who: f.name, Op: "killed", Number: uint64(f.pid)})
 	}
 	h.mu.Unlock()
-	if name[0] == 'f' && len(all) > 0 {
+	if (name[0] == 'f' || name[0] == 'm') && len(all) > 0 {
 		one := h.host(name)
 		h.wg.Go(func() {
 			sup, _ := h.supervisor(one)
@@ -306,6 +308,10 @@
 			}
 		case "disk":
 			b.WriteString(disks[f.Disk])
+		case "cut-off":
+			for _, to := range strings.Fields(f.To.Text) {
+				fmt.Fprintf(&b, "cut %s\n", h.owned.address[to])
+			}
 		}
 	}
 	return write(filepath.Join(h.dir, name), b.String())
@@ -383,6 +389,11 @@
 		}
 	}()
 	do := f.Order
+	if do == "everywhere" {
+		argvEverywhere := append(slices.Clone(h.w.opt.Supervisor), "fleet", "restart", "-everywhere", "-at-once", fmt.Sprint(h.plan.Storm.World.Supervisor.AtOnce), one.file)
+		h.give(ctx, st, f, one, do, argvEverywhere)
+		return
+	}
 	argv := append(slices.Clone(h.w.opt.Supervisor), "fleet", f.Order, one.file)
 	if f.Kind == "version" {
 		do = "restart to " + f.Program
@@ -392,6 +403,11 @@
 		}
 		argv = append(slices.Clone(h.w.opt.Supervisor), "fleet", "restart", "-program", program, one.file)
 	}
+	h.give(ctx, st, f, one, do, argv)
+}
+
+// give runs an operator's command and notes what came of it.
+func (h *hosts) give(ctx context.Context, st experiment.Step, f *experiment.Fault, one *host, do string, argv []string) {
 	begin := h.w.Log.Now()
 	cmd := exec.CommandContext(ctx, argv[0], argv[1:]...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/internal/lab/rig/hosts.go
+++ b/internal/lab/rig/hosts.go
@@ -54,6 +54,7 @@
 	kills    int // by supervisors' own decision
 	atOnce   int // instances under way at a time, the most
 	under    map[string]time.Duration
+	owned    *owned // nil without a council
 }
 
 // host is a supervisor with its instances.
@@ -95,6 +96,9 @@
 	if err := h.openWays(); err != nil {
 		return nil, err
 	}
+	if err := h.newCouncil(); err != nil {
+		return nil, err
+	}
 	s := p.Storm
 	for n := range s.World.Hosts {
 		one := &host{name: fmt.Sprintf("h%d", n+1), role: fmt.Sprintf("f%d", n+1)}
@@ -108,6 +112,7 @@
 		fmt.Fprintf(&b, "[start]\ndiscovery_lines = 100000\nready_within = %q\n[restart]\nmode = %q\nat_once = %d\nend_within = %q\n[crash]\nfirst = \"100ms\"\nmost = \"1s\"\nloop = 100\nwithin = \"1s\"\n",
 			s.World.Supervisor.Ready, s.World.Supervisor.Mode, s.World.Supervisor.AtOnce, s.World.Supervisor.EndWithin)
 		fmt.Fprintf(&b, "[alive]\nwithin = %q\n", s.World.Supervisor.Alive)
+		b.WriteString(h.councilOf(one))
 		if err := os.MkdirAll(filepath.Join(dir, "run"), 0o700); err != nil {
 			return nil, err
 		}
@@ -184,6 +189,9 @@
 // host is the one that a process of a name runs on.
 func (h *hosts) host(name string) *host {
 	n, _ := strconv.Atoi(name[1:])
+	if name[0] == 'm' {
+		return h.owned.members[n-1]
+	}
 	if name[0] == 'n' {
 		n = h.plan.Storm.HostOf(n - 1)
 	}
@@ -192,7 +200,7 @@
 
 // start starts all supervisors and waits until all instances are up.
 func (h *hosts) start(ctx context.Context) error {
-	for _, one := range h.all {
+	for _, one := range h.roles() {
 		if err := h.startSupervisor(one); err != nil {
 			return err
 		}
@@ -211,10 +219,21 @@
 	return nil
 }
 
+// roles are the members of the council and the supervisors.
+func (h *hosts) roles() []*host {
+	if h.owned == nil {
+		return h.all
+	}
+	return append(slices.Clone(h.owned.members), h.all...)
+}
+
 // startSupervisor starts a host's supervisor as operators do, in a session of its
 // own: whatever is left of it is found by that.
 func (h *hosts) startSupervisor(one *host) error {
-	cmd := exec.Command(h.w.opt.Supervisor[0], append(slices.Clone(h.w.opt.Supervisor[1:]), "fleet", "run", one.file)...)
+	h.mu.Lock()
+	argv := h.argv(one)
+	h.mu.Unlock()
+	cmd := exec.Command(argv[0], argv[1:]...)
 	p := &Process{cmd: cmd, tail: &tail{}, done: make(chan struct{})}
 	cmd.Env = append(os.Environ(), inject.Env+"="+h.dir, inject.Role+"="+one.role, "GORACE=halt_on_error=1")
 	cmd.Stdout, cmd.Stderr = &ears{tail: p.tail, h: h, role: one.role}, &ears{tail: p.tail, h: h, role: one.role}
@@ -281,6 +300,9 @@
 		line := string(e.rest[:i])
 		e.rest = e.rest[i+1:]
 		e.h.note(history.Entry{Event: audit.Event{Do: history.Process}, Who: e.role, Op: "said", Value: line})
+		e.h.mu.Lock()
+		e.h.heard(e.role, line)
+		e.h.mu.Unlock()
 		if m := wasKilled.FindStringSubmatch(line); m != nil {
 			e.h.w.Log.Excuse(m[1], e.h.w.Log.Now()-3*time.Second)
 		}
@@ -365,6 +387,7 @@
 		h.procs[pid] = f
 		if name[0] == 'n' {
 			h.started++
+			h.ordered(name, pid, env)
 			h.note(history.Entry{Event: audit.Event{Do: history.Process}, Who: name, Op: "started", Number: uint64(pid)})
 			h.beginUnder(name)
 		}
@@ -522,7 +545,7 @@
 func (h *hosts) stop() (left int) {
 	close(h.end)
 	h.mu.Lock()
-	for _, one := range h.all {
+	for _, one := range h.roles() {
 		if one.sup != nil {
 			one.sup.over.Store(true)
 		}
@@ -594,8 +617,9 @@
 
 // result is what was seen.
 func (h *hosts) result() *experiment.Between {
+	of := h.ownedResult()
 	up := h.known()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return &experiment.Between{Processes: h.started, Kinds: maps.Clone(h.played), Orders: h.orders, AtOnce: h.atOnce, Kills: h.kills, Up: up}
+	return &experiment.Between{Processes: h.started, Kinds: maps.Clone(h.played), Orders: h.orders, AtOnce: h.atOnce, Kills: h.kills, Up: up, Council: of}
 }
