--- a/cmd/rig/nemesis.go
+++ b/cmd/rig/nemesis.go
@@ -38,6 +38,7 @@
 	sidecar  string
 	operator string
 	self     []string
+	last     func(*nemesisTotals) string // the last line
 }
 
 // setNemesis is `rig nemesis`.
@@ -144,6 +145,8 @@
 	kinds                                                          map[string]int
 	rules                                                          map[string]int
 	owners                                                         int
+	handovers, done, rolledTwice, leftOut, rollMost                int
+	gaps                                                           []time.Duration
 }
 
 func (o *nemesisFlags) run(ctx context.Context, out io.Writer) error {
@@ -208,6 +211,9 @@
 		}
 	}
 	fmt.Fprintln(out, t.line())
+	if o.last != nil {
+		fmt.Fprintln(out, o.last(&t))
+	}
 	switch {
 	case t.broken+t.failed > 0 || t.left > 0:
 		return errRules
@@ -400,6 +406,14 @@
 	for name, n := range p.res.Rules {
 		t.rules[name] += n
 	}
+	if c := b.Council; c != nil {
+		t.handovers += c.Handovers
+		t.done += c.Done
+		t.rolledTwice += c.Twice
+		t.leftOut += c.LeftOut
+		t.rollMost = max(t.rollMost, c.Most)
+		t.gaps = append(t.gaps, c.Gaps...)
+	}
 	t.ops += p.verdict.Ops
 	t.unknown += p.verdict.Unknown
 	t.owners += p.verdict.OwnersTwice
--- a/internal/fleet/supervisor/everywhere.go
+++ b/internal/fleet/supervisor/everywhere.go
@@ -460,6 +460,8 @@
 		return
 	case well:
 		s.orders[s.next.which] = s.next.order
+		delete(s.failed, s.next.which)
+		defer s.save()
 	default:
 		s.failed[s.next.which] = s.next.order
 	}
--- a/internal/fleet/supervisor/process.go
+++ b/internal/fleet/supervisor/process.go
@@ -25,6 +25,8 @@
 	start string // its start time as the kernel has it, against reuse of the pid
 	fd    int    // pidfd
 	logAt int64  // size of the log when it started
+	// order is the council's that it was started for, program what it was started of.
+	order, program string
 }
 
 // signal sends a signal to just this process, even if its number were used anew.
@@ -83,7 +85,7 @@
 		start := startTime(pid) // before the rest is read: adopt compares it
 		env := environ(pid)
 		if start != "" && env[markKey] == directory {
-			list = append(list, saved{env["RELAY_NAME"], env["RELAY_LISTEN"], pid, start})
+			list = append(list, saved{Name: env["RELAY_NAME"], Listen: env["RELAY_LISTEN"], PID: pid, Start: start})
 		}
 	}
 	return list
--- a/internal/fleet/supervisor/supervisor.go
+++ b/internal/fleet/supervisor/supervisor.go
@@ -69,8 +69,12 @@
 type saved struct {
 	Name   string `json:"name"`
 	Listen string `json:"listen"`
-	PID    int    `json:"pid"`
+	PID    int    `json:"pid"` // 0: none runs
 	Start  string `json:"start"`
+	// Order is the council's that the instance was restarted for last, under Program.
+	// A process bears it too; this is for a host that lost all of them at once.
+	Order   string `json:"order,omitempty"`
+	Program string `json:"program,omitempty"`
 }
 
 // New prepares the fleet of a file. It takes hold of the directory: a second
@@ -240,10 +244,16 @@
 	}
 	var alive []found
 	for _, v := range list {
+		if i, known := at[v.Name]; known && v.Order != "" && v.Program == s.program {
+			s.orders[i] = v.Order
+		}
 		p := adopt(v.PID, v.Start)
 		if p == nil {
 			continue
 		}
+		if p.order, p.program = environ(p.pid)[orderKey], v.Program; p.program == "" {
+			p.program = s.program
+		}
 		i, known := at[v.Name]
 		if !known || s.specs[i].Listen != v.Listen {
 			s.say("%s: process %d on %s runs, and the file names it no more: left alone", v.Name, v.PID, v.Listen)
@@ -269,7 +279,7 @@
 func (s *Supervisor) adoptOne(i int, p *process, up bool) {
 	if _, n := s.plan.Phase(i); n == 0 && up {
 		p.id = s.plan.Adopt(i)
-		s.orders[i] = environ(p.pid)[orderKey]
+		s.orders[i] = p.order
 		s.say("%s: process %d adopted", s.specs[i].Name, p.pid)
 	} else if n == 0 {
 		p.id = s.plan.AdoptEnding(s.now(), i)
@@ -295,7 +305,10 @@
 	list := []saved{}
 	for i, procs := range s.procs {
 		for id := range procs {
-			list = append(list, saved{s.specs[i].Name, s.specs[i].Listen, procs[id].pid, procs[id].start})
+			list = append(list, saved{s.specs[i].Name, s.specs[i].Listen, procs[id].pid, procs[id].start, procs[id].order, procs[id].program})
+		}
+		if len(procs) == 0 && s.orders[i] != "" {
+			list = append(list, saved{Name: s.specs[i].Name, Listen: s.specs[i].Listen, Order: s.orders[i], Program: s.program})
 		}
 	}
 	text, err := json.Marshal(list)
@@ -378,10 +391,12 @@
 // that failed.
 func (s *Supervisor) start(a plan.Action) []plan.Action {
 	program, spec := s.of(a)
-	env := []string{"RELAY_NAME=" + spec.Name, "RELAY_LISTEN=" + spec.Listen, markKey + "=" + s.file.Directory, orderKey + "=" + s.orders[a.Instance]}
+	env := []string{"RELAY_NAME=" + spec.Name, "RELAY_LISTEN=" + spec.Listen, markKey + "=" + s.file.Directory}
+	order := s.orders[a.Instance]
 	if a.New && s.next != nil && s.next.order != "" {
-		env[len(env)-1] = orderKey + "=" + s.next.order
+		order = s.next.order
 	}
+	env = append(env, orderKey+"="+order)
 	var err error
 	if spec.Config != "" {
 		err = disk.Replace(s.configPath(a.Instance), []byte(spec.Config), false)
@@ -395,7 +410,7 @@
 		inject.At("fleet-starts")
 		cmd, p, e := spawn(program, spec.Args, env, s.logPath(a.Instance))
 		if err = e; err == nil {
-			p.id = a.Proc
+			p.id, p.order, p.program = a.Proc, order, program
 			s.procs[a.Instance][p.id] = p
 			inject.At("fleet-started")
 			s.save()
--- a/internal/lab/experiment/verdict.go
+++ b/internal/lab/experiment/verdict.go
@@ -52,6 +52,7 @@
 	"left_out":       {Means: "instances that an order which is done has left out; with a council only", WholeOnly: true},
 	"orders_done":    {Means: "orders for all hosts that were carried out whole; with a council only", WholeOnly: true},
 	"late_tried":     {Means: "effects of an owner of before that receivers refused; with a council only", WholeOnly: true},
+	"roll_at_once":   {Means: "instances that are under way for orders at a time, the most; with a council only", WholeOnly: true},
 	"handovers":      {Means: "how often somebody became the owner of the roll; with a council only", WholeOnly: true},
 	"kinds":          {Means: "kinds of fault between processes that took place; with hosts only", WholeOnly: true},
 	"conns_asked":    {Means: "connections opened at call servers for each request asked", WholeOnly: true},
@@ -113,6 +114,7 @@
 // Owned is what was seen of the duty roll.
 type Owned struct {
 	Handovers, LateTried, Twice, LeftOut, Done int
+	Most                                       int             // instances under way for orders at a time
 	Gaps                                       []time.Duration // from an owner's death to the next owner
 }
 
@@ -224,6 +226,7 @@
 		if o := rec.Between.Council; o != nil {
 			res.Figures["rolled_twice"], res.Figures["left_out"], res.Figures["orders_done"] = float64(o.Twice), float64(o.LeftOut), float64(o.Done)
 			res.Figures["late_tried"], res.Figures["handovers"] = float64(o.LateTried), float64(o.Handovers)
+			res.Figures["roll_at_once"] = float64(o.Most)
 		}
 	}
 	res.Figures["back_s"] = back(s, rec)
