--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -275,6 +275,11 @@
 		}
 	}
 	switch first := words[0]; {
+	case first == "owner" || first == "leader":
+		if s.World.Council.Members == 0 {
+			c.bad(key+".processes", strconv.Quote(first)+" in a world without a council", "world.council.members of 1 or more")
+		}
+		only(map[string]byte{"owner": 'f', "leader": 'm'}[first])
 	case first == "zone":
 		if atoi(words[1]) > s.World.Zones {
 			c.bad(key+".processes", strconv.Quote(f.Processes.Text), fmt.Sprintf("zone 1 to %d", s.World.Zones))
@@ -312,7 +317,7 @@
 	}
 	for i, f := range s.Faults {
 		key := fmt.Sprintf("fault[%d]", i+1)
-		if f.Order == "everywhere" && s.World.Council.Members == 0 {
+		if (f.Order == "everywhere" || f.Order == "step-down" || f.Order == "give-up") && s.World.Council.Members == 0 {
 			c.bad(key+".order", strconv.Quote(f.Order)+" in a world without a council", "world.council.members of 1 or more")
 		}
 		for _, w := range strings.Fields(f.To.Text) {
--- a/internal/lab/experiment/draw.go
+++ b/internal/lab/experiment/draw.go
@@ -33,6 +33,9 @@
 		}
 		return all
 	}
+	if words[0] == "owner" || words[0] == "leader" {
+		return words // who that is is known when it begins
+	}
 	letter := byte(0)
 	if len(words) == 2 {
 		letter = procLetter[words[1]]
--- a/internal/lab/experiment/storm.go
+++ b/internal/lab/experiment/storm.go
@@ -210,7 +210,7 @@
 	Share     float64       `toml:"share" min:"0" max:"0.9"` // of a core that is left
 	Peer      string        `toml:"peer" oneof:"clients|discovery"`
 	Held      string        `toml:"held" oneof:"deliver|drop"`
-	Order     string        `toml:"order" oneof:"restart|reload|resume|cancel|everywhere"`
+	Order     string        `toml:"order" oneof:"restart|reload|resume|cancel|everywhere|step-down|give-up"`
 	Program   string        `toml:"program" oneof:"old|new"` // of the sidecar
 	To        Procs         `toml:"to"`                      // that nothing is sent to
 }
@@ -283,12 +283,12 @@
 // drawn.
 type Procs struct{ Text string }
 
-var procsForm = regexp.MustCompile(`^((all|[1-9][0-9]{0,3}) (sidecars|supervisors|hosts|members)|zone [1-9][0-9]?|[nfhm][1-9][0-9]{0,3}( [nfhm][1-9][0-9]{0,3})*)$`)
+var procsForm = regexp.MustCompile(`^((all|[1-9][0-9]{0,3}) (sidecars|supervisors|hosts|members)|zone [1-9][0-9]?|owner|leader|[nfhm][1-9][0-9]{0,3}( [nfhm][1-9][0-9]{0,3})*)$`)
 
 // UnmarshalText reads processes.
 func (p *Procs) UnmarshalText(text []byte) error {
 	if !procsForm.Match(text) {
-		return errors.New(`names like "n3 f1 h2", "zone 1", or "2 sidecars", "all supervisors", "1 hosts"`)
+		return errors.New(`names like "n3 f1 h2", "zone 1", or "2 sidecars", "all supervisors", "1 hosts", "owner" of the roll, "leader" of the council`)
 	}
 	p.Text = string(text)
 	return nil
--- a/internal/lab/rig/council.go
+++ b/internal/lab/rig/council.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"maps"
 	"net"
@@ -14,6 +15,7 @@
 	"strings"
 	"time"
 
+	"otterspring/internal/fleet/council/ask"
 	"otterspring/internal/lab/audit"
 	"otterspring/internal/lab/experiment"
 	"otterspring/internal/lab/history"
@@ -26,9 +28,11 @@
 	address map[string]string // of m1, f1
 	begun   map[string]bool   // members that began once
 	starts  map[string]map[string][]int
+	struck  map[int]string // whom a fault on owner or leader met
 	res     experiment.Owned
 	vacant  time.Duration             // since when the owner is known to be gone; 0 for not
 	owner   string                    // role of the supervisor that owns
+	sleeps  string                    // role of the one that is gone
 	rolling map[string]string         // instances that are under way, and for which order
 	takes   map[string]map[string]int // of each order, how often each instance was taken
 }
@@ -40,7 +44,7 @@
 	if c.Members == 0 {
 		return nil
 	}
-	o := &owned{file: h.w.path("council.toml"), address: map[string]string{}, begun: map[string]bool{}, starts: map[string]map[string][]int{}, rolling: map[string]string{}, takes: map[string]map[string]int{}}
+	o := &owned{file: h.w.path("council.toml"), address: map[string]string{}, begun: map[string]bool{}, struck: map[int]string{}, starts: map[string]map[string][]int{}, rolling: map[string]string{}, takes: map[string]map[string]int{}}
 	var b strings.Builder
 	fmt.Fprintf(&b, "name = \"world\"\ndirectory = \"council\"\nlease = %q\nmargin = %q\ntick = %q\n", c.Lease, c.Margin, c.Tick)
 	var held []net.Listener
@@ -175,11 +179,62 @@
 	}
 }
 
+// resolve names the process that "owner" or "leader" is when a fault begins; it
+// ends on the same.
+func (h *hosts) resolve(st experiment.Step) string {
+	if st.Proc != "owner" && st.Proc != "leader" {
+		return st.Proc
+	}
+	if st.Do == experiment.End {
+		return h.owned.struck[st.Fault]
+	}
+	role := "f1"
+	if st.Proc == "leader" {
+		role = h.leader()
+	} else {
+		h.mu.Lock()
+		if h.owned.owner != "" {
+			role = h.owned.owner
+		}
+		h.mu.Unlock()
+	}
+	h.owned.struck[st.Fault] = role // the steps come from one goroutine
+	return role
+}
+
+// leader asks the members which of them leads; the first where none says so.
+func (h *hosts) leader() string {
+	for _, m := range h.owned.members {
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		a, err := ask.Call(ctx, &quickClient, h.owned.address[m.role], "world", ask.Question{Kind: ask.Hear})
+		cancel()
+		if err == nil && a.Leads {
+			return m.role
+		}
+	}
+	return "m1"
+}
+
 // lost notes that a role was killed or stopped. The caller holds the mutex.
 func (h *hosts) lost(role string) {
 	if h.owned != nil && h.owned.owner == role && h.owned.vacant == 0 {
 		h.owned.vacant = h.w.Log.Now()
-		h.owned.owner = ""
+		h.owned.owner, h.owned.sleeps = "", role
+	}
+}
+
+// goesOn notes that processes were woken: one that nobody has followed within its
+// lease owns on.
+func (h *hosts) goesOn(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.owned == nil || h.owned.vacant == 0 {
+		return
+	}
+	for _, f := range h.of(name) {
+		if f.name == h.owned.sleeps {
+			h.owned.vacant, h.owned.owner = 0, f.name
+		}
 	}
 }
 
--- a/internal/lab/rig/disturb.go
+++ b/internal/lab/rig/disturb.go
@@ -22,6 +22,7 @@
 // beside the next step.
 func (h *hosts) disturb(st experiment.Step) error {
 	f := &h.plan.Storm.Faults[st.Fault]
+	st.Proc = h.resolve(st)
 	if st.Do == experiment.End {
 		return h.finish(st, f)
 	}
@@ -55,6 +56,11 @@
 func (h *hosts) begin(st experiment.Step, f *experiment.Fault) (bool, error) {
 	switch f.Kind {
 	case "stop":
+		h.mu.Lock()
+		for _, p := range h.of(st.Proc) {
+			h.lost(p.name)
+		}
+		h.mu.Unlock()
 		return h.hold(st.Proc, true) > 0, nil
 	case "starve":
 		h.wg.Go(func() { h.starve(st, f) })
@@ -104,6 +110,7 @@
 	switch f.Kind {
 	case "stop":
 		h.hold(st.Proc, false)
+		h.goesOn(st.Proc)
 	case "host-down":
 		one := h.host(st.Proc)
 		sup, down := h.supervisor(one)
@@ -191,7 +198,6 @@
 	for _, f := range h.of(name) {
 		key := fmt.Sprint(f.pid)
 		if on {
-			h.lost(f.name)
 			h.stopped[key]++
 			unix.PidfdSendSignal(f.fd, syscall.SIGSTOP, nil, 0)
 			h.note(history.Entry{Event: audit.Event{Do: history.Process}, Who: f.name, Op: "stopped", Number: uint64(f.pid)})
@@ -389,7 +395,15 @@
 		}
 	}()
 	do := f.Order
-	if do == "everywhere" {
+	switch do {
+	case "step-down", "give-up":
+		argv := append(slices.Clone(h.w.opt.Supervisor), "council", "step-down")
+		if do == "give-up" {
+			argv = append(argv, "-duty", "roll")
+		}
+		h.give(ctx, st, f, one, do, append(argv, h.owned.file))
+		return
+	case "everywhere":
 		argvEverywhere := append(slices.Clone(h.w.opt.Supervisor), "fleet", "restart", "-everywhere", "-at-once", fmt.Sprint(h.plan.Storm.World.Supervisor.AtOnce), one.file)
 		h.give(ctx, st, f, one, do, argvEverywhere)
 		return
