Members say what they can apply; newer commands are held back; rig council

Need: an upgrade member by member. Each member has the council agree on the version that it can apply (also when it is put back to an older program), and a command of a newer form is not proposed before all can (member.go Propose).

--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -42,6 +42,7 @@
 	{"coap", "", "clients and call servers over CoAP and HTTP beside each other, on links that lose datagrams", setCoAP},
 	{"nemesis", "FILE...", "many real processes with faults between them, drawn by seed; histories, judged; what breaks is made smaller", setNemesis},
 	{"owner", "", "a council and many hosts, rolled while their processes fail: one owner at a time, none rolled twice or left out", setOwner},
+	{"council", "", "what a council of processes costs and carries: commits, fsyncs, hosts that hear", setCouncil},
 	{"judge", "FILE...", "histories that were written before, held against everything that must hold", setJudge},
 	{"report", "FILE...", "one page of storms' results, with plots", setReport},
 	{"mutants", "", "breaks the program one line at a time and tells which test and storm notice", setMutants},
--- a/internal/fleet/council/member.go
+++ b/internal/fleet/council/member.go
@@ -287,6 +287,13 @@
 
 // Propose asks for a command to be agreed on. done hears what it came to.
 func (m *Member) Propose(c Command, done func(Result, error)) {
+	if v := max(1, c.Version); !m.state.Needs(v, slices.Concat(m.Voters(), m.Learners())) {
+		// A member that can't apply it would come to another state than the rest.
+		if done != nil {
+			done(refuse("held back: found a command of version %d, wanted all members to be able to apply it", v), nil)
+		}
+		return
+	}
 	id, err := m.waits(done)
 	if err == nil {
 		c.Version, c.Count, c.Ticket, c.Term = max(1, c.Version), m.count(), id, m.raw.BasicStatus().HardState.GetTerm()
--- a/internal/fleet/council/node/node.go
+++ b/internal/fleet/council/node/node.go
@@ -153,7 +153,7 @@
 		err = errors.Join(err, n.store.db.Close())
 	}()
 	n.log.Info(fmt.Sprintf("member %d of %s listens on %s", n.number, n.of, n.ln.Addr()))
-	n.wg.Go(n.askAround)
+	n.wg.Go(func() { n.askAround(); n.tellAble() })
 	ticker := time.NewTicker(n.file.Tick)
 	defer ticker.Stop()
 	for {
@@ -268,6 +268,40 @@
 	})
 }
 
+// tellAble has the council agree on what this member can apply. It asks until that
+// stands; a member that is put back to an older program says so, too.
+func (n *Node) tellAble() {
+	for n.ctx.Err() == nil {
+		able, ready := 0, false
+		if !n.do(n.ctx, func() {
+			if ready = n.member != nil; ready {
+				able = n.member.State().Able[n.number]
+			}
+		}) || ready && able == council.StateVersion {
+			return
+		}
+		if ready {
+			ctx, cancel := context.WithTimeout(n.ctx, raftTimeout)
+			var addresses []string
+			n.do(ctx, func() {
+				for number := range n.member.State().Members {
+					if a := n.address(number); a != "" {
+						addresses = append(addresses, a)
+					}
+				}
+			})
+			c := ask.NewClient(n.of, addresses)
+			c.Do(ctx, ask.Question{Kind: council.Can, Member: n.number, Epoch: council.StateVersion})
+			c.Close()
+			cancel()
+		}
+		select {
+		case <-n.ctx.Done():
+		case <-time.After(10 * n.file.Tick):
+		}
+	}
+}
+
 // others are the members that the disk knows, or the file's where it knows none.
 func (n *Node) others() map[uint64]string {
 	if s, err := council.Unseal(n.disk.Snapshot.GetData()); err == nil {
@@ -614,6 +648,8 @@
 	switch q.Kind {
 	case council.Take, council.Give, council.Note, council.Raise, council.Begin, council.End, council.Facts:
 		m.Propose(council.Command{Kind: q.Kind, Who: q.Who, Duty: q.Duty, Epoch: q.Epoch, ID: q.ID, Data: q.Data}, end)
+	case council.Can:
+		m.Propose(council.Command{Kind: q.Kind, Member: q.Member, Epoch: q.Epoch}, end)
 	case ask.Renew:
 		m.Renew(q.Duty, q.Epoch, func(err error) {
 			d := m.State().Duties[q.Duty]
--- a/internal/fleet/council/node/node_test.go
+++ b/internal/fleet/council/node/node_test.go
@@ -198,6 +198,17 @@
 		w.start(i, New)
 	}
 	first := w.take("h1")
+	// What a host says of itself is kept by the leader, and members say what they can.
+	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+		w.asks(ask.Question{Kind: ask.Report, Who: "h1", Data: []byte(`{"up":3}`)})
+		a := w.asks(ask.Question{Kind: ask.State})
+		if a.State.Able[1] == council.StateVersion && string(a.Reports["h1"].Data) == `{"up":3}` {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("able %v, reports %v", a.State.Able, a.Reports)
+		}
+	}
 	for i := 1; i <= 3; i++ {
 		w.kill(i)
 	}
@@ -217,7 +228,7 @@
 	}
 	old := w.leader(0)
 	w.procs[old].Process.Signal(syscall.SIGSTOP)
-	now := w.leader(old)
+	w.leader(old)
 	if a := w.asks(ask.Question{Kind: council.Note, Duty: "roll", Who: "h1", Epoch: first, Data: []byte(`"late"`)}); a.Refused == "" {
 		t.Error("the note of a late owner was taken")
 	}
@@ -233,7 +244,6 @@
 			w.kill(i)
 		}
 	}
-	_ = now
 	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
 		a, err := w.one(old, ask.Question{Kind: council.Take, Who: "h4", Duty: "roll"})
 		if err == nil && a.No != "" && a.Leader == "" && !a.Unknown {
--- a/internal/fleet/council/sim_test.go
+++ b/internal/fleet/council/sim_test.go
@@ -435,3 +435,68 @@
 		t.Errorf("after the restore: %+v", got)
 	}
 }
+
+// A duty that flaps changes hands so often only; one that lags in versions holds
+// newer commands back; what is out of bounds is refused and changes nothing.
+func TestStateBounds(t *testing.T) {
+	s := NewState("x")
+	took := 0
+	for i := range 3 * Flaps.Changes {
+		if r := s.Apply(Command{Kind: Take, Who: "h1", Duty: duty, Count: uint64(i)}); r.Refused == "" {
+			took++
+			s.Apply(Command{Kind: Expire, Duty: duty, Epoch: r.Duty.Epoch})
+		}
+	}
+	if took != Flaps.Changes {
+		t.Errorf("changed hands %d times at once, wanted %d", took, Flaps.Changes)
+	}
+	if r := s.Apply(Command{Kind: Take, Who: "h1", Duty: duty, Count: Flaps.Within}); r.Refused != "" {
+		t.Errorf("after the time: %s", r.Refused)
+	}
+	members := []uint64{1, 2, 3}
+	for _, m := range members {
+		if s.Needs(2, members) {
+			t.Errorf("version 2 before member %d can apply it", m)
+		}
+		s.Apply(Command{Kind: Can, Member: m, Epoch: 2})
+	}
+	if !s.Needs(2, members) {
+		t.Error("version 2 is held back though all can apply it")
+	}
+	if s.Apply(Command{Kind: Can, Member: 2, Epoch: 1}); s.Needs(2, members) {
+		t.Error("a member that was put back counts as if it could")
+	}
+	before, _ := json.Marshal(s)
+	long := strings.Repeat("x", MostName+1)
+	for _, c := range []Command{
+		{Kind: "dance"}, {Kind: Take, Who: "", Duty: duty}, {Kind: Take, Who: long, Duty: duty}, {Kind: Take, Who: "h", Duty: long},
+		{Kind: Take, Who: "h2", Duty: duty}, {Kind: Give, Who: "h2", Duty: duty, Epoch: s.Duties[duty].Epoch}, {Kind: Note, Who: "h1", Duty: duty, Epoch: 1},
+		{Kind: Note, Who: "h1", Duty: duty, Epoch: s.Duties[duty].Epoch, Data: make([]byte, MostNote+1)},
+		{Kind: End, Who: "h1", Duty: duty, ID: "none", Epoch: s.Duties[duty].Epoch}, {Kind: Begin, ID: long, Duty: duty},
+		{Kind: Facts, Who: "h", Data: make([]byte, MostFact+1)}, {Kind: Note, Version: StateVersion + 1},
+	} {
+		if r := s.Apply(c); r.Refused == "" {
+			t.Errorf("%+v was not refused", c)
+		}
+	}
+	if after, _ := json.Marshal(s); string(after) != string(before) {
+		t.Errorf("what was refused changed the state:\n%s\n%s", before, after)
+	}
+	// One order a duty at a time; the same asked twice is one.
+	for _, c := range []struct {
+		id string
+		ok bool
+	}{{"a", true}, {"a", true}, {"b", false}} {
+		if r := s.Apply(Command{Kind: Begin, ID: c.id, Duty: duty}); (r.Refused == "") != c.ok {
+			t.Errorf("order %s: %+v", c.id, r)
+		}
+	}
+	if len(s.Orders) != 1 {
+		t.Errorf("%d orders, wanted 1", len(s.Orders))
+	}
+	// What a receiver has heard of is never given out.
+	s.Apply(Command{Kind: Raise, Duty: duty, Epoch: 7<<32 + 9})
+	if r := s.Apply(Command{Kind: Take, Who: "h3", Duty: duty, Count: 5 * Flaps.Within}); r.Refused != "" || r.Duty.Epoch <= 7<<32+9 {
+		t.Errorf("after a raise: %+v", r)
+	}
+}
--- a/internal/fleet/council/state.go
+++ b/internal/fleet/council/state.go
@@ -110,7 +110,7 @@
 	Begin  = "order"  // an operator's order ID for Duty
 	End    = "end"    // the owner says how order ID ended
 	Facts  = "facts"  // what there is on host Who; no Data: it is gone
-	Can    = "can"    // Member can apply Version of commands
+	Can    = "can"    // Member can apply commands up to the version in Epoch
 	Move   = "space"  // by hand: a new epoch space
 )
 
@@ -159,7 +159,7 @@
 	case Facts:
 		return s.applyFacts(c)
 	case Can:
-		s.Able[c.Member] = c.Version
+		s.Able[c.Member] = int(c.Epoch)
 		return Result{}
 	case Move:
 		s.Space = max(s.Space+1, uint32(c.Epoch))
