--- a/cmd/rig/nemesis.go
+++ b/cmd/rig/nemesis.go
@@ -219,6 +219,9 @@
 		return errRules
 	case t.void > 0:
 		return errVoid
+	case o.last != nil && t.lateTried == 0:
+		fmt.Fprintln(out, "void: no owner of before has tried anything: the fences were not shown")
+		return errVoid
 	}
 	return nil
 }
--- a/internal/fleet/council/rules.go
+++ b/internal/fleet/council/rules.go
@@ -52,6 +52,9 @@
 	return nil
 }
 
+// Newest is the newest that it has heard of a duty; none where it has not.
+func (f *Fence) Newest(duty string) Tenant { return f.newest[duty] }
+
 // All returns what it has heard, to hand on.
 func (f *Fence) All() map[string]Tenant { return maps.Clone(f.newest) }
 
--- a/internal/fleet/supervisor/everywhere.go
+++ b/internal/fleet/supervisor/everywhere.go
@@ -408,9 +408,13 @@
 		s.say("refused: %s of epoch %v of %s: %v", e.Do, e.Epoch, e.Owner, err)
 		return told{Refused: err.Error(), Late: s.fence.Refused}, nil
 	}
+	before := s.fence.Newest(e.Duty)
 	if err := s.fence.Check(e.Duty, council.Tenant{Owner: e.Owner, Epoch: e.Epoch}); err != nil {
 		return refused(err)
 	}
+	if e.Epoch != before.Epoch {
+		s.say("hears of %s: %s owns it, epoch %v", e.Duty, e.Owner, e.Epoch)
+	}
 	var acts []plan.Action
 	switch e.Do {
 	case "look":
--- a/internal/lab/rig/council.go
+++ b/internal/lab/rig/council.go
@@ -112,6 +112,7 @@
 var (
 	ownsLine    = regexp.MustCompile(`council: (\S+) owns roll under epoch (\d+)\.(\d+)`)
 	takesLine   = regexp.MustCompile(`takes restart of (\S+) for order (\S+) of (\S+), epoch (\d+)\.(\d+)`)
+	hearsLine   = regexp.MustCompile(`hears of roll: (\S+) owns it, epoch (\d+)\.(\d+)`)
 	refusesLine = regexp.MustCompile(`refused: (\S+) of epoch (\d+)\.(\d+) of (\S+): .*(?:a late owner|two councils)`)
 )
 
@@ -157,6 +158,10 @@
 		h.owned.res.Most = max(h.owned.res.Most, len(h.owned.rolling))
 		h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: now}, Who: m[3], To: role, Duty: "roll-of-all", Op: m[2], Value: m[1], Number: epochOf(m[4], m[5]), Result: history.Done})
 	}
+	if m := hearsLine.FindStringSubmatch(line); m != nil {
+		// From here on nothing older may take place at this receiver.
+		h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: now}, Who: m[1], To: role, Duty: "roll-of-all", Op: "look", Number: epochOf(m[2], m[3]), Result: history.Done})
+	}
 	if m := refusesLine.FindStringSubmatch(line); m != nil {
 		h.owned.res.LateTried++
 		h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: now}, Who: m[4], To: role, Duty: "roll-of-all", Op: m[1], Number: epochOf(m[2], m[3]), Result: history.Refused})
