The council tests' members end with the test

Seen: members of a test run that panicked, and of one that was ended by its time limit, ran on for 45 minutes at 2.5 cores. They ask to be killed with their parent now, as the rig's do.

--- a/internal/fleet/council/node/node_test.go
+++ b/internal/fleet/council/node/node_test.go
@@ -104,6 +104,7 @@
 	}
 	defer out.Close()
 	c.Stdout, c.Stderr = out, out
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // a test that is ended leaves nobody
 	if err := c.Start(); err != nil {
 		w.t.Fatal(err)
 	}
