--- a/internal/lab/nemesis/nemesis_test.go
+++ b/internal/lab/nemesis/nemesis_test.go
@@ -119,7 +119,7 @@
 		"[[fault]]\nkind=\"stop\"\nat=\"1s\"\nfor=\"1s\"\nprocesses=\"n99\"\n":                          `t.toml:24: fault[2].processes: found "n99", wanted a process that exists: n1 to n12`,
 		"[[fault]]\nkind=\"stop\"\nat=\"1s\"\nfor=\"1s\"\nprocesses=\"f4\"\n":                           `a process that exists: f1 to f3`,
 		"[[fault]]\nkind=\"order\"\nat=\"1s\"\nprocesses=\"n1\"\norder=\"restart\"\n":                   `wanted order on f`,
-		"[[fault]]\nkind=\"kill-at\"\nat=\"1s\"\nfor=\"1s\"\nprocesses=\"n1\"\npoint=\"lunch\"\n":       `fault[2].point: found "lunch", wanted one of fleet-ended`,
+		"[[fault]]\nkind=\"kill-at\"\nat=\"1s\"\nfor=\"1s\"\nprocesses=\"n1\"\npoint=\"lunch\"\n":       `fault[2].point: found "lunch", wanted one of council-answers`,
 		"[[fault]]\nkind=\"clock\"\nat=\"1s\"\nfor=\"1s\"\nprocesses=\"n1\"\nshift=\"1h\"\ndrift=0.1\n": `clock with both of shift and drift`,
 		"[[fault]]\nkind=\"way-cut\"\nat=\"1s\"\nfor=\"1s\"\nprocesses=\"n1\"\npeer=\"n1\"\n":           `wanted one of clients, discovery`,
 		"[[fault]]\nkind=\"stop\"\nat=\"1s\"\nfor=\"1s\"\nprocesses=\"n1\"\npeer=\"clients\"\n":         `wanted it left out`,
