A second order in one tenure has a note of its own; a clock that fails holds no tenure

Read again: an order given before the owner gave the duty back went on with the note of the one before, its Back and Before among it (everywhere.go roll); Before was written while a host was not reached, with no program to go back to. bootTime, where the clock can't be read, returned the same far time for asking and for holding, so that a tenure was held for ever; it is the largest number now, a lease on top of which wraps. Node's copy of a duty was the council's own once more.

--- a/internal/fleet/council/node/node.go
+++ b/internal/fleet/council/node/node.go
@@ -10,7 +10,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -654,7 +653,7 @@
 		m.Renew(q.Duty, q.Epoch, func(err error) {
 			d := m.State().Duties[q.Duty]
 			if d != nil {
-				a.Duty = copyDuty(d)
+				a.Duty = d.Copy()
 			}
 			var other council.NotLeader
 			if err != nil && !errors.As(err, &other) && !errors.Is(err, council.ErrBusy) {
@@ -713,12 +712,6 @@
 	}
 }
 
-func copyDuty(d *council.Duty) *council.Duty {
-	c := *d
-	c.Changes = slices.Clone(d.Changes)
-	return &c
-}
-
 func tenants(s *council.State) map[string]council.Tenant {
 	all := map[string]council.Tenant{}
 	for name, d := range s.Duties {
--- a/internal/fleet/council/state.go
+++ b/internal/fleet/council/state.go
@@ -195,10 +195,10 @@
 			d.Epoch, d.Owner = c.Epoch, ""
 			s.Space = max(s.Space, c.Epoch.Space())
 		}
-		return Result{Duty: d.copy()}
+		return Result{Duty: d.Copy()}
 	}
 	if d.Owner == "" || c.Epoch != d.Epoch || c.Kind != Expire && c.Who != d.Owner {
-		return Result{Refused: fmt.Sprintf("%s of %s: found epoch %v of %q, wanted %v of %q", c.Kind, d.Name, c.Epoch, c.Who, d.Epoch, d.Owner), Duty: d.copy()}
+		return Result{Refused: fmt.Sprintf("%s of %s: found epoch %v of %q, wanted %v of %q", c.Kind, d.Name, c.Epoch, c.Who, d.Epoch, d.Owner), Duty: d.Copy()}
 	}
 	if len(c.Data) > MostNote {
 		return refuse("note of %s: found %d bytes, wanted %d at most", d.Name, len(c.Data), MostNote)
@@ -209,7 +209,7 @@
 	if c.Kind != Note {
 		d.Owner = ""
 	}
-	return Result{Duty: d.copy()}
+	return Result{Duty: d.Copy()}
 }
 
 // take gives a duty that is nobody's to who asks.
@@ -218,16 +218,16 @@
 		return refuse("owner: found %q, wanted 1 to %d bytes", c.Who, MostName)
 	}
 	if d.Owner != "" {
-		return Result{Refused: fmt.Sprintf("%s is %s's", d.Name, d.Owner), Duty: d.copy()}
+		return Result{Refused: fmt.Sprintf("%s is %s's", d.Name, d.Owner), Duty: d.Copy()}
 	}
 	d.Changes = slices.DeleteFunc(d.Changes, func(at uint64) bool { return at+Flaps.Within <= s.Count })
 	if len(d.Changes) >= Flaps.Changes {
-		return Result{Refused: fmt.Sprintf("%s: found %d changes of owner within %d ticks, wanted fewer: it waits", d.Name, len(d.Changes), Flaps.Within), Duty: d.copy()}
+		return Result{Refused: fmt.Sprintf("%s: found %d changes of owner within %d ticks, wanted fewer: it waits", d.Name, len(d.Changes), Flaps.Within), Duty: d.Copy()}
 	}
 	d.Changes = append(d.Changes, s.Count)
 	d.Owner, d.Since = c.Who, s.Count
 	d.Epoch = max(d.Epoch+1, Epoch(s.Space)<<32+1)
-	return Result{Duty: d.copy()}
+	return Result{Duty: d.Copy()}
 }
 
 func (s *State) applyOrder(c Command) Result {
@@ -279,7 +279,8 @@
 	return Result{}
 }
 
-func (d *Duty) copy() *Duty {
+// Copy returns a duty of its own.
+func (d *Duty) Copy() *Duty {
 	c := *d
 	c.Changes = slices.Clone(d.Changes)
 	return &c
@@ -290,7 +291,7 @@
 	c := *s
 	c.Duties = map[string]*Duty{}
 	for name, d := range s.Duties {
-		c.Duties[name] = d.copy()
+		c.Duties[name] = d.Copy()
 	}
 	c.Orders = nil
 	for _, o := range s.Orders {
--- a/internal/fleet/supervisor/everywhere.go
+++ b/internal/fleet/supervisor/everywhere.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,7 +74,7 @@
 func bootTime() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return time.Duration(1 << 62) // no tenure is held: fail safe
+		return math.MaxInt64 // a lease on top wraps below zero: no tenure is held
 	}
 	return time.Duration(ts.Nano())
 }
@@ -249,8 +251,12 @@
 			json.Unmarshal(d.Note, &o.note)
 		}
 		hosts := o.look(ctx, a.State.Facts)
-		if first && o.note.Order != open.ID {
-			// What runs now is what to go back to: it is written down before anything begins.
+		if o.note.Order != open.ID {
+			// What runs now is what to go back to: it is written down before anything begins,
+			// for each order anew, and of every host.
+			if slices.ContainsFunc(hosts, func(h everywhere.Host) bool { return !h.Reached }) {
+				continue
+			}
 			o.note = everywhere.Note{Order: open.ID, Before: map[string]string{}}
 			for _, h := range hosts {
 				o.note.Before[h.Name] = h.Program
