One way to post JSON; what an owner must write down is written before it goes on

Read again: an owner whose note of the programs before was not known to stand went on in the next round as if it did, and could have had nothing to go back to (everywhere.go roll); it tells it once more. The post of an effect was that of a question once more: ask.Post serves both. TestOwnerWakesLate (13 processes, race detector) and the fleet's packages hold.

--- a/internal/fleet/council/ask/ask.go
+++ b/internal/fleet/council/ask/ask.go
@@ -133,9 +133,6 @@
 		switch {
 		case err == nil && a.No == "":
 			c.believe(to)
-			if a.Refused != "" {
-				return a, nil
-			}
 			return a, nil
 		case err == nil && a.Unknown:
 			return nil, fmt.Errorf("%s: %s: %w", to, a.No, ErrUnknown)
@@ -213,33 +210,44 @@
 
 // Call asks one member once.
 func Call(ctx context.Context, h *http.Client, to, of string, q Question) (*Answer, error) {
-	text, err := json.Marshal(q)
-	if err != nil {
+	a := &Answer{}
+	if err := Post(ctx, h, to, Path, of, q, a); err != nil {
 		return nil, err
 	}
-	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+to+Path, bytes.NewReader(text))
+	return a, nil
+}
+
+// Post sends what in says to a path at an address, as JSON, and reads the answer
+// into out. of names the council; empty for none. An answer is MostBytes at most.
+func Post(ctx context.Context, h *http.Client, to, path, of string, in, out any) error {
+	text, err := json.Marshal(in)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+to+path, bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	if of != "" {
+		req.Header.Set(Header, of)
 	}
-	req.Header.Set(Header, of)
 	if err := inject.Way(ctx, to); err != nil {
-		return nil, err
+		return err
 	}
 	r, err := h.Do(req)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer r.Body.Close()
 	text, err = io.ReadAll(io.LimitReader(r.Body, MostBytes+1))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if len(text) > MostBytes {
-		return nil, fmt.Errorf("%s: found an answer of more than %d bytes", to, MostBytes)
+		return fmt.Errorf("%s: found an answer of more than %d bytes", to, MostBytes)
 	}
-	a := &Answer{}
-	if err := json.Unmarshal(text, a); err != nil {
-		return nil, fmt.Errorf("%s: found %d bytes with status %d, wanted a member's answer", to, len(text), r.StatusCode)
+	if err := json.Unmarshal(text, out); err != nil {
+		return fmt.Errorf("%s: found %d bytes with status %d, wanted an answer in JSON", to, len(text), r.StatusCode)
 	}
-	return a, nil
+	return nil
 }
--- a/internal/fleet/supervisor/everywhere.go
+++ b/internal/fleet/supervisor/everywhere.go
@@ -1,12 +1,10 @@
 package supervisor
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -262,6 +260,7 @@
 				o.note.Before[h.Name] = h.Program
 			}
 			if !o.tell(ctx, true) {
+				o.note = everywhere.Note{} // not known to stand: once more
 				continue
 			}
 		}
@@ -355,31 +354,15 @@
 	wg.Wait()
 }
 
-var effectClient = http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}, Timeout: effectFor}
+var effectClient = http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}}
 
 // effect wants something of one supervisor.
 func (o *owner) effect(ctx context.Context, address string, e effect) (*told, error) {
 	e.Duty, e.Owner, e.Epoch = Duty, o.me, o.epoch
-	text, err := json.Marshal(e)
-	if err != nil {
-		return nil, err
-	}
-	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+address+effectPath, bytes.NewReader(text))
-	if err != nil {
-		return nil, err
-	}
-	way, cancel := context.WithTimeout(ctx, effectFor)
+	ctx, cancel := context.WithTimeout(ctx, effectFor)
 	defer cancel()
-	if err := inject.Way(way, address); err != nil {
-		return nil, err
-	}
-	r, err := effectClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer r.Body.Close()
 	t := &told{}
-	return t, json.NewDecoder(io.LimitReader(r.Body, 1<<20)).Decode(t)
+	return t, ask.Post(ctx, &effectClient, address, effectPath, "", e, t)
 }
 
 // takeEffect is the receiver: the fence is asked and the effect begun in one step
