A stopped owner wakes behind the next one, not at a set time; an effect is not called back

Ruled out: the cut ways (all were whole 4 s before), a hand-over that was too slow. Read on the way: the renewing goroutine called the effect back when it saw the tenure end (everywhere.go effect), a race that two cores decide otherwise.

At stands for 100 ms behind its stop; an effect that was begun has the supervisor's time, not the tenure's, for calling it back does not undo it; stop-at takes until = "followed": the owner is woken when all others have heard of the next one, at most 30 s later.

--- a/cmd/rig/owner.go
+++ b/cmd/rig/owner.go
@@ -43,6 +43,7 @@
 for = "8s"
 processes = "all supervisors"
 point = "owner-acts"
+until = "followed"
 [[fault]]
 kind = "order"
 at = "2s"
--- a/internal/fleet/supervisor/everywhere.go
+++ b/internal/fleet/supervisor/everywhere.go
@@ -117,7 +117,9 @@
 		first := !known // read by the goroutine of Run, while this one goes on
 		s.send(ctx, func(time.Duration) []plan.Action {
 			for duty, t := range a.Duties {
+				before := s.fence.Newest(duty)
 				s.fence.Hear(duty, t)
+				s.heardOf(duty, before)
 			}
 			if first {
 				// A majority knows of no owner: any is newer than nobody.
@@ -171,7 +173,7 @@
 	if err != nil || a.Duty == nil || a.Duty.Owner != me {
 		return
 	}
-	o := &owner{s: s, me: me, epoch: a.Duty.Epoch, lease: a.Lease(), margin: a.Margin()}
+	o := &owner{s: s, ctx: ctx, me: me, epoch: a.Duty.Epoch, lease: a.Lease(), margin: a.Margin()}
 	o.tenure.Renewed(asked, o.epoch, o.lease, o.margin)
 	s.log.Info(fmt.Sprintf("council: %s owns %s under epoch %v", me, Duty, o.epoch))
 	own, end := context.WithCancel(ctx)
@@ -187,6 +189,7 @@
 // owner is this process while it owns the duty.
 type owner struct {
 	s             *Supervisor
+	ctx           context.Context // of the supervisor: what was begun is not called back when the tenure ends
 	me            string
 	epoch         council.Epoch
 	lease, margin time.Duration
@@ -248,7 +251,7 @@
 		if d := a.State.Duties[Duty]; first && d != nil && d.Note != nil {
 			json.Unmarshal(d.Note, &o.note)
 		}
-		hosts := o.look(ctx, a.State.Facts)
+		hosts := o.look(a.State.Facts)
 		if o.note.Order != open.ID {
 			// What runs now is what to go back to: it is written down before anything begins,
 			// for each order anew, and of every host.
@@ -305,7 +308,7 @@
 }
 
 // look asks all hosts how they are. By it each hears of this epoch.
-func (o *owner) look(ctx context.Context, facts map[string]json.RawMessage) []everywhere.Host {
+func (o *owner) look(facts map[string]json.RawMessage) []everywhere.Host {
 	hosts := make([]everywhere.Host, 0, len(facts))
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -316,7 +319,7 @@
 		slots <- true
 		wg.Go(func() {
 			defer func() { <-slots }()
-			t, err := o.effect(ctx, f.Address, effect{Do: "look"})
+			t, err := o.effect(f.Address, effect{Do: "look"})
 			h := everywhere.Host{Name: name, Zone: f.Zone}
 			if err == nil && t.Refused == "" {
 				h = t.Host
@@ -342,7 +345,7 @@
 		var f fact
 		json.Unmarshal(facts[step.Host], &f)
 		wg.Go(func() {
-			t, err := o.effect(ctx, f.Address, effect{Do: "restart", Instance: step.Instance, Order: step.Order, Program: step.Program})
+			t, err := o.effect(f.Address, effect{Do: "restart", Instance: step.Instance, Order: step.Order, Program: step.Program})
 			switch {
 			case err != nil:
 				o.s.log.Warn(fmt.Sprintf("council: %s of %s: %v", step.Instance, step.Host, err), logs.Cause("effect"))
@@ -356,10 +359,12 @@
 
 var effectClient = http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}}
 
-// effect wants something of one supervisor.
-func (o *owner) effect(ctx context.Context, address string, e effect) (*told, error) {
+// effect wants something of one supervisor. A tenure that ends meanwhile does not
+// call it back: that would not undo it, and its outcome would not be known. Whether
+// it is too late the receiver decides.
+func (o *owner) effect(address string, e effect) (*told, error) {
 	e.Duty, e.Owner, e.Epoch = Duty, o.me, o.epoch
-	ctx, cancel := context.WithTimeout(ctx, effectFor)
+	ctx, cancel := context.WithTimeout(o.ctx, effectFor)
 	defer cancel()
 	t := &told{}
 	return t, ask.Post(ctx, &effectClient, address, effectPath, "", e, t)
@@ -401,9 +406,7 @@
 	if err := s.fence.Check(e.Duty, council.Tenant{Owner: e.Owner, Epoch: e.Epoch}); err != nil {
 		return refused(err)
 	}
-	if e.Epoch != before.Epoch {
-		s.say("hears of %s: %s owns it, epoch %v", e.Duty, e.Owner, e.Epoch)
-	}
+	s.heardOf(e.Duty, before)
 	var acts []plan.Action
 	switch e.Do {
 	case "look":
@@ -434,6 +437,14 @@
 	return told{Host: s.host(), Late: s.fence.Refused}, acts
 }
 
+// heardOf says that a newer owner than before is known, in whatever way: from here on
+// nothing of an older one is taken.
+func (s *Supervisor) heardOf(duty string, before council.Tenant) {
+	if now := s.fence.Newest(duty); now.Epoch > before.Epoch && now.Owner != "" {
+		s.say("hears of %s: %s owns it, epoch %v", duty, now.Owner, now.Epoch)
+	}
+}
+
 // host is this host as an owner needs it.
 func (s *Supervisor) host() everywhere.Host {
 	h := everywhere.Host{Name: s.file.Council.Host, Zone: s.file.Council.Zone, Program: s.program}
--- a/internal/inject/on.go
+++ b/internal/inject/on.go
@@ -115,6 +115,9 @@
 			select {}
 		case "stop":
 			syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+			// The signal is the process's: this thread may run on while another takes it. What
+			// stands behind the point must not begin before the stop.
+			time.Sleep(stopTakes)
 		case "hang":
 			select {}
 		}
@@ -141,6 +144,9 @@
 	}
 }
 
+// stopTakes is longer than a stop takes to reach all threads.
+const stopTakes = 100 * time.Millisecond
+
 // wayAgain is how often a way that is cut is tried.
 const wayAgain = 50 * time.Millisecond
 
--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -62,7 +62,7 @@
 	"sigkill":       {Does: "SIGKILL; a sidecar is started anew by its supervisor, a supervisor at once", On: "processes", Sockets: true, Hosts: true},
 	"host-down":     {Does: "all processes of a host are killed, and started again when it is over", On: "processes", Only: "h", Lasts: true, Sockets: true, Hosts: true},
 	"kill-at":       {Does: "the process kills itself when it next comes to a point of its code", On: "processes", Only: "nfm", Sockets: true, Hosts: true, Lasts: true, Takes: []string{"point"}},
-	"stop-at":       {Does: "the process stops itself at a point of its code, and is woken when it is over", On: "processes", Only: "nfm", Sockets: true, Hosts: true, Lasts: true, Takes: []string{"point"}},
+	"stop-at":       {Does: "the process stops itself at a point of its code, and is woken when it is over", On: "processes", Only: "nfm", Sockets: true, Hosts: true, Lasts: true, Takes: []string{"point"}, May: []string{"until"}},
 	"never-ready":   {Does: "starts of the sidecar never become ready", On: "processes", Only: "n", Lasts: true, Sockets: true, Hosts: true},
 	"starve":        {Does: "the process gets a share of its time only", On: "processes", Lasts: true, Sockets: true, Hosts: true, Takes: []string{"share"}},
 	"descriptors":   {Does: "the process has no descriptor left", On: "processes", Only: "nfm", Lasts: true, Sockets: true, Hosts: true},
@@ -248,7 +248,7 @@
 	s := c.s
 	for field, have := range map[string]bool{
 		"point": f.Point != "", "shift": f.Shift != 0, "drift": f.Drift != 0, "disk": f.Disk != "", "share": f.Share > 0,
-		"peer": f.Peer != "", "program": f.Program != "", "held": f.Held != "", "order": f.Order != "", "to": f.To.Text != "",
+		"peer": f.Peer != "", "program": f.Program != "", "held": f.Held != "", "order": f.Order != "", "to": f.To.Text != "", "until": f.Until != "",
 	} {
 		if !have || !slices.Contains(k.May, field) {
 			wants(have, slices.Contains(k.Takes, field), field, "it")
@@ -261,6 +261,9 @@
 	if f.Point != "" && inject.Points[f.Point] == "" {
 		c.bad(key+".point", strconv.Quote(f.Point), "one of "+strings.Join(slices.Sorted(maps.Keys(inject.Points)), ", "))
 	}
+	if f.Until != "" && s.World.Council.Members == 0 {
+		c.bad(key+".until", strconv.Quote(f.Until)+" in a world without a council", "world.council.members of 1 or more")
+	}
 	if f.Kind == "clock" && (f.Shift != 0) == (f.Drift != 0) {
 		c.bad(key, "clock with both of shift and drift, or neither", "one of them")
 	}
--- a/internal/lab/experiment/draw.go
+++ b/internal/lab/experiment/draw.go
@@ -257,5 +257,6 @@
 	word("order", f.Order)
 	word("to", f.To.Text)
 	word("program", f.Program)
+	word("until", f.Until)
 	return b.String()
 }
--- a/internal/lab/experiment/storm.go
+++ b/internal/lab/experiment/storm.go
@@ -213,6 +213,7 @@
 	Order     string        `toml:"order" oneof:"restart|reload|resume|cancel|everywhere|step-down|give-up"`
 	Program   string        `toml:"program" oneof:"old|new"` // of the sidecar
 	To        Procs         `toml:"to"`                      // that nothing is sent to
+	Until     string        `toml:"until" oneof:"followed"`  // woken no sooner than all others have heard of another owner
 }
 
 // Phase is a part of the run that promises can speak of.
--- a/internal/lab/rig/between_test.go
+++ b/internal/lab/rig/between_test.go
@@ -396,6 +396,7 @@
 for = "9s"
 processes = "f3"
 point = "owner-acts"
+until = "followed"
 [[fault]]
 kind = "order"
 at = "2s"
--- a/internal/lab/rig/council.go
+++ b/internal/lab/rig/council.go
@@ -34,6 +34,7 @@
 	owner   string            // role of the supervisor that owns
 	sleeps  string            // role of the one that is gone
 	rolling map[string]string // instances that are under way, and for which order
+	epochs  map[string]uint64 // newest that each supervisor said that it owns, or has heard of
 }
 
 // newCouncil writes a council's file and takes addresses for it and for the
@@ -43,7 +44,7 @@
 	if c.Members == 0 {
 		return nil
 	}
-	o := &owned{file: h.w.path("council.toml"), address: map[string]string{}, begun: map[string]bool{}, struck: map[int]string{}, starts: map[string]map[string][]int{}, rolling: map[string]string{}}
+	o := &owned{file: h.w.path("council.toml"), address: map[string]string{}, begun: map[string]bool{}, struck: map[int]string{}, starts: map[string]map[string][]int{}, rolling: map[string]string{}, epochs: map[string]uint64{}}
 	var b strings.Builder
 	fmt.Fprintf(&b, "name = \"world\"\ndirectory = \"council\"\nlease = %q\nmargin = %q\ntick = %q\n", c.Lease, c.Margin, c.Tick)
 	var held []net.Listener
@@ -149,6 +150,7 @@
 			h.owned.vacant = 0
 		}
 		h.owned.owner = role
+		h.owned.epochs[role] = epochOf(m[2], m[3])
 	}
 	if strings.Contains(line, " ends epoch ") && h.owned.owner == role {
 		h.owned.owner = ""
@@ -160,6 +162,7 @@
 	}
 	if m := hearsLine.FindStringSubmatch(line); m != nil {
 		// From here on nothing older may take place at this receiver.
+		h.owned.epochs[role] = max(h.owned.epochs[role], epochOf(m[2], m[3]))
 		h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: now}, Who: m[1], To: role, Duty: "roll-of-all", Op: "look", Number: epochOf(m[2], m[3]), Result: history.Done})
 	}
 	if m := refusesLine.FindStringSubmatch(line); m != nil {
@@ -209,6 +212,33 @@
 	return role
 }
 
+// awaitFollowed waits until all other supervisors have heard of an owner after the
+// one that a role is, by an effect of that one, and bounds the wait; false where the
+// run ends first. How long a hand-over takes is the machine's matter: a stop of a set
+// length that is to end behind it ends before it on a slow one.
+func (h *hosts) awaitFollowed(role string) bool {
+	for range mostFollows {
+		h.mu.Lock()
+		mine, all := h.owned.epochs[role], true
+		for _, one := range h.all {
+			all = all && (one.role == role || h.owned.epochs[one.role] > mine)
+		}
+		h.mu.Unlock()
+		if all {
+			break
+		}
+		select {
+		case <-h.end:
+			return false
+		case <-time.After(lookEvery):
+		}
+	}
+	return true
+}
+
+// mostFollows bounds, in looks of lookEvery, how long an owner is waited for.
+const mostFollows = 600
+
 // leader asks the members which of them leads; the first where none says so.
 func (h *hosts) leader() string {
 	for _, m := range h.owned.members {
--- a/internal/lab/rig/disturb.go
+++ b/internal/lab/rig/disturb.go
@@ -23,7 +23,17 @@
 func (h *hosts) disturb(st experiment.Step) error {
 	f := &h.plan.Storm.Faults[st.Fault]
 	st.Proc = h.resolve(st)
-	if st.Do == experiment.End {
+	switch {
+	case st.Do == experiment.End && f.Until != "" && h.hit(st.Proc, st.Fault) > 0:
+		h.wg.Go(func() {
+			if h.awaitFollowed(st.Proc) {
+				if err := h.finish(st, f); err != nil {
+					h.fail(err)
+				}
+			}
+		})
+		return nil
+	case st.Do == experiment.End:
 		return h.finish(st, f)
 	}
 	h.mu.Lock()
