A drain waits for CoAP answers that nobody has acknowledged

An answer that went as a message of its own and was lost just before its process ended was never sent again; the client's repeat met the next process, which says "it may have run".

TestDrainWaitsForAcknowledgement: a device that ignores the first answer gets it again; with the count taken out it gets nothing (mutant acks-unwaited).

--- a/internal/coap/exchange/server.go
+++ b/internal/coap/exchange/server.go
@@ -86,6 +86,7 @@
 	kept      [2]line // answered ones: safe to run again, and not
 	open      int
 	notes     int // notifications that wait for their acknowledgement
+	unacked   int // answers that do
 	bytes     int
 	last      uint64
 	ids       uint16
@@ -175,11 +176,21 @@
 		return
 	}
 	if x.sending {
-		x.sending = false
+		s.settled(x)
 		s.plan(x, x.born+s.lifetime(x))
 	}
 }
 
+// settled notes that an answer waits for its acknowledgement no more.
+func (s *Server) settled(x *serverExchange) {
+	x.sending = false
+	s.unacked--
+}
+
+// Unacked is how many answers are still sent again until they are acknowledged, or
+// nobody is believed to be there.
+func (s *Server) Unacked() int { return s.unacked }
+
 // ErrNotes is a notification for which there is no room.
 var ErrNotes = errors.New("exchange: too many notifications are out")
 
@@ -386,6 +397,7 @@
 	}
 	if r.Type == message.Confirmable {
 		x.tx, x.sending = s.p.begin(s.rng, text, now), true
+		s.unacked++
 		if bytes > 0 {
 			x.tx.sent = max(1, s.p.MaxRetransmit+2-max(1, bytes/len(text)))
 		}
@@ -412,6 +424,9 @@
 // drop forgets an exchange.
 func (s *Server) drop(x *serverExchange) {
 	s.timers.cancel(&x.timer)
+	if x.sending {
+		s.settled(x)
+	}
 	if x.answered {
 		kind := 0
 		if x.unsafe {
@@ -457,7 +472,7 @@
 			s.plan(x, x.tx.due)
 		case x.sending:
 			// Nobody takes the answer. The memory against repeats stays.
-			x.sending = false
+			s.settled(x)
 			s.plan(x, max(now, x.born+s.lifetime(x)))
 			if x.timer.at <= now {
 				s.drop(x)
--- a/internal/coap/gate/gate.go
+++ b/internal/coap/gate/gate.go
@@ -242,6 +242,9 @@
 // Open is how many requests have no answer yet.
 func (g *Gate) Open() int { return len(g.asked) }
 
+// Unacked is how many answers wait for their acknowledgement, and go again without.
+func (g *Gate) Unacked() int { return g.ex.Unacked() }
+
 // Drain turns away what is new from now on; what is open is answered.
 func (g *Gate) Drain() { g.draining = true }
 
--- a/internal/coap/gate/gate_test.go
+++ b/internal/coap/gate/gate_test.go
@@ -450,8 +450,8 @@
 		if out > 3*len(in) { // the number of RFC 9175, section 2.4
 			t.Fatalf("%d bytes went out for %d", out, len(in))
 		}
-		if g.Open() != 0 {
-			t.Fatalf("%d are open", g.Open())
+		if g.Open()+g.Unacked() != 0 {
+			t.Fatalf("%d are open, %d not acknowledged", g.Open(), g.Unacked())
 		}
 		if open, kept := g.ex.Held(); open != 0 || kept != 0 {
 			t.Fatalf("%d open, %d kept", open, kept)
--- a/internal/coapfront/front.go
+++ b/internal/coapfront/front.go
@@ -171,11 +171,17 @@
 	return f.gate.Counts(), f.unsent.Load()
 }
 
-// Open is how many requests have no answer yet.
-func (f *Front) Open() int {
+// Open is how many requests have no answer yet, and how many answers may have to go
+// again, for nobody has acknowledged them: the process after this one would not send
+// them. Where another process has the socket it reads the acknowledgements, and
+// there are none to wait for.
+func (f *Front) Open() (asked, unacked int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.gate.Open()
+	if !f.given {
+		unacked = f.gate.Unacked()
+	}
+	return f.gate.Open(), unacked
 }
 
 func (f *Front) now() time.Duration { return time.Since(f.start) }
--- a/internal/coapfront/front_test.go
+++ b/internal/coapfront/front_test.go
@@ -185,8 +185,8 @@
 	if lost > 20 || c.DedupHits == 0 {
 		t.Errorf("%d of 100 without an answer, %d repeats met", lost, c.DedupHits)
 	}
-	if f.Open() != 0 {
-		t.Errorf("%d are open", f.Open())
+	if n := openOf(f); n != 0 {
+		t.Errorf("%d are open", n)
 	}
 }
 
@@ -250,7 +250,7 @@
 		r, _ := c.Exchange(ctx(t), coapRequest(message.POST, "start-rec", ""))
 		got <- r
 	}()
-	for end := time.Now().Add(patience); f.Open() == 0; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(patience); openOf(f) == 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("never asked")
 		}
@@ -263,7 +263,7 @@
 	if r := <-got; r.Code != message.Changed || !strings.HasPrefix(string(r.Payload), "coap-") {
 		t.Errorf("what was open: %v %q", r.Code, r.Payload)
 	}
-	if n := f.Open(); n != 0 {
+	if n := openOf(f); n != 0 {
 		t.Errorf("%d are open after their answers", n)
 	}
 }
@@ -275,3 +275,9 @@
 		}
 	}
 }
+
+// openOf is how many requests have no answer yet.
+func openOf(f *Front) int {
+	n, _ := f.Open()
+	return n
+}
--- a/internal/coapfront/handover_test.go
+++ b/internal/coapfront/handover_test.go
@@ -105,7 +105,7 @@
 		t.Fatalf("before: %v", c)
 	}
 	d.post(2) // open from here on
-	for end := time.Now().Add(patience); old.Open() == 0; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(patience); openOf(old) == 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("never asked")
 		}
--- a/internal/lab/mutant/run.go
+++ b/internal/lab/mutant/run.go
@@ -46,6 +46,7 @@
 		"internal/httpfront":        {"./internal/sidecar", "./internal/daemon"},
 		"internal/discovery":        {"./internal/sidecar", "./internal/daemon"},
 		"internal/coap/exchange":    {"./internal/coap/gate"},
+		"internal/coapfront":        {"./internal/sidecar"},
 		"internal/engine":           {"./internal/sidecar", "./internal/daemon"},
 		"internal/sidecar":          {"./internal/daemon"},
 		"internal/membership":       {"./internal/sidecar"},
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -56,6 +56,9 @@
 	{Name: "late-is-good", File: "balance/balance.go", Breaks: "a request waits past its aim up to its deadline",
 		Old: "if r.class.LateWorth > 0 {", New: "if r.class.Deadline > 0 {"},
 
+	{Name: "acks-unwaited", File: "internal/coapfront/front.go", Breaks: "a drain ends though answers over CoAP wait for their acknowledgement",
+		Old: "unacked = f.gate.Unacked()", New: "unacked = 0"},
+
 	// Supervisors.
 	{Name: "start-unwritten", File: "internal/fleet/supervisor/supervisor.go", Breaks: "a supervisor killed between a start and its note leaves an instance that nobody owns",
 		Old: "range marked(s.file.Directory) {", New: "range marked(\"\") {"},
--- a/internal/sidecar/coap.go
+++ b/internal/sidecar/coap.go
@@ -84,14 +84,21 @@
 	}
 }
 
-// coapOpen is how many requests over CoAP have no answer yet.
-func (s *Sidecar) coapOpen() int {
+// coapOpen is how many requests over CoAP have no answer yet, and how many answers
+// no acknowledgement.
+func (s *Sidecar) coapOpen() (asked, unacked int) {
 	if s.coap == nil {
-		return 0
+		return 0, 0
 	}
 	return s.coap.Open()
 }
 
+// coapIdle tells whether a drain has nothing to wait for over CoAP.
+func (s *Sidecar) coapIdle() bool {
+	asked, unacked := s.coapOpen()
+	return asked+unacked == 0
+}
+
 // coapEnd ends the front.
 func (s *Sidecar) coapEnd() {
 	if s.coap == nil {
--- a/internal/sidecar/coap_test.go
+++ b/internal/sidecar/coap_test.go
@@ -11,12 +11,14 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/plgd-dev/go-coap/v3/message"
 	"github.com/plgd-dev/go-coap/v3/message/codes"
 	"github.com/plgd-dev/go-coap/v3/message/pool"
 	"github.com/plgd-dev/go-coap/v3/udp"
 
+	own "otterspring/internal/coap/message"
 	"otterspring/internal/operator"
 )
 
@@ -181,3 +183,69 @@
 		t.Errorf("%d calls, %d attempts are left", calls, out)
 	}
 }
+
+// An answer whose acknowledgement is lost goes again though its process drains: the
+// process after it would not know it. The drain ends with the acknowledgement.
+func TestDrainWaitsForAcknowledgement(t *testing.T) {
+	t.Parallel()
+	asked, hold := make(chan bool, 1), make(chan bool)
+	up := startUpstream(t, func(c net.Conn, r *http.Request, _ int64) bool {
+		asked <- true
+		<-hold
+		return good(c, r, 0)
+	})
+	s := startCoAP(t, true, up.addr())
+	s.SetFinish(patience)
+	c, err := net.Dial("udp", s.CoAPAddr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetReadDeadline(time.Now().Add(patience))
+	m := own.Message{Type: own.Confirmable, Code: own.POST, ID: 7, Token: []byte{1}, Payload: []byte("x")}
+	m.Add(own.URIPath, []byte("act"))
+	text, err := m.Append(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write(text); err != nil {
+		t.Fatal(err)
+	}
+	buf := make([]byte, own.MostDatagram)
+	read := func(what string) own.Message {
+		t.Helper()
+		n, err := c.Read(buf)
+		if err != nil {
+			t.Fatalf("%s: %v", what, err)
+		}
+		var got own.Message
+		if err := own.Decode(bytes.Clone(buf[:n]), &got); err != nil {
+			t.Fatalf("%s: %v", what, err)
+		}
+		return got
+	}
+	<-asked
+	if got := read("acknowledgement"); got.Type != own.Acknowledgement || got.Code != own.Empty {
+		t.Fatalf("got %+v, want an empty acknowledgement", got)
+	}
+	drained := make(chan bool)
+	go func() { s.Drain(); close(drained) }()
+	eventually(t, "the drain begins", s.front.Draining)
+	close(hold)
+	first := read("answer")
+	again := read("the answer once more")
+	if first.Type != own.Confirmable || first.ID != again.ID || first.Code != again.Code {
+		t.Errorf("got %+v and %+v, want one confirmable answer twice", first, again)
+	}
+	select {
+	case <-drained:
+		t.Error("the drain ended before the acknowledgement")
+	default:
+	}
+	ack := own.Message{Type: own.Acknowledgement, ID: first.ID}
+	text, _ = ack.Append(nil)
+	if _, err := c.Write(text); err != nil {
+		t.Fatal(err)
+	}
+	<-drained
+}
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -103,12 +103,13 @@
 // first. At end what is open is handed back, and a little later cut off.
 func (s *Sidecar) drainUntil(end time.Time, abort <-chan struct{}) bool {
 	handed := false
-	for !s.front.Empty() || s.coapOpen() > 0 {
+	for !s.front.Empty() || !s.coapIdle() {
 		s.front.CutReading()
 		now := time.Now()
 		if !handed && !now.Before(end) {
 			handed = true
-			slog.Warn("drain: its time is over", "handed_back", s.eng.HandBack())
+			_, unacked := s.coapOpen()
+			slog.Warn("drain: its time is over", "handed_back", s.eng.HandBack(), "answers_without_ack", unacked)
 		}
 		if now.After(end.Add(flushFor)) {
 			if n := s.front.Abandon(); n > 0 {
