Storms with CoAP clients and servers; patience by class; call servers keep to their time

Left of the storms: no file had CoAP in it, and all classes had one patience. [world.coap] gives shares of requests and servers over CoAP behind links that lose and double datagrams (sockets only; virtual time says that it does not play it); load.class takes tries and try_share, load takes unmarked (no X-Retry).

Seen: only servers over CoAP, only behind a hang. Over HTTP what is given up ends with its connection; over CoAP nothing calls it back, and the stand-in (callserver/coap.go ask) did not keep to the milliseconds that the sidecar tells it. It does, and docs/operate/coap.md says that call servers owe it. Ruled out: retransmissions (2.3 s at most) and links (2 ms). TestPatienceByClass, TestCoAPWorlds.

--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -113,6 +113,7 @@
 		c.fault(fmt.Sprintf("fault[%d]", i+1), &s.Faults[i])
 	}
 	c.hosts()
+	c.coap()
 	c.phases()
 	c.sweeps()
 	return c.errs
@@ -187,6 +188,24 @@
 	}
 }
 
+// coap finds what a world with CoAP in it can't have: its links know one address of
+// each process and server, and no host's.
+func (c *checker) coap() {
+	w := &c.s.World
+	if !w.CoAP.On() {
+		return
+	}
+	if w.Hosts > 0 {
+		c.bad("world.coap", fmt.Sprintf("it beside %d hosts", w.Hosts), "world.hosts of 0")
+	}
+	for i := range c.s.Faults {
+		f := &c.s.Faults[i]
+		if f.Move || f.Kind == "partition" {
+			c.bad(fmt.Sprintf("fault[%d]", i+1), f.Kind+" in a world with coap", "a fault that leaves addresses and ways as they are")
+		}
+	}
+}
+
 func (c *checker) tenants() {
 	names, shares, quotas := map[string]bool{}, 0.0, 0.0
 	for i, t := range c.s.Load.Tenants {
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -362,3 +362,17 @@
 		}
 	}
 }
+
+// A world with CoAP has no hosts, and nothing in it moves or is cut off.
+func TestCoAPWorlds(t *testing.T) {
+	for text, want := range map[string]string{
+		"[world]\nhosts = 2\n[world.coap]\nclients = 0.5\n":                                                                             "world.coap: found it beside 2 hosts",
+		"[world.coap]\nservers = 0.5\n[[fault]]\nkind = \"crash\"\nat = \"1s\"\nfor = \"2s\"\nservers = \"1\"\nmove = true\n":           "fault[1]: found crash in a world with coap",
+		"[world.coap]\nservers = 0.5\n[[fault]]\nkind = \"partition\"\nat = \"1s\"\nfor = \"2s\"\nservers = \"1\"\ninstances = \"1\"\n": "fault[1]: found partition in a world with coap",
+	} {
+		_, errs := Parse("x.toml", []byte(calm+text), false, nil)
+		if len(errs) != 1 || !strings.Contains(errs[0].Error(), want) {
+			t.Errorf("%q: got %v, want %q", text, errs, want)
+		}
+	}
+}
--- a/internal/lab/experiment/storm.go
+++ b/internal/lab/experiment/storm.go
@@ -57,8 +57,24 @@
 	Hosts      int        `toml:"hosts" min:"0" max:"50"`
 	Supervisor Supervisor `toml:"supervisor"`
 	Council    Council    `toml:"council"`
+	CoAP       CoAP       `toml:"coap"`
 }
 
+// CoAP says what speaks it, behind links over UDP that lose and double datagrams.
+// On sockets only: virtual time knows no protocol, and plays all as it would.
+type CoAP struct {
+	Clients float64       `toml:"clients" min:"0" max:"1"` // share of the requests
+	Servers float64       `toml:"servers" min:"0" max:"1"` // share of the call servers of the start
+	Echo    bool          `toml:"echo"`                    // these enforce Echo (RFC 9175)
+	Every   int           `toml:"drop_every" min:"0" max:"1000000"`
+	Drop    float64       `toml:"drop" min:"0" max:"0.5"`
+	Double  float64       `toml:"double" min:"0" max:"0.5"`
+	Delay   time.Duration `toml:"delay" min:"0s" max:"1s"`
+}
+
+// On tells whether anything speaks CoAP.
+func (c *CoAP) On() bool { return c.Clients > 0 || c.Servers > 0 }
+
 // Council is the one that the hosts' supervisors belong to.
 type Council struct {
 	Members int           `toml:"members" min:"0" max:"7"` // 0 for none
@@ -153,6 +169,7 @@
 	KeySkew   float64       `toml:"key_skew" min:"0" max:"3"`
 	Retries   int           `toml:"retries" min:"0" max:"10"` // a client's tries after the first
 	Try       float64       `toml:"try_share" min:"0.05" max:"1"`
+	Unmarked  bool          `toml:"unmarked"` // clients don't say that a retry is one (X-Retry)
 	Body      int           `toml:"body" min:"0" max:"65536"`
 	Classes   []Class       `toml:"class" max:"10"`
 	Tenants   []Tenant      `toml:"tenant" max:"20"`
@@ -169,6 +186,11 @@
 	Deadline time.Duration `toml:"deadline" need:"true" min:"1ms" max:"1m"`
 	Work     time.Duration `toml:"work" need:"true" min:"10us" max:"10s"` // mean, on a core of speed 1
 	Worth    float64       `toml:"worth" need:"true" min:"0" max:"1000"`
+	// The clients' patience with this class where it is another than the load's: how
+	// many tries in all, and after what share of the deadline one is given up. 0 takes
+	// load.retries and load.try_share.
+	Tries int     `toml:"tries" min:"0" max:"11"`
+	Try   float64 `toml:"try_share" min:"0" max:"1"`
 }
 
 // Tenant is a customer of the application, with the rate that was agreed.
@@ -373,7 +395,7 @@
 func (s *Storm) ClientClasses() []clients.Class {
 	var all []clients.Class
 	for _, c := range s.Load.Classes {
-		all = append(all, clients.Class{Name: c.Name, Effect: Effects[c.Effect], Share: c.Share, Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth})
+		all = append(all, clients.Class{Name: c.Name, Effect: Effects[c.Effect], Share: c.Share, Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth, Tries: c.Tries, TryShare: c.Try})
 	}
 	return all
 }
--- a/internal/lab/rig/coap.go
+++ b/internal/lab/rig/coap.go
@@ -153,10 +153,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c := clients.Config{
-		Instance: in.Name, Addr: in.Addr, Classes: w.Classes, Retries: 2, TryShare: 0.7, Body: 200, Seed: seed, CoAP: l.Addr().String(), NoEcho: noEcho,
-		Devices: 32, // each has 265 message IDs a second for good
-	}
+	c := w.clientsConfig(in, seed)
+	c.CoAP, c.NoEcho = l.Addr().String(), noEcho
+	c.Devices = 32 // each has 265 message IDs a second for good
 	return clients.New(c, w.Log), nil
 }
 
--- a/internal/lab/rig/storm.go
+++ b/internal/lab/rig/storm.go
@@ -21,6 +21,7 @@
 	"otterspring/internal/lab/history"
 	"otterspring/internal/lab/standin/callserver"
 	"otterspring/internal/lab/standin/clients"
+	"otterspring/internal/lab/standin/lossylink"
 	"otterspring/internal/lab/standin/registry"
 	"otterspring/internal/lab/standin/relay"
 	"otterspring/internal/strictfile"
@@ -34,8 +35,14 @@
 		Program: program, Dir: dir, MemoryMB: s.World.Sidecar.MemoryMB, Sockets: s.World.Sidecar.Sockets, Storm: s,
 		Registry: registry.Config{Lines: s.World.Discovery.Lines, CallLines: s.World.Discovery.CallLines, Late: s.World.Discovery.Late},
 	}
+	if c := &s.World.CoAP; c.On() {
+		o.CoAP = &CoAPOptions{Echo: c.Echo, Faults: lossylink.Faults{Every: c.Every, Drop: c.Drop, Double: c.Double, Delay: c.Delay},
+			Servers: func(i int) bool { // spread over the pods and speeds; what comes later speaks HTTP
+				return i < s.World.Servers && int(float64(i+1)*c.Servers) > int(float64(i)*c.Servers)
+			}}
+	}
 	for _, st := range p.Steps {
-		if st.Do == experiment.HandOver {
+		if st.Do == experiment.HandOver && o.CoAP == nil { // with CoAP each has one in any case
 			o.Operator = func(i int, dir string) string {
 				return fmt.Sprintf("[handover]\nsocket = %q\n", filepath.Join(dir, fmt.Sprintf("n%d.sock", i+1)))
 			}
@@ -352,15 +359,17 @@
 		return nil, ctx.Err()
 	}
 	start := w.Log.Now()
-	all := make([]*clients.Clients, len(w.Instances))
+	var all []*clients.Clients
 	var wg sync.WaitGroup
 	for i, in := range w.Instances {
-		all[i] = w.Clients(in, run.rng.Uint64())
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			all[i].Run(ctx, p.Arrivals[i])
-		}()
+		some, plans, err := run.askers(in, p.Arrivals[i])
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, some...)
+		for k, c := range some {
+			wg.Go(func() { c.Run(ctx, plans[k]) })
+		}
 	}
 	stop := report(w, start, progress)
 	held := weigh(w, p.Storm.For)
@@ -399,6 +408,29 @@
 	return rec, nil
 }
 
+// askers are the clients of an instance with what each asks: over HTTP, and over
+// CoAP where the storm says so.
+func (r *stormRun) askers(in *Instance, plan []clients.Arrival) ([]*clients.Clients, [][]clients.Arrival, error) {
+	all, plans := []*clients.Clients{r.w.Clients(in, r.rng.Uint64())}, [][]clients.Arrival{plan}
+	share := r.plan.Storm.World.CoAP.Clients
+	if share == 0 {
+		return all, plans, nil
+	}
+	devices, err := r.w.devices(in, r.rng.Uint64(), false)
+	if err != nil {
+		return nil, nil, err
+	}
+	plans = make([][]clients.Arrival, 2)
+	for _, a := range plan {
+		kind := 0
+		if r.rng.Float64() < share {
+			kind = 1
+		}
+		plans[kind] = append(plans[kind], a)
+	}
+	return append(all, devices), plans, nil
+}
+
 // crash takes the end of a process that nobody asked for into a record.
 func (r *stormRun) crash(rec *experiment.Record, err error) {
 	if !errors.Is(err, ErrCrashed) {
--- a/internal/lab/rig/world.go
+++ b/internal/lab/rig/world.go
@@ -301,16 +301,20 @@
 
 // Clients returns the clients of an instance.
 func (w *World) Clients(in *Instance, seed uint64) *clients.Clients {
+	return clients.New(w.clientsConfig(in, seed), w.Log)
+}
+
+func (w *World) clientsConfig(in *Instance, seed uint64) clients.Config {
 	c := clients.Config{
 		Instance: in.Name, Addr: cmp.Or(in.asked, in.Addr), Classes: w.Classes, Retries: 2, TryShare: 0.7, Body: 200,
 		Most: w.opt.Sockets / 3, Seed: seed,
 	}
 	if s := w.opt.Storm; s != nil {
-		c.Impatient = s.Load.Impatient
+		c.Impatient, c.Unmarked = s.Load.Impatient, s.Load.Unmarked
 		c.Retries, c.TryShare, c.Body, c.Kept = s.Load.Retries, s.Load.Try, s.Load.Body, s.Load.Kept
 		c.Tenants = s.ClientTenants()
 	}
-	return clients.New(c, w.Log)
+	return c
 }
 
 // configText is the configuration of an instance.
--- a/internal/lab/standin/callserver/callserver.go
+++ b/internal/lab/standin/callserver/callserver.go
@@ -457,10 +457,11 @@
 	s.next()
 }
 
-// cancel stops a request's work: its connection has ended.
-func (s *Server) cancel(j *job) {
+// cancel stops a request's work: its connection has ended, or its time. It tells
+// whether the request had not begun, and never will.
+func (s *Server) cancel(j *job) (unbegun bool) {
 	if s.cfg.WorksOn {
-		return
+		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -472,13 +473,15 @@
 				break
 			}
 		}
+		unbegun = true
 	case jobRunning:
 		j.timer.Stop()
 		s.running--
 	default:
-		return
+		return false
 	}
 	j.state = jobOver
 	s.counts.Cancelled++
 	s.next()
+	return unbegun
 }
--- a/internal/lab/standin/callserver/coap.go
+++ b/internal/lab/standin/callserver/coap.go
@@ -20,6 +20,9 @@
 // coapScheme stands before the address of a server that speaks CoAP.
 const coapScheme = "coap://"
 
+// echoAge is how old an Echo value may be.
+const echoAge = time.Minute
+
 // coapSide is a life of a call server over CoAP: a socket, and what this life
 // remembers of its exchanges. A later one remembers nothing.
 type coapSide struct {
@@ -52,7 +55,7 @@
 		Params: p, Limits: exchange.Limits{Open: s.cfg.Queue + 1000, Kept: 1 << 20, KeptBytes: 64 << 20},
 		Blocks:  block.Limits{Transfers: 1000, Body: 64 << 10, Bytes: 64 << 20, Idle: time.Minute, Size: 1024},
 		Classes: classes, DeadlineTimes: 1, Trusted: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")},
-		Clean: true, Demand: s.cfg.Echo, EchoKey: key, EchoAge: time.Minute,
+		Clean: true, Demand: s.cfg.Echo, EchoKey: key, EchoAge: echoAge,
 	})
 	if err != nil {
 		return err
@@ -157,11 +160,22 @@
 		c.finish(r.Handle, gate.Answer{Outcome: gate.NotRun})
 		return
 	}
-	handle, id := r.Handle, r.ID
+	handle, id, wait := r.Handle, r.ID, r.Deadline
 	s.wg.Add(1)
 	go func() {
 		defer s.wg.Done()
+		// Over HTTP a request that nobody waits for any more ends with its connection.
+		// Here its own time is all that tells, and one that ran later might run beside
+		// its repeat: behind the window in which its pod knows it.
+		over := time.NewTimer(wait)
+		defer over.Stop()
 		select {
+		case <-over.C:
+			a := gate.Answer{Outcome: gate.Failed}
+			if s.cancel(j) {
+				a.Outcome = gate.NotRun
+			}
+			c.finish(handle, a)
 		case <-j.done:
 			a := gate.Answer{Outcome: gate.Served, Body: []byte(Body(id, s.cfg.Name)), ContentFormat: 0}
 			if f.Error {
--- a/internal/lab/standin/clients/clients.go
+++ b/internal/lab/standin/clients/clients.go
@@ -36,6 +36,7 @@
 	// Impatient is the share of tries that are given up after a tenth to a half of
 	// their time, and come again at once.
 	Impatient float64
+	Unmarked  bool // a retry does not say that it is one
 	Seed      uint64
 	// CoAP is the sidecar's address for CoAP; empty to ask over HTTP. Each of
 	// Devices, 0 for 8, is an endpoint of its own.
@@ -205,10 +206,11 @@
 	}
 	op := fmt.Sprintf("%s-%d-%d", c.cfg.Instance, c.own, c.ids.Add(1))
 	s := Sample{At: due, Class: a.Class, Tenant: a.Tenant}
+	retries, share := class.Patience(c.cfg.Retries, c.cfg.TryShare)
 	for try := 0; ; try++ {
 		s.Tries++
 		left := end - c.log.Now()
-		wait := min(left, time.Duration(c.cfg.TryShare*float64(class.Deadline)))
+		wait := min(left, time.Duration(share*float64(class.Deadline)))
 		early := c.impatient()
 		if early > 0 {
 			wait = time.Duration(early * float64(wait))
@@ -222,7 +224,7 @@
 		again := got == refused || got == notTaken ||
 			(got == failed || got == timedOut) && class.Effect == audit.Repeat ||
 			got == broken && class.Effect != audit.Once
-		if !again || try >= c.cfg.Retries {
+		if !again || try >= retries {
 			break
 		}
 		switch {
@@ -371,7 +373,7 @@
 	if a.Tenant > 0 {
 		b = fmt.Appendf(b, "X-Tenant: %s\r\n", c.cfg.Tenants[a.Tenant-1].Name)
 	}
-	if n > 0 {
+	if n > 0 && !c.cfg.Unmarked {
 		b = append(b, "X-Retry: 1\r\n"...)
 	}
 	if class.Effect == audit.Keyed {
--- a/internal/lab/standin/clients/coap.go
+++ b/internal/lab/standin/clients/coap.go
@@ -70,7 +70,7 @@
 	if class.Effect == audit.Keyed {
 		m.Add(gate.OptIdempotency, []byte(op))
 	}
-	if n > 0 {
+	if n > 0 && !c.cfg.Unmarked {
 		m.Add(gate.OptRetry, nil)
 	}
 	var body []byte
--- a/internal/lab/standin/clients/plan.go
+++ b/internal/lab/standin/clients/plan.go
@@ -22,6 +22,19 @@
 	Aim      time.Duration // an answer after this earns nothing
 	Deadline time.Duration // given up after this, over all tries
 	Worth    float64
+	Tries    int     // in all; 0 takes the clients' own
+	TryShare float64 // of the deadline after which a try is given up; 0 likewise
+}
+
+// Patience is how clients are with the class, where retries and share are their own.
+func (c *Class) Patience(retries int, share float64) (int, float64) {
+	if c.Tries > 0 {
+		retries = c.Tries - 1
+	}
+	if c.TryShare > 0 {
+		share = c.TryShare
+	}
+	return retries, share
 }
 
 // Tenant is a customer of the application.
--- a/internal/lab/virtual/client.go
+++ b/internal/lab/virtual/client.go
@@ -23,7 +23,8 @@
 func (k *ask) try() {
 	w := k.inst.w
 	now := w.loop.now
-	wait := min(k.end-now, time.Duration(w.storm.Load.Try*float64(k.class.Deadline)))
+	_, share := k.class.Patience(w.storm.Load.Retries, w.storm.Load.Try)
+	wait := min(k.end-now, time.Duration(share*float64(k.class.Deadline)))
 	early := w.storm.Load.Impatient > 0 && k.inst.rng.Float64() < w.storm.Load.Impatient
 	if early {
 		wait = time.Duration((0.1 + 0.4*k.inst.rng.Float64()) * float64(wait))
@@ -53,7 +54,7 @@
 			k.again(clients.EndNone, k.class.Effect == audit.Repeat, pause)
 		}
 	})
-	q := balance.Request{ID: id, Class: k.class.Name, Tenant: k.tenant(), Key: k.a.Key, Deadline: now + wait, Again: k.tries > 1}
+	q := balance.Request{ID: id, Class: k.class.Name, Tenant: k.tenant(), Key: k.a.Key, Deadline: now + wait, Again: k.tries > 1 && !w.storm.Load.Unmarked}
 	p.awake(func() { p.request(c, q) })
 }
 
@@ -98,7 +99,8 @@
 // again tries once more where that is harmless, there is time and a try left.
 func (k *ask) again(end clients.End, harmless bool, advice time.Duration) {
 	w := k.inst.w
-	if !harmless || k.tries > w.storm.Load.Retries {
+	retries, _ := k.class.Patience(w.storm.Load.Retries, w.storm.Load.Try)
+	if !harmless || k.tries > retries {
 		k.over(end)
 		return
 	}
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"path/filepath"
 	"runtime"
 	"strings"
@@ -182,3 +183,33 @@
 		t.Errorf("%v, void: %v", err, rec.Void)
 	}
 }
+
+// Clients have the patience that their class has, in place of the load's: one that
+// is asked once is not asked again, and one that is given up early ends early.
+func TestPatienceByClass(t *testing.T) {
+	const one = "[world]\ninstances = 4\nservers = 4\n[load]\ntimes = 0.5\n[[load.class]]\nname = \"a\"\neffect = \"repeat\"\nshare = 1\naim = \"200ms\"\ndeadline = \"1s\"\nwork = \"20ms\"\nworth = 1\n%s" +
+		"[[fault]]\nkind = \"hang\"\nat = \"2s\"\nfor = \"6s\"\nservers = \"all\"\n"
+	most := func(extra string) (tries int, longest time.Duration) {
+		plan, err := experiment.Resolve(storm(t, fmt.Sprintf(one, extra)), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rec, err := Play(context.Background(), plan, Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, x := range rec.Samples {
+			tries = max(tries, x.Tries)
+			if !x.OK {
+				longest = max(longest, x.Took)
+			}
+		}
+		return tries, longest
+	}
+	if tries, longest := most(""); tries < 2 || longest < 300*time.Millisecond {
+		t.Errorf("without words of its own: %d tries, given up after %v at most", tries, longest)
+	}
+	if tries, longest := most("tries = 1\ntry_share = 0.1\n"); tries != 1 || longest > 150*time.Millisecond {
+		t.Errorf("one try of a tenth: %d tries, given up after %v at most", tries, longest)
+	}
+}
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -440,6 +440,9 @@
 // record is what was seen.
 func (w *world) record() *experiment.Record {
 	rec := &experiment.Record{Engine: "virtual", Seconds: w.log.Seconds(warmUp), Report: w.log.Report(), Counts: w.counts, Skipped: w.track.Skipped, Void: w.void}
+	if w.storm.World.CoAP.On() {
+		rec.Skipped = append(rec.Skipped, "world.coap: virtual time knows no protocol")
+	}
 	for _, s := range w.samples {
 		s.At -= warmUp
 		rec.Samples = append(rec.Samples, s)
