A page of a history: processes over time, what was done to them, what broke

Plots by gonum/plot, as the rest. A fault at a point is taken down from the moment at which the process left its mark; before, it seemed to begin when it ended. TestTimeline (names escaped, 72 processes with 60 drawn).

--- a/cmd/rig/judge.go
+++ b/cmd/rig/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -11,15 +12,20 @@
 	"strings"
 
 	"otterspring/internal/lab/history"
+	"otterspring/internal/lab/report"
 )
 
 // setJudge is `rig judge`: it judges histories that were written before.
 func setJudge(f *flag.FlagSet) runner {
 	pictures := f.String("pictures", "", "a folder for pictures of what is not linearizable; empty for none")
+	page := f.String("page", "", "write one history as a page, its processes over time; empty for none")
 	return func(ctx context.Context, files []string, out io.Writer) error {
 		if len(files) == 0 {
 			return fmt.Errorf("%w: wanted a history", errUsage)
 		}
+		if *page != "" && len(files) > 1 {
+			return fmt.Errorf("%w: -page: found %d histories, wanted one", errUsage, len(files))
+		}
 		broken, void := false, false
 		for _, file := range files {
 			h, err := history.Load(file)
@@ -32,6 +38,11 @@
 			if err := draw(*pictures, file, v); err != nil {
 				return err
 			}
+			if *page != "" {
+				if err := writePage(*page, h, v); err != nil {
+					return err
+				}
+			}
 			fmt.Fprintln(out, verdictLine(v))
 			broken, void = broken || v.Broken(), void || len(v.Void) > 0
 		}
@@ -92,3 +103,12 @@
 	}
 	return nil
 }
+
+// writePage writes a history as a page.
+func writePage(path string, h *history.History, v *history.Verdict) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(report.Timeline(f, h, v), f.Close())
+}
--- a/cmd/rig/mutants.go
+++ b/cmd/rig/mutants.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 	jobs := f.Int("jobs", 0, "mutants tried at a time, 1 to 64; 0 for half the cores")
 	within := f.Duration("within", 90*time.Second, "how long the tests of one may take, 5s to 10m; one that takes longer hangs")
 	seeds := f.String("seeds", "1..2", "seeds of the storms that each is tried with")
+	played := f.String("played", "yes", "play the storms with several processes that mutants name: yes, no, or only, and no tests and other storms")
 	output := f.String("o", "", "write the table to this file, as Markdown")
 	return func(ctx context.Context, _ []string, out io.Writer) error {
 		if err := within2(*within, *jobs); err != nil {
@@ -34,6 +36,15 @@
 		if err != nil {
 			return err
 		}
+		if !slices.Contains([]string{"yes", "no", "only"}, *played) {
+			return fmt.Errorf("%w: -played: found %q, wanted yes, no or only", errUsage, *played)
+		}
+		if *played == "only" {
+			table = slices.DeleteFunc(slices.Clone(table), func(m mutant.Mutant) bool { return m.Played == "" })
+			for i := range table {
+				table[i].PlayedOnly = true
+			}
+		}
 		if err := mutant.Check(*tree, table); err != nil {
 			return fmt.Errorf("%w: %s", errUsage, strings.ReplaceAll(err.Error(), "\n", "; "))
 		}
@@ -45,9 +56,9 @@
 		if *jobs == 0 {
 			*jobs = max(1, runtime.GOMAXPROCS(0)/2)
 		}
-		r := &mutant.Runner{Tree: *tree, Work: work, Go: "go", Within: *within, Storms: []string{"-all", "-short", "-seeds", *seeds, "-jobs", "2"}}
+		r := &mutant.Runner{Tree: *tree, Work: work, Go: "go", Within: *within, Storms: []string{"-all", "-short", "-seeds", *seeds, "-jobs", "2"}, Played: *played != "no"}
 		// What notices a tree in which nothing was broken notices nothing.
-		for _, f := range tryAll(ctx, r, mutant.Controls, *jobs, out) {
+		for _, f := range tryAll(ctx, r, controls(table, *played), *jobs, out) {
 			if f.Err != nil {
 				return f.Err
 			}
@@ -63,6 +74,26 @@
 	}
 }
 
+// controls are those that change nothing, one more for each play of several processes
+// that the table names.
+func controls(table []mutant.Mutant, played string) []mutant.Mutant {
+	var all []mutant.Mutant
+	if played != "only" {
+		all = slices.Clone(mutant.Controls)
+	}
+	seen := map[string]bool{}
+	for _, m := range table {
+		if played == "no" || m.Played == "" || seen[m.Played] {
+			continue
+		}
+		seen[m.Played] = true
+		c := mutant.Controls[0]
+		c.Name, c.Played, c.PlayedOnly = fmt.Sprintf("unchanged-played-%d", len(seen)), m.Played, true
+		all = append(all, c)
+	}
+	return all
+}
+
 func within2(d time.Duration, jobs int) error {
 	if err := within("within", d, 5*time.Second, 10*time.Minute); err != nil {
 		return err
@@ -128,7 +159,16 @@
 	case !f.Noticed():
 		return "NOT NOTICED"
 	}
-	return fmt.Sprintf("tests: %s; storms: %s", list(f.Tests), list(f.Storms))
+	return fmt.Sprintf("tests: %s; storms: %s; processes: %s", list(f.Tests), list(f.Storms), processes(f))
+}
+
+// processes tells which plays of several processes noticed; a dash where none is
+// named.
+func processes(f *mutant.Finding) string {
+	if f.Mutant.Played == "" {
+		return "-"
+	}
+	return list(f.Played)
 }
 
 func list(names []string) string {
@@ -144,8 +184,8 @@
 // mutantVerdict writes the table and counts.
 func mutantVerdict(out io.Writer, path string, found []mutant.Finding) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "| mutant | file | what it breaks | tests that notice | storms that notice |\n| --- | --- | --- | --- | --- |\n")
-	byTest, byStorm, by, unseen, missed, failed := 0, 0, 0, 0, 0, 0
+	fmt.Fprintf(&b, "| mutant | file | what it breaks | tests that notice | storms that notice | processes that notice |\n| --- | --- | --- | --- | --- | --- |\n")
+	byTest, byStorm, byPlay, named, by, unseen, missed, failed := 0, 0, 0, 0, 0, 0, 0, 0
 	for i := range found {
 		f := &found[i]
 		tests, storms := list(f.Tests), list(f.Storms)
@@ -168,14 +208,20 @@
 		if len(f.Storms) > 0 {
 			byStorm++
 		}
-		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s |\n", f.Mutant.Name, filepath.ToSlash(f.Mutant.File), f.Mutant.Breaks, tests, storms)
+		if f.Mutant.Played != "" {
+			named++
+			if len(f.Played) > 0 {
+				byPlay++
+			}
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s |\n", f.Mutant.Name, filepath.ToSlash(f.Mutant.File), f.Mutant.Breaks, tests, storms, processes(f))
 	}
 	if path != "" {
 		if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
 			return err
 		}
 	}
-	fmt.Fprintf(out, "mutants=%d noticed=%d by_tests=%d by_storms=%d unseen=%d missed=%d failed=%d\n", len(found), by, byTest, byStorm, unseen, missed, failed)
+	fmt.Fprintf(out, "mutants=%d noticed=%d by_tests=%d by_storms=%d by_processes=%d/%d unseen=%d missed=%d failed=%d\n", len(found), by, byTest, byStorm, byPlay, named, unseen, missed, failed)
 	if missed+failed > 0 {
 		return errRules
 	}
--- a/cmd/rig/nemesis.go
+++ b/cmd/rig/nemesis.go
@@ -145,7 +145,7 @@
 	kinds                                                          map[string]int
 	rules                                                          map[string]int
 	owners                                                         int
-	handovers, done, rolledTwice, leftOut, rollMost                int
+	handovers, overlaps, done, rolledTwice, leftOut, rollMost      int
 	gaps                                                           []time.Duration
 }
 
@@ -305,6 +305,11 @@
 		return nil, err
 	}
 	p := &played{res: experiment.Judge(plan, rec, nil), verdict: history.Judge(hist), took: time.Since(began)}
+	if o.keep != "" && p.res.Verdict() != "kept" {
+		if err := writePage(strings.TrimSuffix(path, ".jsonl")+".html", hist, p.verdict); err != nil {
+			return nil, err
+		}
+	}
 	if a, b := rec.Report.Line(), p.verdict.Rules.Line(); len(rec.Void) == 0 && !p.res.Broken() && a != b {
 		p.res.Void = append(p.res.Void, fmt.Sprintf("the run and its history differ: %s; %s", a, b))
 	}
@@ -411,6 +416,7 @@
 	}
 	if c := b.Council; c != nil {
 		t.handovers += c.Handovers
+		t.overlaps += c.Overlaps
 		t.done += c.Done
 		t.rolledTwice += c.Twice
 		t.leftOut += c.LeftOut
--- a/cmd/rig/owner.go
+++ b/cmd/rig/owner.go
@@ -17,7 +17,7 @@
 const ownerStorm = `name = "owner"
 about = "One owner at a time: orders for all hosts while processes of the council and of the hosts fail."
 for = %q
-hold = ["rolled_twice <= 0", "left_out <= 0", "orders_done >= 1", "fleet_up >= 1"]
+hold = ["overlaps <= 0", "rolled_twice <= 0", "left_out <= 0", "orders_done >= 1", "fleet_up >= 1"]
 [world]
 instances = %d
 hosts = %d
@@ -114,7 +114,7 @@
 		}
 		return t.gaps[min(len(t.gaps)-1, int(q*float64(len(t.gaps))))].Seconds()
 	}
-	return fmt.Sprintf("runs=%d handovers=%d owners_twice=%d late_tried=%d gap_p50_s=%.2f gap_p99_s=%.2f gaps=%d roll_most_at_once=%d orders_done=%d rolled_twice=%d left_out=%d lost=%d twice=%d void=%d",
-		t.runs, t.handovers, t.owners, t.lateTried, at(0.5), at(0.99), len(t.gaps), t.rollMost, t.done, t.rolledTwice, t.leftOut,
+	return fmt.Sprintf("runs=%d handovers=%d owners_twice=%d overlaps=%d late_tried=%d gap_p50_s=%.2f gap_p99_s=%.2f gaps=%d roll_most_at_once=%d orders_done=%d rolled_twice=%d left_out=%d lost=%d twice=%d void=%d",
+		t.runs, t.handovers, t.owners, t.overlaps, t.lateTried, at(0.5), at(0.99), len(t.gaps), t.rollMost, t.done, t.rolledTwice, t.leftOut,
 		t.rules["lost"]+t.rules["late"]+t.rules["forged"]+t.rules["after"], t.rules["twice"]+t.rules["untrue"], t.void)
 }
--- a/internal/fleet/council/rules.go
+++ b/internal/fleet/council/rules.go
@@ -75,6 +75,9 @@
 // Held tells whether the owner may begin an effect.
 func (t *Tenure) Held(now time.Duration) bool { return t.Epoch != 0 && now < t.until }
 
+// Over is for how long the tenure has been over; 0 while it is held.
+func (t *Tenure) Over(now time.Duration) time.Duration { return max(0, now-t.until) }
+
 // Lost ends it.
 func (t *Tenure) Lost() { *t = Tenure{} }
 
--- a/internal/fleet/supervisor/everywhere.go
+++ b/internal/fleet/supervisor/everywhere.go
@@ -182,7 +182,7 @@
 	why := o.roll(own)
 	end()
 	wg.Wait()
-	s.log.Info(fmt.Sprintf("council: %s ends epoch %v: %s", me, o.epoch, why))
+	s.log.Info(fmt.Sprintf("council: %s ends epoch %v: %s (over for %v)", me, o.epoch, why, o.tenure.Over(bootTime()).Round(time.Millisecond)))
 	s.asks(ctx, ask.Question{Kind: council.Give, Duty: Duty, Who: me, Epoch: o.epoch}, effectFor)
 }
 
--- a/internal/lab/experiment/verdict.go
+++ b/internal/lab/experiment/verdict.go
@@ -53,6 +53,8 @@
 	"orders_done":    {Means: "orders for all hosts that were carried out whole; with a council only", WholeOnly: true},
 	"late_tried":     {Means: "effects of an owner of before that receivers refused; with a council only", WholeOnly: true},
 	"roll_at_once":   {Means: "instances that are under way for orders at a time, the most; with a council only", WholeOnly: true},
+	"overlaps":       {Means: "tenures that were not over, by their owner's clock, when the next one began; with a council only", WholeOnly: true},
+	"unheard":        {Means: "effects refused by receivers that had just started and knew of no epoch; with a council only", WholeOnly: true},
 	"handovers":      {Means: "how often somebody became the owner of the roll; with a council only", WholeOnly: true},
 	"kinds":          {Means: "kinds of fault between processes that took place; with hosts only", WholeOnly: true},
 	"conns_asked":    {Means: "connections opened at call servers for each request asked", WholeOnly: true},
@@ -114,6 +116,8 @@
 // Owned is what was seen of the duty roll.
 type Owned struct {
 	Handovers, LateTried, Twice, LeftOut, Done int
+	Overlaps                                   int             // tenures that were not over by their owners' clocks when the next one began
+	Unheard                                    int             // effects refused by receivers that knew of no epoch yet
 	Most                                       int             // instances under way for orders at a time
 	Gaps                                       []time.Duration // from an owner's death to the next owner
 }
@@ -225,6 +229,7 @@
 		res.Figures["kinds"] = float64(len(rec.Between.Kinds))
 		if o := rec.Between.Council; o != nil {
 			res.Figures["rolled_twice"], res.Figures["left_out"], res.Figures["orders_done"] = float64(o.Twice), float64(o.LeftOut), float64(o.Done)
+			res.Figures["overlaps"], res.Figures["unheard"] = float64(o.Overlaps), float64(o.Unheard)
 			res.Figures["late_tried"], res.Figures["handovers"] = float64(o.LateTried), float64(o.Handovers)
 			res.Figures["roll_at_once"] = float64(o.Most)
 		}
--- a/internal/lab/mutant/run.go
+++ b/internal/lab/mutant/run.go
@@ -23,6 +23,7 @@
 	Go     string        // the go command
 	Within time.Duration // for each step; one that takes longer hangs, and that is noticed
 	Storms []string      // arguments of `rig storm`; nil plays none
+	Played bool          // play what a mutant says in Played, too
 }
 
 // Finding is what noticed a mutant.
@@ -30,11 +31,12 @@
 	Mutant Mutant
 	Tests  []string // tests that failed, or "hangs"
 	Storms []string // storms that broke or failed
+	Played []string // those with several processes that did
 	Err    error    // it could not be tried
 }
 
 // Noticed tells whether anything did.
-func (f *Finding) Noticed() bool { return len(f.Tests)+len(f.Storms) > 0 }
+func (f *Finding) Noticed() bool { return len(f.Tests)+len(f.Storms)+len(f.Played) > 0 }
 
 // packages are those whose tests may notice a breakage of a file, by its
 // folder.
@@ -112,13 +114,18 @@
 		f.Err = fmt.Errorf("mutant %s does not build: %s", m.Name, first(strings.TrimPrefix(out, "#")))
 		return f
 	}
-	f.Tests, f.Err = r.tests(ctx, dir, packages(m.File), "")
+	if !m.PlayedOnly {
+		f.Tests, f.Err = r.tests(ctx, dir, packages(m.File), "")
+	}
 	if f.Err == nil && len(f.Tests) > 0 {
 		// What fails once may be a slow machine's: it counts if it fails again.
 		f.Tests, f.Err = r.tests(ctx, dir, packages(m.File), only(f.Tests))
 	}
-	if f.Err == nil && len(r.Storms) > 0 {
-		f.Storms, f.Err = r.storms(ctx, dir)
+	if f.Err == nil && len(r.Storms) > 0 && !m.PlayedOnly {
+		f.Storms, f.Err = r.storms(ctx, dir, append([]string{"storm"}, r.Storms...), stormLine)
+	}
+	if f.Err == nil && r.Played && m.Played != "" {
+		f.Played, f.Err = r.storms(ctx, dir, strings.Fields(m.Played), playedLine)
 	}
 	return f
 }
@@ -166,9 +173,12 @@
 
 var stormLine = regexp.MustCompile(`(?m)^(\S+) +(?:virtual|sockets) +seed \d+ +(broken|failed|void) `)
 
+// playedLine is a run of several processes that noticed. One that is void has not.
+var playedLine = regexp.MustCompile(`(?m)(\S+) +sockets +seed \d+ +(broken|failed) `)
+
 // storms plays storms with the rig of the copy and names those that noticed.
-func (r *Runner) storms(ctx context.Context, dir string) ([]string, error) {
-	out, err := r.run(ctx, dir, append([]string{"run", "./cmd/rig", "storm"}, r.Storms...)...)
+func (r *Runner) storms(ctx context.Context, dir string, words []string, line *regexp.Regexp) ([]string, error) {
+	out, err := r.run(ctx, dir, append([]string{"run", "./cmd/rig"}, words...)...)
 	if err == nil {
 		return nil, nil
 	}
@@ -176,7 +186,7 @@
 		return nil, ctx.Err()
 	}
 	var names []string
-	for _, m := range stormLine.FindAllStringSubmatch(out, -1) {
+	for _, m := range line.FindAllStringSubmatch(out, -1) {
 		if name := m[1]; !slices.Contains(names, name) {
 			names = append(names, name)
 		}
@@ -187,6 +197,9 @@
 	case strings.Contains(out, "panic: "):
 		names = append(names, "crashes")
 	}
+	if len(names) == 0 && strings.Contains(out, "void=") && !strings.Contains(out, "void=0") {
+		return nil, fmt.Errorf("runs were void and none noticed: %.300s", out[max(0, len(out)-300):])
+	}
 	if len(names) == 0 {
 		return nil, fmt.Errorf("storms failed and named none: %.300s", out)
 	}
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -8,8 +8,24 @@
 	New    string
 	Breaks string // what it does wrong
 	Unseen string // why it can't be seen from outside; empty where it must be noticed
+	// Played are words of `rig` behind which several processes of the program, with
+	// faults between them, must notice it; empty for none.
+	Played     string
+	PlayedOnly bool // and nothing else
 }
 
+// Plays of several processes. What is kept with nothing broken is tried first.
+const (
+	ownerDrawn   = "owner -members 3 -hosts 3 -instances 9 -faults 6 -for 24s -seeds 1..4 -jobs 2"
+	ownerStopped = "nemesis -short -seeds 1..2 -jobs 2 experiments/owner-stopped.toml"
+	ownerForgets = "nemesis -short -seeds 1..2 -jobs 2 experiments/owner-forgets.toml"
+	ownerCut     = "nemesis -short -seeds 1 -jobs 3 experiments/owner-cut.toml"
+	betweenRolls = "nemesis -short -seeds 1..2 -jobs 2 experiments/between-rolls.toml"
+	betweenKill  = "nemesis -short -seeds 1 -jobs 3 experiments/between-killed.toml"
+	betweenOver  = "nemesis -short -seeds 1 -jobs 3 experiments/between-handover.toml"
+	betweenLists = "nemesis -short -seeds 1..3 -jobs 3 experiments/between-lists.toml"
+)
+
 // Controls change nothing: a run in which one of them is noticed shows nothing.
 var Controls = []Mutant{
 	{Name: "unchanged-module", File: "balance/balance.go", Breaks: "nothing", Old: "package balance\n", New: "package balance\n"},
@@ -19,7 +35,7 @@
 // Table are the breakages that `rig mutants` tries.
 var Table = []Mutant{
 	// The five that were tried when no rig and no storm noticed them.
-	{Name: "unsafe-again", File: "balance/balance.go", Breaks: "an unsafe request may be sent again",
+	{Name: "unsafe-again", Played: betweenLists, File: "balance/balance.go", Breaks: "an unsafe request may be sent again",
 		Old: "case r.class.Effect == Once:\n\t\treturn false", New: "case r.class.Effect == Once:\n\t\treturn true"},
 	{Name: "cold-unguarded", File: "balance/members.go", Breaks: "the guard of cold servers is off",
 		Old: "func (b *Balancer) certain(s *server, now time.Duration) float64 {\n", New: "func (b *Balancer) certain(s *server, now time.Duration) float64 {\n\tif now > 0 {\n\t\treturn 1\n\t}\n"},
@@ -60,7 +76,7 @@
 		Old: "unacked = f.gate.Unacked()", New: "unacked = 0"},
 
 	// Supervisors.
-	{Name: "start-unwritten", File: "internal/fleet/supervisor/supervisor.go", Breaks: "a supervisor killed between a start and its note leaves an instance that nobody owns",
+	{Name: "start-unwritten", Played: betweenKill, File: "internal/fleet/supervisor/supervisor.go", Breaks: "a supervisor killed between a start and its note leaves an instance that nobody owns",
 		Old: "range marked(s.file.Directory) {", New: "range marked(\"\") {"},
 
 	// The council.
@@ -78,19 +94,26 @@
 		Old: "s.Apply(Command{Version: 1, Kind: Move, Epoch: Epoch(space)})", New: "s.Count += 0 * uint64(space)"},
 	{Name: "stores-nothing", File: "internal/fleet/council/node/node.go", Breaks: "a member promises what it did not write down",
 		Old: "if err := n.store.save(out); err != nil {", New: "if err := n.store.save(council.Output{Snapshot: out.Snapshot}); err != nil {"},
-	{Name: "effect-unfenced", File: "internal/fleet/supervisor/everywhere.go", Breaks: "a supervisor does what a late owner wants",
+	{Name: "effect-unfenced", Played: ownerStopped, File: "internal/fleet/supervisor/everywhere.go", Breaks: "a supervisor does what a late owner wants",
 		Old: "Epoch: e.Epoch}); err != nil {", New: "Epoch: e.Epoch}); err != nil && e.Epoch == 0 {"},
-	{Name: "unreached-counts-not", File: "internal/fleet/everywhere/everywhere.go", Breaks: "the owner goes on while it has not reached all hosts",
+	{Name: "unreached-counts-not", Played: ownerDrawn, File: "internal/fleet/everywhere/everywhere.go", Breaks: "the owner goes on while it has not reached all hosts",
 		Old: "\t\tif !h.Reached {\n", New: "\t\tif !h.Reached && h.Name == \"\" {\n"},
-	{Name: "order-unmarked", File: "internal/fleet/supervisor/supervisor.go", Breaks: "a process does not bear the order that it was started for",
+	{Name: "order-unmarked", Played: ownerDrawn, File: "internal/fleet/supervisor/supervisor.go", Breaks: "a process does not bear the order that it was started for",
 		Old: "env = append(env, orderKey+\"=\"+order)", New: "env = append(env, orderKey+\"=\")"},
-	{Name: "order-unwritten", File: "internal/fleet/supervisor/supervisor.go", Breaks: "what was done for an order is forgotten with a host's processes",
+	{Name: "order-unwritten", Played: ownerDrawn, File: "internal/fleet/supervisor/supervisor.go", Breaks: "what was done for an order is forgotten with a host's processes",
 		Old: "if i, known := at[v.Name]; known && v.Order", New: "if i, known := at[v.Name]; known && v.PID < 0 && v.Order"},
 	{Name: "epoch-stands", File: "internal/fleet/council/state.go", Breaks: "a new owner has the old one's epoch",
 		Old: "max(d.Epoch+1, Epoch(s.Space)<<32+1)", New: "max(d.Epoch, Epoch(s.Space)<<32+1)"},
-	{Name: "fence-open", File: "internal/fleet/council/rules.go", Breaks: "a receiver takes the effects of a late owner",
+	{Name: "fence-open", Played: ownerStopped, File: "internal/fleet/council/rules.go", Breaks: "a receiver takes the effects of a late owner",
 		Old: "case t.Epoch < old.Epoch:", New: "case t.Epoch < 0:"},
 
+	{Name: "receiver-forgets", Played: ownerForgets, File: "internal/fleet/council/rules.go", Breaks: "a receiver that has just started takes whatever comes first",
+		Old: "	case !known:\n		f.Refused++\n		return", New: "	case !known && t.Epoch == 0:\n		f.Refused++\n		return"},
+	{Name: "margin-negative", Played: ownerCut, File: "internal/fleet/council/rules.go", Breaks: "an owner acts for a lease longer than it has",
+		Old: "asked+lease-margin", New: "asked+2*lease+margin"},
+	{Name: "vote-counted-twice", File: "internal/fleet/council/node/node.go", Breaks: "a member that comes back counts its own word for two of a majority",
+		Old: "answered := map[uint64]bool{n.number: true}", New: "answered := map[uint64]bool{n.number: true, 1 << 40: true}"},
+
 	// Picks and health.
 	{Name: "worse-of-two", File: "balance/pick.go", Breaks: "of two sampled servers the worse is taken",
 		Old: "b.cost(first, now) <= bias*b.cost(second, now)", New: "b.cost(first, now) > bias*b.cost(second, now)"},
@@ -175,7 +198,7 @@
 		Old: "\t\te.keepDrains(l, moves)\n", New: ""},
 	{Name: "two-lengths", File: "internal/httpfront/check.go", Breaks: "a request may hide another in its body",
 		Old: "return lengths+codings <= 1 &&", New: "return lengths+codings <= 9 &&"},
-	{Name: "drain-in-a-hurry", File: "internal/sidecar/drain.go", Breaks: "a drain does not wait for what is open",
+	{Name: "drain-in-a-hurry", Played: betweenRolls, File: "internal/sidecar/drain.go", Breaks: "a drain does not wait for what is open",
 		Old: "\ts.drainUntil(end, nil)\n\ts.coapEnd()\n", New: "\t_ = end\n\ts.front.Abandon()\n\ts.coapEnd()\n"},
 	{Name: "drain-unbounded", File: "internal/sidecar/drain.go", Breaks: "a drain never hands back",
 		Old: "if !handed && !now.Before(end) {", New: "if !handed && now.Before(time.Unix(0, 0)) {"},
@@ -212,7 +235,7 @@
 		Old: "if p.started && now < p.lastAt+p.cfg.Gap {", New: "if p.started && now < p.lastAt {"},
 	{Name: "never-killed", File: "internal/fleet/plan/plan.go", Breaks: "a process that does not end is left",
 		Old: "\t\t\tp.act(Action{Kind: KillIt, Instance: i, Proc: q.id})\n", New: ""},
-	{Name: "roll-of-all", File: "internal/fleet/plan/plan.go", Breaks: "a roll takes all instances at a time",
+	{Name: "roll-of-all", Played: betweenRolls, File: "internal/fleet/plan/plan.go", Breaks: "a roll takes all instances at a time",
 		Old: "len(r.active) < p.cfg.AtOnce {", New: "len(r.active) < 1000 {"},
 	{Name: "roll-on", File: "internal/fleet/plan/plan.go", Breaks: "a roll goes on though none becomes ready",
 		Old: "if r.back || r.inRow < p.cfg.PauseAfter {", New: "if r.back || r.inRow < 1000*p.cfg.PauseAfter {"},
--- a/internal/lab/report/plot.go
+++ b/internal/lab/report/plot.go
@@ -39,11 +39,16 @@
 	if _, err := c.WriteTo(&b); err != nil {
 		return "", err
 	}
-	text := b.String()
+	return inPage(b.String()), nil
+}
+
+// inPage is a drawing as it stands within HTML: without its XML head. The plotter
+// writes it from numbers; names pass through its escaping.
+func inPage(text string) template.HTML {
 	if at := strings.Index(text, "<svg"); at > 0 {
-		text = text[at:] // no XML head within HTML
+		text = text[at:]
 	}
-	return template.HTML(text), nil //nolint:gosec // written by the plotter from numbers; names pass through its escaping
+	return template.HTML(text) //nolint:gosec // see above
 }
 
 // series is one line of a plot.
--- a/internal/lab/report/report_test.go
+++ b/internal/lab/report/report_test.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
+	"otterspring/internal/lab/audit"
 	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/history"
 )
 
 func result(storm, engine string, seed uint64, service float64) *experiment.Result {
@@ -143,3 +146,72 @@
 		}
 	}
 }
+
+// The page of a history draws each process, its stops, the fault on it and the
+// effect that was refused, shows what broke with the entries that say so, and asks
+// for nothing from outside. Names come into it escaped.
+func TestTimeline(t *testing.T) {
+	var b bytes.Buffer
+	w := history.NewWriter(&b, history.Head{Clock: "c", Storm: "s <&>", Seed: 3})
+	s := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+	add := func(at float64, e history.Entry) {
+		e.At = s(at)
+		w.Add(e)
+	}
+	process := func(who, op string, pid uint64) history.Entry {
+		return history.Entry{Event: audit.Event{Do: history.Process}, Who: who, Op: op, Number: pid}
+	}
+	effect := func(who, to string, epoch uint64, result string) history.Entry {
+		return history.Entry{Event: audit.Event{Do: history.Effect}, Who: who, To: to, Duty: "roll", Op: "restart", Number: epoch, Result: result}
+	}
+	for i := range 70 {
+		add(0, process(fmt.Sprintf("n%d", i+1), "started", uint64(100+i)))
+	}
+	add(0, process("f1", "started", 1))
+	add(0, process("f2", "started", 2))
+	add(0.5, history.Entry{Event: audit.Event{Do: history.Process}, Who: "f1", Op: "said", Value: "council: h1 owns roll under epoch 0.1"})
+	add(0.6, history.Entry{Event: audit.Event{Do: history.Process}, Who: "f2", Op: "said", Value: "hears of roll: h1 owns it"}) // no tenure of its own
+	add(1, history.Entry{Event: audit.Event{Do: history.Fault}, End: s(3), Who: "f1", Op: "stop-at", Value: "<point>"})
+	add(1, process("f1", "stopped", 1))
+	add(2, effect("h2", "f2", 2, history.Done))
+	add(3, process("f1", "woken", 1))
+	add(3.1, effect("h1", "f2", 1, history.Refused))
+	add(3.2, effect("h1", "f2", 1, history.Done)) // what must not be
+	add(4, process("n7", "killed", 106))
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	h, err := history.Read("h", &b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows, end := historyRows(h)
+	if len(rows) != 72 || end != 4 || rows[0].name != "f1" || rows[2].name != "n1" || rows[71].name != "n70" {
+		t.Fatalf("%d rows to %v, first %s", len(rows), end, rows[0].name)
+	}
+	kinds := map[barKind]int{}
+	for _, x := range rows[0].bars {
+		kinds[x.kind]++
+		if x.kind == asleep && (x.from != 1 || x.to != 3) {
+			t.Errorf("asleep %v to %v", x.from, x.to)
+		}
+	}
+	if kinds[alive] != 1 || kinds[asleep] != 1 || kinds[disturbed] != 1 || kinds[tenure] != 1 || len(rows[1].ticks) != 3 || len(rows[1].bars) != 1 {
+		t.Errorf("bars of f1 %v, effects at f2 %v", kinds, rows[1].ticks)
+	}
+	var page bytes.Buffer
+	if err := Timeline(&page, h, history.Judge(h)); err != nil {
+		t.Fatal(err)
+	}
+	text := page.String()
+	for _, want := range []string{"s &lt;&amp;&gt;, seed 3", "broken", "single owner", "12 processes that least happened to are left out", ">f1<", ">n7<", "stop-at &lt;point&gt;", "after h2 had acted there in epoch 2"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("the page lacks %q", want)
+		}
+	}
+	for _, no := range []string{"s <&>", "<point>", "<?xml", "src=\"http"} {
+		if strings.Contains(text, no) {
+			t.Errorf("the page has %q", no)
+		}
+	}
+}
--- a/internal/lab/rig/council.go
+++ b/internal/lab/rig/council.go
@@ -35,6 +35,26 @@
 	sleeps  string            // role of the one that is gone
 	rolling map[string]string // instances that are under way, and for which order
 	epochs  map[string]uint64 // newest that each supervisor said that it owns, or has heard of
+	tenures map[uint64]*tenure
+}
+
+// tenure is one owner's time by its own count: from what it said when it began to
+// when its lease was over, by its own clock. to is 0 for one that never said so.
+type tenure struct{ from, to time.Duration }
+
+// overlaps counts the tenures that had not ended when a later one began. Whether an
+// effect came of it the fences decide; this says whether leases alone would have
+// held.
+func overlaps(all map[uint64]*tenure) (n int) {
+	for i, a := range all {
+		for j, b := range all {
+			if i < j && a.to > b.from {
+				n++
+				break
+			}
+		}
+	}
+	return n
 }
 
 // newCouncil writes a council's file and takes addresses for it and for the
@@ -44,7 +64,7 @@
 	if c.Members == 0 {
 		return nil
 	}
-	o := &owned{file: h.w.path("council.toml"), address: map[string]string{}, begun: map[string]bool{}, struck: map[int]string{}, starts: map[string]map[string][]int{}, rolling: map[string]string{}, epochs: map[string]uint64{}}
+	o := &owned{file: h.w.path("council.toml"), address: map[string]string{}, begun: map[string]bool{}, struck: map[int]string{}, starts: map[string]map[string][]int{}, rolling: map[string]string{}, epochs: map[string]uint64{}, tenures: map[uint64]*tenure{}}
 	var b strings.Builder
 	fmt.Fprintf(&b, "name = \"world\"\ndirectory = \"council\"\nlease = %q\nmargin = %q\ntick = %q\n", c.Lease, c.Margin, c.Tick)
 	var held []net.Listener
@@ -112,9 +132,10 @@
 
 var (
 	ownsLine    = regexp.MustCompile(`council: (\S+) owns roll under epoch (\d+)\.(\d+)`)
+	endsLine    = regexp.MustCompile(`council: \S+ ends epoch (\d+)\.(\d+): .*\(over for ([0-9a-zµ.]+)\)`)
 	takesLine   = regexp.MustCompile(`takes restart of (\S+) for order (\S+) of (\S+), epoch (\d+)\.(\d+)`)
 	hearsLine   = regexp.MustCompile(`hears of roll: (\S+) owns it, epoch (\d+)\.(\d+)`)
-	refusesLine = regexp.MustCompile(`refused: (\S+) of epoch (\d+)\.(\d+) of (\S+): .*(?:a late owner|two councils)`)
+	refusesLine = regexp.MustCompile(`refused: (\S+) of epoch (\d+)\.(\d+) of (\S+): .*(?:a late owner|two councils|this receiver has just started)`)
 )
 
 func epochOf(space, number string) uint64 {
@@ -151,6 +172,13 @@
 		}
 		h.owned.owner = role
 		h.owned.epochs[role] = epochOf(m[2], m[3])
+		h.owned.tenures[epochOf(m[2], m[3])] = &tenure{from: now}
+	}
+	if m := endsLine.FindStringSubmatch(line); m != nil {
+		if t := h.owned.tenures[epochOf(m[1], m[2])]; t != nil {
+			over, _ := time.ParseDuration(m[3])
+			t.to = now - over
+		}
 	}
 	if strings.Contains(line, " ends epoch ") && h.owned.owner == role {
 		h.owned.owner = ""
@@ -166,7 +194,11 @@
 		h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: now}, Who: m[1], To: role, Duty: "roll-of-all", Op: "look", Number: epochOf(m[2], m[3]), Result: history.Done})
 	}
 	if m := refusesLine.FindStringSubmatch(line); m != nil {
-		h.owned.res.LateTried++
+		if strings.Contains(line, "has just started") {
+			h.owned.res.Unheard++ // it knew of no epoch, and took nothing
+		} else {
+			h.owned.res.LateTried++
+		}
 		h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: now}, Who: m[4], To: role, Duty: "roll-of-all", Op: m[1], Number: epochOf(m[2], m[3]), Result: history.Refused})
 	}
 }
@@ -317,6 +349,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	res := &h.owned.res
+	res.Overlaps = overlaps(h.owned.tenures)
 	for _, line := range strings.Split(string(out), "\n") {
 		var id string
 		if n, _ := fmt.Sscanf(line, "order %s", &id); n != 1 {
--- a/internal/lab/rig/disturb.go
+++ b/internal/lab/rig/disturb.go
@@ -58,7 +58,26 @@
 	if f.For.On(h.plan.Storm.For) > 0 {
 		end = h.w.Log.Now() + f.For.On(h.plan.Storm.For)
 	}
-	h.note(history.Entry{Event: audit.Event{Do: history.Fault}, End: end, Who: st.Proc, Op: f.Kind, Value: f.Point + f.Disk + f.Peer + f.Order})
+	h.noteFault(st, f, h.w.Log.Now(), end)
+}
+
+// noteFault takes a fault down. The caller holds the mutex.
+func (h *hosts) noteFault(st experiment.Step, f *experiment.Fault, at, end time.Duration) {
+	h.note(history.Entry{Event: audit.Event{Do: history.Fault, At: at}, End: end, Who: st.Proc, Op: f.Kind, Value: f.Point + f.Disk + f.Peer + f.Order})
+}
+
+// struck notes a fault that took place at a point of the code, now that it ends: it
+// began when the process left its mark.
+func (h *hosts) struck(st experiment.Step, f *experiment.Fault) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.played[f.Kind]++
+	now := h.w.Log.Now()
+	at := now
+	if info, err := os.Stat(h.mark(st.Proc, st.Fault)); err == nil {
+		at = max(1, now-max(0, time.Since(info.ModTime())))
+	}
+	h.noteFault(st, f, at, now)
 }
 
 // begin brings a fault in; false where it met no process, or takes place later,
@@ -132,7 +151,7 @@
 	case "kill-at", "stop-at", "never-ready", "clock", "disk", "cut-off":
 		if f.Kind != "clock" && f.Kind != "disk" && f.Kind != "cut-off" {
 			if pid := h.hit(st.Proc, st.Fault); pid > 0 {
-				h.took(st, f)
+				h.struck(st, f)
 				if f.Kind != "kill-at" {
 					syscall.Kill(pid, syscall.SIGCONT)
 				}
--- a/internal/lab/rig/hosts.go
+++ b/internal/lab/rig/hosts.go
@@ -496,9 +496,14 @@
 	return false
 }
 
+// mark is what a process leaves that a fault has struck.
+func (h *hosts) mark(name string, fault int) string {
+	return filepath.Join(h.dir, fmt.Sprintf("%s.%d", name, fault))
+}
+
 // hit is the process that a fault struck at its point; 0 for none yet.
 func (h *hosts) hit(name string, fault int) int {
-	text, err := os.ReadFile(filepath.Join(h.dir, fmt.Sprintf("%s.%d", name, fault)))
+	text, err := os.ReadFile(h.mark(name, fault))
 	if err != nil {
 		return 0
 	}
