Supervisors hand discovery's list on: one of a zone asks, each has a door for its sidecars

The duty list:ZONE beside the roll; reign.go has what both owners share (it was owner's). An owner watches for 2 s at a time, tells each host what it lacks at once and a word each 0.5 s, and gives the duty away when its calls to discovery fail for 3 s; a host that hears no owner for 1.5 to 3.5 s asks by itself; a door that knows nothing of late says so, 503.

--- a/internal/fleet/supervisor/everywhere.go
+++ b/internal/fleet/supervisor/everywhere.go
@@ -33,12 +33,12 @@
 
 const (
 	effectPath  = "/v1/effect"
-	mostEffect  = 64 << 10
-	mostEffects = 64 // connections of owners at a time
-	effectFor   = 3 * time.Second
+	mostEffect  = 2 << 20
+	mostEffects = 64                     // connections of owners at a time
 	hearFor     = 2 * time.Second        // a way that is cut in both directions is noticed after twice this
 	ownEvery    = 100 * time.Millisecond // an owner looks at all hosts
 	noteEvery   = time.Second
+	vacantLook  = 250 * time.Millisecond
 )
 
 // effect is what an owner wants of a supervisor.
@@ -46,17 +46,19 @@
 	Duty     string        `json:"duty"`
 	Owner    string        `json:"owner"`
 	Epoch    council.Epoch `json:"epoch"`
-	Do       string        `json:"do"` // look or restart
+	Do       string        `json:"do"` // look, restart or list
 	Instance string        `json:"instance,omitempty"`
 	Order    string        `json:"order,omitempty"`
 	Program  string        `json:"program,omitempty"`
+	List     *handed       `json:"list,omitempty"`
 }
 
 // told is its answer.
 type told struct {
 	Refused string          `json:"refused,omitempty"`
 	Host    everywhere.Host `json:"host"`
-	Late    int             `json:"late"` // effects that were refused since the start
+	Index   int64           `json:"index,omitempty"` // of the list that it holds
+	Late    int             `json:"late"`            // effects that were refused since the start
 }
 
 // fact is what the council keeps of a host.
@@ -91,6 +93,9 @@
 	server := &http.Server{Handler: http.HandlerFunc(s.takeEffect), ReadTimeout: effectFor, WriteTimeout: effectFor + time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 4 << 10}
 	s.wg.Go(func() { server.Serve(ask.Bounded(ln, mostEffects)) })
 	s.wg.Go(func() { <-ctx.Done(); server.Close(); s.client.Close() })
+	if err := s.joinList(ctx); err != nil {
+		return err
+	}
 	s.wg.Go(func() { s.hear(ctx) })
 	return nil
 }
@@ -124,6 +129,9 @@
 			if first {
 				// A majority knows of no owner: any is newer than nobody.
 				s.fence.Hear(Duty, council.Tenant{})
+				if s.near != nil {
+					s.fence.Hear(s.near.duty, council.Tenant{})
+				}
 			}
 			return nil
 		})
@@ -131,8 +139,19 @@
 			known = s.tellFacts(ctx)
 			continue
 		}
+		vacant := false
+		if s.near != nil && a.Duties[s.near.duty].Owner == "" {
+			vacant = true
+			s.near.vacant(ctx, me)
+		}
 		if a.Open[Duty] && a.Duties[Duty].Owner == "" {
-			s.tryToOwn(ctx, me)
+			vacant = true
+			if s.owning.CompareAndSwap(false, true) {
+				s.wg.Go(func() { defer s.owning.Store(false); s.tryToOwn(ctx, me) })
+			}
+		}
+		if vacant {
+			pause(ctx, vacantLook) // until somebody has it, or wants it again
 			seen = 0
 		}
 	}
@@ -167,64 +186,19 @@
 
 // tryToOwn asks for the duty, and does it where it is given.
 func (s *Supervisor) tryToOwn(ctx context.Context, me string) {
-	pause(ctx, time.Duration(rand.Int64N(int64(200*time.Millisecond)))) // not all hosts at once
-	asked := bootTime()
-	a, err := s.asks(ctx, ask.Question{Kind: council.Take, Duty: Duty, Who: me}, effectFor)
-	if err != nil || a.Duty == nil || a.Duty.Owner != me {
+	r := s.reign(ctx, Duty, me)
+	if r == nil {
 		return
 	}
-	o := &owner{s: s, ctx: ctx, me: me, epoch: a.Duty.Epoch, lease: a.Lease(), margin: a.Margin()}
-	o.tenure.Renewed(asked, o.epoch, o.lease, o.margin)
-	s.log.Info(fmt.Sprintf("council: %s owns %s under epoch %v", me, Duty, o.epoch))
-	own, end := context.WithCancel(ctx)
-	var wg sync.WaitGroup
-	wg.Go(func() { defer end(); o.renew(own) })
-	why := o.roll(own)
-	end()
-	wg.Wait()
-	s.log.Info(fmt.Sprintf("council: %s ends epoch %v: %s (over for %v)", me, o.epoch, why, o.tenure.Over(bootTime()).Round(time.Millisecond)))
-	s.asks(ctx, ask.Question{Kind: council.Give, Duty: Duty, Who: me, Epoch: o.epoch}, effectFor)
+	o := &owner{reign: r}
+	r.during(ctx, o.roll)
 }
 
-// owner is this process while it owns the duty.
+// owner is this process while it owns the roll.
 type owner struct {
-	s             *Supervisor
-	ctx           context.Context // of the supervisor: what was begun is not called back when the tenure ends
-	me            string
-	epoch         council.Epoch
-	lease, margin time.Duration
-	mu            sync.Mutex
-	tenure        council.Tenure
-	note          everywhere.Note
-	noted         time.Time
-}
-
-// held tells whether an effect may be begun. It may have ended by the time at which
-// the effect is there: receivers know that by the epoch.
-func (o *owner) held() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.tenure.Held(bootTime())
-}
-
-// renew keeps the tenure until it is refused or over.
-func (o *owner) renew(ctx context.Context) {
-	for o.held() {
-		pause(ctx, o.lease/4)
-		if ctx.Err() != nil {
-			return
-		}
-		asked := bootTime()
-		a, err := o.s.asks(ctx, ask.Question{Kind: ask.Renew, Duty: Duty, Epoch: o.epoch}, o.lease/2)
-		if err == nil && a.Refused != "" {
-			return
-		}
-		if err == nil {
-			o.mu.Lock()
-			o.tenure.Renewed(asked, o.epoch, o.lease, o.margin)
-			o.mu.Unlock()
-		}
-	}
+	*reign
+	note  everywhere.Note
+	noted time.Time
 }
 
 // roll goes through the hosts until the order has ended or the tenure has. It
@@ -357,19 +331,6 @@
 	wg.Wait()
 }
 
-var effectClient = http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}}
-
-// effect wants something of one supervisor. A tenure that ends meanwhile does not
-// call it back: that would not undo it, and its outcome would not be known. Whether
-// it is too late the receiver decides.
-func (o *owner) effect(address string, e effect) (*told, error) {
-	e.Duty, e.Owner, e.Epoch = Duty, o.me, o.epoch
-	ctx, cancel := context.WithTimeout(o.ctx, effectFor)
-	defer cancel()
-	t := &told{}
-	return t, ask.Post(ctx, &effectClient, address, effectPath, "", e, t)
-}
-
 // takeEffect is the receiver: the fence is asked and the effect begun in one step
 // of the goroutine of Run, so that an owner who was answered knows of all that an
 // earlier one has begun here.
@@ -410,6 +371,12 @@
 	var acts []plan.Action
 	switch e.Do {
 	case "look":
+	case "list":
+		index, err := s.near.taken(e)
+		if err != nil {
+			return refused(err)
+		}
+		return told{Index: index, Late: s.fence.Refused}, nil
 	case "restart":
 		which, err := s.named([]string{e.Instance})
 		if err != nil {
@@ -432,7 +399,7 @@
 		s.say("takes restart of %s for order %s of %s, epoch %v", e.Instance, e.Order, e.Owner, e.Epoch)
 		inject.At("fleet-takes-order")
 	default:
-		return refused(fmt.Errorf("found %q, wanted look or restart", e.Do))
+		return refused(fmt.Errorf("found %q, wanted look, restart or list", e.Do))
 	}
 	return told{Host: s.host(), Late: s.fence.Refused}, acts
 }
--- a/internal/fleet/supervisor/file.go
+++ b/internal/fleet/supervisor/file.go
@@ -41,6 +41,7 @@
 	Crash     Crash      `toml:"crash"`
 	Alive     Alive      `toml:"alive"`
 	Council   Council    `toml:"council"`
+	List      ListFile   `toml:"list"`
 }
 
 // Council says which council this host belongs to; none without a name.
@@ -97,6 +98,7 @@
 		Name: "n{i}", FirstPort: 20000,
 		Start:   Start{Lines: 280, CallLines: 77, ListLines: 70, Ready: 10 * time.Second},
 		Restart: Restart{Mode: "term", AtOnce: 1, EndWithin: 30 * time.Second, PauseAfter: 2},
+		List:    ListFile{Source: "discovery", Silent: 1500 * time.Millisecond, Spread: 2 * time.Second, Stale: 4 * time.Second},
 		Crash:   Crash{First: 500 * time.Millisecond, Most: 30 * time.Second, Loop: 5, Within: time.Minute},
 	}
 }
@@ -147,6 +149,9 @@
 		if c.Host != "" || c.Listen != "" || c.Zone != "" || len(c.Members) > 0 {
 			return f.bad("council.name", "none", "the council's name, where the rest is set")
 		}
+		if f.List.Discovery != "" || f.List.Listen != "" {
+			return f.bad("list", "it without a council", "council.name, or no list")
+		}
 		return nil
 	}
 	if len(c.Members) == 0 {
@@ -157,6 +162,19 @@
 			return f.bad("council", strconv.Quote(a), "listen and members: an IP address and a port each")
 		}
 	}
+	if l := f.List; l.Discovery != "" || l.Listen != "" {
+		for key, a := range map[string]string{"list.discovery": l.Discovery, "list.listen": l.Listen} {
+			if addr, err := netip.ParseAddrPort(a); err != nil || addr.Port() == 0 {
+				return f.bad(key, strconv.Quote(a), "an IP address and a port")
+			}
+		}
+		if l.Source == "" || len(l.Source) > 64 || strings.ContainsAny(l.Source, " \r\n") {
+			return f.bad("list.source", strconv.Quote(l.Source), "a name of 1 to 64 bytes without blanks")
+		}
+		if l.Stale <= l.Silent {
+			return f.bad("list.stale", l.Stale.String(), fmt.Sprintf("more than %v (list.silent)", l.Silent))
+		}
+	}
 	if c.Host == "" || len(c.Host) > 32 || strings.ContainsAny(c.Host, "/. \n") {
 		return f.bad("council.host", strconv.Quote(c.Host), "a name of 1 to 32 bytes without blanks, dots and slashes")
 	}
--- a/internal/fleet/supervisor/supervisor.go
+++ b/internal/fleet/supervisor/supervisor.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,6 +51,8 @@
 	said    []string       // the latest words, for status
 	client  *ask.Client    // of the council; nil where there is none
 	fence   *council.Fence // of owners
+	near    *neighbours    // of the duty list; nil where it is off
+	owning  atomic.Bool    // the roll, or asks for it
 	orders  map[int]string // the council's order that each instance was started for last
 	failed  map[int]string // and the one of which its new process did not become ready
 	log     *slog.Logger
--- a/internal/inject/inject.go
+++ b/internal/inject/inject.go
@@ -35,6 +35,8 @@
 	"council-stored":     "council member: has stored what it owes, and told nobody",
 	"council-stores":     "council member: is about to store what it owes",
 	"fleet-takes-order":  "supervisor: has begun what the owner of the roll wants, and not answered",
+	"list-taken":         "supervisor: has taken a newer list of the owner, and not answered",
+	"list-tells":         "owner of the list: has made up what a host lacks, and not sent it",
 	"owner-acts":         "owner of the roll: has looked at its tenure, and not sent the effect",
 	"start":              "a sidecar's process has read its files, and listens nowhere yet",
 	"handover-asked":     "new process: has asked for the listener",
