[list] near: a sidecar takes the list from its host's door, and asks when that is silent

Off by default. After the door has failed discovery is asked at a moment within [list] spread that is the sidecar's own by its name; a door that answers again with no older list is gone back to. Without near nothing differs: Run goes straight to the old loop (far).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -118,6 +118,9 @@
 	if d.settings.CoAP.Listen != "" || d.settings.CoAP.Servers {
 		opt.CoAP = &d.settings.CoAP
 	}
+	if l := d.settings.List; l.Near != "" {
+		opt.Near, opt.Source, opt.Turn = l.Near, l.Source, sidecar.TurnOf(cfg.Name, l.Spread)
+	}
 	s, err := sidecar.StartWith(cfg, opt)
 	if err != nil {
 		return err
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -131,6 +131,11 @@
 	br      *bufio.Reader
 	parser  fastjson.Parser
 
+	near   string        // a door of this host that hands the list on; empty for none
+	source string        // whose versions that list has to bear
+	turnAt time.Duration // how long after near has failed addr is asked
+	last   int           // moves as far as calls have followed them
+
 	mu    sync.Mutex
 	addr  string
 	moves int
@@ -193,11 +198,20 @@
 // module asks, and watches on until a call fails.
 func (d *Follower) Run(ctx context.Context, eng *engine.Engine) {
 	d.eng = eng
+	defer d.hangUp()
+	if d.near == "" {
+		d.far(ctx, 0)
+		return
+	}
+	d.nearby(ctx)
+}
+
+// far follows discovery itself until ctx ends. tries are how many calls are made
+// without the module's asking at first.
+func (d *Follower) far(ctx context.Context, tries int) {
 	stop := context.AfterFunc(ctx, d.Ask)
 	defer stop()
-	defer d.hangUp()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), 0))
-	moves, tries := 0, 0 // tries left of a move
 	for {
 		if !d.pushed && tries == 0 {
 			<-d.asked
@@ -208,11 +222,11 @@
 			return
 		}
 		addr, n, until, done := d.turn(ctx)
-		if n != moves {
-			moves, tries, d.index = n, pace.Tries, 0
+		if n != d.last {
+			d.last, tries, d.index = n, pace.Tries, 0
 			d.hangUp()
 		}
-		heard, err := d.watch(until, addr, moves)
+		heard, err := d.watch(until, addr, n)
 		moved := until.Err() != nil
 		done()
 		d.hangUp()
@@ -235,7 +249,7 @@
 		}
 		tries = 0
 		slog.Warn("discovery failed", "why", err)
-		d.eng.Members(balance.ListFailed, engine.List{}, moves)
+		d.eng.Members(balance.ListFailed, engine.List{}, n)
 		if d.pushed {
 			pause(ctx, retryPushed)
 		}
@@ -255,7 +269,7 @@
 func (d *Follower) watch(ctx context.Context, addr string, moves int) (heard bool, err error) {
 	for {
 		began := time.Now()
-		l, err := d.call(ctx, addr)
+		l, _, err := d.call(ctx, addr, watchFor, answerWithin)
 		if err == nil {
 			// An answer that crossed a move is of the old address.
 			err = ctx.Err()
@@ -290,10 +304,11 @@
 
 // call makes one call. Every step of it is bounded in time: discovery may fall
 // silent with the connection up.
-func (d *Follower) call(ctx context.Context, addr string) (engine.List, error) {
+// It tells whose versions the list bears where that is said.
+func (d *Follower) call(ctx context.Context, addr string, watch, within time.Duration) (list engine.List, source string, err error) {
 	path, wait := "/discovery/hosts", wholeWithin-answerWithin
 	if d.index > 0 {
-		wait = watchFor
+		wait = watch
 		path = fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, d.index, wait.Milliseconds())
 	}
 	if d.conn != nil && d.br.Buffered() > 0 {
@@ -303,32 +318,33 @@
 		dialer := net.Dialer{Timeout: dialWithin, KeepAlive: -1}
 		conn, err := dialer.DialContext(ctx, "tcp", addr)
 		if err != nil {
-			return engine.List{}, err
+			return list, "", err
 		}
 		d.conn, d.br = conn, bufio.NewReaderSize(conn, readBuffer)
 	}
 	conn := d.conn
-	conn.SetDeadline(time.Now().Add(wait + answerWithin))
+	conn.SetDeadline(time.Now().Add(wait + within))
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(engine.Past) })
 	defer stop()
 	if _, err := fmt.Fprintf(d.conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr); err != nil {
-		return engine.List{}, err
+		return list, "", err
 	}
 	var resp fasthttp.Response
 	if err := resp.ReadLimitBody(d.br, mostList); err != nil {
-		return engine.List{}, fmt.Errorf("reading the answer: %w", err)
+		return list, "", fmt.Errorf("reading the answer: %w", err)
 	}
 	if resp.ConnectionClose() || resp.Header.ContentLength() == -2 {
 		d.hangUp()
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return engine.List{}, fmt.Errorf("answered %d", resp.StatusCode())
+		return list, "", fmt.Errorf("answered %d", resp.StatusCode())
 	}
 	v, err := d.parser.ParseBytes(resp.Body())
 	if err != nil {
-		return engine.List{}, fmt.Errorf("not JSON: %w", err)
+		return list, "", fmt.Errorf("not JSON: %w", err)
 	}
-	return Parse(v, d.schemes...)
+	list, err = Parse(v, d.schemes...)
+	return list, string(resp.Header.Peek(sourceHeader)), err
 }
 
 // ParseText reads a list in discovery's form.
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -103,6 +103,9 @@
 	}
 	ctx.Response.Header.Set("X-Pid", ownPid)
 	ctx.Response.Header.Set("X-Reloads", f.set.Reloads())
+	if f.set.Listed != nil {
+		ctx.Response.Header.Set("X-List", f.set.Listed())
+	}
 }
 
 func (f *Front) serveOne(ctx *fasthttp.RequestCtx, cc *clientConn) {
@@ -359,6 +362,7 @@
 	Spare         int           // idle connections that asked, kept at most
 	Bodies        int           // bytes of all request bodies together
 	Reloads       func() string // what /up says of reloads
+	Listed        func() string // and of the list: its version; nil says nothing
 }
 
 // Front is the listener, and knows every connection of the application.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"fmt"
 	"log/slog"
 	"math"
 	"net"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"otterspring/balance"
 	"otterspring/internal/coapfront"
@@ -55,6 +59,12 @@
 	return fmt.Sprintf("%d/%d", s.reloads[0].Load(), s.reloads[1].Load())
 }
 
+// listed is what /up says of the list: its version.
+func (s *Sidecar) listed() string {
+	index, _ := s.eng.Version()
+	return strconv.FormatInt(index, 10)
+}
+
 // NoteReload counts a reload, for who asks at /up.
 func (s *Sidecar) NoteReload(well bool) {
 	if well {
@@ -76,6 +86,10 @@
 	CoAP *operator.CoAP
 	// Packets is the socket for CoAP of the process before; nil to listen anew.
 	Packets *net.UDPConn
+	// Near is a door of this host that hands the list of the discovery Source on, and
+	// Turn how long after it has failed discovery itself is asked. Empty for none.
+	Near, Source string
+	Turn         time.Duration
 	// Paused starts without accepting, until Resume.
 	Paused bool
 }
@@ -104,6 +118,7 @@
 		return nil, err
 	}
 	d := discovery.New(cfg.Discovery, !cfg.Settings.Subscribe, cfg.Known.Index, schemes...)
+	d.Near(opt.Near, opt.Source, opt.Turn)
 	eng, err := engine.New(engine.Settings{Balance: cfg.Settings, Seed: cfg.Seed, Dial: cfg.Conns.Dial, Open: open}, d.Ask)
 	if err != nil {
 		return nil, err
@@ -118,7 +133,7 @@
 	s := &Sidecar{eng: eng, pool: p, disc: d, cfg: cfg, stop: stop}
 	serve, refuse := clientShares(cfg.Sockets)
 	s.front = httpfront.New(ln, eng, httpfront.Settings{
-		Serve: serve, Refuse: refuse, Spare: cfg.Sockets / 6, Bodies: cfg.Memory / 8, Reloads: s.reloadCounts,
+		Serve: serve, Refuse: refuse, Spare: cfg.Sockets / 6, Bodies: cfg.Memory / 8, Reloads: s.reloadCounts, Listed: s.listed,
 	})
 	if opt.CoAP != nil && opt.CoAP.Listen != "" {
 		set := coapfront.FromOperator(opt.CoAP, cfg.Settings.Classes, httpfront.DeadlineSlack, cfg.Seed, s.front.Budget())
@@ -177,3 +192,13 @@
 
 // Addr is where the sidecar listens.
 func (s *Sidecar) Addr() string { return s.front.Addr().String() }
+
+// TurnOf is the moment within a spread that is a sidecar's own, by its name. It is
+// the same in each of its processes, and even over names that count up.
+func TurnOf(name string, spread time.Duration) time.Duration {
+	if spread <= 0 {
+		return 0
+	}
+	sum := sha256.Sum256([]byte(name))
+	return time.Duration(binary.BigEndian.Uint64(sum[:8]) % uint64(spread))
+}
