--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -280,6 +280,9 @@
 	if f.Point != "" && inject.Points[f.Point] == "" {
 		c.bad(key+".point", strconv.Quote(f.Point), "one of "+strings.Join(slices.Sorted(maps.Keys(inject.Points)), ", "))
 	}
+	if strings.HasPrefix(f.Point, "list-") && !s.World.Council.List {
+		c.bad(key+".point", strconv.Quote(f.Point)+" in a world whose council has no list", "world.council.list")
+	}
 	if f.Until != "" && s.World.Council.Members == 0 {
 		c.bad(key+".until", strconv.Quote(f.Until)+" in a world without a council", "world.council.members of 1 or more")
 	}
@@ -297,11 +300,14 @@
 		}
 	}
 	switch first := words[0]; {
-	case first == "owner" || first == "leader":
+	case first == "owner" || first == "leader" || first == "lister":
 		if s.World.Council.Members == 0 {
 			c.bad(key+".processes", strconv.Quote(first)+" in a world without a council", "world.council.members of 1 or more")
 		}
-		only(map[string]byte{"owner": 'f', "leader": 'm'}[first])
+		only(map[string]byte{"owner": 'f', "lister": 'f', "leader": 'm'}[first])
+		if first == "lister" && !s.World.Council.List {
+			c.bad(key+".processes", strconv.Quote(first)+" in a world whose council has no list", "world.council.list")
+		}
 	case first == "zone":
 		if atoi(words[1]) > s.World.Zones {
 			c.bad(key+".processes", strconv.Quote(f.Processes.Text), fmt.Sprintf("zone 1 to %d", s.World.Zones))
@@ -337,14 +343,20 @@
 	if m := s.World.Council.Members; m > 0 && (m%2 == 0 || s.World.Hosts == 0) {
 		c.bad("world.council.members", strconv.Itoa(m), "an odd number, in a world with hosts")
 	}
+	if s.World.Council.List && s.World.Council.Members == 0 {
+		c.bad("world.council.list", "it without members", "world.council.members of 1 or more")
+	}
 	for i, f := range s.Faults {
 		key := fmt.Sprintf("fault[%d]", i+1)
 		if (f.Order == "everywhere" || f.Order == "step-down" || f.Order == "give-up") && s.World.Council.Members == 0 {
 			c.bad(key+".order", strconv.Quote(f.Order)+" in a world without a council", "world.council.members of 1 or more")
 		}
 		for _, w := range strings.Fields(f.To.Text) {
+			if w == "d1" && s.World.Council.List {
+				continue // discovery, as the process asks it
+			}
 			if n := atoi(w[1:]); w[0] == 'f' && n > s.World.Hosts || w[0] == 'm' && n > s.World.Council.Members || w[0] != 'f' && w[0] != 'm' {
-				c.bad(key+".to", strconv.Quote(w), "a supervisor or member that exists, like f1 or m2")
+				c.bad(key+".to", strconv.Quote(w), "a supervisor or member that exists, like f1 or m2, or with world.council.list discovery as d1")
 			}
 		}
 	}
--- a/internal/lab/experiment/draw.go
+++ b/internal/lab/experiment/draw.go
@@ -33,7 +33,7 @@
 		}
 		return all
 	}
-	if words[0] == "owner" || words[0] == "leader" {
+	if words[0] == "owner" || words[0] == "leader" || words[0] == "lister" {
 		return words // who that is is known when it begins
 	}
 	letter := byte(0)
@@ -162,6 +162,9 @@
 func (s *Storm) atPoint(f *Fault, rng *rand.Rand) {
 	var points []string
 	for name := range inject.Points {
+		if strings.HasPrefix(name, "list-") && !s.World.Council.List {
+			continue
+		}
 		ofCouncil := strings.HasPrefix(name, "council-") || strings.HasPrefix(name, "owner-") || name == "fleet-takes-order"
 		if (s.World.Supervisor.Mode == "handover" || !strings.HasPrefix(name, "handover-")) && (s.World.Council.Members > 0 || !ofCouncil) {
 			points = append(points, name)
@@ -171,7 +174,7 @@
 	f.Point = points[rng.IntN(len(points))]
 	letters := "n"
 	switch {
-	case strings.HasPrefix(f.Point, "fleet-"), strings.HasPrefix(f.Point, "owner-"):
+	case strings.HasPrefix(f.Point, "fleet-"), strings.HasPrefix(f.Point, "owner-"), strings.HasPrefix(f.Point, "list-"):
 		letters = "f"
 	case strings.HasPrefix(f.Point, "council-"):
 		letters = "m"
--- a/internal/lab/experiment/storm.go
+++ b/internal/lab/experiment/storm.go
@@ -81,6 +81,7 @@
 	Lease   time.Duration `toml:"lease" min:"100ms" max:"5m"`
 	Margin  time.Duration `toml:"margin" min:"1ms" max:"1m"`
 	Tick    time.Duration `toml:"tick" min:"10ms" max:"1s"`
+	List    bool          `toml:"list"` // one supervisor a zone asks discovery for all
 }
 
 // Supervisor is how each host's is set.
@@ -306,12 +307,12 @@
 // drawn.
 type Procs struct{ Text string }
 
-var procsForm = regexp.MustCompile(`^((all|[1-9][0-9]{0,3}) (sidecars|supervisors|hosts|members)|zone [1-9][0-9]?|owner|leader|[nfhm][1-9][0-9]{0,3}( [nfhm][1-9][0-9]{0,3})*)$`)
+var procsForm = regexp.MustCompile(`^((all|[1-9][0-9]{0,3}) (sidecars|supervisors|hosts|members)|zone [1-9][0-9]?|owner|lister|leader|[nfhm][1-9][0-9]{0,3}( [nfhmd][1-9][0-9]{0,3})*|d1)$`)
 
 // UnmarshalText reads processes.
 func (p *Procs) UnmarshalText(text []byte) error {
 	if !procsForm.Match(text) {
-		return errors.New(`names like "n3 f1 h2", "zone 1", or "2 sidecars", "all supervisors", "1 hosts", "owner" of the roll, "leader" of the council`)
+		return errors.New(`names like "n3 f1 h2", "zone 1", or "2 sidecars", "all supervisors", "1 hosts", "owner" of the roll, "lister" of the list, "leader" of the council`)
 	}
 	p.Text = string(text)
 	return nil
--- a/internal/lab/experiment/verdict.go
+++ b/internal/lab/experiment/verdict.go
@@ -53,6 +53,8 @@
 	"orders_done":    {Means: "orders for all hosts that were carried out whole; with a council only", WholeOnly: true},
 	"late_tried":     {Means: "effects of an owner of before that receivers refused; with a council only", WholeOnly: true},
 	"roll_at_once":   {Means: "instances that are under way for orders at a time, the most; with a council only", WholeOnly: true},
+	"list_lines_s":   {Means: "lines a second that discovery worked through, its calls included; with a council's list only", WholeOnly: true},
+	"list_last_s":    {Means: "the longest from a change that the zone was told of to the last sidecar that knew it; with a council's list only", WholeOnly: true},
 	"overlaps":       {Means: "tenures that were not over, by their owner's clock, when the next one began; with a council only", WholeOnly: true},
 	"unheard":        {Means: "effects refused by receivers that had just started and knew of no epoch; with a council only", WholeOnly: true},
 	"handovers":      {Means: "how often somebody became the owner of the roll; with a council only", WholeOnly: true},
@@ -115,6 +117,7 @@
 
 // Owned is what was seen of the duty roll.
 type Owned struct {
+	List                                       *Listed
 	Handovers, LateTried, Twice, LeftOut, Done int
 	Overlaps                                   int             // tenures that were not over by their owners' clocks when the next one began
 	Unheard                                    int             // effects refused by receivers that knew of no epoch yet
@@ -122,6 +125,14 @@
 	Gaps                                       []time.Duration // from an owner's death to the next owner
 }
 
+// Listed is what was seen of the duty list.
+type Listed struct {
+	Handovers int
+	Known     []time.Duration // from when the zone was told of a change to when a sidecar knew it
+	Last      []time.Duration // and to when the last of them did
+	LinesS    float64         // that discovery worked through in a second, calls included
+}
+
 // Counts are what an engine's carriers saw. Those that an engine can't see are
 // -1.
 type Counts struct {
@@ -232,6 +243,12 @@
 			res.Figures["overlaps"], res.Figures["unheard"] = float64(o.Overlaps), float64(o.Unheard)
 			res.Figures["late_tried"], res.Figures["handovers"] = float64(o.LateTried), float64(o.Handovers)
 			res.Figures["roll_at_once"] = float64(o.Most)
+			if l := o.List; l != nil {
+				res.Figures["list_lines_s"], res.Figures["list_last_s"] = l.LinesS, 0
+				for _, d := range l.Last {
+					res.Figures["list_last_s"] = max(res.Figures["list_last_s"], d.Seconds())
+				}
+			}
 		}
 	}
 	res.Figures["back_s"] = back(s, rec)
--- a/internal/lab/rig/council.go
+++ b/internal/lab/rig/council.go
@@ -36,6 +36,7 @@
 	rolling map[string]string // instances that are under way, and for which order
 	epochs  map[string]uint64 // newest that each supervisor said that it owns, or has heard of
 	tenures map[uint64]*tenure
+	list    *listed // nil where the list is not handed on
 }
 
 // tenure is one owner's time by its own count: from what it said when it began to
@@ -96,6 +97,11 @@
 		}
 	}
 	h.owned = o
+	if c.List {
+		if err := h.newList(take); err != nil {
+			return err
+		}
+	}
 	return write(o.file, b.String())
 }
 
@@ -108,8 +114,8 @@
 	for _, m := range h.owned.members {
 		members = append(members, strconv.Quote(h.owned.address[m.role]))
 	}
-	return fmt.Sprintf("[council]\nname = \"world\"\nmembers = [%s]\nhost = %q\nzone = \"z%d\"\nlisten = %q\n",
-		strings.Join(members, ", "), one.name, len(one.name)%2, h.owned.address[one.role])
+	return fmt.Sprintf("[council]\nname = \"world\"\nmembers = [%s]\nhost = %q\nzone = %q\nlisten = %q\n",
+		strings.Join(members, ", "), one.name, h.zoneOf(one), h.owned.address[one.role]) + h.listOf(one)
 }
 
 // argv is what a role is started with. The caller holds the mutex.
@@ -131,10 +137,12 @@
 }
 
 var (
+	listsLine   = regexp.MustCompile(`council: (\S+) owns (list:\S+) under epoch (\d+)\.(\d+)`)
+	handsLine   = regexp.MustCompile(`takes list (\d+) of (\S+), epoch (\d+)\.(\d+)`)
 	ownsLine    = regexp.MustCompile(`council: (\S+) owns roll under epoch (\d+)\.(\d+)`)
-	endsLine    = regexp.MustCompile(`council: \S+ ends epoch (\d+)\.(\d+): .*\(over for ([0-9a-zµ.]+)\)`)
+	endsLine    = regexp.MustCompile(`council: \S+ ends epoch (\d+)\.(\d+) of roll: .*\(over for ([0-9a-zµ.]+)\)`)
 	takesLine   = regexp.MustCompile(`takes restart of (\S+) for order (\S+) of (\S+), epoch (\d+)\.(\d+)`)
-	hearsLine   = regexp.MustCompile(`hears of roll: (\S+) owns it, epoch (\d+)\.(\d+)`)
+	hearsLine   = regexp.MustCompile(`hears of (roll|list:\S*): (\S+) owns it, epoch (\d+)\.(\d+)`)
 	refusesLine = regexp.MustCompile(`refused: (\S+) of epoch (\d+)\.(\d+) of (\S+): .*(?:a late owner|two councils|this receiver has just started)`)
 )
 
@@ -180,7 +188,7 @@
 			t.to = now - over
 		}
 	}
-	if strings.Contains(line, " ends epoch ") && h.owned.owner == role {
+	if endsLine.MatchString(line) && h.owned.owner == role {
 		h.owned.owner = ""
 	}
 	if m := take; m != nil {
@@ -190,8 +198,22 @@
 	}
 	if m := hearsLine.FindStringSubmatch(line); m != nil {
 		// From here on nothing older may take place at this receiver.
-		h.owned.epochs[role] = max(h.owned.epochs[role], epochOf(m[2], m[3]))
-		h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: now}, Who: m[1], To: role, Duty: "roll-of-all", Op: "look", Number: epochOf(m[2], m[3]), Result: history.Done})
+		duty := "roll-of-all"
+		if m[1] == "roll" {
+			h.owned.epochs[role] = max(h.owned.epochs[role], epochOf(m[3], m[4]))
+		} else {
+			duty = m[1]
+			h.owned.list.heard(role, epochOf(m[3], m[4]))
+		}
+		h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: now}, Who: m[2], To: role, Duty: duty, Op: "look", Number: epochOf(m[3], m[4]), Result: history.Done})
+	}
+	if m := listsLine.FindStringSubmatch(line); m != nil {
+		h.owned.list.owns(role, epochOf(m[3], m[4]))
+	}
+	if m := handsLine.FindStringSubmatch(line); m != nil {
+		index, _ := strconv.ParseUint(m[1], 10, 64)
+		h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: now}, Who: m[2], To: role, Duty: h.listDuty(role), Op: "list", Number: epochOf(m[3], m[4]), Value: m[1], Result: history.Done})
+		h.note(history.Entry{Event: audit.Event{Do: history.Saw, At: now}, Who: fmt.Sprintf("%s#%d", role, h.host(role).sup.cmd.Process.Pid), Key: "list", Number: index})
 	}
 	if m := refusesLine.FindStringSubmatch(line); m != nil {
 		if strings.Contains(line, "has just started") {
@@ -199,7 +221,7 @@
 		} else {
 			h.owned.res.LateTried++
 		}
-		h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: now}, Who: m[4], To: role, Duty: "roll-of-all", Op: m[1], Number: epochOf(m[2], m[3]), Result: history.Refused})
+		h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: now}, Who: m[4], To: role, Duty: h.dutyOf(role, m[1]), Op: m[1], Number: epochOf(m[2], m[3]), Result: history.Refused})
 	}
 }
 
@@ -224,16 +246,23 @@
 // resolve names the process that "owner" or "leader" is when a fault begins; it
 // ends on the same.
 func (h *hosts) resolve(st experiment.Step) string {
-	if st.Proc != "owner" && st.Proc != "leader" {
+	if st.Proc != "owner" && st.Proc != "leader" && st.Proc != "lister" {
 		return st.Proc
 	}
 	if st.Do == experiment.End {
 		return h.owned.struck[st.Fault]
 	}
 	role := "f1"
-	if st.Proc == "leader" {
+	switch st.Proc {
+	case "leader":
 		role = h.leader()
-	} else {
+	case "lister":
+		h.mu.Lock()
+		if h.owned.list.owner != "" {
+			role = h.owned.list.owner
+		}
+		h.mu.Unlock()
+	default:
 		h.mu.Lock()
 		if h.owned.owner != "" {
 			role = h.owned.owner
@@ -246,14 +275,18 @@
 
 // awaitFollowed waits until all other supervisors have heard of an owner after the
 // one that a role is, by an effect of that one, and bounds the wait; false where the
-// run ends first. How long a hand-over takes is the machine's matter: a stop of a set
+// run ends first. list says that the duty list is meant, otherwise the roll. How long a hand-over takes is the machine's matter: a stop of a set
 // length that is to end behind it ends before it on a slow one.
-func (h *hosts) awaitFollowed(role string) bool {
+func (h *hosts) awaitFollowed(role string, list bool) bool {
 	for range mostFollows {
 		h.mu.Lock()
-		mine, all := h.owned.epochs[role], true
+		epochs := h.owned.epochs
+		if list {
+			epochs = h.owned.list.epochs
+		}
+		mine, all := epochs[role], true
 		for _, one := range h.all {
-			all = all && (one.role == role || h.owned.epochs[one.role] > mine)
+			all = all && (one.role == role || epochs[one.role] > mine)
 		}
 		h.mu.Unlock()
 		if all {
@@ -350,6 +383,7 @@
 	defer h.mu.Unlock()
 	res := &h.owned.res
 	res.Overlaps = overlaps(h.owned.tenures)
+	res.List = h.listResult()
 	for _, line := range strings.Split(string(out), "\n") {
 		var id string
 		if n, _ := fmt.Sscanf(line, "order %s", &id); n != 1 {
--- a/internal/lab/rig/disturb.go
+++ b/internal/lab/rig/disturb.go
@@ -23,10 +23,11 @@
 func (h *hosts) disturb(st experiment.Step) error {
 	f := &h.plan.Storm.Faults[st.Fault]
 	st.Proc = h.resolve(st)
+	h.unquiet(st.Proc, f)
 	switch {
 	case st.Do == experiment.End && f.Until != "" && h.hit(st.Proc, st.Fault) > 0:
 		h.wg.Go(func() {
-			if h.awaitFollowed(st.Proc) {
+			if h.awaitFollowed(st.Proc, strings.HasPrefix(f.Point, "list-")) {
 				if err := h.finish(st, f); err != nil {
 					h.fail(err)
 				}
@@ -118,7 +119,7 @@
 	case "list-lag":
 		h.w.lagging(f.Late)
 		for i, in := range h.w.Instances {
-			if i%2 == 1 {
+			if h.lags(i) {
 				h.w.Log.Deaf(in.Name, true, h.w.Log.Now())
 			}
 		}
@@ -173,7 +174,7 @@
 	case "list-lag":
 		h.w.lagging(0)
 		for i, in := range h.w.Instances {
-			if i%2 == 1 {
+			if h.lags(i) {
 				// It catches up: what it had not told yet comes within its lag.
 				h.w.Log.Deaf(in.Name, false, h.w.Log.Now()+f.Late)
 			}
@@ -345,6 +346,9 @@
 			b.WriteString(disks[f.Disk])
 		case "cut-off":
 			for _, to := range strings.Fields(f.To.Text) {
+				if to == "d1" {
+					to += name // discovery has a door for each
+				}
 				fmt.Fprintf(&b, "cut %s\n", h.owned.address[to])
 			}
 		}
--- a/internal/lab/rig/hosts.go
+++ b/internal/lab/rig/hosts.go
@@ -54,7 +54,8 @@
 	kills    int // by supervisors' own decision
 	atOnce   int // instances under way at a time, the most
 	under    map[string]time.Duration
-	owned    *owned // nil without a council
+	owned    *owned        // nil without a council
+	since    time.Duration // when the processes were started
 }
 
 // host is a supervisor with its instances.
@@ -127,9 +128,9 @@
 			if err := write(filepath.Join(dir, in.Name+".tmpl"), text); err != nil {
 				return nil, err
 			}
-			operator := ""
+			operator := h.nearOf(one)
 			if s.World.Supervisor.Mode == "handover" {
-				operator = fmt.Sprintf("[handover]\nsocket = %q\n", filepath.Join(dir, "run", in.Name+".sock"))
+				operator += fmt.Sprintf("[handover]\nsocket = %q\n", filepath.Join(dir, "run", in.Name+".sock"))
 			}
 			if err := write(filepath.Join(dir, "run", in.Name+".toml"), operator); err != nil {
 				return nil, err
@@ -200,12 +201,16 @@
 
 // start starts all supervisors and waits until all instances are up.
 func (h *hosts) start(ctx context.Context) error {
+	h.since = h.w.Log.Now()
 	for _, one := range h.roles() {
 		if err := h.startSupervisor(one); err != nil {
 			return err
 		}
 	}
 	h.wg.Go(h.look)
+	if h.owned != nil && h.owned.list != nil {
+		h.wg.Go(h.watchLists)
+	}
 	for _, in := range h.w.Instances {
 		if err := in.awaitUp(ctx); err != nil {
 			return fmt.Errorf("%w: %s", err, h.all[0].sup.tail.String())
--- a/internal/lab/rig/storm.go
+++ b/internal/lab/rig/storm.go
@@ -280,7 +280,7 @@
 	w.lag = w.Registry.Fork(w.Registry.Index())
 	w.regs = append(w.regs, w.lag)
 	for i, in := range w.Instances {
-		if i%2 == 0 {
+		if i%2 == 0 || p.Storm.World.Council.List { // there supervisors are told, half of them by it
 			continue
 		}
 		door, err := w.lag.Open(in.Name)
--- a/internal/lab/standin/registry/registry.go
+++ b/internal/lab/standin/registry/registry.go
@@ -287,7 +287,8 @@
 	end      chan struct{}
 	once     sync.Once
 	way      func(Entry) string
-	from     time.Time // before it connections are closed unheard
+	along    func() []string // instances that count as told with this one
+	from     time.Time       // before it connections are closed unheard
 }
 
 // DownUntil has the door close what comes before a time unheard. It is set before
@@ -323,6 +324,25 @@
 	d.way = f
 }
 
+// Along names the instances that count as told whenever this door's one is: what it
+// is told it hands on to them. f must not block.
+func (d *Door) Along(f func() []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.along = f
+}
+
+// also are those that are told along now.
+func (d *Door) also() []string {
+	d.mu.Lock()
+	f := d.along
+	d.mu.Unlock()
+	if f == nil {
+		return nil
+	}
+	return f()
+}
+
 // Given is what Way was told.
 func (d *Door) Given() func(Entry) string {
 	d.mu.Lock()
@@ -493,8 +513,12 @@
 	}
 	if r.log != nil {
 		at := r.log.Now()
+		along := d.also()
 		for _, e := range told {
 			r.log.Told(d.instance, epoch, e.Name, e.Life, e.Status != "active", at)
+			for _, name := range along {
+				r.log.Told(name, r.log.Epoch(name), e.Name, e.Life, e.Status != "active", at)
+			}
 		}
 	}
 	return true
