--- a/internal/lab/mutant/run.go
+++ b/internal/lab/mutant/run.go
@@ -47,6 +47,7 @@
 		"internal/httpupstream":     {"./internal/sidecar", "./internal/daemon"},
 		"internal/httpfront":        {"./internal/sidecar", "./internal/daemon"},
 		"internal/discovery":        {"./internal/sidecar", "./internal/daemon"},
+		"internal/fleet/duty/list":  {"./internal/fleet/supervisor"},
 		"internal/coap/exchange":    {"./internal/coap/gate"},
 		"internal/coapfront":        {"./internal/sidecar"},
 		"internal/engine":           {"./internal/sidecar", "./internal/daemon"},
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -20,6 +20,9 @@
 	ownerStopped = "nemesis -short -seeds 1..2 -jobs 2 experiments/owner-stopped.toml"
 	ownerForgets = "nemesis -short -seeds 1..2 -jobs 2 experiments/owner-forgets.toml"
 	ownerCut     = "nemesis -short -seeds 1 -jobs 3 experiments/owner-cut.toml"
+	listOwner    = "nemesis -short -seeds 1 -jobs 2 experiments/list-owner.toml"
+	listCut      = "nemesis -short -seeds 1 -jobs 3 experiments/list-cut.toml"
+	listLag      = "nemesis -short -seeds 1..3 -jobs 3 experiments/list-lag.toml"
 	betweenRolls = "nemesis -short -seeds 1..2 -jobs 2 experiments/between-rolls.toml"
 	betweenKill  = "nemesis -short -seeds 1 -jobs 3 experiments/between-killed.toml"
 	betweenOver  = "nemesis -short -seeds 1 -jobs 3 experiments/between-handover.toml"
@@ -96,7 +99,7 @@
 		Old: "if err := n.store.save(out); err != nil {", New: "if err := n.store.save(council.Output{Snapshot: out.Snapshot}); err != nil {"},
 	{Name: "effect-unfenced", Played: ownerStopped, File: "internal/fleet/supervisor/everywhere.go", Breaks: "a supervisor does what a late owner wants",
 		Old: "Epoch: e.Epoch}); err != nil {", New: "Epoch: e.Epoch}); err != nil && e.Epoch == 0 {"},
-	{Name: "unreached-counts-not", Played: ownerDrawn, File: "internal/fleet/everywhere/everywhere.go", Breaks: "the owner goes on while it has not reached all hosts",
+	{Name: "unreached-counts-not", Played: ownerCut, File: "internal/fleet/everywhere/everywhere.go", Breaks: "the owner goes on while it has not reached all hosts",
 		Old: "\t\tif !h.Reached {\n", New: "\t\tif !h.Reached && h.Name == \"\" {\n"},
 	{Name: "order-unmarked", Played: ownerDrawn, File: "internal/fleet/supervisor/supervisor.go", Breaks: "a process does not bear the order that it was started for",
 		Old: "env = append(env, orderKey+\"=\"+order)", New: "env = append(env, orderKey+\"=\")"},
@@ -114,6 +117,19 @@
 	{Name: "vote-counted-twice", File: "internal/fleet/council/node/node.go", Breaks: "a member that comes back counts its own word for two of a majority",
 		Old: "answered := map[uint64]bool{n.number: true}", New: "answered := map[uint64]bool{n.number: true, 1 << 40: true}"},
 
+	{Name: "list-unfenced", Played: listOwner, File: "internal/fleet/supervisor/everywhere.go", Breaks: "a supervisor takes the list of a late owner",
+		Old: "Epoch: e.Epoch}); err != nil {", New: "Epoch: e.Epoch}); err != nil && e.Do != \"list\" {"},
+	{Name: "list-older", Played: listLag, File: "internal/fleet/duty/list/list.go", Breaks: "a list is taken although it is older",
+		Old: "case u.Index <= h.Index && h.Index > 0:", New: "case u.Index == h.Index && h.Index > 0:"},
+	{Name: "list-never-alone", Played: listCut, File: "internal/fleet/duty/list/list.go", Breaks: "a host whose owner is silent does not ask by itself",
+		Old: "f.alone = true\n", New: "f.alone = false\n"},
+	{Name: "list-always-fresh", Played: listCut, File: "internal/fleet/duty/list/list.go", Breaks: "what nobody has heard of late is handed on as if it were new",
+		Old: "return f.known && now <= last+f.set.Stale", New: "return f.known && last >= 0"},
+	{Name: "near-older", File: "internal/discovery/near.go", Breaks: "a sidecar takes its door's list although it is older",
+		Old: "if err == nil && l.Index < d.index {", New: "if err == nil && l.Index < 0 {"},
+	{Name: "near-any-source", File: "internal/discovery/near.go", Breaks: "a sidecar takes the list of another discovery",
+		Old: "if err == nil && source != d.source {", New: "if err == nil && source == \"\" {"},
+
 	// Picks and health.
 	{Name: "worse-of-two", File: "balance/pick.go", Breaks: "of two sampled servers the worse is taken",
 		Old: "b.cost(first, now) <= bias*b.cost(second, now)", New: "b.cost(first, now) > bias*b.cost(second, now)"},
@@ -209,11 +225,11 @@
 	{Name: "older-change", File: "internal/discovery/discovery.go", Breaks: "a change of an older version is taken",
 		Old: "} else if l.Index < d.index {", New: "} else if l.index < 0 {"},
 	{Name: "silence-endless", File: "internal/discovery/discovery.go", Breaks: "a call to a silent discovery never ends",
-		Old: "conn.SetDeadline(time.Now().Add(wait + answerWithin))", New: "conn.SetDeadline(time.Now().Add(100 * (wait + answerWithin)))"},
+		Old: "conn.SetDeadline(time.Now().Add(wait + within))", New: "conn.SetDeadline(time.Now().Add(100 * (wait + within)))"},
 	{Name: "half-a-list", File: "internal/discovery/discovery.go", Breaks: "an entry that can't be read is skipped, and its server dropped",
 		Old: "\t\t\treturn engine.List{}, fmt.Errorf(\"endpoint %d: %w\", i, err)\n", New: "\t\t\t_ = i\n\t\t\tcontinue\n"},
 	{Name: "move-unnoticed", File: "internal/discovery/discovery.go", Breaks: "after a move the old address's version goes on counting",
-		Old: "moves, tries, d.index = n, pace.Tries, 0", New: "moves, tries = n, pace.Tries"},
+		Old: "d.last, tries, d.index = n, pace.Tries, 0", New: "d.last, tries = n, pace.Tries"},
 
 	// Membership.
 	{Name: "earlier-life", File: "internal/membership/drains.go", Breaks: "an earlier life of a server that drains comes back",
