Worlds that are played side by side are not given one address twice

Seen in rig mutants with three worlds in one rig: council.listen: address already in use. Addresses for members and supervisors are found by listening on port 0 and closing; the kernel gave one to a second world before the first one's process had started (council.go take). Ruled out: other rigs (each has an IP of its own by its process number). What was given is remembered for the rig's life.

--- a/internal/lab/rig/council.go
+++ b/internal/lab/rig/council.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"otterspring/internal/fleet/council/ask"
@@ -58,6 +59,11 @@
 	return n
 }
 
+// given are the addresses that worlds of this process were given: one is free again
+// for the kernel between being taken here and the start of its process, and another
+// world that is played beside this one must not be given it.
+var given sync.Map
+
 // newCouncil writes a council's file and takes addresses for it and for the
 // supervisors.
 func (h *hosts) newCouncil() error {
@@ -70,13 +76,17 @@
 	fmt.Fprintf(&b, "name = \"world\"\ndirectory = \"council\"\nlease = %q\nmargin = %q\ntick = %q\n", c.Lease, c.Margin, c.Tick)
 	var held []net.Listener
 	take := func(role string) error {
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, 1+os.Getpid()/250%250, 200))
-		if err != nil {
-			return err
+		for {
+			ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, 1+os.Getpid()/250%250, 200))
+			if err != nil {
+				return err
+			}
+			held = append(held, ln)
+			o.address[role] = ln.Addr().String()
+			if _, taken := given.LoadOrStore(o.address[role], true); !taken {
+				return nil
+			}
 		}
-		held = append(held, ln)
-		o.address[role] = ln.Addr().String()
-		return nil
 	}
 	defer func() {
 		for _, ln := range held {
