Questions to the council in the history; rig owner plays the list and says what it came to

A call without an answer stays open; ask.Client is not used for it, since it asks the next member again and a write that was done and then refused would look refused. rig owner has the list with it now: an owner of it that stops before it sends, servers released all the while; lists, list_back, drains_late, late_taken, list_known_p50_s, list_last_p99_s, questions, linearizable in its last line.

--- a/cmd/rig/nemesis.go
+++ b/cmd/rig/nemesis.go
@@ -144,7 +144,10 @@
 	broken, void, failed                                           int
 	kinds                                                          map[string]int
 	rules                                                          map[string]int
-	owners                                                         int
+	owners, lateTaken, questions, unlinear, wentBack               int
+	lists                                                          int
+	listKnown, listLast                                            []time.Duration
+	listLines                                                      []float64
 	handovers, overlaps, done, rolledTwice, leftOut, rollMost      int
 	gaps                                                           []time.Duration
 }
@@ -422,16 +425,36 @@
 		t.leftOut += c.LeftOut
 		t.rollMost = max(t.rollMost, c.Most)
 		t.gaps = append(t.gaps, c.Gaps...)
+		if l := c.List; l != nil {
+			t.lists += l.Handovers
+			t.listKnown, t.listLast = append(t.listKnown, l.Known...), append(t.listLast, l.Last...)
+			t.listLines = append(t.listLines, l.LinesS)
+		}
 	}
 	t.ops += p.verdict.Ops
 	t.unknown += p.verdict.Unknown
 	t.owners += p.verdict.OwnersTwice
+	t.lateTaken += p.verdict.LateTaken
+	t.questions += p.verdict.Questions
+	t.unlinear += p.verdict.Unlinear
+	t.wentBack += p.verdict.WentBack
 	t.lateTried += p.verdict.LateTried
 }
 
+// linear tells whether all questions fit one order; a dash where none was asked.
+func (t *nemesisTotals) linear() string {
+	switch {
+	case t.questions == 0:
+		return "-"
+	case t.unlinear > 0:
+		return "no"
+	}
+	return "yes"
+}
+
 func (t *nemesisTotals) line() string {
-	return fmt.Sprintf("runs=%d processes=%d faults=%d kinds=%d ops=%d broken=%d failed=%d void=%d unknown=%d twice=%d lost=%d late_sends=%d tipped=%d owners_twice=%d late_tried=%d most_at_once=%d left_behind=%d kinds_seen=%s",
+	return fmt.Sprintf("runs=%d processes=%d faults=%d kinds=%d ops=%d broken=%d failed=%d void=%d unknown=%d twice=%d lost=%d late_sends=%d tipped=%d owners_twice=%d late_tried=%d most_at_once=%d questions=%d linearizable=%s went_back=%d left_behind=%d kinds_seen=%s",
 		t.runs, t.processes, t.faults, len(t.kinds), t.ops, t.broken, t.failed, t.void, t.unknown, t.rules["twice"]+t.rules["untrue"],
-		t.rules["lost"]+t.rules["late"]+t.rules["forged"]+t.rules["after"], t.rules["late_sends"], t.rules["tipped"], t.owners, t.lateTried, t.atOnce, t.left,
+		t.rules["lost"]+t.rules["late"]+t.rules["forged"]+t.rules["after"], t.rules["late_sends"], t.rules["tipped"], t.owners, t.lateTried, t.atOnce, t.questions, t.linear(), t.wentBack, t.left,
 		strings.Join(slices.Sorted(maps.Keys(t.kinds)), ","))
 }
--- a/cmd/rig/owner.go
+++ b/cmd/rig/owner.go
@@ -29,6 +29,7 @@
 [world.council]
 members = %d
 lease = "2s"
+list = true
 [load]
 rate = 150
 [nemesis]
@@ -58,6 +59,18 @@
 at = "35%%"
 processes = "owner"
 [[fault]]
+kind = "stop-at"
+at = "12%%"
+for = "7s"
+processes = "lister"
+point = "list-tells"
+until = "followed"
+[[fault]]
+kind = "release"
+at = "10%%"
+for = "80%%"
+servers = "half"
+[[fault]]
 kind = "order"
 at = "55%%"
 processes = "f3"
@@ -107,14 +120,17 @@
 
 // ownerLine is the last line of `rig owner`.
 func (t *nemesisTotals) ownerLine() string {
-	slices.Sort(t.gaps)
-	at := func(q float64) float64 {
-		if len(t.gaps) == 0 {
-			return 0
-		}
-		return t.gaps[min(len(t.gaps)-1, int(q*float64(len(t.gaps))))].Seconds()
+	return fmt.Sprintf("runs=%d handovers=%d lists=%d owners_twice=%d overlaps=%d late_tried=%d late_taken=%d gap_p50_s=%.2f gap_p99_s=%.2f gaps=%d roll_most_at_once=%d orders_done=%d rolled_twice=%d left_out=%d list_back=%d drains_late=%d list_known_p50_s=%.3f list_last_p99_s=%.3f lost=%d twice=%d questions=%d linearizable=%s void=%d",
+		t.runs, t.handovers, t.lists, t.owners, t.overlaps, t.lateTried, t.lateTaken, quantile(t.gaps, 0.5), quantile(t.gaps, 0.99), len(t.gaps), t.rollMost, t.done, t.rolledTwice, t.leftOut,
+		t.wentBack, t.rules["late_sends"], quantile(t.listKnown, 0.5), quantile(t.listLast, 0.99),
+		t.rules["lost"]+t.rules["late"]+t.rules["forged"]+t.rules["after"], t.rules["twice"]+t.rules["untrue"], t.questions, t.linear(), t.void)
+}
+
+// quantile is that of some times, in seconds; 0 of none.
+func quantile(all []time.Duration, q float64) float64 {
+	if len(all) == 0 {
+		return 0
 	}
-	return fmt.Sprintf("runs=%d handovers=%d owners_twice=%d overlaps=%d late_tried=%d gap_p50_s=%.2f gap_p99_s=%.2f gaps=%d roll_most_at_once=%d orders_done=%d rolled_twice=%d left_out=%d lost=%d twice=%d void=%d",
-		t.runs, t.handovers, t.owners, t.overlaps, t.lateTried, at(0.5), at(0.99), len(t.gaps), t.rollMost, t.done, t.rolledTwice, t.leftOut,
-		t.rules["lost"]+t.rules["late"]+t.rules["forged"]+t.rules["after"], t.rules["twice"]+t.rules["untrue"], t.void)
+	all = slices.Sorted(slices.Values(all))
+	return all[min(len(all)-1, int(q*float64(len(all))))].Seconds()
 }
--- a/internal/lab/history/judge.go
+++ b/internal/lab/history/judge.go
@@ -24,8 +24,10 @@
 	Rules       audit.Report
 	Violations  []Violation
 	OwnersTwice int // effects of an owner that a later one's should have forbidden
+	LateTaken   int // those of them that were late: taken where a later one's had been
 	LateTried   int // orders of an older epoch that were refused: what fences are for
 	Unasked     int // effects that nobody asked for
+	Questions   int // operations that are held against one order
 	Unlinear    int // keys whose operations fit no order
 	WentBack    int // lists or epochs that went back where they were seen
 	Overgiven   int // moments at which more was given out than there is
@@ -75,6 +77,9 @@
 		case (e.Do == Op || e.Do == Order) && e.Result == Unknown:
 			v.Unknown++
 		}
+		if e.Do == Op {
+			v.Questions++
+		}
 		if e.Do == Op || e.Do == audit.DidAsk || e.Do == Order {
 			v.Ops++
 		}
@@ -178,6 +183,7 @@
 		}
 		before[key] = append(before[key], e)
 		if n := newest[key]; n.Number > e.Number {
+			v.LateTaken++
 			v.breach(&v.OwnersTwice, "single owner", fmt.Sprintf("%s did %s to %s in epoch %d after %s had acted there in epoch %d", e.Who, e.Op, e.To, e.Number, n.Who, n.Number), n, e)
 		}
 	}
--- a/internal/lab/rig/hosts.go
+++ b/internal/lab/rig/hosts.go
@@ -208,6 +208,7 @@
 		}
 	}
 	h.wg.Go(h.look)
+	h.startProbes()
 	if h.owned != nil && h.owned.list != nil {
 		h.wg.Go(h.watchLists)
 	}
