--- a/internal/lab/rig/between_test.go
+++ b/internal/lab/rig/between_test.go
@@ -411,3 +411,66 @@
 		t.Errorf("%s: %v; late effects in the history: %d", res.Verdict(), res.Line(), v.LateTried)
 	}
 }
+
+// The owner of the list stops between what it has made up for a host and its
+// sending, is followed, and wakes up late, while servers drain; the one after it is
+// killed. No receiver takes what is late, no process's list goes back, no drain is
+// broken, and all sidecars hear of what comes.
+func TestListOwnerWakesLate(t *testing.T) {
+	res, h, v := between(t, `name = "list"
+for = "15s"
+hold = ["late_tried >= 1", "fleet_up >= 1"]
+[world]
+instances = 6
+hosts = 3
+servers = 5
+[world.supervisor]
+mode = "term"
+ready_within = "20s"
+[world.council]
+members = 3
+lease = "2s"
+list = true
+[load]
+rate = 30
+[[fault]]
+kind = "stop-at"
+at = "1500ms"
+for = "3s"
+processes = "lister"
+point = "list-tells"
+until = "followed"
+[[fault]]
+kind = "drain"
+at = "2s"
+for = "5s"
+servers = "1"
+[[fault]]
+kind = "sigkill"
+at = "9s"
+processes = "lister"
+[[fault]]
+kind = "drain"
+at = "10s"
+for = "4s"
+servers = "1"
+`, 1)
+	if res.Verdict() != "kept" || v.LateTried == 0 || v.WentBack > 0 || v.LateTaken > 0 {
+		t.Errorf("%s: %v; %d late, %d taken, %d went back", res.Verdict(), res.Line(), v.LateTried, v.LateTaken, v.WentBack)
+	}
+	saw := map[string]uint64{}
+	for _, e := range h.Entries {
+		if e.Do == history.Saw {
+			name, _, _ := strings.Cut(e.Who, "#")
+			saw[name] = max(saw[name], e.Number)
+		}
+	}
+	for i := range 6 {
+		if name := fmt.Sprintf("n%d", i+1); saw[name] < 9 { // 5 servers, 2 that drain, end and come back
+			t.Errorf("%s has heard of version %d at the most", name, saw[name])
+		}
+	}
+	if v.Questions < 20 || v.Unlinear > 0 {
+		t.Errorf("%d questions to the council, %d registers out of order", v.Questions, v.Unlinear)
+	}
+}
