A host that begins to ask for the list asks at once, and a new owner is not silent meanwhile

Seen in the history: the sidecars of the next owner, whose door said 503 for up to 2 s; it had heard of the owner before and was told nothing by discovery itself yet, and its first watch waited (list.go ask, duty/list Fresh).

--- a/internal/fleet/duty/list/list.go
+++ b/internal/fleet/duty/list/list.go
@@ -234,7 +234,7 @@
 
 // NewFollow returns the decisions of a host, which has heard nobody yet.
 func NewFollow(set Settings, host string, now time.Duration) *Follow {
-	f := &Follow{set: set, heard: now}
+	f := &Follow{set: set, heard: now, told: now - set.Stale}
 	if set.Spread > 0 {
 		f.offset = time.Duration(xxhash.Sum64String(host) % uint64(set.Spread))
 	}
@@ -249,11 +249,14 @@
 func (f *Follow) Told(now time.Duration) { f.told, f.known = now, true }
 
 // Own says whether this host has the duty. One that had it counts as having heard
-// of its owner until then.
+// of its owner until then; one that gets it goes by that owner's last word at first.
 func (f *Follow) Own(on bool, now time.Duration) {
 	if f.own && !on {
 		f.heard = now
 	}
+	if !f.own && on && f.known {
+		f.told = max(f.told, f.heard) // what the owner before knew stands until it is old
+	}
 	f.own = on
 }
 
--- a/internal/fleet/supervisor/list.go
+++ b/internal/fleet/supervisor/list.go
@@ -28,6 +28,7 @@
 	// listWatch is how long an asking host's watch waits. It is short, since what a
 	// watch that has fallen silent misses counts as told 6 s later; few hosts ask.
 	listWatch  = 2 * time.Second
+	listFirst  = time.Millisecond
 	listWithin = time.Second // and how much longer than that an answer may take
 	wholeList  = 4 * time.Second
 	mostList   = 1 << 20
@@ -94,20 +95,22 @@
 
 // ask asks discovery while this host is to.
 func (n *neighbours) ask(ctx context.Context) {
-	tries := 0
+	// The first call does not wait: what it tells is that nothing is new, and until that
+	// is known a host that begins to ask has nobody's word to go by.
+	tries, wait := 0, listFirst
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		asks, since, alone := n.follow.Asks(bootTime()), n.held.Index, n.follow.Alone()
 		n.mu.Unlock()
 		if !asks {
-			tries = 0
+			tries, wait = 0, listFirst
 			pause(ctx, listLooks)
 			continue
 		}
 		if alone {
 			n.s.log.Info("list: no owner is heard of, asking discovery for this host", logs.Cause("list alone"))
 		}
-		err := n.call(ctx, since)
+		err := n.call(ctx, since, wait)
 		now := bootTime()
 		n.mu.Lock()
 		if err == nil {
@@ -118,7 +121,7 @@
 		}
 		n.mu.Unlock()
 		if err == nil {
-			tries = 0
+			tries, wait = 0, listWatch
 			continue
 		}
 		n.s.log.Warn(fmt.Sprintf("list: discovery at %s: %v", n.set.Discovery, err), logs.Cause("discovery"))
@@ -130,13 +133,13 @@
 
 var listClient = http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}}
 
-// call asks discovery once, for what is newer than since or for the whole list, and
-// takes what it tells.
-func (n *neighbours) call(ctx context.Context, since int64) error {
+// call asks discovery once, for what is newer than since, waiting for it, or for the
+// whole list, and takes what it tells.
+func (n *neighbours) call(ctx context.Context, since int64, wait time.Duration) error {
 	url, within := "http://"+n.set.Discovery+"/discovery/hosts", wholeList
 	if since > 0 {
-		url += fmt.Sprintf("?since=%d&timeout_ms=%d", since, listWatch.Milliseconds())
-		within = listWatch + listWithin
+		url += fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds())
+		within = wait + listWithin
 	}
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
