--- a/cmd/rig/nemesis.go
+++ b/cmd/rig/nemesis.go
@@ -22,23 +22,24 @@
 
 // nemesisFlags are what `rig nemesis` is told.
 type nemesisFlags struct {
-	files    []string
-	short    bool
-	seeds    []uint64
-	set      words
-	shrink   bool
-	tries    int
-	again    int
-	jobs     int
-	race     bool
-	tree     string
-	keep     string
-	old      string
-	earlier  string // its program
-	sidecar  string
-	operator string
-	self     []string
-	last     func(*nemesisTotals) string // the last line
+	files       []string
+	short       bool
+	seeds       []uint64
+	set         words
+	shrink      bool
+	tries       int
+	again       int
+	jobs        int
+	race        bool
+	tree        string
+	keep        string
+	old         string
+	earlier     string // its sidecar
+	earlierSelf string // its operators' command
+	sidecar     string
+	operator    string
+	self        []string
+	last        func(*nemesisTotals) string // the last line
 }
 
 // setNemesis is `rig nemesis`.
@@ -121,6 +122,7 @@
 	}
 	tar := filepath.Join(dir, "old.tar")
 	o.earlier = filepath.Join(dir, "sandhinge-old")
+	o.earlierSelf = filepath.Join(dir, "otterspring-old")
 	for _, c := range []struct {
 		in   string
 		argv []string
@@ -128,6 +130,7 @@
 		{o.tree, []string{"git", "archive", "--format=tar", "-o", tar, o.old}},
 		{src, []string{"tar", "-xf", tar}},
 		{src, []string{"go", "build", "-o", o.earlier, "./cmd/sandhinge"}},
+		{src, []string{"go", "build", "-o", o.earlierSelf, "./cmd/otterspring"}},
 	} {
 		cmd := exec.CommandContext(ctx, c.argv[0], c.argv[1:]...)
 		cmd.Dir = c.in
@@ -298,7 +301,7 @@
 		path = filepath.Join(o.keep, pt.name+".jsonl")
 	}
 	began := time.Now()
-	h := rig.Hosted{Supervisor: []string{o.operator}, Self: o.self, History: path, Old: o.earlier}
+	h := rig.Hosted{Supervisor: []string{o.operator}, Self: o.self, History: path, Old: o.earlier, OldSelf: o.earlierSelf}
 	rec, err := rig.PlayHosted(ctx, plan, []string{o.sidecar}, dir, h, func(at time.Duration) { show.at(s.Name, at, s.For) })
 	if err != nil {
 		return nil, err
--- a/internal/fleet/everywhere/everywhere.go
+++ b/internal/fleet/everywhere/everywhere.go
@@ -15,6 +15,7 @@
 	Program   string `json:"program,omitempty"` // empty: the one that runs
 	AtOnce    int    `json:"at_once"`           // in the fleet
 	ZoneOnce  int    `json:"zone_at_once"`      // in a zone; 0 for no bound of its own
+	Reload    bool   `json:"reload,omitempty"`  // its configuration anew, with the process that runs
 	Operators string `json:"by,omitempty"`
 }
 
@@ -48,10 +49,11 @@
 	Failed string `json:"failed,omitempty"` // order of which its new process did not become ready
 }
 
-// Step is one effect: restart an instance for an order.
+// Step is one effect: restart an instance for an order, or reload it.
 type Step struct {
 	Host, Zone, Instance string
 	Order, Program       string
+	Reload               bool
 }
 
 // Decision is what an owner does next.
@@ -111,7 +113,7 @@
 				program = n.Before[h.Name]
 			}
 			if in.Up && h.Rolling == "" {
-				left = append(left, Step{h.Name, h.Zone, in.Name, want, program})
+				left = append(left, Step{h.Name, h.Zone, in.Name, want, program, o.Reload})
 			}
 		}
 	}
--- a/internal/fleet/supervisor/supervisor.go
+++ b/internal/fleet/supervisor/supervisor.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -254,9 +255,9 @@
 		if p == nil {
 			continue
 		}
-		if p.order, p.program = environ(p.pid)[orderKey], v.Program; p.program == "" {
-			p.program = s.program
-		}
+		// What was written down of this process is as new as its start or newer: it may
+		// have been reloaded for an order since. What was not has only what it bears.
+		p.order, p.program = cmp.Or(v.Order, environ(p.pid)[orderKey]), cmp.Or(v.Program, s.program)
 		i, known := at[v.Name]
 		if !known || s.specs[i].Listen != v.Listen {
 			s.say("%s: process %d on %s runs, and the file names it no more: left alone", v.Name, v.PID, v.Listen)
--- a/internal/inject/on.go
+++ b/internal/inject/on.go
@@ -34,9 +34,10 @@
 	shift  time.Duration
 	drift  float64
 	origin time.Time
+	stops  map[string]time.Time // when this process has stopped itself, by the order's id
 }
 
-func init() { state.origin = time.Now() }
+func init() { state.origin, state.stops = time.Now(), map[string]time.Time{} }
 
 // path is the process's own file; empty where none is kept.
 func path() string {
@@ -103,9 +104,22 @@
 	}
 	state.mu.Unlock()
 	for _, o := range todo {
+		state.mu.Lock()
 		hit, err := os.OpenFile(path()+"."+o.id, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+		if err == nil && o.do == "stop" {
+			state.stops[o.id] = time.Now()
+		}
+		state.mu.Unlock()
 		if err != nil {
-			continue // it has struck
+			// It has struck. Whoever comes here in the moment before the stop has reached all
+			// threads stands still with it.
+			state.mu.Lock()
+			at, mine := state.stops[o.id]
+			state.mu.Unlock()
+			if mine && time.Since(at) < stopTakes {
+				time.Sleep(stopTakes)
+			}
+			continue
 		}
 		fmt.Fprintf(hit, "%d %s\n", os.Getpid(), point)
 		hit.Close()
--- a/internal/lab/rig/disturb.go
+++ b/internal/lab/rig/disturb.go
@@ -113,7 +113,16 @@
 		return h.descriptors(st.Proc, true), nil
 	case "way-cut", "way-slow", "way-reset", "way-half-open":
 		return true, h.way(st.Proc, f)
-	case "order", "version":
+	case "version":
+		if st.Proc[0] == 'm' {
+			h.mu.Lock()
+			h.host(st.Proc).old = f.Program == "old"
+			h.mu.Unlock()
+			return h.kill(st.Proc), nil
+		}
+		h.wg.Go(func() { h.order(st, f) })
+		return false, nil
+	case "order":
 		h.wg.Go(func() { h.order(st, f) })
 		return false, nil
 	case "list-lag":
@@ -436,9 +445,14 @@
 		}
 		h.give(ctx, st, f, one, do, append(argv, h.owned.file))
 		return
-	case "everywhere":
-		argvEverywhere := append(slices.Clone(h.w.opt.Supervisor), "fleet", "restart", "-everywhere", "-at-once", fmt.Sprint(h.plan.Storm.World.Supervisor.AtOnce), one.file)
-		h.give(ctx, st, f, one, do, argvEverywhere)
+	case "everywhere", "everywhere-reload":
+		verb := "restart"
+		if do != "everywhere" {
+			verb = "reload"
+		}
+		set := &h.plan.Storm.World.Supervisor
+		h.give(ctx, st, f, one, do, append(slices.Clone(h.w.opt.Supervisor), "fleet", verb, "-everywhere",
+			"-at-once", fmt.Sprint(set.AtOnce), "-zone-at-once", fmt.Sprint(set.ZoneOnce), one.file))
 		return
 	}
 	argv := append(slices.Clone(h.w.opt.Supervisor), "fleet", f.Order, one.file)
--- a/internal/lab/rig/storm.go
+++ b/internal/lab/rig/storm.go
@@ -256,6 +256,7 @@
 	Self       []string // this program, which calls Reap with ReaperWord behind it
 	History    string   // path of the file; empty for none
 	Old        string   // an earlier version of the sidecar; empty for none
+	OldSelf    string   // and of the operators' command
 }
 
 // open begins the history.
@@ -311,7 +312,7 @@
 		return nil, err
 	}
 	o := StormOptions(p, program, dir)
-	o.Supervisor, o.Self, o.Old = h.Supervisor, h.Self, h.Old
+	o.Supervisor, o.Self, o.Old, o.OldSupervisor = h.Supervisor, h.Self, h.Old, h.OldSelf
 	for i := range p.Storm.Faults {
 		if p.Storm.Faults[i].Program == "old" && h.Old == "" {
 			return nil, &strictfile.Error{File: p.Storm.File, Line: p.Storm.Line[fmt.Sprintf("fault[%d].program", i+1)], Key: fmt.Sprintf("fault[%d].program", i+1), Found: "old, and no earlier version", Wanted: "one, by -old"}
--- a/internal/lab/rig/world.go
+++ b/internal/lab/rig/world.go
@@ -41,6 +41,7 @@
 	// program: with ReaperWord behind it, it calls Reap.
 	Supervisor, Self []string
 	Old              string   // an earlier version of the sidecar; empty for none
+	OldSupervisor    string   // and of the operators' command
 	Env              []string // what its environment has beside the platform's variables
 	Dir              string   // for configurations and logs; must exist
 	MemoryMB         int
