--- a/internal/lab/standin/registry/registry.go
+++ b/internal/lab/standin/registry/registry.go
@@ -287,6 +287,7 @@
 	end      chan struct{}
 	once     sync.Once
 	way      func(Entry) string
+	calls    int             // taken here
 	along    func() []string // instances that count as told with this one
 	from     time.Time       // before it connections are closed unheard
 }
@@ -324,6 +325,13 @@
 	d.way = f
 }
 
+// Calls is how many calls were taken here.
+func (d *Door) Calls() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls
+}
+
 // Along names the instances that count as told whenever this door's one is: what it
 // is told it hands on to them. f must not block.
 func (d *Door) Along(f func() []string) {
@@ -442,6 +450,9 @@
 			fmt.Fprint(c, "HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
+		d.mu.Lock()
+		d.calls++
+		d.mu.Unlock()
 		since, _ := strconv.ParseInt(u.Query().Get("since"), 10, 64)
 		wait, _ := strconv.Atoi(u.Query().Get("timeout_ms"))
 		if !d.answer(c, epoch, since, min(time.Duration(wait)*time.Millisecond, time.Minute)) {
