--- a/cmd/rig/nemesis.go
+++ b/cmd/rig/nemesis.go
@@ -316,6 +316,9 @@
 			return nil, err
 		}
 	}
+	if n := len(p.verdict.Violations); n > 0 && !p.res.Broken() {
+		p.res.Rules["history"] = n // what only all of it shows: its line says broken, too
+	}
 	if a, b := rec.Report.Line(), p.verdict.Rules.Line(); len(rec.Void) == 0 && !p.res.Broken() && a != b {
 		p.res.Void = append(p.res.Void, fmt.Sprintf("the run and its history differ: %s; %s", a, b))
 	}
