--- a/cmd/rig/nemesis.go
+++ b/cmd/rig/nemesis.go
@@ -150,7 +150,6 @@
 	owners, lateTaken, questions, unlinear, wentBack               int
 	lists                                                          int
 	listKnown, listLast                                            []time.Duration
-	listLines                                                      []float64
 	handovers, overlaps, done, rolledTwice, leftOut, rollMost      int
 	gaps                                                           []time.Duration
 }
@@ -331,6 +330,12 @@
 		fmt.Fprint(out, kv, "  ")
 	}
 	fmt.Fprintf(out, "%s; %d processes, %d kinds of fault, most at once %d, %.0f s\n", p.res.Line(), b.Processes, len(b.Kinds), b.AtOnce, p.took.Seconds())
+	if c := b.Council; c != nil && c.List != nil {
+		fmt.Fprintf(out, "  list: discovery worked through %.0f lines a second; a sidecar knew after %.3f s (half), the last after %.3f s (half), %.3f s (most); sidecars asked %d times themselves\n",
+			p.res.Figures["list_lines_s"], quantile(c.List.Known, 0.5), quantile(c.List.Last, 0.5), quantile(c.List.Last, 1), c.List.Self)
+	} else if c != nil {
+		fmt.Fprintf(out, "  list: each sidecar asks; discovery worked through %.0f lines a second\n", p.res.Figures["list_lines_s"])
+	}
 	for _, n := range p.res.Notes {
 		fmt.Fprintln(out, "  "+n)
 	}
@@ -434,7 +439,6 @@
 		if l := c.List; l != nil {
 			t.lists += l.Handovers
 			t.listKnown, t.listLast = append(t.listKnown, l.Known...), append(t.listLast, l.Last...)
-			t.listLines = append(t.listLines, l.LinesS)
 		}
 	}
 	t.ops += p.verdict.Ops
--- a/internal/fleet/duty/list/list.go
+++ b/internal/fleet/duty/list/list.go
@@ -260,13 +260,17 @@
 	f.own = on
 }
 
-// Asks tells whether this host asks discovery now: it owns the duty, or the owner
-// was silent for too long.
+// Knows tells whether it has heard anybody yet.
+func (f *Follow) Knows() bool { return f.known }
+
+// Asks tells whether this host asks discovery now: it owns the duty, the owner was
+// silent for too long, or it has just started and knows nothing: its sidecars would
+// ask in its place, one by one.
 func (f *Follow) Asks(now time.Duration) bool {
 	if now > f.heard+f.set.Silent+f.offset {
 		f.alone = true
 	}
-	return f.own || f.alone
+	return f.own || f.alone || !f.known
 }
 
 // Alone tells whether it asks though another has the duty, or nobody.
--- a/internal/fleet/duty/list/list_test.go
+++ b/internal/fleet/duty/list/list_test.go
@@ -178,6 +178,9 @@
 		if f.Fresh(0) {
 			t.Fatal("fresh before it heard anything")
 		}
+		if !f.Asks(0) || f.Alone() || f.Knows() {
+			t.Fatal("one that has just started does not ask")
+		}
 		f.Heard(time.Second)
 		at := time.Second
 		for !f.Asks(at) {
--- a/internal/fleet/supervisor/list.go
+++ b/internal/fleet/supervisor/list.go
@@ -336,13 +336,15 @@
 	end := time.After(min(doorWait, max(0, time.Duration(wait)*time.Millisecond)))
 	for over := since <= 0; ; {
 		n.mu.Lock()
-		fresh, index, news := n.follow.Fresh(bootTime()), n.held.Index, n.news
+		fresh, index, news, knows := n.follow.Fresh(bootTime()), n.held.Index, n.news, n.follow.Knows()
 		var u list.Update
 		if fresh && (index > since || over && index == since) {
 			u = n.held.Since(max(0, since))
 		}
 		n.mu.Unlock()
 		switch {
+		case !knows && !over:
+			// This host has just started: what it is about to be told is worth the wait.
 		case !fresh || index == 0:
 			http.Error(w, "found no word of owner or discovery of late", http.StatusServiceUnavailable)
 			return
--- a/internal/lab/experiment/verdict.go
+++ b/internal/lab/experiment/verdict.go
@@ -53,7 +53,7 @@
 	"orders_done":       {Means: "orders for all hosts that were carried out whole; with a council only", WholeOnly: true},
 	"late_tried":        {Means: "effects of an owner of before that receivers refused; with a council only", WholeOnly: true},
 	"roll_at_once":      {Means: "instances that are under way for orders at a time, the most; with a council only", WholeOnly: true},
-	"list_lines_s":      {Means: "lines a second that discovery worked through, its calls included; with a council's list only", WholeOnly: true},
+	"list_lines_s":      {Means: "lines a second that discovery worked through, its calls included; on sockets only", WholeOnly: true},
 	"list_self":         {Means: "calls of sidecars at discovery themselves since the first fault between processes; with a council's list only", WholeOnly: true},
 	"list_last_s":       {Means: "the longest from a change that the zone was told of to the last sidecar that knew it; with a council's list only", WholeOnly: true},
 	"roll_zone_at_once": {Means: "instances of one zone that were under way for orders at a time, the most; with a council only", WholeOnly: true},
@@ -134,7 +134,6 @@
 	Known     []time.Duration // from when the zone was told of a change to when a sidecar knew it
 	Last      []time.Duration // and to when the last of them did
 	Self      int             // calls of sidecars at discovery since the first fault between processes
-	LinesS    float64         // that discovery worked through in a second, calls included
 }
 
 // Counts are what an engine's carriers saw. Those that an engine can't see are
@@ -248,7 +247,7 @@
 			res.Figures["late_tried"], res.Figures["handovers"] = float64(o.LateTried), float64(o.Handovers)
 			res.Figures["roll_at_once"], res.Figures["roll_zone_at_once"] = float64(o.Most), float64(o.MostZone)
 			if l := o.List; l != nil {
-				res.Figures["list_lines_s"], res.Figures["list_last_s"], res.Figures["list_self"] = l.LinesS, 0, float64(l.Self)
+				res.Figures["list_last_s"], res.Figures["list_self"] = 0, float64(l.Self)
 				for _, d := range l.Last {
 					res.Figures["list_last_s"] = max(res.Figures["list_last_s"], d.Seconds())
 				}
--- a/internal/lab/rig/list.go
+++ b/internal/lab/rig/list.go
@@ -236,13 +236,6 @@
 		return nil
 	}
 	res := h.owned.list.res
-	calls, _, lines := h.w.Registry.Load()
-	if h.w.lag != nil {
-		c, _, n := h.w.lag.Load()
-		calls, lines = calls+c, lines+n
-	}
-	work := float64(lines) + float64(calls)*h.plan.Storm.World.Discovery.CallLines
-	res.LinesS = work / (h.w.Log.Now() - h.since).Seconds()
 	if h.owned.list.calls >= 0 {
 		res.Self = h.selfCalls() - h.owned.list.calls
 	}
--- a/internal/lab/rig/storm.go
+++ b/internal/lab/rig/storm.go
@@ -217,6 +217,13 @@
 		"list_wait_s": longest.Seconds(), "list_failed": float64(failed) / float64(max(1, calls)), "list_calls_s": float64(peak) / float64(len(r.w.Instances)),
 		"growth": experiment.Growth(r.held),
 	}
+	_, _, lines := r.w.Registry.Load()
+	work := float64(lines) + float64(calls)*r.plan.Storm.World.Discovery.CallLines
+	if lag := r.w.lag; lag != nil {
+		c, _, n := lag.Load()
+		work += float64(n) + float64(c)*r.plan.Storm.World.Discovery.CallLines
+	}
+	out["list_lines_s"] = work / r.w.Log.Now().Seconds()
 	made := 0
 	for _, s := range r.w.Servers {
 		n := s.Counts()
