test.sh keeps the deploy file's build line word by word

TestDeployBuildsBothProgramsDynamically failed on two cores: the folder was made earlier and left out of the line.

--- a/test.sh
+++ b/test.sh
@@ -27,7 +27,7 @@
 cat bin/rig-tests.log
 [ "$others" = 0 ] || exit "$others"
 go test -race -count=1 -tags faults ./internal/inject ./internal/disk
-CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/sandhinge ./cmd/wirehost
+mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/sandhinge ./cmd/wirehost
 go build -o bin/ ./cmd/otterspring ./cmd/rig
 
 # The adapter answers an empty batch and ends with its input.
