An owner of the list whose calls to discovery fail gives the duty away

Read again: tell waited for the goroutine that asks for the hosts, which ended with the tenure only, so that such an owner went on renewing and told nobody (list.go tell). No storm saw it, for the others ask by themselves.

--- a/internal/fleet/supervisor/list.go
+++ b/internal/fleet/supervisor/list.go
@@ -237,6 +237,9 @@
 	hosts := make(chan []string, 1)
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	// It may end before the tenure does: who asks for the hosts ends with it.
+	ctx, end := context.WithCancel(ctx)
+	defer end()
 	wg.Go(func() { n.who(ctx, &addresses, hosts) })
 	tell := list.NewTelling(listWord, listWords)
 	type done struct {
--- a/internal/lab/experiment/verdict.go
+++ b/internal/lab/experiment/verdict.go
@@ -54,6 +54,7 @@
 	"late_tried":        {Means: "effects of an owner of before that receivers refused; with a council only", WholeOnly: true},
 	"roll_at_once":      {Means: "instances that are under way for orders at a time, the most; with a council only", WholeOnly: true},
 	"list_lines_s":      {Means: "lines a second that discovery worked through, its calls included; on sockets only", WholeOnly: true},
+	"list_handovers":    {Means: "how often somebody became the owner of the list; with a council's list only", WholeOnly: true},
 	"list_self":         {Means: "calls of sidecars at discovery themselves since the first fault between processes; with a council's list only", WholeOnly: true},
 	"list_last_s":       {Means: "the longest from a change that the zone was told of to the last sidecar that knew it; with a council's list only", WholeOnly: true},
 	"roll_zone_at_once": {Means: "instances of one zone that were under way for orders at a time, the most; with a council only", WholeOnly: true},
@@ -247,7 +248,7 @@
 			res.Figures["late_tried"], res.Figures["handovers"] = float64(o.LateTried), float64(o.Handovers)
 			res.Figures["roll_at_once"], res.Figures["roll_zone_at_once"] = float64(o.Most), float64(o.MostZone)
 			if l := o.List; l != nil {
-				res.Figures["list_last_s"], res.Figures["list_self"] = 0, float64(l.Self)
+				res.Figures["list_last_s"], res.Figures["list_self"], res.Figures["list_handovers"] = 0, float64(l.Self), float64(l.Handovers)
 				for _, d := range l.Last {
 					res.Figures["list_last_s"] = max(res.Figures["list_last_s"], d.Seconds())
 				}
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -23,6 +23,7 @@
 	listOwner    = "nemesis -short -seeds 1 -jobs 2 experiments/list-owner.toml"
 	listCut      = "nemesis -short -seeds 1 -jobs 3 experiments/list-cut.toml"
 	listApart    = "nemesis -short -seeds 1 -jobs 2 experiments/list-apart.toml"
+	listGives    = "nemesis -short -seeds 1 experiments/list-gives.toml"
 	listLag      = "nemesis -short -seeds 1..2 -jobs 2 experiments/list-lag.toml"
 	betweenRolls = "nemesis -short -seeds 1..2 -jobs 2 experiments/between-rolls.toml"
 	betweenKill  = "nemesis -short -seeds 1 -jobs 3 experiments/between-killed.toml"
@@ -120,6 +121,8 @@
 
 	{Name: "list-unfenced", Played: listOwner, File: "internal/fleet/supervisor/everywhere.go", Breaks: "a supervisor takes the list of a late owner",
 		Old: "Epoch: e.Epoch}); err != nil {", New: "Epoch: e.Epoch}); err != nil && e.Do != \"list\" {"},
+	{Name: "list-kept", Played: listGives, File: "internal/fleet/supervisor/list.go", Breaks: "an owner whose calls to discovery fail keeps the duty",
+		Old: "\tdefer end()\n\twg.Go(func() { n.who", New: "\t_ = end\n\twg.Go(func() { n.who"},
 	{Name: "list-older", Played: listLag, File: "internal/fleet/duty/list/list.go", Breaks: "a list is taken although it is older",
 		Old: "case u.Index <= h.Index && h.Index > 0:", New: "case u.Index == h.Index && h.Index > 0:"},
 	{Name: "list-never-alone", Played: listApart, File: "internal/fleet/duty/list/list.go", Breaks: "a host whose owner is silent does not ask by itself",
