A keyed repeat leaves within its group's window, connection included, or never

Cause: balance/mayResend held the decision against the window, and the attempt then had as long as it liked: a dial of up to dial-timeout-us and the write. Ruled out: the group (usable holds it), the anchor (the first attempt that may have run, by its decision, which is earlier than any byte).

Change: a Send says by when its last byte leaves (Latest); engine.Commit, which comes before that byte, gives the attempt up as never sent once that is over. The emulator does the same.

Tests: a real connection that comes up late (its queue is full and the kernel drops the first SYN, which /proc/net/tcp shows) with a window of 600 ms. With the check in Commit taken out: "it was sent again 1 times after the window".

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,6 +51,7 @@
 	Server  string
 	Number  int
 	Wait    time.Duration
+	Latest  time.Duration // a Send's last byte leaves within this, or never
 	Token   uint64
 }
 
@@ -312,6 +313,10 @@
 // start sends an attempt and plans its second copy.
 func (b *Balancer) start(r *request, s *server, now time.Duration) {
 	a := &attempt{request: r, server: s, number: len(r.attempts), sent: now, expected: b.expect(r)}
+	latest := r.useful
+	if r.anchor != nil && r.class.Effect == Keyed {
+		latest = min(latest, r.anchor.sent+r.class.Window)
+	}
 	r.attempts = append(r.attempts, a)
 	r.open++
 	s.out = append(s.out, a)
@@ -320,7 +325,7 @@
 	if r.anchor == nil {
 		r.anchor = a
 	}
-	b.act(Action{Kind: Send, Request: r.ID, Server: s.ID, Number: a.number, Wait: max(r.useful-now, 1)})
+	b.act(Action{Kind: Send, Request: r.ID, Server: s.ID, Number: a.number, Wait: max(r.useful-now, 1), Latest: max(latest-now, 1)})
 	if b.set.CanCopy && r.class.Effect != Once && len(r.attempts) < b.set.MaxAttempts {
 		left := float64(r.useful - now)
 		if aim := float64(r.class.Aim); aim > 0 && aim < left {
@@ -338,10 +343,7 @@
 // copyOf sends a second copy of a request whose attempt is out for long. It
 // draws on the retry budget like any retry.
 func (b *Balancer) copyOf(r *request, now time.Duration, number int) {
-	if r.attempts[number].ended || r.open != 1 || r.waiting {
-		return
-	}
-	if !b.mayResend(r, now) || !b.budget.allows(now) {
+	if r.attempts[number].ended || r.open != 1 || r.waiting || !b.mayResend(r, now) || !b.budget.allows(now) {
 		return
 	}
 	if s := b.pick(r, now); s != nil {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -143,7 +143,8 @@
 	number int
 	sent   time.Duration
 	until  time.Duration
-	at     int // place in Engine.out
+	latest time.Duration // the last byte leaves by then, or never
+	at     int           // place in Engine.out
 
 	// Behind the engine's mutex.
 	link     Link
@@ -475,7 +476,7 @@
 // send starts an attempt.
 func (e *Engine) send(c *Call, x *balance.Action) {
 	now := e.now()
-	a := &Attempt{eng: e, Call: c, number: len(c.attempts), sent: now, until: now + x.Wait, at: len(e.out)}
+	a := &Attempt{eng: e, Call: c, number: len(c.attempts), sent: now, until: now + x.Wait, latest: now + x.Latest, at: len(e.out)}
 	c.attempts = append(c.attempts, a)
 	c.open++
 	e.out = append(e.out, a)
@@ -584,13 +585,22 @@
 }
 
 // Commit is called before the attempt's last byte is written. From then on it
-// may run. It lifts the bound of Arm; false if the attempt was given up.
+// may run. It lifts the bound of Arm; false if the attempt was given up, or is
+// given up here: what was decided for a time that the connection and the write
+// have used up must not reach the upstream any more. A repeat of a keyed request
+// would run there as a new one.
 func (a *Attempt) Commit() bool {
-	a.eng.mu.Lock()
-	defer a.eng.mu.Unlock()
+	e := a.eng
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if a.ended {
 		return false
 	}
+	if now := e.now(); now >= a.latest {
+		e.close(a, balance.NeverSent)
+		e.tell(a, now, now-a.sent)
+		return false
+	}
 	a.written = true
 	a.link.SetReadDeadline(time.Time{})
 	return true
--- a/internal/lab/virtual/attempt.go
+++ b/internal/lab/virtual/attempt.go
@@ -10,7 +10,7 @@
 // send starts an attempt.
 func (p *process) send(c *call, x *balance.Action) {
 	now := p.inst.w.loop.now
-	a := &attempt{p: p, call: c, host: p.hosts[x.Server], number: len(c.attempts), sent: now, until: now + x.Wait}
+	a := &attempt{p: p, call: c, host: p.hosts[x.Server], number: len(c.attempts), sent: now, until: now + x.Wait, latest: now + x.Latest}
 	c.useful = clockOrigin + a.until
 	c.attempts = append(c.attempts, a)
 	c.open++
@@ -131,6 +131,10 @@
 			if a.ended || p.ended || c.closed {
 				return
 			}
+			if w.loop.now >= a.latest {
+				p.end(a, balance.NeverSent)
+				return
+			}
 			a.written = true
 			if p.inst.cutOff(s, true) {
 				return
--- a/internal/lab/virtual/sidecar.go
+++ b/internal/lab/virtual/sidecar.go
@@ -119,6 +119,7 @@
 	number  int
 	sent    time.Duration
 	until   time.Duration
+	latest  time.Duration // the last byte leaves by then, or never
 	conn    *conn
 	job     *job
 	life    int // of the server that has the job
--- /dev/null
+++ b/internal/sidecar/orders_test.go
@@ -0,0 +1,175 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"otterspring/balance"
+	"otterspring/internal/engine"
+)
+
+// These tests make rare orders happen every time, over real connections: a peer
+// acts on a cue, and what the cue waits for is read from the kernel's own tables.
+// docs/design/orders.md names the transition that each of them forces.
+
+// The states of a TCP connection that the tests wait for, as the kernel counts them.
+const (
+	tcpSynSent  = 2
+	tcpFinWait1 = 4
+	tcpClosed   = 7
+)
+
+// lateUpstream is one to which no connection comes up until it is let: its queue of
+// connections is full, and the kernel drops what wants in, which asks again a
+// second later.
+type lateUpstream struct {
+	upstreamServer
+	fill []net.Conn
+}
+
+func startLate(t *testing.T, serve func(c net.Conn, r *http.Request, nth int64) bool) *lateUpstream {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(fd), "late")
+	defer f.Close()
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.FileListener(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &lateUpstream{upstreamServer: upstreamServer{ln: ln, serve: serve}}
+	t.Cleanup(func() {
+		ln.Close()
+		for _, c := range u.fill {
+			c.Close()
+		}
+	})
+	for len(u.fill) < 8 {
+		c, err := net.DialTimeout("tcp", u.addr(), 300*time.Millisecond)
+		if err != nil {
+			return u
+		}
+		u.fill = append(u.fill, c)
+	}
+	t.Fatal("the queue of connections does not fill")
+	return nil
+}
+
+// let takes what waits in the queue, and all that comes later.
+func (u *lateUpstream) let() {
+	for _, c := range u.fill {
+		c.Close()
+	}
+	go func() {
+		for {
+			c, err := u.ln.Accept()
+			if err != nil {
+				return
+			}
+			u.conns.Add(1)
+			go u.run(c)
+		}
+	}()
+}
+
+// dialled waits until a connection to it has been asked for and dropped.
+func (u *lateUpstream) dialled(t *testing.T) {
+	t.Helper()
+	port := u.ln.Addr().(*net.TCPAddr).Port
+	eventually(t, "a connection on its way", func() bool { return sockets(t, port, tcpSynSent) > 0 })
+}
+
+// sockets counts the connections of this machine to a port that are in a state.
+func sockets(t *testing.T, port int, state int) (n int) {
+	t.Helper()
+	text, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		f := strings.Fields(line)
+		if len(f) > 3 && strings.HasSuffix(f[2], fmt.Sprintf(":%04X", port)) && f[3] == fmt.Sprintf("%02X", state) {
+			n++
+		}
+	}
+	return n
+}
+
+// startWith starts a sidecar whose configuration's text was changed, pairs of what
+// was there and what takes its place.
+func startWith(t *testing.T, changes []string, ups ...string) *Sidecar {
+	t.Helper()
+	text := configText(startDiscovery(t, ups...), ups...)
+	for i := 0; i < len(changes); i += 2 {
+		if !strings.Contains(text, changes[i]) {
+			t.Fatalf("the configuration has no %s", changes[i])
+		}
+		text = strings.ReplaceAll(text, changes[i], changes[i+1])
+	}
+	cfg, err := parseConfig([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Start(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.front.Listener().Close(); s.stop() })
+	return s
+}
+
+func putRequest(id string) string {
+	return "POST /put HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id + "\r\nIdempotency-Key: k\r\nX-Deadline: 6\r\nContent-Length: 1\r\n\r\nx"
+}
+
+// A keyed request that may have run is sent again within the group's window, and
+// the connection for that comes up after it: the request must not arrive there.
+func TestKeyedRepeatArrivesInItsWindowOrNever(t *testing.T) {
+	t.Parallel()
+	one := startUpstream(t, func(c net.Conn, _ *http.Request, _ int64) bool { return reset(c) })
+	late := startLate(t, good)
+	s := startWith(t, []string{`"window-us":4000000`, `"window-us":600000`}, one.addr())
+	s.eng.Members(balance.ListChange, engine.List{Index: 10, Entries: []engine.Entry{
+		{Server: balance.Server{ID: "late", Zone: "a", Cell: 1}, Addr: late.addr()}}}, 0)
+	// Which of the two is tried first is chance: the late one alone proves nothing.
+	for began := time.Now(); one.seen.Load() == 0; {
+		if time.Since(began) > patience {
+			t.Fatal("the other upstream was never tried first")
+		}
+		id := newID()
+		c := dialClient(t, s)
+		io.WriteString(c, putRequest(id))
+		eventually(t, "a first attempt", func() bool {
+			return one.seen.Load() > 0 || sockets(t, late.ln.Addr().(*net.TCPAddr).Port, tcpSynSent) > 0
+		})
+		if one.seen.Load() == 0 {
+			c.Close()
+			eventually(t, "the end of that", func() bool { return sockets(t, late.ln.Addr().(*net.TCPAddr).Port, tcpSynSent) == 0 })
+			continue
+		}
+		late.dialled(t)
+		late.let()
+		if r, _ := clientAnswer(t, c); r == nil || r.StatusCode != http.StatusBadGateway {
+			t.Errorf("answered %v, want a failure: it may have run", r)
+		}
+	}
+	if n := late.seen.Load(); n != 0 {
+		t.Errorf("it was sent again %d times after the window", n)
+	}
+}
