What has not begun never begins for a request that is over, with or without cancels

Seen by reading: engine.Left and reply left an attempt that still dials or holds its last byte to the module's Cancel, and balance/cancelBut sends none where the settings allow none (limits.cancel false). Such an attempt began up to a whole dial later, and served nobody.

Change: a call that is over ends its own attempts whose last byte has not left, as never sent (stopUnwritten), and tells the module.

Test: a client leaves while its request waits for a connection that comes up late, with cancels and without.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -220,6 +220,8 @@
 	if !c.answered {
 		c.answered = true
 		e.carry(e.bal.Left(e.now(), c.ID, e.acts[:0]))
+		e.stopUnwritten(c)
+		e.carry(e.acts[:0])
 		e.forget(c)
 	}
 }
@@ -504,9 +506,23 @@
 	c.answered, c.Answer = true, ans
 	close(c.Done)
 	c.Conn.SetReadDeadline(Past)
+	e.stopUnwritten(c)
 	e.forget(c)
 }
 
+// stopUnwritten ends the attempts of a call that is over and whose last byte has
+// not left: nobody waits for them, and none may begin any more. The module cancels
+// what is out only where the settings let it; that is about work that has begun. The
+// caller carries on, which tells the module.
+func (e *Engine) stopUnwritten(c *Call) {
+	for _, a := range c.attempts {
+		if !a.ended && !a.written {
+			e.close(a, balance.NeverSent)
+			e.lapsed = append(e.lapsed, a)
+		}
+	}
+}
+
 // forget drops a call that is over. Its id may come again only then.
 func (e *Engine) forget(c *Call) {
 	if c.answered && c.open == 0 {
@@ -558,6 +574,7 @@
 	e.tell(a, now, now-a.sent)
 	if status == balance.OK && !answered {
 		e.reply(a.Call, Answer{Kind: balance.Send, Response: resp})
+		e.carry(e.acts[:0])
 	}
 	return true
 }
--- a/internal/sidecar/orders_test.go
+++ b/internal/sidecar/orders_test.go
@@ -173,3 +173,29 @@
 		t.Errorf("it was sent again %d times after the window", n)
 	}
 }
+
+// A client leaves while its request waits for a connection. Where the settings let
+// no attempt be cancelled, one that has not begun must not begin all the same.
+func TestNothingBeginsForAClientThatLeft(t *testing.T) {
+	t.Parallel()
+	for _, may := range []string{"true", "false"} {
+		t.Run("cancel "+may, func(t *testing.T) {
+			t.Parallel()
+			late := startLate(t, good)
+			s := startWith(t, []string{`"cancel":true`, `"cancel":` + may}, late.addr())
+			c := dialClient(t, s)
+			io.WriteString(c, readRequest(newID()))
+			late.dialled(t)
+			c.Close()
+			eventually(t, "the client's leave noticed", func() bool { return s.front.Empty() })
+			late.let()
+			eventually(t, "the connection, or the end of its dial", func() bool {
+				open, idle := s.pool.Counts()
+				return open == idle || late.seen.Load() > 0
+			})
+			if n := late.seen.Load(); n != 0 {
+				t.Errorf("%d requests were sent for nobody", n)
+			}
+		})
+	}
+}
