Nothing goes to an upstream that drains on a connection that comes up late

Seen by reading: engine.Members drops the upstream, but an attempt that dials to it went on, and wrote when the connection was there. Where a dial may last longer than the grace (a matter of settings: 100 ms against 500 ms here, 250 against 500 on caroni-licence) that is late.

Change: attempts that wait for a connection to a dropped upstream end as never sent (stopUnattached); the module, which knows the list by then, sends elsewhere. What has begun to be written goes on.

Test: a drain is told while the connection is on its way. With the change taken out: "1 requests reached the draining upstream and 0 the other".

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -303,6 +303,7 @@
 		}
 	}
 	e.carry(e.bal.Members(e.now(), kind, servers, e.acts[:0]))
+	e.stopUnattached(drop)
 	onList := e.onList
 	e.mu.Unlock()
 	for _, up := range drop {
@@ -313,6 +314,25 @@
 	}
 }
 
+// stopUnattached ends the attempts that still wait for a connection to upstreams
+// that are dropped: it may come up long after the time in which something new may
+// still go there. The module knows the list by then and sends elsewhere.
+func (e *Engine) stopUnattached(drop []Upstream) {
+	now := e.now()
+	var waiting []*Attempt
+	for _, a := range e.out {
+		if a.link == nil && slices.Contains(drop, a.up) {
+			waiting = append(waiting, a)
+		}
+	}
+	for _, a := range waiting {
+		if !a.ended {
+			e.close(a, balance.NeverSent)
+			e.tell(a, now, now-a.sent)
+		}
+	}
+}
+
 // keepDrains sets right the entries of a list that lag behind a drain which was
 // told before.
 func (e *Engine) keepDrains(l List, moves int) {
--- a/internal/sidecar/orders_test.go
+++ b/internal/sidecar/orders_test.go
@@ -174,6 +174,30 @@
 	}
 }
 
+// An upstream is told to be draining while a connection to it is on its way up:
+// when it is there, nothing new may go out on it.
+func TestNothingGoesToADrainOnALateConnection(t *testing.T) {
+	t.Parallel()
+	late, other := startLate(t, good), startUpstream(t, good)
+	s := startSidecar(t, late.addr())
+	id := newID()
+	c := dialClient(t, s)
+	io.WriteString(c, readRequest(id))
+	late.dialled(t)
+	entry := func(addr string, state balance.ServerState) engine.Entry {
+		return engine.Entry{Server: balance.Server{ID: "s-" + addr, Zone: "a", Cell: 1, State: state}, Addr: addr}
+	}
+	s.eng.Members(balance.ListChange, engine.List{Index: 10, Entries: []engine.Entry{
+		entry(late.addr(), balance.Draining), entry(other.addr(), balance.Ready)}}, 0)
+	late.let()
+	if r, body := clientAnswer(t, c); r == nil || r.StatusCode != http.StatusOK || body != id {
+		t.Fatalf("answered %v %q", r, body)
+	}
+	if n := late.seen.Load(); n != 0 || other.seen.Load() != 1 {
+		t.Errorf("%d requests reached the draining upstream and %d the other", n, other.seen.Load())
+	}
+}
+
 // A client leaves while its request waits for a connection. Where the settings let
 // no attempt be cancelled, one that has not begun must not begin all the same.
 func TestNothingBeginsForAClientThatLeft(t *testing.T) {
