A client that leaves is noticed behind unread bytes, and during a drain

Ruled out: full close, reset and half-close with nothing behind the request, which were seen; CoAP has its own cancel and no such byte.

Change: await peeks and asks the kernel for the end of sending (POLLRDHUP), reads nothing, and watches on where the deadline was not the answer's. A half-close counts as a leave: it looks like a close until something is written. Past the engine's mutex no deadline is still to come that would end a pipelined request's read.

Tests: close, reset and half-close behind nothing, a byte, a request, 60 KB; with the poll taken out those with bytes fail ("the attempt goes on for a client that has left").

--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"otterspring/balance"
 	"otterspring/internal/engine"
@@ -145,6 +146,9 @@
 		unread(ctx, fasthttp.StatusBadRequest, "client gone")
 		return
 	}
+	// The engine wakes the front and then ends its reads, both behind its mutex:
+	// past it, no deadline is still to come that would end the next request.
+	f.eng.Alive()
 	cc.SetReadDeadline(time.Time{})
 	respond(ctx, &c.Answer)
 }
@@ -210,10 +214,9 @@
 	net.Conn
 	raw     syscall.RawConn
 	front   *Front
-	refused bool // over the share: its request is turned away
-	early   [1]byte
-	ahead   bool        // early holds a byte of the next request
+	refused bool        // over the share: its request is turned away
 	muted   bool        // nothing is written any more
+	left    bool        // the client has ended its sending
 	over    atomic.Bool // the drain reads no further than what is there
 
 	phase atomic.Int32
@@ -242,15 +245,8 @@
 		c.setPhase(phaseIdle)
 		c.front.thin()
 	}
-	if c.ahead && len(p) > 0 {
-		c.ahead = false
-		p[0] = c.early[0]
-		if !c.note() {
-			return 0, io.EOF
-		}
-		return 1, nil
-	}
 	n, err := c.Conn.Read(p)
+	c.left = c.left || err == io.EOF
 	if n == 0 && c.over.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.rest(p)
 	}
@@ -335,25 +331,43 @@
 }
 
 // await waits until done is closed, which comes with a read deadline, and
-// meanwhile watches the connection: true if the client closed it.
+// meanwhile watches the connection: true if the client has left. A deadline that
+// was set for an earlier phase, by a drain or a sweep that saw the connection a
+// moment ago, ends nothing.
 func (c *clientConn) await(done <-chan struct{}) bool {
-	gone := false
-	c.raw.Read(func(fd uintptr) bool {
-		n, err := syscall.Read(int(fd), c.early[:])
-		switch {
-		case err == syscall.EAGAIN || err == syscall.EINTR:
+	for {
+		err := c.raw.Read(func(fd uintptr) bool {
+			c.left = hasLeft(int(fd))
+			return c.left
+		})
+		if c.left || errors.Is(err, net.ErrClosed) {
+			return true
+		}
+		c.SetReadDeadline(time.Time{})
+		select {
+		case <-done:
 			return false
-		case n > 0:
-			c.ahead = true
 		default:
-			gone = true
 		}
+	}
+}
+
+// hasLeft tells whether the peer has closed, reset or shut its side of a
+// connection. It reads nothing: what came ahead of that stays for the next
+// request, and hides the end from a read. An end of sending alone counts, for it
+// looks like a close until something is written, which would be the answer.
+func hasLeft(fd int) bool {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case err == syscall.EAGAIN || err == syscall.EINTR:
+		return false
+	case n <= 0 || err != nil:
 		return true
-	})
-	if !gone {
-		<-done
 	}
-	return gone
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err = unix.Poll(p, 0)
+	return err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
 // Settings are a front's bounds and what it tells.
--- a/internal/sidecar/orders_test.go
+++ b/internal/sidecar/orders_test.go
@@ -223,3 +223,40 @@
 		})
 	}
 }
+
+// A client sends something behind its request and leaves: the bytes that wait must
+// not hide that it has gone.
+func TestLeaveBehindUnreadBytesIsNoticed(t *testing.T) {
+	t.Parallel()
+	for how, leave := range map[string]func(c net.Conn){
+		"close":      func(c net.Conn) { c.Close() },
+		"reset":      func(c net.Conn) { reset(c); c.Close() },
+		"half-close": func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
+	} {
+		for what, more := range map[string]string{"nothing": "", "a byte": "G", "a request": readRequest("behind"), "a flood": strings.Repeat("x", 60<<10)} {
+			t.Run(how+" behind "+what, func(t *testing.T) {
+				t.Parallel()
+				ended := make(chan error, 1)
+				up := startUpstream(t, func(c net.Conn, _ *http.Request, nth int64) bool {
+					if nth == 1 {
+						_, err := c.Read(make([]byte, 1)) // held until its sending ends
+						ended <- err
+					}
+					return false
+				})
+				// Nothing else ends the attempt while the test waits.
+				s := startWith(t, []string{"8000000", "80000000"}, up.addr())
+				c := dialClient(t, s)
+				io.WriteString(c, strings.Replace(readRequest(newID()), "X-Deadline: 6", "X-Deadline: 80", 1))
+				eventually(t, "the request", func() bool { return up.seen.Load() == 1 })
+				io.WriteString(c, more)
+				leave(c)
+				select {
+				case <-ended:
+				case <-time.After(patience):
+					t.Fatal("the attempt goes on for a client that has left")
+				}
+			})
+		}
+	}
+}
