Closing over unread bytes no longer resets the answer before them

Seen: fasthttp closes right after an answer that ends its connection (a drain, a refusal, a request whose body is not read). The kernel resets a connection that is closed with bytes unread, and drops what it still holds of the answer. On loopback an answer that has arrived survives that; one that waits for a slow reader does not.

Change: where an answer was written within the last second and the client has not ended its side, Close shuts the sending side and reads on for nobody: 500 ms, 256 KiB, and as many connections as are set aside for refusals at most; they count as open meanwhile. What else is closed (silent, idle for a second, given up by the peer) is closed as before. Small writes were looked at: Go sets TCP_NODELAY on what it accepts and dials, nothing to mend.

Test: a client with a small window sends 60 KB behind its request and reads once the close shows. With the lingering taken out: "1909 bytes of the answer came, of 30720 ... connection reset by peer". With its time bound taken out TestLingeringIsBounded fails.

--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -35,9 +35,15 @@
 	// of a connection of the connect. Healthy clients take up to 2 s for a
 	// head. A body earns more time by the bytes that have come, so that a slow
 	// line is not cut off and a trickle is.
-	wholeIn     = 2700 * time.Millisecond
-	bodyRate    = 16 << 10 // bytes that earn a second
-	writeStall  = 5 * time.Second
+	wholeIn    = 2700 * time.Millisecond
+	bodyRate   = 16 << 10 // bytes that earn a second
+	writeStall = 5 * time.Second
+	// An answer may be under way to the client for answerWay. A connection that is
+	// closed meanwhile lingers until the client ends its side, for so long and
+	// over so many bytes at most.
+	answerWay   = time.Second
+	lingerFor   = 500 * time.Millisecond
+	lingerBytes = 256 << 10
 	sweepClient = 100 * time.Millisecond
 	headBuffer  = 8 << 10
 	writeBuffer = 4 << 10
@@ -225,6 +231,7 @@
 	last  atomic.Int64 // time of the turn to idle
 	body  atomic.Int64 // bytes of the body that have come
 	wrote atomic.Int64 // time at which the write under way began, 0 for none
+	told  int64        // time of the last write's end, 0 for none
 	once  sync.Once
 }
 
@@ -294,16 +301,61 @@
 	c.wrote.Store(c.front.now())
 	n, err := c.Conn.Write(p)
 	c.wrote.Store(0)
+	c.told = c.front.now()
 	return n, err
 }
 
-// Close closes the connection and makes room for another.
+// Close closes the connection and makes room for another. Closing over bytes that
+// were not read, or that come a moment later, resets it, and takes with it an answer
+// that the client has not read: where one may be under way, only the sending is
+// ended here, and the rest is left to linger.
 func (c *clientConn) Close() error {
+	answering := c.told > 0 && c.front.now()-c.told < answerWay.Milliseconds()
+	if answering && !c.left && c.phase.Swap(phaseClosing) != phaseClosing && c.front.lingers.take() {
+		if c.Conn.(*net.TCPConn).CloseWrite() == nil {
+			go c.linger()
+			return nil
+		}
+		c.front.lingers.give()
+	}
+	return c.close()
+}
+
+func (c *clientConn) close() error {
 	err := c.Conn.Close()
 	c.once.Do(func() { c.front.remove(c) })
 	return err
 }
 
+// linger reads on, for nobody, until the client has ended its side too, and closes
+// then. Time and bytes are bounded: a client that goes on sending is reset.
+func (c *clientConn) linger() {
+	defer c.front.lingers.give()
+	defer c.close()
+	c.SetReadDeadline(time.Now().Add(c.front.LingerFor))
+	var p [512]byte
+	for n := 0; n < lingerBytes; {
+		k, err := c.Conn.Read(p[:])
+		if err != nil {
+			return
+		}
+		n += k
+	}
+}
+
+// places bounds how many connections linger.
+type places struct{ left atomic.Int32 }
+
+func (p *places) take() bool {
+	if p.left.Add(-1) < 0 {
+		p.give()
+		return false
+	}
+	return true
+}
+
+func (p *places) give() { p.left.Add(1) }
+
 // unread tells whether the kernel holds bytes of the connection.
 func (c *clientConn) unread() bool {
 	some := false
@@ -390,8 +442,12 @@
 	ended         bool // nor ever will be; behind mu
 	serve, refuse int
 	spare         int // idle connections that asked, kept at most
-	start         time.Time
-	draining      atomic.Bool
+	lingers       places
+	// LingerFor bounds how long a connection that was closed with its answer is read
+	// on. It is set before the first connection.
+	LingerFor time.Duration
+	start     time.Time
+	draining  atomic.Bool
 
 	mu    sync.Mutex
 	freed sync.Cond
@@ -406,6 +462,8 @@
 		serve: set.Serve, refuse: set.Refuse, spare: set.Spare,
 	}
 	f.freed.L = &f.mu
+	f.lingers.left.Store(int32(set.Refuse))
+	f.LingerFor = lingerFor
 	f.srv = fasthttp.Server{
 		Handler:                      f.handle,
 		StreamRequestBody:            true,
--- a/internal/sidecar/orders_test.go
+++ b/internal/sidecar/orders_test.go
@@ -1,12 +1,14 @@
 package sidecar
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -260,3 +262,62 @@
 		}
 	}
 }
+
+// A connection is closed with its answer while bytes of the client lie unread: a
+// plain close would reset it, and drop what of the answer has not been delivered.
+func TestAnswerSurvivesACloseOverUnreadBytes(t *testing.T) {
+	t.Parallel()
+	body := strings.Repeat("b", 30<<10)
+	answer := make(chan struct{})
+	up := startUpstream(t, func(c net.Conn, r *http.Request, n int64) bool {
+		<-answer
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		return true
+	})
+	s := startSidecar(t, up.addr())
+	s.front.LingerFor = patience // for a slow machine
+	// The client takes little at a time, so that most of the answer waits in the sidecar's kernel.
+	small := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 2048) })
+	}}
+	c, err := small.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	io.WriteString(c, readRequest(newID()))
+	eventually(t, "the request", func() bool { return up.seen.Load() == 1 })
+	io.WriteString(c, strings.Repeat("x", 60<<10))
+	s.front.SetDraining(true) // every answer ends its connection from here on
+	close(answer)
+	port := c.LocalAddr().(*net.TCPAddr).Port
+	eventually(t, "the close", func() bool { return tcpState(t, c) == tcpClosed || sockets(t, port, tcpFinWait1) > 0 })
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(r.Body); err != nil || string(got) != body {
+		t.Fatalf("%d bytes of the answer came, of %d: %v", len(got), len(body), err)
+	}
+	c.Close()
+	eventually(t, "the connection let go", s.front.Empty)
+}
+
+// Those that linger are bounded in number, in time and in bytes: clients that never
+// end their side do not keep others out.
+func TestLingeringIsBounded(t *testing.T) {
+	t.Parallel()
+	s := startSidecar(t, startUpstream(t, good).addr())
+	s.front.SetDraining(true)
+	serve, refuse := clientShares(s.cfg.Sockets)
+	for range 2 * (serve + refuse) {
+		c := dialClient(t, s)
+		io.WriteString(c, readRequest(newID()))
+		if r, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || r.StatusCode != http.StatusOK {
+			t.Fatal(r, err)
+		}
+		// It stays open on this side, for good.
+	}
+	eventually(t, "all connections let go", s.front.Empty)
+}
