An answer of discovery that crosses a move is taken, with the drains in it

Cause, read and then forced: Move cut the call under way by a deadline in the past, and watch dropped an answer that had come whole but crossed the move. Discovery had written it, so the drain in it was told; the new address lags behind and still lists the server as active. Ruled out: membership, which remembers a drain over any number of moves, once it has heard of it.

Change: a call that is cut has 100 ms for what is on its way; what it brings goes to the engine under the old count of moves, so that membership keeps it against the new one's list.

Test: discovery is moved in the moment in which the old one writes the drain. Fails without the grace, and without the hand-over ("never came: the drain").

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -34,9 +34,12 @@
 	// what discovery had to tell counts as told.
 	answerWithin = 2 * time.Second
 	wholeWithin  = 6 * time.Second // the same for a call that does not wait
-	dialWithin   = time.Second
-	mostList     = 8 << 20 // bytes of a list
-	readBuffer   = 8 << 10
+	// crossing is how long an answer may still come for a call that is cut because
+	// discovery moves: what is written to the sidecar counts as told to it.
+	crossing   = 100 * time.Millisecond
+	dialWithin = time.Second
+	mostList   = 8 << 20 // bytes of a list
+	readBuffer = 8 << 10
 	// rest is the least time of a watch that brings nothing, so that an agent
 	// which does not wait is not called without end. A watch goes on if it is
 	// called again within 200 ms.
@@ -127,7 +130,7 @@
 	schemes []string
 	index   int64
 	asked   chan struct{}
-	conn    net.Conn
+	conn    *callConn
 	br      *bufio.Reader
 	parser  fastjson.Parser
 
@@ -136,6 +139,8 @@
 	turnAt time.Duration // how long after near has failed addr is asked
 	last   int           // moves as far as calls have followed them
 
+	crossing time.Duration // the constant; a test's on a slow machine is longer
+
 	mu    sync.Mutex
 	addr  string
 	moves int
@@ -146,7 +151,7 @@
 // to the version index. pushed says that lists come without being asked for;
 // schemes may stand before the addresses of upstreams that speak another protocol.
 func New(addr string, pushed bool, index int64, schemes ...string) *Follower {
-	return &Follower{addr: addr, pushed: pushed, index: index, schemes: schemes, asked: make(chan struct{}, 1)}
+	return &Follower{addr: addr, pushed: pushed, index: index, schemes: schemes, asked: make(chan struct{}, 1), crossing: crossing}
 }
 
 // Move turns to another address. The list stays; the next call asks for the
@@ -270,10 +275,6 @@
 	for {
 		began := time.Now()
 		l, _, err := d.call(ctx, addr, watchFor, answerWithin)
-		if err == nil {
-			// An answer that crossed a move is of the old address.
-			err = ctx.Err()
-		}
 		if err != nil {
 			return heard, err
 		}
@@ -287,13 +288,45 @@
 		}
 		heard = true
 		d.index = l.Index
+		// An answer that crossed a move is of the old address, and as good as told:
+		// a drain in it holds, whatever the new one knows of it yet.
 		d.eng.Members(kind, l, moves)
+		if err := ctx.Err(); err != nil {
+			return heard, err
+		}
 		if len(l.Entries) == 0 && time.Since(began) < rest {
 			pause(ctx, rest)
 		}
 	}
 }
 
+// callConn is a connection to discovery on which one call at a time is bounded.
+type callConn struct {
+	net.Conn
+	mu  sync.Mutex
+	end time.Time // nothing of the call lasts longer
+	cut bool      // the end does not move back any more
+}
+
+// begin bounds a new call.
+func (c *callConn) begin(end time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end, c.cut = end, false
+	c.SetDeadline(end)
+}
+
+// cross ends the call soon: only what is on its way may still come.
+func (c *callConn) cross(end time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = true
+	if end.Before(c.end) {
+		c.end = end
+	}
+	c.SetDeadline(c.end)
+}
+
 // hangUp closes the connection, if there is one.
 func (d *Follower) hangUp() {
 	if d.conn != nil {
@@ -306,10 +339,10 @@
 // silent with the connection up.
 // It tells whose versions the list bears where that is said.
 func (d *Follower) call(ctx context.Context, addr string, watch, within time.Duration) (list engine.List, source string, err error) {
-	path, wait := "/discovery/hosts", wholeWithin-answerWithin
+	path, wait := "/discovery/hosts", wholeWithin
 	if d.index > 0 {
-		wait = watch
-		path = fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, d.index, wait.Milliseconds())
+		wait = watch + within
+		path = fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, d.index, watch.Milliseconds())
 	}
 	if d.conn != nil && d.br.Buffered() > 0 {
 		d.hangUp()
@@ -320,13 +353,14 @@
 		if err != nil {
 			return list, "", err
 		}
-		d.conn, d.br = conn, bufio.NewReaderSize(conn, readBuffer)
+		d.conn = &callConn{Conn: conn}
+		d.br = bufio.NewReaderSize(d.conn, readBuffer)
 	}
 	conn := d.conn
-	conn.SetDeadline(time.Now().Add(wait + within))
-	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(engine.Past) })
+	conn.begin(time.Now().Add(wait))
+	stop := context.AfterFunc(ctx, func() { conn.cross(time.Now().Add(d.crossing)) })
 	defer stop()
-	if _, err := fmt.Fprintf(d.conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr); err != nil {
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr); err != nil {
 		return list, "", err
 	}
 	var resp fasthttp.Response
--- /dev/null
+++ b/internal/discovery/orders_test.go
@@ -0,0 +1,120 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"otterspring/balance"
+	"otterspring/internal/engine"
+)
+
+// patience bounds every wait; the tests wait on conditions.
+const patience = 12 * time.Second
+
+type noUpstream struct{}
+
+func (noUpstream) Run(*engine.Attempt) {}
+func (noUpstream) CloseIdle()          {}
+func (noUpstream) Retire()             {}
+
+// follow runs a follower of a scripted discovery: serve gets each call that comes.
+func follow(t *testing.T, serve func(c net.Conn, r *http.Request)) (*Follower, *engine.Engine) {
+	t.Helper()
+	f := New(listenFor(t, serve), false, 0)
+	f.crossing = patience // for a slow machine
+	eng, err := engine.New(engine.Settings{
+		Balance: balance.Settings{Subscribe: true, MaxAttempts: 1, ColdShare: 1, Classes: []balance.Class{{Name: "read", Deadline: time.Second}}},
+		Open:    func(string, int64) engine.Upstream { return noUpstream{} },
+	}, f.Ask)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	f.Ask()
+	go f.Run(ctx, eng)
+	return f, eng
+}
+
+func listenFor(t *testing.T, serve func(c net.Conn, r *http.Request)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go func() {
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					serve(c, r)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func listOf(index int, full bool, status string) string {
+	return fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[{"name":"s1","address":"127.0.0.1:1","zone":"z","group":1,"status":%q,"since_ms":0}]}`, index, full, status)
+}
+
+func answer(c net.Conn, text string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+// state is what the engine holds of s1; -1 for nothing.
+func state(eng *engine.Engine) balance.ServerState {
+	for _, e := range eng.List().Entries {
+		return e.State
+	}
+	return -1
+}
+
+// SIGHUP moves discovery in the very moment in which the old one tells of a drain:
+// what is written to the sidecar is told, and must hold.
+func TestAnswerThatCrossesAMoveIsTaken(t *testing.T) {
+	t.Parallel()
+	asked, moved := make(chan struct{}), make(chan struct{})
+	silent := listenFor(t, func(net.Conn, *http.Request) {})
+	f, eng := follow(t, func(c net.Conn, r *http.Request) {
+		if !r.URL.Query().Has("since") {
+			answer(c, listOf(5, true, "active"))
+			return
+		}
+		close(asked)
+		<-moved
+		answer(c, listOf(6, false, "leaving"))
+	})
+	<-asked
+	if got := state(eng); got != balance.Ready {
+		t.Fatalf("before the move s1 is %v", got)
+	}
+	f.Move(silent)
+	close(moved)
+	eventually(t, "the drain", func() bool { return state(eng) == balance.Draining })
+}
