A whole list raises the version from which changes are handed on

Cause: Held.Take kept floor where a later whole list came, so that Since answered with changes that it does not know: a server that had come and gone between the two versions was in none of them, and a host that held a version from between kept it for good. Reached where an owner is told the whole list because it missed too much, and another host was told by someone else meanwhile.

Change: every whole list raises the floor (one line less). Who asks from before it gets the whole list.

Tests: that order by hand; without the change "at version 3 it holds s0, s3, wanted s0 alone".

--- a/internal/fleet/duty/list/list.go
+++ b/internal/fleet/duty/list/list.go
@@ -139,9 +139,9 @@
 				h.put(Entry{Name: name, Status: "left", Text: gone(e.Text)}, u.Index)
 			}
 		}
-		if h.Index == 0 {
-			h.floor = u.Index
-		}
+		// What came and went since the version before is not in a whole list: who holds
+		// one from between must get the whole list, too, or would keep what has left.
+		h.floor = u.Index
 	}
 	h.Index = u.Index
 	h.trim()
--- a/internal/fleet/duty/list/list_test.go
+++ b/internal/fleet/duty/list/list_test.go
@@ -127,6 +127,33 @@
 	}
 }
 
+// A server comes and goes between two versions, and the holder of a version from
+// between is told by one that got the later one as a whole list: it must not keep it.
+func TestWholeListIsNoChangeSinceTheVersionBefore(t *testing.T) {
+	whole := func(index int64, names ...string) Update {
+		u := Update{Source: "d", Index: index}
+		for _, n := range names {
+			u.Entries = append(u.Entries, Entry{Name: n, Status: "active", Text: text(n, "active 1")})
+		}
+		return u
+	}
+	owner, host := NewHeld("d"), NewHeld("d")
+	for _, x := range []struct {
+		h *Held
+		u Update
+	}{{owner, whole(1, "s0")}, {owner, whole(3, "s0")}, {host, whole(2, "s0", "s3")}} {
+		if _, err := x.h.Take(x.u); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := host.Take(owner.Since(1)); err != nil {
+		t.Fatal(err)
+	}
+	if got := is(host); host.Index != 3 || len(got) != 1 {
+		t.Errorf("at version %d it holds %v, wanted s0 alone", host.Index, got)
+	}
+}
+
 // Servers that are gone are not remembered without bound; who asks for changes from
 // before gets the whole list.
 func TestGoneServersAreForgotten(t *testing.T) {
