Settings that a guess could turn into a double effect are refused, with key and finding

Need: the issue's bad input. Seen by reading: a keyed class without a group was taken for one that all servers keep, which sends its repeats anywhere; a window of zero and a deadline within the slack were taken; an unknown effect was refused without saying what was found.

Change: wire.Check, which the sidecar's configuration goes through at a start and at a reload (what stood goes on there, as before), says the first such thing in one line: key, found, wanted. Limits that are too small say what was found.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -84,11 +84,11 @@
 	}
 	switch {
 	case !(cfg.Cores > 0):
-		return Config{}, errors.New("limits.cores: expected a number above 0")
+		return Config{}, fmt.Errorf("limits.cores: found %v, wanted a number above 0", cfg.Cores)
 	case cfg.Memory < leastMemory:
-		return Config{}, fmt.Errorf("limits.memory_mb: expected %d or more", leastMemory>>20)
+		return Config{}, fmt.Errorf("limits.memory_mb: found %d, wanted %d or more", cfg.Memory>>20, leastMemory>>20)
 	case cfg.Sockets < leastSockets:
-		return Config{}, fmt.Errorf("limits.sockets: expected %d or more", leastSockets)
+		return Config{}, fmt.Errorf("limits.sockets: found %d, wanted %d or more", cfg.Sockets, leastSockets)
 	}
 	if known := v.Get("known"); known != nil && known.Type() != fastjson.TypeNull {
 		if cfg.Known, err = discovery.Parse(known, coapupstream.Scheme); err != nil {
@@ -99,6 +99,9 @@
 	if settings == nil || settings.Type() != fastjson.TypeObject {
 		return Config{}, errors.New("settings: expected an object")
 	}
+	if err := wire.Check(settings); err != nil {
+		return Config{}, fmt.Errorf("settings: %w", err)
+	}
 	cfg.Settings, cfg.Conns = wire.Settings(settings), wire.ConnSettings(settings)
 	if _, err := balance.New(cfg.Settings, cfg.Seed); err != nil {
 		return Config{}, fmt.Errorf("settings: %w", err)
