A watch that breaks while a call for the list is still due no longer ends the asking

Cause: balance/subscribeLater returned where a call was due already, before it noted that the module is no longer subscribed. A list may come unasked before that call: a hand-over and a move of discovery ask by themselves. If that watch then broke before the call was due, the call was passed over ("subscribed"), and no other was ever planned: the sidecar never asked for the list again. Ruled out: pushed lists (the follower asks there), a break after the call was due.

Change: the failure is noted first, whatever is due.

--- a/balance/members.go
+++ b/balance/members.go
@@ -148,16 +148,16 @@
 // subscribeLater arranges the next call for the list where it must be asked
 // for. Calls spread out and back off, since one list service serves them all.
 func (b *Balancer) subscribeLater(now time.Duration, failed bool) {
-	if !b.set.Subscribe || b.subscribeAt > now {
-		return
-	}
 	wait := time.Duration(b.rng.Float64() * float64(subscribeSpread))
 	if failed {
-		b.subscribed = false
+		b.subscribed = false // also where a call is due already: it would be passed over
 		mean := min(subscribeSpread<<min(b.subscribeTries, 6), subscribeMost)
 		wait = time.Duration(float64(mean) * (0.5 + b.rng.Float64()))
 		b.subscribeTries++
 	}
+	if !b.set.Subscribe || b.subscribeAt > now {
+		return
+	}
 	b.subscribeAt = now + wait
 	b.at(b.subscribeAt, wakeSubscribe, nil, 0)
 }
