After a failed call the list is asked for in time for what counts as told

Seen by reading: after a failed call the module waited 1 to 3 s, then 2 to 6, then 4 to 12 s; a call for the whole list was given up after 6 s; an answer that stopped half way was waited for as long as a watch, 22 s.

Change: from a failed call to the begin of the next 1 to 3 s, less what the failed call took (a fifth of it at least), however many have failed. A whole list's answer must begin within 3.2 s, and any answer must be whole 2 s after its first bytes. Refused: 3 s and an answer of 2 s; turned away after 2 s: 1 s and 2 s more; silent: 3.2 s, 0.6 s, 2 s. The backoff that grew is gone: calls that are turned away cost discovery no lines, and a mean of 2 s, spread evenly, forms no herd.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -161,9 +161,8 @@
 	wakes      []wake        // earliest first
 	armed      time.Duration // time of the caller's earliest timer, 0 for none
 
-	subscribed     bool
-	subscribeAt    time.Duration
-	subscribeTries int
+	subscribed  bool
+	subscribeAt time.Duration
 }
 
 // New returns a Balancer that knows no server yet. All its chance comes from
--- a/balance/members.go
+++ b/balance/members.go
@@ -96,7 +96,7 @@
 	if kind == ListSaved {
 		b.subscribeLater(now, false)
 	} else {
-		b.subscribed, b.subscribeTries = true, 0
+		b.subscribed = true
 	}
 	return b.done(now)
 }
@@ -145,15 +145,17 @@
 	b.ring.points = slices.DeleteFunc(b.ring.points, func(p ringPoint) bool { return gone(p.server) })
 }
 
-// subscribeLater arranges the next call for the list where it must be asked
-// for. Calls spread out and back off, since one list service serves them all.
+// subscribeLater arranges the next call for the list where it must be asked for.
+// Calls spread out, since one list service serves them all. After one that failed the
+// next is due soon, for what is new counts as told: the pause holds the time it took.
 func (b *Balancer) subscribeLater(now time.Duration, failed bool) {
 	wait := time.Duration(b.rng.Float64() * float64(subscribeSpread))
 	if failed {
+		wait += subscribeSpread / 2
+		if !b.subscribed {
+			wait = max(wait-(now-b.subscribeAt), wait/5)
+		}
 		b.subscribed = false // also where a call is due already: it would be passed over
-		mean := min(subscribeSpread<<min(b.subscribeTries, 6), subscribeMost)
-		wait = time.Duration(float64(mean) * (0.5 + b.rng.Float64()))
-		b.subscribeTries++
 	}
 	if !b.set.Subscribe || b.subscribeAt > now {
 		return
--- a/balance/settings.go
+++ b/balance/settings.go
@@ -59,8 +59,7 @@
 	keyNear    = 1.0 / 6 // share of the servers, two at least, among which a key looks for an idle connection
 	ringPoints = 24      // points of a server on the key ring
 
-	subscribeSpread = 2 * time.Second // first subscription, spread evenly over this
-	subscribeMost   = 8 * time.Second // longest pause between subscription calls
+	subscribeSpread = 2 * time.Second // first subscription, spread evenly over this; later ones half of it later
 )
 
 // Effect says what repeating a request of a class can do.
--- a/balance/subscribe_test.go
+++ b/balance/subscribe_test.go
@@ -5,6 +5,67 @@
 	"time"
 )
 
+// After a call for the list that failed, what is new counts as told 6 s after the
+// service has it and can be reached. The next call is due so soon, however many have
+// failed, that a call and its answer fit in as well; and calls stay spread out.
+func TestListIsAskedForAgainSoon(t *testing.T) {
+	const (
+		most  = 3 * time.Second // to the begin of the next call
+		least = 100 * time.Millisecond
+	)
+	for name, took := range map[string]time.Duration{"refused": 0, "turned away": 2 * time.Second, "silent": 3200 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			var first, last time.Duration
+			for seed := range uint64(20) {
+				b, err := New(Settings{Classes: []Class{{Name: "c", Deadline: time.Second}}, MaxAttempts: 1, ColdShare: 1, Subscribe: true}, seed)
+				if err != nil {
+					t.Fatal(err)
+				}
+				now := time.Hour
+				acts := b.Members(now, ListSaved, nil, nil)
+				for range 12 {
+					asked := false
+					for !asked {
+						due := time.Duration(-1)
+						for _, a := range acts {
+							if a.Kind == Timer {
+								due = now + a.Wait
+							}
+							asked = asked || a.Kind == Subscribe
+						}
+						if asked {
+							break
+						}
+						if due < 0 {
+							t.Fatal("the list is not asked for again")
+						}
+						now = due
+						acts = b.Timer(now, uint64(due), nil)
+					}
+					now += took
+					failed := now
+					acts = b.Members(now, ListFailed, nil, nil)
+					for _, a := range acts {
+						if a.Kind == Timer {
+							wait := now + a.Wait - failed
+							if wait > most-min(took, most-800*time.Millisecond) || wait < least {
+								t.Errorf("seed %d: a call that took %v is made again after %v", seed, took, wait)
+							}
+							if first == 0 {
+								first = wait
+							}
+							last = wait
+						}
+					}
+				}
+			}
+			if first == last {
+				t.Error("the pauses are all alike")
+			}
+		})
+	}
+}
+
 // The list comes unasked (a hand-over, a move of discovery) while the module's own call
 // for it is still due, and the watch breaks before that: the call that is due must be
 // made, for no other will be.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -33,7 +33,16 @@
 	// answerWithin is how much longer than its wait a call may take: by then
 	// what discovery had to tell counts as told.
 	answerWithin = 2 * time.Second
-	wholeWithin  = 6 * time.Second // the same for a call that does not wait
+	// wholeWithin is how long a call that does not wait may take to begin its
+	// answer. Discovery works through its calls in turn and turns away by itself
+	// what waits for some seconds: given up before that, a call would be made anew
+	// at the end of the queue.
+	wholeWithin = 3200 * time.Millisecond
+	// restWithin is how long the rest of an answer may take after its first bytes.
+	// One that stops half way would hold up the news until a watch's own time is
+	// over, which is long. It might harm where a list takes as long to come; the
+	// call fails then and is made again.
+	restWithin = 2 * time.Second
 	// crossing is how long an answer may still come for a call that is cut because
 	// discovery moves: what is written to the sidecar counts as told to it.
 	crossing   = 100 * time.Millisecond
@@ -316,6 +325,16 @@
 	c.SetDeadline(end)
 }
 
+// begun bounds the rest of an answer whose first bytes have come.
+func (c *callConn) begun(end time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.cut {
+		c.end = end
+	}
+	c.SetDeadline(c.end)
+}
+
 // cross ends the call soon: only what is on its way may still come.
 func (c *callConn) cross(end time.Time) {
 	c.mu.Lock()
@@ -363,6 +382,10 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr); err != nil {
 		return list, "", err
 	}
+	if _, err := d.br.Peek(1); err != nil {
+		return list, "", fmt.Errorf("waiting for the answer: %w", err)
+	}
+	conn.begun(time.Now().Add(restWithin))
 	var resp fasthttp.Response
 	if err := resp.ReadLimitBody(d.br, mostList); err != nil {
 		return list, "", fmt.Errorf("reading the answer: %w", err)
--- a/internal/discovery/orders_test.go
+++ b/internal/discovery/orders_test.go
@@ -118,3 +118,24 @@
 	close(moved)
 	eventually(t, "the drain", func() bool { return state(eng) == balance.Draining })
 }
+
+// An answer stops half way and nothing more comes: the call is made again long before a
+// watch would be over.
+func TestAnswerThatStopsHalfWayIsAskedForAgain(t *testing.T) {
+	t.Parallel()
+	calls := make(chan bool, 16)
+	_, eng := follow(t, func(c net.Conn, r *http.Request) {
+		if !r.URL.Query().Has("since") {
+			answer(c, listOf(5, true, "active"))
+			return
+		}
+		calls <- true
+		if len(calls) == 1 {
+			text := listOf(6, false, "leaving")
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text[:len(text)/2])
+			return
+		}
+		answer(c, listOf(7, false, "leaving"))
+	})
+	eventually(t, "the drain that was told by half", func() bool { return state(eng) == balance.Draining })
+}
