Half of the places for refusals stay free of connections that linger

Need: a flood of clients that never close must not have the front wait for lingering connections while new ones stand in the kernel's queue. Read after the change that brought the lingering: it could use all places that are set aside for refusals, 500 ms each.

Change: half of them at most, one at least. TestLingeringIsBounded holds as before; the number itself has no test of its own.

--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -462,7 +462,7 @@
 		serve: set.Serve, refuse: set.Refuse, spare: set.Spare,
 	}
 	f.freed.L = &f.mu
-	f.lingers.left.Store(int32(set.Refuse))
+	f.lingers.left.Store(int32(max(1, set.Refuse/2))) // the other half stays free for who must be refused
 	f.LingerFor = lingerFor
 	f.srv = fasthttp.Server{
 		Handler:                      f.handle,
