Tests: SIGTERM between any two steps of a request; a start while TIME_WAIT holds the address

SIGTERM after the accept, in half a head, between head and body, between answer and next request, while an attempt dials (a connection that the kernel drops at first), while no server is there; a start on the old address while the kernel holds TIME_WAIT there and discovery is out of reach.

--- a/internal/sidecar/orders_test.go
+++ b/internal/sidecar/orders_test.go
@@ -97,8 +97,12 @@
 	eventually(t, "a connection on its way", func() bool { return sockets(t, port, tcpSynSent) > 0 })
 }
 
-// sockets counts the connections of this machine to a port that are in a state.
-func sockets(t *testing.T, port int, state int) (n int) {
+// sockets counts the connections of this machine to a port that are in a state,
+// localSockets those from it.
+func sockets(t *testing.T, port, state int) int      { return inState(t, 2, port, state) }
+func localSockets(t *testing.T, port, state int) int { return inState(t, 1, port, state) }
+
+func inState(t *testing.T, end, port, state int) (n int) {
 	t.Helper()
 	text, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
@@ -106,7 +110,7 @@
 	}
 	for _, line := range strings.Split(string(text), "\n") {
 		f := strings.Fields(line)
-		if len(f) > 3 && strings.HasSuffix(f[2], fmt.Sprintf(":%04X", port)) && f[3] == fmt.Sprintf("%02X", state) {
+		if len(f) > 3 && strings.HasSuffix(f[end], fmt.Sprintf(":%04X", port)) && f[3] == fmt.Sprintf("%02X", state) {
 			n++
 		}
 	}
@@ -321,3 +325,132 @@
 	}
 	eventually(t, "all connections let go", s.front.Empty)
 }
+
+// SIGTERM comes between any two steps of a request: what was taken is answered, what was
+// not is closed, and nothing that comes after the close is sent on.
+func TestDrainBetweenAnyTwoSteps(t *testing.T) {
+	t.Parallel()
+	put := putRequest("")
+	for name, cut := range map[string]int{"accepted": 0, "in half a head": 20, "between head and body": len(put) - 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			up := startUpstream(t, good)
+			s := startSidecar(t, up.addr())
+			c := dialClient(t, s)
+			text := putRequest(newID())
+			cut := cut
+			if cut > 20 {
+				cut = len(text) - 1
+			}
+			io.WriteString(c, text[:cut])
+			drained := make(chan struct{})
+			go func() { s.Drain(); close(drained) }()
+			rest, _ := io.ReadAll(c) // to the close
+			if len(rest) > 0 && !strings.HasPrefix(string(rest), "HTTP/1.1 4") {
+				t.Errorf("it was told %q", rest)
+			}
+			io.WriteString(c, text[cut:])
+			await(t, drained)
+			if n := up.seen.Load(); n != 0 {
+				t.Errorf("%d requests were sent on after the close", n)
+			}
+		})
+	}
+	t.Run("between answer and next request", func(t *testing.T) {
+		t.Parallel()
+		s := startSidecar(t, startUpstream(t, good).addr())
+		c := dialClient(t, s)
+		br := bufio.NewReader(c)
+		for i := range 2 {
+			id := newID()
+			io.WriteString(c, readRequest(id))
+			r, err := http.ReadResponse(br, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if body, err := io.ReadAll(r.Body); err != nil || string(body) != id || r.Close != (i == 1) {
+				t.Fatalf("answer %d: %q, %v, close %v", i, body, err, r.Close)
+			}
+			if i == 0 {
+				drained := make(chan struct{})
+				go func() { s.Drain(); close(drained) }()
+				defer await(t, drained)
+				eventually(t, "the drain", s.front.Draining)
+			}
+		}
+	})
+	t.Run("while an attempt dials", func(t *testing.T) {
+		t.Parallel()
+		late := startLate(t, good)
+		s := startSidecar(t, late.addr())
+		drainWith(t, s, func() { late.dialled(t) }, late.let)
+	})
+	t.Run("while no server is there", func(t *testing.T) {
+		t.Parallel()
+		up := startUpstream(t, good)
+		s := startSidecar(t)
+		drainWith(t, s, func() {
+			eventually(t, "the request", func() bool { calls, _, _ := s.eng.Counts(); return calls == 1 })
+		}, func() {
+			s.eng.Members(balance.ListChange, engine.List{Index: 10, Entries: []engine.Entry{{Server: balance.Server{ID: "s", Zone: "a", Cell: 1}, Addr: up.addr()}}}, 0)
+		})
+	})
+}
+
+// drainWith drains once a request is as far as began waits for, goes on, and wants
+// the request answered.
+func drainWith(t *testing.T, s *Sidecar, began, goOn func()) {
+	t.Helper()
+	c := dialClient(t, s)
+	id := newID()
+	io.WriteString(c, readRequest(id))
+	began()
+	drained := make(chan struct{})
+	go func() { s.Drain(); close(drained) }()
+	eventually(t, "the drain", s.front.Draining)
+	goOn()
+	if r, body := clientAnswer(t, c); r == nil || r.StatusCode != http.StatusOK || body != id || !r.Close {
+		t.Errorf("answered %v %q", r, body)
+	}
+	await(t, drained)
+}
+
+func await(t *testing.T, ended <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Error("the drain does not end")
+	}
+}
+
+// A process starts anew at the address of the one before while the kernel still holds
+// that one's connections, with discovery out of reach: it is ready at once.
+func TestStartsWhileTheOldAddressIsInTimeWait(t *testing.T) {
+	t.Parallel()
+	const timeWait = 6
+	up := startUpstream(t, good)
+	first := startSidecar(t, up.addr())
+	first.front.SetDraining(true) // its answers close from this side, which leaves TIME_WAIT here
+	wantServed(t, first)
+	port := first.front.Listener().Addr().(*net.TCPAddr).Port
+	eventually(t, "TIME_WAIT", func() bool { return localSockets(t, port, timeWait) > 0 })
+	addr := first.Addr()
+	first.Drain()
+	gone := listen(t)
+	gone.Close()
+	text := strings.Replace(configText(gone.Addr().String(), up.addr()), "127.0.0.1:0", addr, 1)
+	cfg, err := parseConfig([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := Start(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { second.front.Listener().Close(); second.stop() })
+	if r, _ := exchange(t, second, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n"); r == nil || r.StatusCode != http.StatusOK {
+		t.Errorf("/up answered %v", r)
+	}
+	wantServed(t, second)
+}
