--- a/internal/sidecar/orders_test.go
+++ b/internal/sidecar/orders_test.go
@@ -454,3 +454,45 @@
 	}
 	wantServed(t, second)
 }
+
+// An answer that its connection's end cuts off, or may have cut off, is none: by a FIN or a
+// reset, with a length or without, also where HTTP/1.0 ends all answers so.
+func TestCutAnswersAreNoAnswers(t *testing.T) {
+	t.Parallel()
+	for what, text := range map[string]string{
+		"nothing":                     "",
+		"half a status line":          "HTTP/1.1 20",
+		"half a head":                 "HTTP/1.1 200 OK\r\nContent-Len",
+		"a head":                      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n",
+		"all but the last byte":       "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbod",
+		"no length":                   "HTTP/1.1 200 OK\r\n\r\nbody",
+		"no length, to be closed":     "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody",
+		"HTTP/1.0":                    "HTTP/1.0 200 OK\r\n\r\nbody",
+		"chunks without the last one": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+		// Behind the last chunk's line all has come (RFC 9112, section 8).
+		"all but the last chunk's line": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0",
+	} {
+		for how, end := range map[string]func(net.Conn) bool{"FIN": func(net.Conn) bool { return false }, "reset": reset} {
+			t.Run(how+" after "+what, func(t *testing.T) {
+				t.Parallel()
+				cut := func(c net.Conn, r *http.Request, n int64) bool {
+					if r.URL.Path != "/act" {
+						return good(c, r, n)
+					}
+					io.WriteString(c, text)
+					return end(c)
+				}
+				one, two := startUpstream(t, cut), startUpstream(t, cut)
+				s := startSidecar(t, one.addr(), two.addr())
+				_, act := unsafeRequest("body")
+				if r, body := exchange(t, s, act); r == nil || r.StatusCode != http.StatusBadGateway || body != "failed\n" {
+					t.Errorf("the client was told %v %q", r, body)
+				}
+				if n := one.seen.Load() + two.seen.Load(); n != 1 {
+					t.Errorf("it ran %d times", n)
+				}
+				wantServed(t, s)
+			})
+		}
+	}
+}
