A dial that fails for want of descriptors says nothing of the upstream

Seen by reading, then forced: a dial that failed with EMFILE (or ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL) counted as ConnectFailed, of which one puts a server out; with two servers one was out for 2 s or more, and the request was held to its end, for all servers had been tried.

--- a/cmd/sandhinge/main_test.go
+++ b/cmd/sandhinge/main_test.go
@@ -43,6 +43,12 @@
 }
 
 func start(t *testing.T) *program {
+	t.Helper()
+	return startWith(t, func(s string) string { return s })
+}
+
+// startWith starts it with a configuration that was changed.
+func startWith(t *testing.T, change func(string) string) *program {
 	t.Helper()
 	// The address of a listener that has gone is free for the program.
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -51,7 +57,7 @@
 	}
 	p := &program{path: filepath.Join(t.TempDir(), "config.json"), addr: ln.Addr().String(), lines: make(chan string, 100), ended: make(chan error, 1)}
 	ln.Close()
-	p.write(t, text(p.addr, "127.0.0.1:1"))
+	p.write(t, change(text(p.addr, "127.0.0.1:1")))
 	p.cmd = exec.Command(os.Args[0])
 	p.cmd.Env = append(os.Environ(), "TEST_RUNS_PROGRAM=1", "RELAY_CONFIG="+p.path)
 	out, err := p.cmd.StderrPipe()
--- a/internal/httpupstream/attempt.go
+++ b/internal/httpupstream/attempt.go
@@ -336,32 +336,44 @@
 		}
 		return nil, balance.NeverSent
 	}
-	if c := a.dial(); c != nil {
+	c, err := a.dial()
+	if err == nil {
 		return c, 0
 	}
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
+	if ownFault(err) {
+		return nil, balance.NeverSent
+	}
 	return nil, balance.ConnectFailed
 }
 
-// dial opens a connection within the time for it; nil if none comes up.
-func (a *attempt) dial() *conn {
+// dial opens a connection within the time for it.
+func (a *attempt) dial() (*conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), a.host.pool.dial)
 	defer cancel()
 	if !a.Dialing(cancel) {
-		return nil
+		return nil, context.Canceled
 	}
 	d := net.Dialer{KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", a.host.addr)
 	if err != nil {
-		return nil
+		return nil, err
 	}
-	c, err := newConn(nc, a.host)
-	if err != nil {
-		return nil
+	return newConn(nc, a.host)
+}
+
+// ownFault tells whether a dial failed for want of something on this machine:
+// descriptors, memory, ports. That says nothing of the upstream, and putting it out
+// would leave fewer to serve just when little is left.
+func ownFault(err error) bool {
+	for _, own := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, own) {
+			return true
+		}
 	}
-	return c
+	return false
 }
 
 // Run carries out an attempt.
