Lists of version 0 are watched; watches of pushed lists are short

Cause, by a line of log at each answer (trial on a scratch copy): "before=0 index=0 full=true n=12 took=0.3ms", without end. The follower took 0 for "no version", so that a list of version 0 was asked for whole again and again, and the rest between calls was for answers without entries only. Until the first change of its list a sidecar called its agent some 2,000 times a second.

The module and asked lists are as they were.

Tests: the second call asks since=0; eight answers at once take half a second; a silent watch of a pushed list is made good. Each fails without its line ("asks for what is new since \"\"", "8 calls came within 451µs", "never came: the drain").

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -30,6 +30,10 @@
 	// second for all sidecars, so watches are long. They are not longer, since
 	// a watch that was cut off in silence is only noticed at its end.
 	watchFor = 20 * time.Second
+	// watchPushed is the same where lists are pushed: the agent is on this machine and
+	// a call costs nothing. What a watch that has fallen silent misses counts as told
+	// 6 s after that, and this wait, answerWithin and retryPushed lie within them.
+	watchPushed = 2 * time.Second
 	// answerWithin is how much longer than its wait a call may take: by then
 	// what discovery had to tell counts as told.
 	answerWithin = 2 * time.Second
@@ -56,6 +60,9 @@
 	// retryPushed is the pause after a failed call where lists are pushed and
 	// the module does not ask.
 	retryPushed = time.Second
+	// none stands for the version where no list is held: the next call asks for the
+	// whole one. 0 is a version like others.
+	none = -1
 )
 
 var states = map[string]balance.ServerState{"active": balance.Ready, "leaving": balance.Draining, "left": balance.Gone}
@@ -160,6 +167,9 @@
 // to the version index. pushed says that lists come without being asked for;
 // schemes may stand before the addresses of upstreams that speak another protocol.
 func New(addr string, pushed bool, index int64, schemes ...string) *Follower {
+	if index == 0 {
+		index = none // what a configuration without a list says, too
+	}
 	return &Follower{addr: addr, pushed: pushed, index: index, schemes: schemes, asked: make(chan struct{}, 1), crossing: crossing}
 }
 
@@ -237,7 +247,7 @@
 		}
 		addr, n, until, done := d.turn(ctx)
 		if n != d.last {
-			d.last, tries, d.index = n, pace.Tries, 0
+			d.last, tries, d.index = n, pace.Tries, none
 			d.hangUp()
 		}
 		heard, err := d.watch(until, addr, n)
@@ -283,7 +293,11 @@
 func (d *Follower) watch(ctx context.Context, addr string, moves int) (heard bool, err error) {
 	for {
 		began := time.Now()
-		l, _, err := d.call(ctx, addr, watchFor, answerWithin)
+		wait := watchFor
+		if d.pushed {
+			wait = watchPushed
+		}
+		l, _, err := d.call(ctx, addr, wait, answerWithin)
 		if err != nil {
 			return heard, err
 		}
@@ -292,10 +306,11 @@
 			kind = balance.ListFull
 		} else if l.Index < d.index {
 			err := fmt.Errorf("a change of version %d after version %d", l.Index, d.index)
-			d.index = 0 // ask for the whole list next
+			d.index = none // ask for the whole list next
 			return heard, err
 		}
 		heard = true
+		news := l.Index != d.index
 		d.index = l.Index
 		// An answer that crossed a move is of the old address, and as good as told:
 		// a drain in it holds, whatever the new one knows of it yet.
@@ -303,7 +318,7 @@
 		if err := ctx.Err(); err != nil {
 			return heard, err
 		}
-		if len(l.Entries) == 0 && time.Since(began) < rest {
+		if !news && time.Since(began) < rest {
 			pause(ctx, rest)
 		}
 	}
@@ -359,7 +374,7 @@
 // It tells whose versions the list bears where that is said.
 func (d *Follower) call(ctx context.Context, addr string, watch, within time.Duration) (list engine.List, source string, err error) {
 	path, wait := "/discovery/hosts", wholeWithin
-	if d.index > 0 {
+	if d.index > none {
 		wait = watch + within
 		path = fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, d.index, watch.Milliseconds())
 	}
--- a/internal/discovery/near.go
+++ b/internal/discovery/near.go
@@ -86,7 +86,7 @@
 // probe tells whether the door has a list to hand on, of the discovery that is asked
 // and no older than what is held.
 func (d *Follower) probe(ctx context.Context) bool {
-	p := &Follower{schemes: d.schemes}
+	p := &Follower{schemes: d.schemes, index: none}
 	defer p.hangUp()
 	l, source, err := p.call(ctx, d.near, nearWatch, nearWithin)
 	index, _ := d.eng.Version()
--- a/internal/discovery/orders_test.go
+++ b/internal/discovery/orders_test.go
@@ -25,10 +25,15 @@
 // follow runs a follower of a scripted discovery: serve gets each call that comes.
 func follow(t *testing.T, serve func(c net.Conn, r *http.Request)) (*Follower, *engine.Engine) {
 	t.Helper()
-	f := New(listenFor(t, serve), false, 0)
+	return followOne(t, false, serve)
+}
+
+func followOne(t *testing.T, pushed bool, serve func(c net.Conn, r *http.Request)) (*Follower, *engine.Engine) {
+	t.Helper()
+	f := New(listenFor(t, serve), pushed, 0)
 	f.crossing = patience // for a slow machine
 	eng, err := engine.New(engine.Settings{
-		Balance: balance.Settings{Subscribe: true, MaxAttempts: 1, ColdShare: 1, Classes: []balance.Class{{Name: "read", Deadline: time.Second}}},
+		Balance: balance.Settings{Subscribe: !pushed, MaxAttempts: 1, ColdShare: 1, Classes: []balance.Class{{Name: "read", Deadline: time.Second}}},
 		Open:    func(string, int64) engine.Upstream { return noUpstream{} },
 	}, f.Ask)
 	if err != nil {
@@ -139,3 +144,76 @@
 	})
 	eventually(t, "the drain that was told by half", func() bool { return state(eng) == balance.Draining })
 }
+
+// Version 0 is one like others: a list of that version is watched on, not asked for whole
+// again and again, which would use up the sidecar's processor, or discovery.
+func TestListOfVersionZeroIsWatched(t *testing.T) {
+	t.Parallel()
+	calls := make(chan string, 16) // more than that only where it is called without end
+	_, eng := follow(t, func(c net.Conn, r *http.Request) {
+		q := r.URL.Query()
+		select {
+		case calls <- q.Get("since"):
+		default:
+		}
+		if !q.Has("since") {
+			answer(c, listOf(0, true, "active"))
+		}
+	})
+	eventually(t, "the list", func() bool { return state(eng) == balance.Ready })
+	for i, want := range []string{"", "0"} {
+		select {
+		case got := <-calls:
+			if got != want {
+				t.Fatalf("call %d asks for what is new since %q, want %q", i, got, want)
+			}
+		case <-time.After(patience):
+			t.Fatalf("call %d does not come", i)
+		}
+	}
+}
+
+// An agent that waits for nothing answers each call at once with the list that is held:
+// it is called again after a rest.
+func TestAnswerWithoutNewsIsRestedOn(t *testing.T) {
+	t.Parallel()
+	const some = 8
+	var began time.Time
+	done := make(chan time.Duration, 1)
+	n := 0
+	follow(t, func(c net.Conn, r *http.Request) {
+		if n == 0 {
+			began = time.Now()
+		}
+		if n++; n == some {
+			done <- time.Since(began)
+		}
+		answer(c, listOf(5, true, "active"))
+	})
+	select {
+	case took := <-done:
+		// The first answer is news; each after it rests.
+		if least := (some - 3) * rest; took < least {
+			t.Errorf("%d calls came within %v, want %v at least", some, took, least)
+		}
+	case <-time.After(patience):
+		t.Fatal("the calls do not go on")
+	}
+}
+
+// Where lists are pushed a watch falls silent: what it misses is heard of by the next,
+// within the 6 s after which it counts as told, not at the end of a long wait.
+func TestSilentWatchOfPushedListsIsShort(t *testing.T) {
+	t.Parallel()
+	watches := 0
+	_, eng := followOne(t, true, func(c net.Conn, r *http.Request) {
+		if !r.URL.Query().Has("since") {
+			answer(c, listOf(5, true, "active"))
+			return
+		}
+		if watches++; watches > 1 {
+			answer(c, listOf(6, false, "leaving"))
+		}
+	})
+	eventually(t, "the drain", func() bool { return state(eng) == balance.Draining })
+}
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -250,6 +250,12 @@
 		Old: "} else if l.Index < d.index {", New: "} else if l.index < 0 {"},
 	{Name: "silence-endless", File: "internal/discovery/discovery.go", Breaks: "a call to a silent discovery never ends",
 		Old: "conn.begin(time.Now().Add(wait))", New: "conn.begin(time.Now().Add(100 * wait))"},
+	{Name: "version-zero", File: "internal/discovery/discovery.go", Breaks: "a list of version 0 is asked for without end",
+		Old: "if d.index > none {", New: "if d.index > 0 {"},
+	{Name: "no-rest", File: "internal/discovery/discovery.go", Breaks: "an agent that waits for nothing is called without end",
+		Old: "if !news && time.Since", New: "if !news && len(l.Entries) == 0 && time.Since"},
+	{Name: "pushed-watch-long", File: "internal/discovery/discovery.go", Breaks: "a silent watch of pushed lists is given up long after what it misses counts as told",
+		Old: "watchPushed = 2 * time.Second", New: "watchPushed = 20 * time.Second"},
 	{Name: "crossing-dropped", File: "internal/discovery/discovery.go", Breaks: "what discovery tells in the moment of a move is lost",
 		Old: "conn.cross(time.Now().Add(d.crossing))", New: "conn.cross(engine.Past)"},
 	{Name: "half-an-answer-waits", File: "internal/discovery/discovery.go", Breaks: "an answer that stops half way is waited for as long as a watch",
@@ -261,7 +267,7 @@
 	{Name: "half-a-list", File: "internal/discovery/discovery.go", Breaks: "an entry that can't be read is skipped, and its server dropped",
 		Old: "\t\t\treturn engine.List{}, fmt.Errorf(\"endpoint %d: %w\", i, err)\n", New: "\t\t\t_ = i\n\t\t\tcontinue\n"},
 	{Name: "move-unnoticed", File: "internal/discovery/discovery.go", Breaks: "after a move the old address's version goes on counting",
-		Old: "d.last, tries, d.index = n, pace.Tries, 0", New: "d.last, tries = n, pace.Tries"},
+		Old: "d.last, tries, d.index = n, pace.Tries, none", New: "d.last, tries = n, pace.Tries"},
 
 	// Membership.
 	{Name: "earlier-life", File: "internal/membership/drains.go", Breaks: "an earlier life of a server that drains comes back",
