A watch that falls silent is made good within the time in which it counts as told

Cause: a watch was given up 2 s after its wait, in the very moment in which what it missed counts as told, and the next call came at the module's pace, 1 to 3 s later.

Change: a watch is given up 0.8 s after its wait (an answer that is later costs one call more), and one call is made again after 0.15 to 0.45 s, without the module; if that fails, too, the module's pace holds. pace.Again draws the pause, so that no herd forms.

Test: a silent watch, with a module that never asks; fails without the case ("never came: the drain").

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,9 +35,10 @@
 	// a call costs nothing. What a watch that has fallen silent misses counts as told
 	// 6 s after that, and this wait, answerWithin and retryPushed lie within them.
 	watchPushed = 2 * time.Second
-	// answerWithin is how much longer than its wait a call may take: by then
-	// what discovery had to tell counts as told.
-	answerWithin = 2 * time.Second
+	// answerWithin is how much longer than its wait a watch may take. What one that has
+	// fallen silent misses counts as told 2 s after the wait is over: the call that
+	// makes good for it needs the rest of that.
+	answerWithin = 800 * time.Millisecond
 	// wholeWithin is how long a call that does not wait may take to begin its
 	// answer. Discovery works through its calls in turn and turns away by itself
 	// what waits for some seconds: given up before that, a call would be made anew
@@ -155,6 +157,7 @@
 	turnAt time.Duration // how long after near has failed addr is asked
 	last   int           // moves as far as calls have followed them
 
+	watchFor time.Duration // how long a watch waits; a test's may be shorter
 	crossing time.Duration // the constant; a test's on a slow machine is longer
 
 	mu    sync.Mutex
@@ -170,7 +173,11 @@
 	if index == 0 {
 		index = none // what a configuration without a list says, too
 	}
-	return &Follower{addr: addr, pushed: pushed, index: index, schemes: schemes, asked: make(chan struct{}, 1), crossing: crossing}
+	d := &Follower{addr: addr, pushed: pushed, index: index, schemes: schemes, asked: make(chan struct{}, 1), watchFor: watchFor, crossing: crossing}
+	if pushed {
+		d.watchFor = watchPushed
+	}
+	return d
 }
 
 // Move turns to another address. The list stays; the next call asks for the
@@ -257,6 +264,7 @@
 		if heard {
 			tries = 0
 		}
+		silent := tries == 0 && d.index > none && errors.Is(err, os.ErrDeadlineExceeded)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -264,6 +272,11 @@
 			// The call was cut for the new address: discovery has not failed.
 			tries = pace.Tries
 			continue
+		case silent:
+			// Not at the module's pace either: what the watch missed soon counts as told.
+			tries = 1
+			pause(ctx, pace.Again(rng, 1))
+			continue
 		case tries > 1:
 			// After a move the first calls are made again soon, not at the module's
 			// pace: what the new address has to tell soon counts as told.
@@ -293,11 +306,7 @@
 func (d *Follower) watch(ctx context.Context, addr string, moves int) (heard bool, err error) {
 	for {
 		began := time.Now()
-		wait := watchFor
-		if d.pushed {
-			wait = watchPushed
-		}
-		l, _, err := d.call(ctx, addr, wait, answerWithin)
+		l, _, err := d.call(ctx, addr, d.watchFor, answerWithin)
 		if err != nil {
 			return heard, err
 		}
--- a/internal/discovery/orders_test.go
+++ b/internal/discovery/orders_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,12 +29,15 @@
 	return followOne(t, false, serve)
 }
 
-func followOne(t *testing.T, pushed bool, serve func(c net.Conn, r *http.Request)) (*Follower, *engine.Engine) {
+func followOne(t *testing.T, pushed bool, serve func(c net.Conn, r *http.Request), set ...func(*Follower)) (*Follower, *engine.Engine) {
 	t.Helper()
 	f := New(listenFor(t, serve), pushed, 0)
+	for _, s := range set {
+		s(f)
+	}
 	f.crossing = patience // for a slow machine
 	eng, err := engine.New(engine.Settings{
-		Balance: balance.Settings{Subscribe: !pushed, MaxAttempts: 1, ColdShare: 1, Classes: []balance.Class{{Name: "read", Deadline: time.Second}}},
+		Balance: balance.Settings{Subscribe: !pushed && len(set) == 0, MaxAttempts: 1, ColdShare: 1, Classes: []balance.Class{{Name: "read", Deadline: time.Second}}},
 		Open:    func(string, int64) engine.Upstream { return noUpstream{} },
 	}, f.Ask)
 	if err != nil {
@@ -205,15 +209,32 @@
 // within the 6 s after which it counts as told, not at the end of a long wait.
 func TestSilentWatchOfPushedListsIsShort(t *testing.T) {
 	t.Parallel()
-	watches := 0
+	var watches atomic.Int64
 	_, eng := followOne(t, true, func(c net.Conn, r *http.Request) {
 		if !r.URL.Query().Has("since") {
 			answer(c, listOf(5, true, "active"))
 			return
 		}
-		if watches++; watches > 1 {
+		if watches.Add(1) > 1 {
 			answer(c, listOf(6, false, "leaving"))
 		}
 	})
 	eventually(t, "the drain", func() bool { return state(eng) == balance.Draining })
 }
+
+// A watch that falls silent where the list is asked for: the call that makes good for it
+// does not wait until the module asks, which here it never does.
+func TestSilentWatchIsMadeGoodAtOnce(t *testing.T) {
+	t.Parallel()
+	var watches atomic.Int64
+	_, eng := followOne(t, false, func(c net.Conn, r *http.Request) {
+		if !r.URL.Query().Has("since") {
+			answer(c, listOf(0, true, "active"))
+			return
+		}
+		if watches.Add(1) > 1 {
+			answer(c, listOf(6, false, "leaving"))
+		}
+	}, func(f *Follower) { f.watchFor = 100 * time.Millisecond })
+	eventually(t, "the drain", func() bool { return state(eng) == balance.Draining })
+}
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -256,6 +256,8 @@
 		Old: "if !news && time.Since", New: "if !news && len(l.Entries) == 0 && time.Since"},
 	{Name: "pushed-watch-long", File: "internal/discovery/discovery.go", Breaks: "a silent watch of pushed lists is given up long after what it misses counts as told",
 		Old: "watchPushed = 2 * time.Second", New: "watchPushed = 20 * time.Second"},
+	{Name: "silent-watch-waits", File: "internal/discovery/discovery.go", Breaks: "after a watch that fell silent the next call waits until the module asks",
+		Old: "silent := tries == 0 &&", New: "silent := tries < 0 &&"},
 	{Name: "crossing-dropped", File: "internal/discovery/discovery.go", Breaks: "what discovery tells in the moment of a move is lost",
 		Old: "conn.cross(time.Now().Add(d.crossing))", New: "conn.cross(engine.Past)"},
 	{Name: "half-an-answer-waits", File: "internal/discovery/discovery.go", Breaks: "an answer that stops half way is waited for as long as a watch",
