--- a/balance/pick.go
+++ b/balance/pick.go
@@ -68,9 +68,7 @@
 
 // usable tells whether a server can take an attempt of r now.
 func (b *Balancer) usable(r *request, s *server, now time.Duration) bool {
-	tried := func(a *attempt) bool {
-		return a.server == s && !(a.ended && (a.status == Full || a.status == NeverSent))
-	}
+	tried := func(a *attempt) bool { return a.server == s && a.status != Full && a.status != NeverSent }
 	if s.State != Ready || s.until > now || s.outs > 0 && s.trial || slices.ContainsFunc(r.attempts, tried) {
 		return false
 	}
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -211,7 +211,7 @@
 	{Name: "own-want-blamed", File: "internal/httpupstream/attempt.go", Breaks: "a dial without a descriptor puts its server out",
 		Old: "\tif ownFault(err) {\n", New: "\tif ownFault(err) && a == nil {\n"},
 	{Name: "unsent-is-tried", File: "balance/pick.go", Breaks: "a server that nothing was sent to is not picked again, and its request is held to its end",
-		Old: "(a.status == Full || a.status == NeverSent)", New: "a.status == Full"},
+		Old: "a.status != Full && a.status != NeverSent }", New: "a.status != Full }"},
 	{Name: "list-of-conns-stays", File: "internal/httpupstream/attempt.go", Breaks: "connections to a server that moved are kept",
 		Old: "h.retired = true", New: "h.retired = false"},
 	{Name: "hang-unseen", File: "internal/engine/engine.go", Breaks: "an attempt whose time is up says nothing of its server",
