The sidecar's tests start it in one place

Seen on the last read: startSidecar and startWith held the same lines. The first now calls the second. The tests of drains, leaves, spoilt answers and idle connections passed with it; the others use the same start.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -138,16 +138,7 @@
 // startSidecar starts one that knows the upstreams.
 func startSidecar(t *testing.T, ups ...string) *Sidecar {
 	t.Helper()
-	cfg, err := parseConfig([]byte(configText(startDiscovery(t, ups...), ups...)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s, err := Start(cfg)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { s.front.Listener().Close(); s.stop() })
-	return s
+	return startWith(t, nil, ups...)
 }
 
 func dialClient(t *testing.T, s *Sidecar) net.Conn {
