--- a/internal/fleet/council/ask/ask.go
+++ b/internal/fleet/council/ask/ask.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"otterspring/internal/fleet/configuration"
 	"otterspring/internal/fleet/council"
 	"otterspring/internal/inject"
 )
@@ -45,6 +46,11 @@
 	// WaitMS and Seen are of Hear: until what is agreed on is newer than Seen.
 	WaitMS int    `json:"wait_ms,omitempty"`
 	Seen   uint64 `json:"seen,omitempty"`
+	// Change is of Configure; Version of Follow: what the asker holds, 0 for nothing;
+	// Service of Resource.
+	Change  *configuration.Change `json:"change,omitempty"`
+	Version configuration.Version `json:"version,omitempty"`
+	Service string                `json:"service,omitempty"`
 }
 
 // The kinds of question beside those of commands.
@@ -56,6 +62,14 @@
 	Add      = "add"
 	Remove   = "remove"
 	StepDown = "step-down" // the leader, or the owner of Duty
+
+	// Configure asks for a change of a service's settings; a refused one is not agreed on.
+	Configure = "configure"
+	// Follow waits for what of the configuration is newer than Version; any member
+	// answers that knows a leader, with an update that may bring nothing.
+	Follow = "follow"
+	// Resource reads the resource of Service, as a majority knows it.
+	Resource = "resource"
 )
 
 // Answer is a member's.
@@ -85,6 +99,10 @@
 	Syncs   int      `json:"syncs,omitempty"`
 	Strange int      `json:"strange,omitempty"` // messages of another council that were refused
 	Version int      `json:"version,omitempty"`
+
+	Update   *configuration.Update   `json:"update,omitempty"`   // of Follow
+	Resource *configuration.Resource `json:"resource,omitempty"` // of Resource; of Configure with its new version
+	Conflict bool                    `json:"conflict,omitempty"` // Configure was refused for its version
 }
 
 // Said is what a host said of itself, and how old that is.
