subscription: the control client, over one connection to one relay at a time

Client.Run makes long polls over one HTTP/1.1 connection to the relay that configuration.Subscriber names. A keep-alive connection that was shut while idle is replaced once, by a poll that does not wait. Apply returns all resources that can't be used now; they are in each poll until its next call.

--- /dev/null
+++ b/internal/subscription/poll.go
@@ -0,0 +1,86 @@
+package subscription
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"otterspring/internal/fleet/configuration"
+)
+
+// maxRetry is the longest time that a relay may have a client come again after.
+const maxRetry = time.Minute
+
+// pollEncoder writes polls as HTTP requests. What stays the same in all polls of a
+// client is marshalled once.
+type pollEncoder struct {
+	constant []byte // the poll's JSON object up to its varying members
+	body     []byte // of the request under way; reused
+	request  []byte // reused
+}
+
+func newPollEncoder(settings Settings) pollEncoder {
+	constant, err := json.Marshal(struct {
+		Region     string                     `json:"region"`
+		Subscriber string                     `json:"subscriber"`
+		Services   configuration.Subscription `json:"services,omitempty"`
+	}{settings.Region, settings.Subscriber, settings.Services})
+	if err != nil {
+		panic(err) // strings always marshal
+	}
+	return pollEncoder{constant: constant[:len(constant)-1]}
+}
+
+// encode returns the request of a poll; it is valid until the next call.
+func (e *pollEncoder) encode(address string, version configuration.Version, rejected []configuration.Rejection, wait time.Duration) []byte {
+	body := append(e.body[:0], e.constant...)
+	body = append(body, `,"version":`...)
+	body = strconv.AppendUint(body, uint64(version), 10)
+	body = append(body, `,"wait_ms":`...)
+	body = strconv.AppendInt(body, wait.Milliseconds(), 10)
+	body = appendRejected(body, rejected)
+	e.body = append(body, '}')
+
+	request := append(e.request[:0], "POST "+configuration.PollPath+" HTTP/1.1\r\nHost: "...)
+	request = append(request, address...)
+	request = append(request, "\r\nContent-Type: application/json\r\nContent-Length: "...)
+	request = strconv.AppendInt(request, int64(len(e.body)), 10)
+	request = append(request, "\r\n\r\n"...)
+	e.request = append(request, e.body...)
+	return e.request
+}
+
+// appendRejected appends as many rejections as fit in a poll.
+func appendRejected(body []byte, rejected []configuration.Rejection) []byte {
+	const end = len("]}")
+	opening := `,"rejected":[`
+	for _, rejection := range rejected {
+		rejection.Reason = rejection.Reason[:min(len(rejection.Reason), configuration.MaxReasonBytes)]
+		text, err := json.Marshal(rejection)
+		if err != nil || len(body)+len(opening)+len(text)+end > configuration.MaxPollBytes {
+			continue
+		}
+		body = append(append(body, opening...), text...)
+		opening = ","
+	}
+	if opening == "," {
+		body = append(body, ']')
+	}
+	return body
+}
+
+// checkAnswer tells whether an answer can be one to a client of the region.
+func checkAnswer(answer *configuration.PollAnswer, region string) error {
+	switch {
+	case answer.Region != region:
+		return fmt.Errorf("region: found an answer of %.80q, wanted %q", answer.Region, region)
+	case answer.AgeMS < 0:
+		return fmt.Errorf("age_ms: found %d, wanted 0 or more", answer.AgeMS)
+	case answer.RetryMS < 0 || answer.RetryMS > maxRetry.Milliseconds():
+		return fmt.Errorf("retry_ms: found %d, wanted 0 to %d", answer.RetryMS, maxRetry.Milliseconds())
+	case answer.Update == nil && answer.Refusal == "":
+		return fmt.Errorf("answer: found neither an update nor a refusal, wanted one of them")
+	}
+	return nil
+}
--- a/internal/subscription/subscription.go
+++ b/internal/subscription/subscription.go
@@ -6,12 +6,20 @@
 
 import (
 	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"otterspring/internal/fleet/configuration"
 )
 
+// leastInterval is the least time between two polls of which the first brought
+// nothing, so that a relay which does not wait is not polled without end.
+const leastInterval = 100 * time.Millisecond
+
 // Settings are what a client is told at its start.
 type Settings struct {
 	Region     string   // name of the council whose configuration is followed
@@ -23,8 +31,9 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
-// Apply takes what has changed and returns the resources that can't be used. It is
-// called by one goroutine, in the order of versions.
+// Apply takes what has changed and returns all resources that can't be used now, of
+// this change and of earlier ones: they are reported to the relays until the next
+// call. It is called by one goroutine, in the order of versions.
 type Apply func(taken configuration.Taken, version configuration.Version) []configuration.Rejection
 
 // Status is how a client stands.
@@ -37,11 +46,168 @@
 
 // Client follows the configuration.
 type Client struct {
-	settings Settings
-	apply    Apply
+	settings   Settings
+	apply      Apply
+	start      time.Time // origin of the subscriber's clock
+	connection connection
+	encoder    pollEncoder
+
+	// Owned by Run.
+	rejected  []configuration.Rejection
+	failing   []bool        // by relay: its last poll brought nothing
+	notBefore time.Duration // of the next poll
+
+	mu         sync.Mutex // guards the following
+	subscriber *configuration.Subscriber
+	relay      int // that is asked now
 }
 
 // New returns a client that has not begun.
 func New(settings Settings, apply Apply) *Client {
-	return &Client{settings: settings, apply: apply}
+	return newClient(settings, configuration.DefaultSubscriber(len(settings.Relays)), apply)
+}
+
+// newClient lets tests choose the times.
+func newClient(settings Settings, times configuration.SubscriberSettings, apply Apply) *Client {
+	rng := rand.New(rand.NewPCG(settings.Seed, 0))
+	return &Client{
+		settings:   settings,
+		apply:      apply,
+		start:      time.Now(),
+		connection: connection{dial: settings.Dial},
+		encoder:    newPollEncoder(settings),
+		failing:    make([]bool, len(settings.Relays)),
+		subscriber: configuration.NewSubscriber(times, rng),
+	}
+}
+
+// Status returns how the client stands. It may be called at any time.
+func (c *Client) Status() Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	age, known := c.subscriber.Age(c.now())
+	return Status{Version: c.subscriber.Version(), Age: age, Known: known, Relay: c.settings.Relays[c.relay]}
+}
+
+// Run follows the configuration until ctx ends. It is called once.
+func (c *Client) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, c.connection.close)
+	defer stop()
+	defer c.connection.close()
+	for {
+		next := c.next()
+		if !sleep(ctx, max(next.At, c.notBefore)-c.now()) {
+			return
+		}
+		asked := c.now()
+		answer, err := c.poll(ctx, next)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			c.failed(next.Relay, err)
+		default:
+			c.answered(next, answer, asked)
+		}
+	}
+}
+
+func (c *Client) now() time.Duration { return time.Since(c.start) }
+
+func (c *Client) next() configuration.Next {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := c.subscriber.Next(c.now())
+	c.relay = next.Relay
+	return next
+}
+
+// poll makes one poll. A connection that turns out to be shut without a byte of the
+// answer was closed while it was idle: the poll is made once more on a new one, and
+// does not wait there.
+func (c *Client) poll(ctx context.Context, next configuration.Next) (*configuration.PollAnswer, error) {
+	address := c.settings.Relays[next.Relay]
+	reused := c.connection.openTo(address) != nil
+	answer, err := c.exchange(ctx, address, next.Wait, next.Timeout)
+	if reused && errors.Is(err, errShut) && ctx.Err() == nil {
+		return c.exchange(ctx, address, 0, next.Timeout-next.Wait)
+	}
+	return answer, err
+}
+
+// exchange sends a poll and returns its answer, or why that can't be used.
+func (c *Client) exchange(ctx context.Context, address string, wait, timeout time.Duration) (*configuration.PollAnswer, error) {
+	request := c.encoder.encode(address, c.subscriber.Version(), c.rejected, wait)
+	answer := &configuration.PollAnswer{}
+	if err := c.connection.exchange(ctx, address, request, time.Now().Add(timeout), answer); err != nil {
+		return nil, err
+	}
+	return answer, checkAnswer(answer, c.settings.Region)
+}
+
+// failed notes a poll without an answer that can be used.
+func (c *Client) failed(relay int, err error) {
+	c.connection.close() // after an answer that can't be used, too
+	c.mu.Lock()
+	c.subscriber.Failed(c.now())
+	c.mu.Unlock()
+	c.noteFailure(relay, err.Error())
+}
+
+// answered takes an answer, applies what it changes and notes what can't be used.
+func (c *Client) answered(next configuration.Next, answer *configuration.PollAnswer, asked time.Duration) {
+	c.mu.Lock()
+	now := c.now()
+	taken, err := c.subscriber.Answered(now, answer)
+	version := c.subscriber.Version()
+	c.mu.Unlock()
+	switch {
+	case err != nil:
+		c.noteFailure(next.Relay, err.Error())
+	case answer.Refusal != "" && answer.Refusal != configuration.RefusalBusy:
+		c.noteFailure(next.Relay, string(answer.Refusal)+": "+answer.Reason)
+	case answer.Update != nil:
+		c.noteAnswer(next.Relay)
+	}
+	if len(taken.Changed)+len(taken.Removed) > 0 {
+		c.rejected = c.apply(taken, version)
+		return // the next poll acknowledges at once
+	}
+	if answer.Refusal == configuration.RefusalBusy || next.Wait > 0 && now-asked < leastInterval {
+		c.notBefore = now + leastInterval
+	}
+}
+
+// noteFailure logs that a relay has begun to fail, one line until it answers again.
+// The log bounds how often one message is written (package logs).
+func (c *Client) noteFailure(relay int, why string) {
+	if c.failing[relay] {
+		return
+	}
+	c.failing[relay] = true
+	slog.Warn("configuration: a relay fails", "relay", c.settings.Relays[relay], "why", why)
+}
+
+// noteAnswer logs that a relay which failed answers again.
+func (c *Client) noteAnswer(relay int) {
+	if !c.failing[relay] {
+		return
+	}
+	c.failing[relay] = false
+	slog.Info("configuration: a relay answers again", "relay", c.settings.Relays[relay])
+}
+
+// sleep waits for d; false if ctx has ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
 }
