balance, engine: settings change in force, for the requests that begin after it

Balancer.Change takes the same classes, in the same order, with those three fields changed, and tenants; anything else is an error and leaves what was. The classes come in a slice of their own: requests that have begun point into the one before. Shares of tenants begin anew where the tenants differ. Engine.Change does it under the mutex and puts a new map of classes beside it, which fronts read without the mutex.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -171,14 +172,11 @@
 	if err := set.validate(); err != nil {
 		return nil, err
 	}
-	// The last class is for requests of a class not announced: the most
-	// careful kind.
-	set.Classes = append(append([]Class(nil), set.Classes...), Class{Effect: Once, LateWorth: 1})
 	b := &Balancer{
 		set:       set,
 		rng:       rand.New(rand.NewPCG(seed, mix(seed))),
 		classes:   map[string]int{},
-		classStat: make([]classStat, len(set.Classes)),
+		classStat: make([]classStat, len(set.Classes)+1),
 		requests:  map[string]*request{},
 		byID:      map[string]*server{},
 		tenantAt:  map[string]int{},
@@ -186,12 +184,38 @@
 		served: 1,
 		salt:   mix(seed + 1),
 	}
-	b.setTenants()
-	for i, c := range set.Classes[:len(set.Classes)-1] {
+	b.setClasses(set.Classes)
+	b.setTenants(set.Tenants)
+	return b, nil
+}
+
+// setClasses takes classes in a slice of their own: requests that have begun point
+// into the one before. The last is for requests of a class not announced: the most
+// careful kind.
+func (b *Balancer) setClasses(classes []Class) {
+	b.set.Classes = append(slices.Clone(classes), Class{Effect: Once, LateWorth: 1})
+	b.worthSum = 0
+	for i, c := range classes {
 		b.classes[c.Name] = i
 		b.worthSum += c.Worth
 	}
-	return b, nil
+}
+
+// Change takes other tenants, and the same classes with another Aim, Worth or
+// LateWorth. Requests that have begun go on by the class they began with.
+func (b *Balancer) Change(classes []Class, tenants []Tenant) error {
+	same := slices.EqualFunc(b.set.Classes[:len(b.set.Classes)-1], classes, func(old, c Class) bool {
+		old.Aim, old.Worth, old.LateWorth = c.Aim, c.Worth, c.LateWorth
+		return old == c && c.Aim >= 0
+	})
+	if !same {
+		return errors.New("balance: Classes: found others, wanted the same but for an Aim of 0 or more, Worth and LateWorth")
+	}
+	b.setClasses(classes)
+	if !slices.Equal(tenants, b.set.Tenants) {
+		b.setTenants(tenants)
+	}
+	return nil
 }
 
 // at arranges a timed call.
@@ -271,10 +295,10 @@
 	b.requests[q.ID] = r
 	if b.shed(r) {
 		b.end(r, now)
-		return b.done(now)
+	} else {
+		b.at(r.useful, wakeEnd, r, 0)
+		b.send(r, now)
 	}
-	b.at(r.useful, wakeEnd, r, 0)
-	b.send(r, now)
 	return b.done(now)
 }
 
@@ -289,24 +313,16 @@
 	return min(r.Deadline, max(aim, now))
 }
 
-// send starts an attempt, or holds the request while no server can take it.
+// send starts an attempt. While no server can take it a request of which nothing is
+// out is held.
 func (b *Balancer) send(r *request, now time.Duration) {
-	first := len(r.attempts) == 0
-	if !first && !(b.mayResend(r, now) && b.budget.allows(now)) {
+	if len(r.attempts) > 0 && !(b.mayResend(r, now) && b.budget.allows(now)) {
 		b.giveUp(r, now)
-		return
-	}
-	s := b.pick(r, now)
-	if s == nil {
+	} else if s := b.pick(r, now); s != nil {
+		b.start(r, s, now)
+	} else if r.open == 0 {
 		b.hold(r, now)
-		return
 	}
-	if first {
-		b.budget.first(now)
-	} else {
-		b.budget.spend(now)
-	}
-	b.start(r, s, now)
 }
 
 // start sends an attempt and plans its second copy.
@@ -316,6 +332,11 @@
 	if r.anchor != nil && r.class.Effect == Keyed {
 		latest = min(latest, r.anchor.sent+r.class.Window)
 	}
+	if a.number == 0 {
+		b.budget.first(now)
+	} else {
+		b.budget.spend(now)
+	}
 	r.attempts = append(r.attempts, a)
 	r.open++
 	s.out = append(s.out, a)
@@ -342,12 +363,8 @@
 // copyOf sends a second copy of a request whose attempt is out for long. It
 // draws on the retry budget like any retry.
 func (b *Balancer) copyOf(r *request, now time.Duration, number int) {
-	if r.attempts[number].ended || r.open != 1 || r.waiting || !b.mayResend(r, now) || !b.budget.allows(now) {
-		return
-	}
-	if s := b.pick(r, now); s != nil {
-		b.budget.spend(now)
-		b.start(r, s, now)
+	if !r.attempts[number].ended && r.open == 1 && !r.waiting {
+		b.send(r, now)
 	}
 }
 
@@ -360,10 +377,8 @@
 		return false
 	case r.anchor == nil || r.class.Effect == Repeat:
 		return true
-	case r.class.Effect == Once:
-		return false
 	}
-	return now < r.anchor.sent+r.class.Window
+	return r.class.Effect == Keyed && now < r.anchor.sent+r.class.Window
 }
 
 // hold waits a little for a server to become usable, then sends again.
--- a/balance/budget.go
+++ b/balance/budget.go
@@ -93,7 +93,9 @@
 }
 
 // setTenants prepares the tenants with an agreed rate, each at its fair part.
-func (b *Balancer) setTenants() {
+func (b *Balancer) setTenants(tenants []Tenant) {
+	b.set.Tenants, b.quotaSum = slices.Clone(tenants), 0
+	clear(b.tenantAt)
 	for i, t := range b.set.Tenants {
 		if t.Quota > 0 {
 			b.tenantAt[t.Name] = i
--- /dev/null
+++ b/balance/change_test.go
@@ -0,0 +1,134 @@
+package balance
+
+import (
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+)
+
+// latest is the bound of the only Send among actions.
+func latest(t *testing.T, acts []Action) time.Duration {
+	t.Helper()
+	for _, a := range acts {
+		if a.Kind == Send {
+			return a.Latest
+		}
+	}
+	t.Fatalf("found %v, wanted a Send", acts)
+	return 0
+}
+
+// changed returns the classes of a site with another aim for one of them.
+func changed(set Settings, name string, aim time.Duration) []Class {
+	classes := slices.Clone(set.Classes)
+	i := slices.IndexFunc(classes, func(c Class) bool { return c.Name == name })
+	classes[i].Aim, classes[i].LateWorth = aim, 0
+	return classes
+}
+
+func TestChangeHoldsForRequestsThatBeginAfterIt(t *testing.T) {
+	set := site()
+	name := set.Classes[0].Name
+	set.Classes = changed(set, name, 200*ms)
+	b, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Members(0, ListSaved, fleet(6), nil)
+	now := time.Second
+	ask := func(id string) time.Duration {
+		return latest(t, b.Request(now, Request{ID: id, Class: name, Deadline: now + 5*time.Second}, nil))
+	}
+	if found, wanted := ask("before"), 200*ms-set.Round; found != wanted {
+		t.Errorf("before: found %v, wanted %v", found, wanted)
+	}
+	old := b.requests["before"].class
+	if err := b.Change(changed(set, name, 400*ms), nil); err != nil {
+		t.Fatal(err)
+	}
+	if found, wanted := ask("after"), 400*ms-set.Round; found != wanted {
+		t.Errorf("after: found %v, wanted %v", found, wanted)
+	}
+	if b.requests["before"].class != old || old.Aim != 200*ms {
+		t.Errorf("the request that had begun: found an aim of %v, wanted that it began with, %v", old.Aim, 200*ms)
+	}
+	// It is still ended by that aim.
+	b.Timer(now+200*ms, uint64(b.armed), nil)
+	if b.requests["before"] != nil && !b.requests["before"].answered {
+		t.Error("the request that had begun: found it open after its aim, wanted its final answer")
+	}
+}
+
+func TestChangeRefusesWhatWantsAStart(t *testing.T) {
+	set := site()
+	for name, change := range map[string]func([]Class) []Class{
+		"none":            func([]Class) []Class { return nil },
+		"one less":        func(c []Class) []Class { return c[1:] },
+		"one more":        func(c []Class) []Class { return append(c, Class{Name: "more", Deadline: time.Second}) },
+		"another order":   func(c []Class) []Class { c[0], c[1] = c[1], c[0]; return c },
+		"another name":    func(c []Class) []Class { c[0].Name = "other"; return c },
+		"a deadline":      func(c []Class) []Class { c[0].Deadline++; return c },
+		"an effect":       func(c []Class) []Class { c[0].Effect = (c[0].Effect + 1) % 3; return c },
+		"a window":        func(c []Class) []Class { c[0].Window++; return c },
+		"a stretch":       func(c []Class) []Class { c[0].AimStretch++; return c },
+		"an aim below 0":  func(c []Class) []Class { c[0].Aim = -1; return c },
+		"only the others": func(c []Class) []Class { return append(c, Class{Effect: Once, LateWorth: 1}) },
+	} {
+		b, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := slices.Clone(b.set.Classes)
+		if err := b.Change(change(slices.Clone(set.Classes)), []Tenant{{"a", 1}, {"b", 2}}); err == nil {
+			t.Errorf("%s: taken, wanted an error", name)
+		}
+		if !reflect.DeepEqual(b.set.Classes, before) || len(b.tenantAt) != 0 {
+			t.Errorf("%s: found classes %v and tenants %v after the refusal, wanted them as they were", name, b.set.Classes, b.tenantAt)
+		}
+	}
+}
+
+func TestChangeOfWorthsAndTenants(t *testing.T) {
+	set := site()
+	set.OverShare = 0.05
+	set.Tenants = []Tenant{{"big", 600}, {"small", 400}}
+	b, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 100 {
+		b.overShare(&request{Request: Request{Tenant: "small"}})
+	}
+	seen := slices.Clone(b.tenantRate)
+	classes := slices.Clone(set.Classes)
+	for i := range classes {
+		classes[i].Worth = 7
+	}
+	if err := b.Change(classes, set.Tenants); err != nil {
+		t.Fatal(err)
+	}
+	if wanted := 7 * float64(len(classes)); b.worthSum != wanted {
+		t.Errorf("sum of the worths: found %v, wanted %v", b.worthSum, wanted)
+	}
+	if !slices.Equal(b.tenantRate, seen) {
+		t.Errorf("observed shares: found %v after a change of worths alone, wanted %v", b.tenantRate, seen)
+	}
+	other := []Tenant{{"none", 0}, {"new", 300}, {"small", 100}}
+	if err := b.Change(classes, other); err != nil {
+		t.Fatal(err)
+	}
+	fresh := set
+	fresh.Classes, fresh.Tenants = classes, other
+	wanted, err := New(fresh, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(b.tenantAt, wanted.tenantAt) || !slices.Equal(b.tenantRate, wanted.tenantRate) || b.quotaSum != wanted.quotaSum {
+		t.Errorf("tenants: found %v, %v, sum %v, wanted those of a start: %v, %v, sum %v", b.tenantAt, b.tenantRate, b.quotaSum, wanted.tenantAt, wanted.tenantRate, wanted.quotaSum)
+	}
+	other[1].Quota = 1 // the caller's slice is not kept
+	if b.set.Tenants[1].Quota != 300 {
+		t.Error("tenants: found them to follow the caller's slice, wanted a copy")
+	}
+}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -78,19 +78,12 @@
 
 // sameGroup tells whether two servers drop each other's repeats.
 func sameGroup(g Group, a, b *server) bool {
-	switch g {
-	case GroupCell:
-		return a.Cell == b.Cell
-	case GroupZone:
-		return a.Zone == b.Zone
-	}
-	return true
+	return g == GroupAll || g == GroupZone && a.Zone == b.Zone || g == GroupCell && a.Cell == b.Cell
 }
 
 // pick takes the better of two sampled servers; nil when there is none.
 func (b *Balancer) pick(r *request, now time.Duration) *server {
-	first := b.drawCold(r, now)
-	bias := 1.0
+	first, bias := b.drawCold(r, now), 1.0
 	if first == nil {
 		first = b.draw(r, now, nil)
 		if r.key != 0 {
@@ -127,10 +120,7 @@
 	}
 	s := b.ready[b.rng.IntN(len(b.ready))]
 	c := b.certain(s, now)
-	if c >= 1 || !b.usable(r, s, now) {
-		return nil
-	}
-	if b.rng.Float64() >= c*coldMargin*max(b.set.TipMultiple, 1)*perWarm {
+	if c >= 1 || !b.usable(r, s, now) || b.rng.Float64() >= c*coldMargin*max(b.set.TipMultiple, 1)*perWarm {
 		return nil
 	}
 	return s
--- a/balance/settings.go
+++ b/balance/settings.go
@@ -6,6 +6,7 @@
 package balance
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 )
@@ -121,42 +122,35 @@
 
 // validate returns an error that names the first field that can't be used.
 func (s *Settings) validate() error {
-	if len(s.Classes) == 0 {
-		return fmt.Errorf("balance: Classes: none given")
-	}
 	seen := map[string]bool{}
-	for i := range s.Classes {
-		c := &s.Classes[i]
-		bad := ""
-		switch {
-		case seen[c.Name]:
-			bad = "Name: given twice"
-		case c.Deadline <= 0:
-			bad = "Deadline: not positive"
-		case c.Aim < 0:
-			bad = "Aim: negative"
-		case c.Window < 0:
-			bad = "Window: negative"
-		case c.Effect < Once || c.Effect > Repeat:
-			bad = "Effect: unknown"
-		case c.Group < GroupCell || c.Group > GroupAll:
-			bad = "Group: unknown"
-		}
-		if bad != "" {
+	for _, c := range s.Classes {
+		if bad := cmp.Or(
+			textIf(seen[c.Name], "Name: given twice"),
+			textIf(c.Deadline <= 0, "Deadline: not positive"),
+			textIf(c.Aim < 0, "Aim: negative"),
+			textIf(c.Window < 0, "Window: negative"),
+			textIf(c.Effect < Once || c.Effect > Repeat, "Effect: unknown"),
+			textIf(c.Group < GroupCell || c.Group > GroupAll, "Group: unknown"),
+		); bad != "" {
 			return fmt.Errorf("balance: class %q: %s", c.Name, bad)
 		}
 		seen[c.Name] = true
 	}
-	bad := ""
-	switch {
-	case s.MaxAttempts <= 0:
-		bad = "MaxAttempts: not positive"
-	case !(s.ColdShare > 0 && s.ColdShare <= 1):
-		bad = "ColdShare: outside (0,1]"
-	case s.ColdTime < 0 || s.RetryAfter < 0 || s.Round < 0:
-		bad = "ColdTime, RetryAfter or Round: negative"
-	default:
-		return nil
+	if bad := cmp.Or(
+		textIf(len(s.Classes) == 0, "Classes: none given"),
+		textIf(s.MaxAttempts <= 0, "MaxAttempts: not positive"),
+		textIf(!(s.ColdShare > 0 && s.ColdShare <= 1), "ColdShare: outside (0,1]"),
+		textIf(s.ColdTime < 0 || s.RetryAfter < 0 || s.Round < 0, "ColdTime, RetryAfter or Round: negative"),
+	); bad != "" {
+		return fmt.Errorf("balance: %s", bad)
+	}
+	return nil
+}
+
+// textIf returns text if the condition holds, else nothing.
+func textIf(condition bool, text string) string {
+	if condition {
+		return text
 	}
-	return fmt.Errorf("balance: %s", bad)
+	return ""
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,7 @@
 	"hash/maphash"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"otterspring/balance"
@@ -62,8 +63,8 @@
 	hosts   map[string]*host
 	out     []*Attempt // every attempt that has not ended
 	set     Settings
-	watch   func() // asks discovery
-	classes map[string]*balance.Class
+	watch   func()                                    // asks discovery
+	classes atomic.Pointer[map[string]*balance.Class] // by name; read without the mutex
 	used    usedIDs
 	drains  membership.Drains
 	moves   int              // of discovery, as far as lists have come from there
@@ -170,21 +171,17 @@
 		return nil, err
 	}
 	e := &Engine{
-		bal:     bal,
-		start:   time.Now(),
-		wall:    wallclock.Now(),
-		calls:   map[string]*Call{},
-		hosts:   map[string]*host{},
-		set:     set,
-		watch:   watch,
-		classes: map[string]*balance.Class{},
-		used:    newUsedIDs(),
-		listed:  map[string]Entry{},
-	}
-	for i := range set.Balance.Classes {
-		c := &set.Balance.Classes[i]
-		e.classes[c.Name] = c
-	}
+		bal:    bal,
+		start:  time.Now(),
+		wall:   wallclock.Now(),
+		calls:  map[string]*Call{},
+		hosts:  map[string]*host{},
+		set:    set,
+		watch:  watch,
+		used:   newUsedIDs(),
+		listed: map[string]Entry{},
+	}
+	e.setClasses(set.Balance.Classes)
 	e.timer = time.AfterFunc(time.Hour, e.tick)
 	return e, nil
 }
@@ -193,9 +190,31 @@
 // the module is given never go back.
 func (e *Engine) now() time.Duration { return clockOrigin + time.Since(e.start) }
 
-// Class returns the class of that name, nil if there is none. Classes do not
-// change after the start.
-func (e *Engine) Class(name string) *balance.Class { return e.classes[name] }
+// Class returns the class of that name, nil if there is none. Of a class only what
+// Change takes differs later.
+func (e *Engine) Class(name string) *balance.Class { return (*e.classes.Load())[name] }
+
+// setClasses keeps copies of the classes by their names.
+func (e *Engine) setClasses(classes []balance.Class) {
+	byName := make(map[string]*balance.Class, len(classes))
+	for _, class := range classes {
+		byName[class.Name] = &class
+	}
+	e.classes.Store(&byName)
+}
+
+// Change has the module decide by other settings for the requests that begin from now
+// on: the tenants, and of each class Aim, Worth and LateWorth. The classes have to be
+// those of the start otherwise; after an error what was in force stays.
+func (e *Engine) Change(classes []balance.Class, tenants []balance.Tenant) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.bal.Change(classes, tenants); err != nil {
+		return err
+	}
+	e.setClasses(classes)
+	return nil
+}
 
 // Request hands a call to the module; false means that its id is still open or
 // was used lately. The module would pass over the one without an answer, and
