sidecar: settings of services from the relays take force without a restart

[configuration] in the operator's file names the region, two relays or more and the services; absent it starts nothing and /up is as it was. It is read at the start. layOver lays what the services say over the file's settings: what can't be used is rejected for that service alone, whose last good settings stay; what two services set, the one in force keeps. An aim within which no answer can come, with nothing for late ones, is rejected too: it would have every request refused. /up tells X-Configuration and X-Configuration-Age.

Tests: the overlay as a table and by random sequences; real sidecars with call servers and a stand-in relay on loopback (in flight, under load, tenants, rejected, without relays, off); the program over a reload and a hand-over; what it links.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -121,6 +121,9 @@
 	if l := d.settings.List; l.Near != "" {
 		opt.Near, opt.Source, opt.Turn = l.Near, l.Source, sidecar.TurnOf(cfg.Name, l.Spread)
 	}
+	if d.settings.Configuration.On() {
+		opt.Configuration = &d.settings.Configuration
+	}
 	s, err := sidecar.StartWith(cfg, opt)
 	if err != nil {
 		return err
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -113,6 +113,13 @@
 	if f.set.Listed != nil {
 		ctx.Response.Header.Set("X-List", f.set.Listed())
 	}
+	if f.set.Configured != nil {
+		version, age := f.set.Configured()
+		ctx.Response.Header.Set("X-Configuration", version)
+		if age != "" {
+			ctx.Response.Header.Set("X-Configuration-Age", age)
+		}
+	}
 }
 
 func (f *Front) serveOne(ctx *fasthttp.RequestCtx, cc *clientConn) {
@@ -429,6 +436,9 @@
 	Bodies        int           // bytes of all request bodies together
 	Reloads       func() string // what /up says of reloads
 	Listed        func() string // and of the list: its version; nil says nothing
+	// Configured is the same of the configuration of services, with its age in seconds,
+	// empty for not known; nil says nothing.
+	Configured func() (version, age string)
 }
 
 // Front is the listener, and knows every connection of the application.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -25,6 +25,8 @@
 	Notify   Notify   `toml:"notify"`
 	CoAP     CoAP     `toml:"coap"`
 	List     List     `toml:"list"`
+
+	Configuration Configuration `toml:"configuration"`
 }
 
 // List takes discovery's list from a door of this host, which hands it on
@@ -39,6 +41,13 @@
 	Spread time.Duration `toml:"spread" min:"0s" max:"5m"`
 }
 
+// parseAddress reads an IP address and a port; false if text is something else. An
+// IPv4 address that is written as IPv6 is the same one.
+func parseAddress(text string) (netip.AddrPort, bool) {
+	address, err := netip.ParseAddrPort(text)
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port()), err == nil && address.Port() != 0
+}
+
 // Drain bounds the end of an instance. Used from the next drain on, so a reload
 // brings it in.
 type Drain struct {
@@ -172,11 +181,12 @@
 	if s := f.Handover.Socket; s != "" && !strings.HasPrefix(s, "/") {
 		bad(fmt.Sprintf("%q", s), "an absolute path")
 	}
-	if a := f.List.Near; a != "" {
-		if addr, err := netip.ParseAddrPort(a); err != nil || addr.Port() == 0 {
-			say("list.near", strconv.Quote(a), "an IP address and a port")
+	if near := f.List.Near; near != "" {
+		if _, ok := parseAddress(near); !ok {
+			say("list.near", strconv.Quote(near), "an IP address and a port")
 		}
 	}
+	f.Configuration.check(say)
 	c := &f.CoAP
 	if c.Listen == "" {
 		return errs
@@ -214,6 +224,9 @@
 	if f.List.Near != "" {
 		on = append(on, "list")
 	}
+	if f.Configuration.On() {
+		on = append(on, "configuration")
+	}
 	return on
 }
 
@@ -233,5 +246,8 @@
 	if f.List != n.List {
 		names = append(names, "list")
 	}
+	if !reflect.DeepEqual(f.Configuration, n.Configuration) {
+		names = append(names, "configuration")
+	}
 	return names
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -23,6 +23,7 @@
 	"otterspring/internal/httpfront"
 	"otterspring/internal/httpupstream"
 	"otterspring/internal/operator"
+	"otterspring/internal/subscription"
 )
 
 // The shares of the descriptors: some for the process itself and discovery,
@@ -42,14 +43,16 @@
 
 // Sidecar is a running sidecar.
 type Sidecar struct {
-	eng    *engine.Engine
-	pool   *httpupstream.Pool
-	front  *httpfront.Front
-	coap   *coapfront.Front // nil where it is off
-	disc   *discovery.Follower
-	cfg    Config // as last loaded; only Reload touches it
-	stop   context.CancelFunc
-	finish atomic.Int64 // bound of the drain, in nanoseconds; 0 for the usual one
+	eng   *engine.Engine
+	pool  *httpupstream.Pool
+	front *httpfront.Front
+	coap  *coapfront.Front // nil where it is off
+	disc  *discovery.Follower
+	// control follows the configuration of services; nil where it is off.
+	control *subscription.Client
+	cfg     Config // as last loaded; only Reload touches it
+	stop    context.CancelFunc
+	finish  atomic.Int64 // bound of the drain, in nanoseconds; 0 for the usual one
 
 	reloads [2]atomic.Int64 // that went well, and that did not
 }
@@ -90,6 +93,9 @@
 	// Turn how long after it has failed discovery itself is asked. Empty for none.
 	Near, Source string
 	Turn         time.Duration
+	// Configuration is what the operator's file says of the configuration of services;
+	// nil for none. It begins with cfg's settings, whatever the process before had.
+	Configuration *operator.Configuration
 	// Paused starts without accepting, until Resume.
 	Paused bool
 }
@@ -132,9 +138,14 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Sidecar{eng: eng, pool: p, disc: d, cfg: cfg, stop: stop}
 	serve, refuse := clientShares(cfg.Sockets)
-	s.front = httpfront.New(ln, eng, httpfront.Settings{
+	front := httpfront.Settings{
 		Serve: serve, Refuse: refuse, Spare: cfg.Sockets / 6, Bodies: cfg.Memory / 8, Reloads: s.reloadCounts, Listed: s.listed,
-	})
+	}
+	if opt.Configuration != nil {
+		s.control = newControl(&cfg, opt.Configuration, eng.Change)
+		front.Configured = s.configured
+	}
+	s.front = httpfront.New(ln, eng, front)
 	if opt.CoAP != nil && opt.CoAP.Listen != "" {
 		set := coapfront.FromOperator(opt.CoAP, cfg.Settings.Classes, httpfront.DeadlineSlack, cfg.Seed, s.front.Budget())
 		set.Conn = opt.Packets
@@ -156,6 +167,9 @@
 		d.Ask()
 	}
 	go d.Run(ctx, eng)
+	if s.control != nil {
+		go s.control.Run(ctx)
+	}
 	go p.Sweep(ctx.Done())
 	go s.front.Sweep(ctx.Done())
 	go func() {
