council: the agreed state holds the configuration of the region's services

A restored council, and one that is raised to a newer epoch space, gives all services newer versions. Members that don't lead may read what a majority knows by asking the leader for the entry to wait for (ReadAnywhere); a read is named by member and incarnation. A member that doesn't lead names the leader, even if it has not heard yet of what all can apply.

--- a/internal/fleet/council/ask/ask.go
+++ b/internal/fleet/council/ask/ask.go
@@ -68,7 +68,8 @@
 	// Follow waits for what of the configuration is newer than Version; any member
 	// answers that knows a leader, with an update that may bring nothing.
 	Follow = "follow"
-	// Resource reads the resource of Service, as a majority knows it.
+	// Resource reads the resource of Service, as a majority knows it; without Service
+	// the names and versions of all.
 	Resource = "resource"
 )
 
@@ -102,7 +103,9 @@
 
 	Update   *configuration.Update   `json:"update,omitempty"`   // of Follow
 	Resource *configuration.Resource `json:"resource,omitempty"` // of Resource; of Configure with its new version
-	Conflict bool                    `json:"conflict,omitempty"` // Configure was refused for its version
+	// Services are the versions of all services, of Resource without Service.
+	Services map[string]configuration.Version `json:"services,omitempty"`
+	Conflict bool                             `json:"conflict,omitempty"` // Configure was refused for its version
 }
 
 // Said is what a host said of itself, and how old that is.
--- a/internal/fleet/council/member.go
+++ b/internal/fleet/council/member.go
@@ -1,6 +1,7 @@
 package council
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -25,12 +26,12 @@
 
 // Bounds of a member, of itself.
 const (
-	MostWaiting    = 4096    // asks without an answer
-	mostMessage    = 1 << 20 // bytes of entries in a message
-	MostSnapshot   = 8 << 20 // bytes
-	compactAfter   = 1024    // applied entries, then a snapshot is taken
-	compactKeeps   = 128     // entries that stand for a member that is behind
-	learnerNear    = 2       // entries by which a learner may be behind when it begins to count
+	MostWaiting    = 4096     // asks without an answer
+	mostMessage    = 1 << 20  // bytes of entries in a message
+	MostSnapshot   = 12 << 20 // bytes: all bounds of the state reached at once fit
+	compactAfter   = 1024     // applied entries, then a snapshot is taken
+	compactKeeps   = 128      // entries that stand for a member that is behind
+	learnerNear    = 2        // entries by which a learner may be behind when it begins to count
 	mostUncommited = 4 << 20
 )
 
@@ -123,7 +124,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(text)), text...), nil
+	return seal(text), nil
+}
+
+func seal(text []byte) []byte {
+	return append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(text)), text...)
 }
 
 // Unseal reads a sealed state. What is torn or of a newer form is an error.
@@ -146,7 +151,11 @@
 // returns on the disk, says so by Stored, and carries messages. It belongs to one
 // goroutine; the functions that it calls back run on that.
 type Member struct {
-	ID    uint64
+	ID uint64
+	// Incarnation tells this run of the member from those before: a leader's answer to
+	// a read of before must not confirm one of this run. Set before the first tick.
+	Incarnation uint64
+
 	raw   *raft.RawNode
 	store *raft.MemoryStorage
 	state *State
@@ -287,6 +296,14 @@
 
 // Propose asks for a command to be agreed on. done hears what it came to.
 func (m *Member) Propose(c Command, done func(Result, error)) {
+	if m.leases == nil {
+		// Another is to be asked, though this member may not have heard yet of what all
+		// can apply.
+		if done != nil {
+			done(Result{}, NotLeader{m.Leader()})
+		}
+		return
+	}
 	if v := max(1, c.Version); !m.state.Needs(v, slices.Concat(m.Voters(), m.Learners())) {
 		// A member that can't apply it would come to another state than the rest.
 		if done != nil {
@@ -334,17 +351,38 @@
 // leads, and all is applied that was agreed on before: what State says then is at
 // least as new as anything that anybody was told.
 func (m *Member) Read(done func(error)) {
-	switch {
-	case m.leases == nil:
+	if m.leases == nil {
 		done(NotLeader{m.Leader()})
 		return
-	case len(m.reads) >= MostWaiting:
+	}
+	m.confirm(done)
+}
+
+// ReadAnywhere is Read on a member that need not lead: the leader is asked which
+// entry the member has to have applied.
+func (m *Member) ReadAnywhere(done func(error)) {
+	if m.Leader() == raft.None {
+		done(NotLeader{})
+		return
+	}
+	m.confirm(done)
+}
+
+func (m *Member) confirm(done func(error)) {
+	if len(m.reads) >= MostWaiting {
 		done(ErrBusy)
 		return
 	}
 	m.ticket++
 	m.reads = append(m.reads, read{id: m.ticket, due: m.now + waitTicks, done: done})
-	m.raw.ReadIndex(binary.BigEndian.AppendUint64(nil, m.ticket))
+	m.raw.ReadIndex(m.readContext(m.ticket))
+}
+
+// readContext names a read. The leader keeps reads of all members by it.
+func (m *Member) readContext(ticket uint64) []byte {
+	context := binary.BigEndian.AppendUint64(nil, m.ID)
+	context = binary.BigEndian.AppendUint64(context, m.Incarnation)
+	return binary.BigEndian.AppendUint64(context, ticket)
 }
 
 // Renew takes that the owner of a duty was heard of, and calls done when it is sure
@@ -509,10 +547,13 @@
 	}
 	if rd.SoftState != nil {
 		m.lead(rd.SoftState.RaftState == raft.StateLeader)
+		if rd.SoftState.Lead == raft.None {
+			m.endReads()
+		}
 	}
 	for _, s := range rd.ReadStates {
 		for i := range m.reads {
-			if len(s.RequestCtx) == 8 && m.reads[i].id == binary.BigEndian.Uint64(s.RequestCtx) {
+			if bytes.Equal(s.RequestCtx, m.readContext(m.reads[i].id)) {
 				m.reads[i].at = s.Index
 			}
 		}
@@ -543,6 +584,11 @@
 		delete(m.asks, id)
 		a.end(Result{}, ErrUnknown)
 	}
+	m.endReads()
+}
+
+// endReads tells who waits for a read that nobody confirms it.
+func (m *Member) endReads() {
 	reads := m.reads
 	m.reads = nil
 	for _, r := range reads {
--- a/internal/fleet/council/state.go
+++ b/internal/fleet/council/state.go
@@ -11,12 +11,14 @@
 	"fmt"
 	"maps"
 	"slices"
+
+	"otterspring/internal/fleet/configuration"
 )
 
 // StateVersion is the newest form of commands and state that this program knows.
 // A member says in each vote for a duty what it can apply; a command of a newer
 // form is not proposed before all can (State.Needs).
-const StateVersion = 1
+const StateVersion = 2
 
 // Bounds of what a council holds. What goes beyond is refused, not cut.
 const (
@@ -75,6 +77,8 @@
 	Able   map[uint64]int             `json:"able"`  // version that each member can apply
 	// Members are the addresses of all, by number. A number is given once.
 	Members map[uint64]string `json:"members"`
+	// Configuration is there from the first change on (version 2).
+	Configuration *configuration.Store `json:"configuration,omitempty"`
 }
 
 // NewState returns the state that a council begins with.
@@ -112,6 +116,9 @@
 	Facts  = "facts"  // what there is on host Who; no Data: it is gone
 	Can    = "can"    // Member can apply commands up to the version in Epoch
 	Move   = "space"  // by hand: a new epoch space
+	// Configure changes a service's settings; Data is a configuration.Change. Made by
+	// NewConfigure.
+	Configure = "configure"
 )
 
 // Limits of a duty that flaps: so many changes of owner within a time, in ticks.
@@ -128,6 +135,10 @@
 type Result struct {
 	Refused string `json:"refused,omitempty"`
 	Duty    *Duty  `json:"duty,omitempty"`
+	// Version is what a change of the configuration has got; Conflict tells that it was
+	// refused for the version that it was made for.
+	Version  configuration.Version `json:"version,omitempty"`
+	Conflict bool                  `json:"conflict,omitempty"`
 }
 
 func refuse(format string, args ...any) Result { return Result{Refused: fmt.Sprintf(format, args...)} }
@@ -166,7 +177,10 @@
 		for _, d := range s.Duties {
 			d.Owner = ""
 		}
+		s.store().BeginSpace(s.Space)
 		return Result{}
+	case Configure:
+		return s.applyConfigure(c)
 	}
 	return refuse("kind: found %q, wanted one that is known", c.Kind)
 }
@@ -193,7 +207,7 @@
 			// Somebody has heard of an epoch that this council has not given out: its state
 			// is older than the world. No owner of it may go on under an older number.
 			d.Epoch, d.Owner = c.Epoch, ""
-			s.Space = max(s.Space, c.Epoch.Space())
+			s.raiseSpace(c.Epoch.Space())
 		}
 		return Result{Duty: d.Copy()}
 	}
@@ -286,9 +300,11 @@
 	return &c
 }
 
-// Copy returns a state of its own.
-func (s *State) Copy() *State {
+// WithoutConfiguration returns a copy that shares nothing with the state and lacks
+// the configuration: that is large, and has questions of its own.
+func (s *State) WithoutConfiguration() *State {
 	c := *s
+	c.Configuration = nil
 	c.Duties = map[string]*Duty{}
 	for name, d := range s.Duties {
 		c.Duties[name] = d.Copy()
