council node: changes of the configuration, and polls that follow it

Configure refuses what can't be agreed on without an entry: by the settings' own check, or by what the state holds, once a majority has confirmed the leader. Follow is answered by any member that knows a leader, as of the question; a loss of the leader ends a poll that waits.

--- /dev/null
+++ b/internal/fleet/council/node/configuration.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"fmt"
+
+	"otterspring/internal/fleet/configuration"
+	"otterspring/internal/fleet/council"
+	"otterspring/internal/fleet/council/ask"
+)
+
+// followers wakes the polls that follow the configuration. It belongs to Run's
+// goroutine.
+type followers struct {
+	news    chan struct{} // closed at a newer version, and when the leader is lost
+	version configuration.Version
+	led     bool
+}
+
+// observe takes what the member knows now.
+func (f *followers) observe(version configuration.Version, led bool) {
+	lost := f.led && !led
+	f.led = led
+	if version <= f.version && !lost {
+		return
+	}
+	f.version = max(f.version, version)
+	close(f.news)
+	f.news = make(chan struct{})
+}
+
+// configure has a change agreed on. One that is refused for what the configuration
+// holds now is not proposed: the refusal is given when a majority has confirmed that
+// this member leads. Run's goroutine.
+func (n *Node) configure(q ask.Question, a *ask.Answer, got chan *ask.Answer) {
+	if !n.member.Leads() {
+		n.no(a, council.NotLeader{Leader: n.member.Leader()})
+		got <- a
+		return
+	}
+	if q.Change == nil {
+		a.Refused = "change: found none, wanted one"
+		got <- a
+		return
+	}
+	command, err := council.NewConfigure(*q.Change)
+	if err != nil {
+		a.Refused = err.Error()
+		got <- a
+		return
+	}
+	end := func(r council.Result, err error) {
+		a.Refused, a.Conflict = r.Refused, r.Conflict
+		if err == nil && r.Refused == "" {
+			a.Resource = &configuration.Resource{Service: q.Change.Service, Version: r.Version, Settings: q.Change.Settings}
+		}
+		n.no(a, err)
+		got <- a
+	}
+	if n.member.State().TryConfigure(command).Refused == "" {
+		n.member.Propose(command, end)
+		return
+	}
+	n.member.Read(func(err error) {
+		if err != nil {
+			end(council.Result{}, err)
+			return
+		}
+		if result := n.member.State().TryConfigure(command); result.Refused != "" {
+			end(result, nil)
+			return
+		}
+		n.member.Propose(command, end)
+	})
+}
+
+// followed answers what of the configuration is newer than what the asker holds. Any
+// member does so that knows a leader: that is asked up to where this member has to
+// have applied what was agreed on, so that the answer lacks nothing that is older
+// than the question. Run's goroutine.
+func (n *Node) followed(q ask.Question, a *ask.Answer, got chan *ask.Answer) {
+	n.member.ReadAnywhere(func(err error) {
+		if n.no(a, err); err == nil {
+			update := n.member.State().Configured().Since(q.Version)
+			a.Update = &update
+		}
+		got <- a
+	})
+}
+
+// resource answers with the settings of a service, or with the versions of all.
+func resource(service string, store *configuration.Store, a *ask.Answer) {
+	if service == "" {
+		a.Services = make(map[string]configuration.Version, len(store.Resources))
+		for name, held := range store.Resources {
+			a.Services[name] = held.Version
+		}
+		return
+	}
+	held := store.Resources[service]
+	if held == nil {
+		a.Refused = fmt.Sprintf("service %s: found no such service", service)
+		return
+	}
+	copied := *held
+	a.Resource = &copied
+}
--- /dev/null
+++ b/internal/fleet/council/node/configuration_test.go
@@ -0,0 +1,282 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"otterspring/internal/fleet/configuration"
+	"otterspring/internal/fleet/council"
+	"otterspring/internal/fleet/council/ask"
+)
+
+// configurable starts a council of three and awaits that all can apply changes.
+func configurable(t *testing.T) *world {
+	t.Helper()
+	w := build(t, t.TempDir(), 3)
+	for i := 1; i <= 3; i++ {
+		w.start(i, New)
+	}
+	w.able()
+	return w
+}
+
+// able awaits that all three members can apply changes of the configuration.
+func (w *world) able() {
+	w.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+		s := w.asks(ask.Question{Kind: ask.State}).State
+		if s.Needs(council.StateVersion, []uint64{1, 2, 3}) {
+			return
+		}
+		if time.Now().After(end) {
+			w.t.Fatalf("members can apply %v, wanted version %d", s.Able, council.StateVersion)
+		}
+	}
+}
+
+func changeOf(id, service string, ifVersion configuration.Version, settings string) *configuration.Change {
+	return &configuration.Change{ID: id, Service: service, IfVersion: &ifVersion, Settings: json.RawMessage(settings)}
+}
+
+// configures has a change agreed on.
+func (w *world) configures(change *configuration.Change) *ask.Answer {
+	w.t.Helper()
+	return w.asks(ask.Question{Kind: ask.Configure, Change: change})
+}
+
+// A change is agreed on and read back, every member hands it on, and a poll that
+// waits is woken by the next. The state that supervisors ask for does not carry it.
+func TestConfigureAndFollow(t *testing.T) {
+	t.Parallel()
+	w := configurable(t)
+	first := w.configures(changeOf("a", "mail", 0, `{"tenants":[{"name":"x","quota-per-s":5}]}`))
+	if first.Refused != "" || first.Resource == nil || first.Resource.Version != configuration.NewVersion(1, 1) {
+		t.Fatalf("first change: %+v", first)
+	}
+	read := w.asks(ask.Question{Kind: ask.Resource, Service: "mail"})
+	if read.Resource == nil || read.Resource.Version != first.Resource.Version || !strings.Contains(string(read.Resource.Settings), `"quota-per-s":5`) {
+		t.Errorf("read back: %+v", read)
+	}
+	if a := w.asks(ask.Question{Kind: ask.Resource, Service: "post"}); a.Refused == "" {
+		t.Errorf("an unknown service: %+v, wanted a refusal", a)
+	}
+	if a := w.asks(ask.Question{Kind: ask.Resource}); len(a.Services) != 1 || a.Services["mail"] != first.Resource.Version {
+		t.Errorf("all services: %+v", a.Services)
+	}
+	if s := w.asks(ask.Question{Kind: ask.State}).State; s.Configuration != nil {
+		t.Error("the state of a supervisor's question carries the configuration")
+	}
+	if snapshot, err := FetchSnapshot(w.file); err != nil || !strings.Contains(string(snapshot), "quota-per-s") {
+		t.Errorf("a snapshot to be kept lacks the configuration (%v)", err)
+	}
+
+	held := first.Resource.Version
+	var polls sync.WaitGroup
+	for i := 1; i <= 3; i++ {
+		if u := w.polls(i, 0, 0, updates).Update; !u.Snapshot() || len(u.Resources) != 1 {
+			t.Errorf("member %d: %+v, wanted a snapshot of one service", i, u)
+		}
+		if u := w.polls(i, held, 1, updates).Update; len(u.Resources) != 0 || u.Version != held {
+			t.Errorf("member %d: %+v, wanted an update without news", i, u)
+		}
+		polls.Go(func() {
+			news := func(a *ask.Answer) bool { return a.Update != nil && a.Update.Version > held }
+			if u := w.polls(i, held, 2000, news).Update; u.Snapshot() || len(u.Resources) != 1 || u.Resources[0].Service != "post" {
+				t.Errorf("member %d: %+v, wanted what is new alone", i, u)
+			}
+		})
+	}
+	w.configures(changeOf("b", "post", 0, `{}`))
+	polls.Wait()
+}
+
+// polls asks a member for the configuration until it has an answer that is wanted.
+func (w *world) polls(i int, version configuration.Version, waitMS int, wanted func(*ask.Answer) bool) *ask.Answer {
+	var a *ask.Answer
+	var err error
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if a, err = w.one(i, ask.Question{Kind: ask.Follow, Version: version, WaitMS: waitMS}); err == nil && wanted(a) {
+			return a
+		}
+	}
+	w.t.Errorf("member %d from version %v on: %+v, %v, wanted another answer", i, version, a, err)
+	return &ask.Answer{Update: &configuration.Update{}}
+}
+
+// updates is the answer of a member that knows a leader.
+func updates(a *ask.Answer) bool { return a.Update != nil }
+
+// withinTerm measures between two looks at the leader, anew where another leader has
+// come between them.
+func (w *world) withinTerm(do func()) (before, after *ask.Answer) {
+	w.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		before = w.asks(ask.Question{Kind: ask.State})
+		do()
+		after = w.asks(ask.Question{Kind: ask.State})
+		if before.Term == after.Term {
+			return before, after
+		}
+	}
+	w.t.Fatal("no leader stays for as long as the measurement takes")
+	return nil, nil
+}
+
+// What can't be agreed on is refused in one line, and no entry comes of it.
+func TestConfigureRefusals(t *testing.T) {
+	t.Parallel()
+	w := configurable(t)
+	first := w.configures(changeOf("a", "mail", 0, `{}`)).Resource.Version
+	w.configures(changeOf("b", "mail", first, `{}`))
+	tests := map[string]struct {
+		change   *configuration.Change
+		want     string
+		conflict bool
+	}{
+		"old version":      {changeOf("c", "mail", first, `{}`), "found version 1.2, wanted 1.1", true},
+		"exists":           {changeOf("d", "mail", 0, `{}`), "wanted 0.0", true},
+		"unknown service":  {&configuration.Change{ID: "e", Service: "post", Settings: json.RawMessage(`{}`)}, "found no such service", false},
+		"unknown key":      {changeOf("f", "mail", first, `{"tennants":[]}`), "found an unknown key", false},
+		"wants a roll":     {changeOf("g", "mail", first, `{"limits":{}}`), "roll", false},
+		"share below zero": {changeOf("h", "mail", first, `{"tenants":[{"name":"x","quota-per-s":-1}]}`), "found -1, wanted 0 to", false},
+		"over the bound":   {changeOf("i", "mail", first, `{"tenants":[{"name":"`+strings.Repeat("x", 9000)+`"}]}`), "wanted 8192 at most", false},
+		"no change":        {nil, "found none", false},
+		"no id":            {changeOf("", "mail", first, `{}`), "id: found", false},
+	}
+	before, after := w.withinTerm(func() {
+		for name, test := range tests {
+			a := w.configures(test.change)
+			if !strings.Contains(a.Refused, test.want) || strings.Contains(a.Refused, "\n") || a.Conflict != test.conflict || a.Resource != nil {
+				t.Errorf("%s: %+v, wanted %q in one line and conflict %v", name, a, test.want, test.conflict)
+			}
+		}
+	})
+	if after.Index != before.Index {
+		t.Errorf("%d entries after %d: something was agreed on", after.Index, before.Index)
+	}
+}
+
+// Two change the same version at the same time: one wins, the other hears of the
+// conflict and changes nothing. And a change that is sent again is applied once.
+func TestTwoChangesOfOneVersion(t *testing.T) {
+	t.Parallel()
+	w := configurable(t)
+	version := w.configures(changeOf("first", "mail", 0, `{}`)).Resource.Version
+	for round := range 20 {
+		var answers [2]*ask.Answer
+		var operators sync.WaitGroup
+		for i := range answers {
+			operators.Go(func() {
+				answers[i] = w.configures(changeOf(fmt.Sprintf("round-%d-%d", round, i), "mail", version, fmt.Sprintf(`{"tenants":[{"name":"by-%d"}]}`, i)))
+			})
+		}
+		operators.Wait()
+		winner := 0
+		if answers[0].Refused != "" {
+			winner = 1
+		}
+		loser := answers[1-winner]
+		if answers[winner].Refused != "" || !loser.Conflict || loser.Refused == "" {
+			t.Fatalf("round %d: %+v and %+v, wanted one to win and a conflict", round, answers[0], answers[1])
+		}
+		read := w.asks(ask.Question{Kind: ask.Resource, Service: "mail"}).Resource
+		if read.Version != answers[winner].Resource.Version || read.Version != version+1 || !strings.Contains(string(read.Settings), fmt.Sprint("by-", winner)) {
+			t.Fatalf("round %d: %+v, wanted what %d wrote, at one version on from %v", round, read, winner, version)
+		}
+		again := w.configures(changeOf(fmt.Sprintf("round-%d-%d", round, winner), "mail", version, `{}`))
+		if again.Refused != "" || again.Resource.Version != read.Version {
+			t.Fatalf("round %d: sent again: %+v, wanted version %v", round, again, read.Version)
+		}
+		version = read.Version
+	}
+}
+
+// Without a leader a member says no at once, also to a poll that waits; a follower
+// that was stopped does not hand on what is older than the question.
+func TestFollowWithoutLeader(t *testing.T) {
+	t.Parallel()
+	w := configurable(t)
+	version := w.configures(changeOf("a", "mail", 0, `{}`)).Resource.Version
+	leader := w.leader(0)
+	stopped, other := leader%3+1, (leader+1)%3+1
+	if u := w.polls(stopped, 0, 0, updates).Update; u.Version != version {
+		t.Fatalf("member %d: %+v, wanted version %v", stopped, u, version)
+	}
+	w.procs[stopped].Process.Signal(syscall.SIGSTOP)
+	newer := w.configures(changeOf("b", "mail", version, `{}`)).Resource.Version
+	w.procs[stopped].Process.Signal(syscall.SIGCONT)
+	if u := w.polls(stopped, 0, 0, updates).Update; u.Version < newer {
+		t.Fatalf("a member that was stopped: version %v after %v was agreed on", u.Version, newer)
+	}
+
+	// A poll that waits hears of the loss long before its wait is over.
+	noes := make(chan *ask.Answer, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), ask.MostWait-time.Second)
+		defer cancel()
+		q := ask.Question{Kind: ask.Follow, Version: newer, WaitMS: int(ask.MostWait.Milliseconds())}
+		a, err := ask.Call(ctx, http.DefaultClient, w.file.members()[uint64(other)], "test", q)
+		if err != nil {
+			a = &ask.Answer{Refused: err.Error()}
+		}
+		noes <- a
+	}()
+	time.Sleep(100 * time.Millisecond) // likely enough that the poll waits
+	w.kill(leader)
+	w.kill(stopped)
+	if a := <-noes; a.No == "" {
+		t.Errorf("a poll that waits for a member alone: %+v, wanted a no", a)
+	}
+	if a, err := w.one(other, ask.Question{Kind: ask.Follow, WaitMS: 2000}); err != nil || a.No == "" {
+		t.Errorf("a member alone: %+v, %v, wanted a no", a, err)
+	}
+}
+
+// Changes that come at once share a write: their number on the leader's disk is far
+// below theirs.
+func TestConcurrentChangesShareWrites(t *testing.T) {
+	t.Parallel()
+	w := configurable(t)
+	const single, together = 50, 200
+	change := func(id string, i int, ifVersion *configuration.Version) {
+		a := w.configures(&configuration.Change{ID: id, Service: fmt.Sprint("service-", i), IfVersion: ifVersion, Settings: json.RawMessage(`{}`)})
+		if a.Refused != "" {
+			t.Errorf("%s: %s", id, a.Refused)
+		}
+	}
+	atOnce := func(round string, ifVersion *configuration.Version) {
+		var all sync.WaitGroup
+		for i := range together {
+			all.Go(func() { change(fmt.Sprint(round, i), i, ifVersion) })
+		}
+		all.Wait()
+	}
+	atOnce("create", new(configuration.Version))
+	rounds := 0 // each measurement has ids of its own
+	before, after := w.withinTerm(func() {
+		rounds++
+		for i := range single {
+			change(fmt.Sprintf("single-%d-%d", rounds, i), i, nil)
+		}
+	})
+	singly := after.Syncs - before.Syncs
+	if singly < single {
+		t.Errorf("%d changes one after another: %d writes, wanted one each", single, singly)
+	}
+	before, after = w.withinTerm(func() {
+		rounds++
+		atOnce(fmt.Sprintf("together-%d-", rounds), nil)
+	})
+	shared := after.Syncs - before.Syncs
+	t.Logf("writes: %d for %d changes one after another, %d for %d at once", singly, single, shared, together)
+	if shared > together/2 {
+		t.Errorf("%d changes at once: %d writes, wanted half of them at most", together, shared)
+	}
+}
--- a/internal/fleet/council/node/node.go
+++ b/internal/fleet/council/node/node.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -61,6 +62,7 @@
 	reports map[string]said
 	changed chan struct{} // closed when something is newly agreed on
 	index   uint64        // that changed was closed for
+	follow  followers
 	strange int
 	why     error             // for which the member has to end
 	learned uint64            // tick at which the last learner was promoted
@@ -106,7 +108,7 @@
 	}
 	n := &Node{
 		file: f, number: number, log: log, events: make(chan func()), peers: map[uint64]*peer{}, reports: map[string]said{},
-		changed: make(chan struct{}), heard: map[uint64]marker{},
+		changed: make(chan struct{}), heard: map[uint64]marker{}, follow: followers{news: make(chan struct{})},
 	}
 	var err error
 	n.store, n.of, n.disk, err = openStore(dir, f.Name, number)
@@ -161,6 +163,7 @@
 			return nil
 		case f := <-n.events:
 			f()
+			n.runWaiting()
 		case <-ticker.C:
 			n.tick()
 		}
@@ -170,6 +173,22 @@
 	}
 }
 
+// maxBatch is how many events are handled before what they came to is stored.
+const maxBatch = 256
+
+// runWaiting runs the events that wait already: what they propose goes to the disk
+// in one write with what the event before them proposed.
+func (n *Node) runWaiting() {
+	for range maxBatch {
+		select {
+		case f := <-n.events:
+			f()
+		default:
+			return
+		}
+	}
+}
+
 func (n *Node) tick() {
 	n.ticks++
 	if n.member == nil {
@@ -210,6 +229,7 @@
 		close(n.changed)
 		n.changed = make(chan struct{})
 	}
+	n.follow.observe(n.member.State().Configured().Version, n.member.Leader() != 0)
 	return nil
 }
 
@@ -261,8 +281,9 @@
 		}
 	}
 	n.do(n.ctx, func() {
-		m, err := council.NewMember(n.number, n.disk, n.file.ticks())
-		n.member, n.why = m, err
+		if n.member, n.why = council.NewMember(n.number, n.disk, n.file.ticks()); n.why == nil {
+			n.member.Incarnation = rand.Uint64()
+		}
 		n.disk = council.Disk{}
 	})
 }
@@ -590,7 +611,7 @@
 	end := time.Now().Add(min(ask.MostWait, time.Duration(q.WaitMS)*time.Millisecond))
 	for {
 		var changed chan struct{}
-		if !n.do(r.Context(), func() { changed = n.changed; n.answer(q, got) }) {
+		if !n.do(r.Context(), func() { changed = n.waitsFor(q); n.answer(q, got) }) {
 			return
 		}
 		var a *ask.Answer
@@ -602,7 +623,7 @@
 			return
 		}
 		left := time.Until(end)
-		if q.Kind != ask.Hear || a.Index > q.Seen || left <= 0 {
+		if !polls(q, a) || left <= 0 {
 			inject.At("council-answers")
 			text, _ := json.Marshal(a)
 			w.Header().Set("Content-Type", "application/json")
@@ -620,6 +641,25 @@
 	}
 }
 
+// waitsFor returns what is closed when a poll may have another answer. Run's goroutine.
+func (n *Node) waitsFor(q ask.Question) chan struct{} {
+	if q.Kind == ask.Follow {
+		return n.follow.news
+	}
+	return n.changed
+}
+
+// polls tells whether a question waits for another answer than this one.
+func polls(q ask.Question, a *ask.Answer) bool {
+	switch q.Kind {
+	case ask.Hear:
+		return a.Index <= q.Seen
+	case ask.Follow:
+		return a.No == "" && a.Update.Version <= q.Version
+	}
+	return false
+}
+
 // answer answers a question to got, which takes one. Run's goroutine.
 func (n *Node) answer(q ask.Question, got chan *ask.Answer) {
 	a := &ask.Answer{Council: n.of, Member: n.number, LeaseMS: n.file.Lease.Milliseconds(), MarginMS: n.file.Margin.Milliseconds(), Strange: n.strange, Version: council.StateVersion}
@@ -663,7 +703,7 @@
 			got <- a
 		})
 	case ask.State:
-		read(func() { a.State, a.Reports, a.Duties = m.State().Copy(), n.said(), tenants(m.State()) })
+		read(func() { a.State, a.Reports, a.Duties = m.State().WithoutConfiguration(), n.said(), tenants(m.State()) })
 	case ask.Hear:
 		a.Duties, a.Open = tenants(m.State()), map[string]bool{}
 		for _, o := range m.State().Orders {
@@ -681,6 +721,12 @@
 			n.reports[q.Who] = said{q.Data, n.ticks}
 		}
 		got <- a
+	case ask.Configure:
+		n.configure(q, a, got)
+	case ask.Follow:
+		n.followed(q, a, got)
+	case ask.Resource:
+		read(func() { resource(q.Service, m.State().Configured(), a) })
 	case ask.Add:
 		m.Change(raftpb.ConfChangeAddLearnerNode, q.Member, q.Address, end)
 	case ask.Remove:
