configuration: an empty subscription, long reasons and nonsense in polls

Need: a sidecar that calls no service left its empty list out of the poll and was sent all services; a reason of 257 bytes or of two lines had a poll refused, which cut its sidecar off from all configuration; 512 rejections did not fit in a poll; wait_ms and age_ms overflowed a duration, and an age below zero passed for fresh.

Change: services is written whenever it is not nil. BoundRejections gives what a poll may report, MaxRejections (32) at most. Poll.Wait is bounded by MaxWait; an age that makes no sense is stale. Names of rejections and doubled services are refused.

Measured: TestEmptySubscriptionStaysEmptyOnTheWire, TestPollCheck, TestBoundedRejectionsPassTheCheck, TestWaitAndAgeOfNonsense; each fails on the code of before.

--- a/internal/fleet/configuration/message.go
+++ b/internal/fleet/configuration/message.go
@@ -3,18 +3,24 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 )
 
 // Bounds of a region's configuration. What goes beyond is refused, not cut.
 const (
-	MaxServices      = 512      // resources of a region
-	MaxSettingsBytes = 8 << 10  // of one service's settings
-	MaxTotalBytes    = 3 << 20  // of all settings together
-	MaxNameBytes     = 64       // of a service, a subscriber or a change's id
-	MaxReasonBytes   = 256      // of a rejection's reason
-	MaxPollBytes     = 64 << 10 // of a subscriber's poll
-	MaxUpdateBytes   = 4 << 20  // of an answer to a poll
+	MaxServices      = 512         // resources of a region
+	MaxSettingsBytes = 8 << 10     // of one service's settings
+	MaxTotalBytes    = 3 << 20     // of all settings together
+	MaxNameBytes     = 64          // of a service, a subscriber or a change's id
+	MaxReasonBytes   = 256         // of a rejection's reason
+	MaxPollBytes     = 64 << 10    // of a subscriber's poll
+	MaxUpdateBytes   = 4 << 20     // of an answer to a poll
+	MaxRejections    = 32          // that a poll reports
+	MaxWait          = time.Minute // of a poll; a longer one is taken as this
 )
 
 // Resource is the settings of one service under the version of their last change.
@@ -45,10 +51,15 @@
 	if len(s) > MaxServices {
 		return fmt.Errorf("services: found %d, wanted %d at most", len(s), MaxServices)
 	}
+	named := make(map[string]bool, len(s))
 	for i, service := range s {
 		if err := CheckName("service", service); err != nil {
 			return fmt.Errorf("services[%d]: %w", i, err)
 		}
+		if named[service] {
+			return fmt.Errorf("services[%d]: found %q twice, wanted each once", i, service)
+		}
+		named[service] = true
 	}
 	return nil
 }
@@ -61,6 +72,50 @@
 	Reason  string  `json:"reason"`
 }
 
+func (r *Rejection) check(place string) error {
+	if err := CheckName(place+".service", r.Service); err != nil {
+		return err
+	}
+	if len(r.Reason) > MaxReasonBytes {
+		return fmt.Errorf("%s.reason: found %d bytes, wanted %d at most", place, len(r.Reason), MaxReasonBytes)
+	}
+	if i := strings.IndexFunc(r.Reason, notInLine); i >= 0 {
+		return fmt.Errorf("%s.reason: found %.8q, wanted printable text in one line", place, r.Reason[i:])
+	}
+	return nil
+}
+
+// notInLine tells which characters a line of text can't have.
+func notInLine(r rune) bool { return r == utf8.RuneError || !unicode.IsPrint(r) }
+
+// BoundRejections returns what a poll may report of rejections: MaxRejections at most,
+// each with a reason in one line of MaxReasonBytes at most. A poll that says more
+// would be refused, and its subscriber be cut off.
+func BoundRejections(rejections []Rejection) []Rejection {
+	bounded := slices.Clone(rejections[:min(len(rejections), MaxRejections)])
+	for i := range bounded {
+		bounded[i].Reason = boundReason(bounded[i].Reason)
+	}
+	return bounded
+}
+
+func boundReason(reason string) string {
+	line := strings.Map(func(r rune) rune {
+		if notInLine(r) {
+			return ' '
+		}
+		return r
+	}, reason)
+	if len(line) <= MaxReasonBytes {
+		return line
+	}
+	end := MaxReasonBytes
+	for !utf8.RuneStart(line[end]) {
+		end--
+	}
+	return line[:end]
+}
+
 // PollPath is where a relay answers the polls of subscribers.
 const PollPath = "/v1/configuration"
 
@@ -70,28 +125,34 @@
 	// Region is the name of the council whose configuration is wanted.
 	Region     string `json:"region"`
 	Subscriber string `json:"subscriber"`
-	// Services is the subscription; absent for all services.
-	Services Subscription `json:"services,omitempty"`
+	// Services is the subscription; absent for all services, empty for none.
+	Services Subscription `json:"services,omitzero"`
 	// Version is the newest that the subscriber has taken; 0 where it holds nothing
 	// and wants a snapshot.
 	Version Version `json:"version"`
-	// Rejected are the resources of that version which it can't use.
+	// Rejected are the resources of that version which it can't use, as many of them as
+	// BoundRejections leaves.
 	Rejected []Rejection `json:"rejected,omitempty"`
 	// WaitMS is for how long the answer may wait for news, in milliseconds.
 	WaitMS int `json:"wait_ms"`
 }
 
+// Wait is WaitMS as a duration, MaxWait at most.
+func (p *Poll) Wait() time.Duration {
+	return time.Duration(min(max(p.WaitMS, 0), int(MaxWait.Milliseconds()))) * time.Millisecond
+}
+
 // Check tells what is wrong with a poll that was received.
 func (p *Poll) Check() error {
 	if err := CheckName("subscriber", p.Subscriber); err != nil {
 		return err
 	}
-	if len(p.Rejected) > MaxServices {
-		return fmt.Errorf("rejected: found %d, wanted %d at most", len(p.Rejected), MaxServices)
+	if len(p.Rejected) > MaxRejections {
+		return fmt.Errorf("rejected: found %d, wanted %d at most", len(p.Rejected), MaxRejections)
 	}
-	for i, rejection := range p.Rejected {
-		if len(rejection.Reason) > MaxReasonBytes {
-			return fmt.Errorf("rejected[%d].reason: found %d bytes, wanted %d at most", i, len(rejection.Reason), MaxReasonBytes)
+	for i := range p.Rejected {
+		if err := p.Rejected[i].check(fmt.Sprintf("rejected[%d]", i)); err != nil {
+			return err
 		}
 	}
 	if p.WaitMS < 0 {
@@ -127,8 +188,17 @@
 	RetryMS int64   `json:"retry_ms,omitempty"` // with RefusalBusy
 }
 
-// Age is AgeMS as a duration.
-func (a *PollAnswer) Age() time.Duration { return time.Duration(a.AgeMS) * time.Millisecond }
+// maxAge stands for all ages above it, and for one that makes no sense.
+const maxAge = 365 * 24 * time.Hour
+
+// Age is AgeMS as a duration. A negative age makes no sense: the answer counts as
+// stale.
+func (a *PollAnswer) Age() time.Duration {
+	if a.AgeMS < 0 || a.AgeMS > maxAge.Milliseconds() {
+		return maxAge
+	}
+	return time.Duration(a.AgeMS) * time.Millisecond
+}
 
 // CheckName holds a name against its bounds: 1 to MaxNameBytes printable ASCII bytes
 // without blanks.
--- /dev/null
+++ b/internal/fleet/configuration/message_test.go
@@ -0,0 +1,151 @@
+package configuration
+
+import (
+	"encoding/json"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// oneLine fails the test unless an error is one line that names each of the parts.
+func oneLine(t *testing.T, err error, parts ...string) {
+	t.Helper()
+	if err == nil {
+		t.Fatalf("found no error, wanted one with %q", parts)
+	}
+	if strings.ContainsFunc(err.Error(), notInLine) {
+		t.Errorf("found %q, wanted one printable line", err)
+	}
+	if len(err.Error()) > 400 {
+		t.Errorf("found an error of %d bytes, wanted 400 at most", len(err.Error()))
+	}
+	for _, part := range parts {
+		if !strings.Contains(err.Error(), part) {
+			t.Errorf("found %q, wanted %q in it", err, part)
+		}
+	}
+}
+
+// A sidecar that calls no service must not be sent all of them.
+func TestEmptySubscriptionStaysEmptyOnTheWire(t *testing.T) {
+	for _, services := range []Subscription{nil, {}, {"a"}} {
+		text, err := json.Marshal(Poll{Services: services})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got Poll
+		if err := json.Unmarshal(text, &got); err != nil {
+			t.Fatal(err)
+		}
+		if (got.Services == nil) != (services == nil) || !slices.Equal(got.Services, services) {
+			t.Errorf("found %#v after %s, wanted %#v", got.Services, text, services)
+		}
+	}
+}
+
+func TestPollCheck(t *testing.T) {
+	long := strings.Repeat("x", MaxNameBytes+1)
+	many := make(Subscription, MaxServices+1)
+	cases := []struct {
+		name  string
+		spoil func(*Poll)
+		parts []string
+	}{
+		{"no subscriber", func(p *Poll) { p.Subscriber = "" }, []string{"subscriber:", "found", "wanted"}},
+		{"a subscriber of two lines", func(p *Poll) { p.Subscriber = "a\nb" }, []string{"subscriber:", `"a\nb"`, "wanted"}},
+		{"a long service", func(p *Poll) { p.Services = Subscription{"a", long} }, []string{"services[1]:", "found", "wanted"}},
+		{"a service twice", func(p *Poll) { p.Services = Subscription{"a", "b", "a"} }, []string{"services[2]:", `"a" twice`, "wanted"}},
+		{"too many services", func(p *Poll) { p.Services = many }, []string{"services: found 513, wanted 512"}},
+		{"a wait below zero", func(p *Poll) { p.WaitMS = -1 }, []string{"wait_ms: found -1, wanted 0"}},
+		{"too many rejections", func(p *Poll) { p.Rejected = make([]Rejection, MaxRejections+1) }, []string{"rejected: found 33, wanted 32"}},
+		{"a rejection of no service", func(p *Poll) { p.Rejected = []Rejection{{}} }, []string{"rejected[0].service:", "found", "wanted"}},
+		{"a long reason", func(p *Poll) { p.Rejected[0].Reason = strings.Repeat("r", MaxReasonBytes+1) }, []string{"rejected[0].reason: found 257", "wanted 256"}},
+		{"a reason of two lines", func(p *Poll) { p.Rejected[0].Reason = "a\nb" }, []string{"rejected[0].reason:", `found "\nb"`, "wanted"}},
+		{"a reason that moves the cursor", func(p *Poll) { p.Rejected[0].Reason = "a\x1b[2J" }, []string{"rejected[0].reason:", "wanted"}},
+	}
+	valid := func() Poll {
+		return Poll{Region: "r", Subscriber: "s", Services: Subscription{"a", "b"}, Rejected: []Rejection{{Service: "a", Version: 1, Reason: `found "x", wanted é`}}}
+	}
+	if p := valid(); p.Check() != nil {
+		t.Errorf("found %v of a valid poll, wanted none", p.Check())
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := valid()
+			c.spoil(&p)
+			oneLine(t, p.Check(), c.parts...)
+		})
+	}
+}
+
+// Whatever reasons a sidecar has, its poll is not refused for them.
+func TestBoundedRejectionsPassTheCheck(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reasons := rapid.SliceOfN(rapid.OneOf(
+			rapid.String(),
+			rapid.StringN(250, 400, 600),
+			rapid.Map(rapid.SliceOf(rapid.Byte()), func(b []byte) string { return string(b) }),
+		), 0, 40).Draw(t, "reasons")
+		poll := Poll{Subscriber: "s"}
+		for _, reason := range reasons {
+			poll.Rejected = append(poll.Rejected, Rejection{Service: "a", Version: 1, Reason: reason})
+		}
+		given := slices.Clone(poll.Rejected)
+		unbounded := poll.Rejected
+		poll.Rejected = BoundRejections(poll.Rejected)
+		if err := poll.Check(); err != nil {
+			t.Fatal(err)
+		}
+		if len(poll.Rejected) != min(len(given), MaxRejections) || !slices.Equal(unbounded, given) {
+			t.Fatalf("found %d of %d rejections, or the caller's own changed", len(poll.Rejected), len(given))
+		}
+	})
+}
+
+func TestWaitAndAgeOfNonsense(t *testing.T) {
+	for ms, want := range map[int]time.Duration{-5: 0, 0: 0, 1500: 1500 * time.Millisecond, math.MaxInt: MaxWait} {
+		if got := (&Poll{WaitMS: ms}).Wait(); got != want {
+			t.Errorf("wait_ms %d: found %v, wanted %v", ms, got, want)
+		}
+	}
+	for ms, want := range map[int64]time.Duration{-1: maxAge, 0: 0, 20: 20 * time.Millisecond, math.MaxInt64: maxAge, math.MinInt64: maxAge} {
+		if got := (&PollAnswer{AgeMS: ms}).Age(); got != want {
+			t.Errorf("age_ms %d: found %v, wanted %v", ms, got, want)
+		}
+	}
+}
+
+func TestVersionText(t *testing.T) {
+	for _, version := range []Version{0, 1, NewVersion(1, 0), NewVersion(1, 42), math.MaxUint64} {
+		if got, err := ParseVersion(version.String()); err != nil || got != version {
+			t.Errorf("found %v, %v, wanted %v", got, err, version)
+		}
+	}
+	for _, text := range []string{"", "1", "1.", ".1", "1.2.3", "-1.2", "1.-2", "+1.2", "1.4294967296", "4294967296.1", "a.b", "1. 2"} {
+		_, err := ParseVersion(text)
+		oneLine(t, err, "version:", "found", "wanted SPACE.NUMBER")
+	}
+}
+
+func TestCheckName(t *testing.T) {
+	for _, good := range []string{"a", "~", "svc-7.zone/x", strings.Repeat("n", MaxNameBytes)} {
+		if err := CheckName("service", good); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, bad := range []string{"", " ", "a b", "a\n", "\x7f", "é", strings.Repeat("n", MaxNameBytes+1), strings.Repeat("\x00", 1000)} {
+		oneLine(t, CheckName("service", bad), "service:", "found", "wanted")
+	}
+}
+
+func mustMarshal(t *testing.T, value any) []byte {
+	text, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
