configuration: a cache refuses updates of no single history, and Since has an order

Need: an update with a resource newer than itself was taken, and hid every later change of that service; a delta into another epoch space was taken as if nothing had been removed; Since returned a map's order, other on each run.

Change: Cache.Take checks an update that is not older; Since sorts by version, as Store.Since does.

Measured: TestCacheTake, TestCacheTakeRefuses, TestCacheSince; the refusals of a newer resource, a missing version or name and of a delta into another space fail on the code of before.

--- a/internal/fleet/configuration/cache.go
+++ b/internal/fleet/configuration/cache.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -46,10 +47,13 @@
 // Take takes an update where it is not older than what is held.
 func (c *Cache) Take(u Update) (Taken, error) {
 	var taken Taken
-	switch {
-	case u.Version < c.version:
+	if u.Version < c.version {
 		return taken, &OlderError{Found: u.Version, Wanted: c.version}
-	case u.From > c.version:
+	}
+	if err := u.check(); err != nil {
+		return taken, err
+	}
+	if u.From > c.version {
 		return taken, ErrGap
 	}
 	named := make(map[string]bool, len(u.Resources))
@@ -78,9 +82,28 @@
 	return taken, nil
 }
 
+// check tells what is wrong with an update that was received: one that is not of a
+// single history would be mixed with what is held.
+func (u *Update) check() error {
+	if u.From > u.Version || u.From != 0 && u.From.Space() != u.Version.Space() {
+		return fmt.Errorf("update: found a delta from version %v to %v, wanted one that goes on within its epoch space", u.From, u.Version)
+	}
+	for i := range u.Resources {
+		resource := &u.Resources[i]
+		if err := CheckName("service", resource.Service); err != nil {
+			return fmt.Errorf("update: resources[%d].%w", i, err)
+		}
+		if resource.Version == 0 || resource.Version > u.Version {
+			return fmt.Errorf("update: service %s: found version %v, wanted 0.1 to %v", resource.Service, resource.Version, u.Version)
+		}
+	}
+	return nil
+}
+
 // Since returns what a subscriber lacks that holds a version of its subscription. It
 // is a snapshot where the subscriber holds nothing, or a version of another epoch
-// space. It must not be called for a version that is newer than the cache's.
+// space. Its resources are in the order of their versions. It must not be called for a
+// version that is newer than the cache's.
 func (c *Cache) Since(version Version, subscription Subscription) Update {
 	update := Update{From: version, Version: c.version}
 	if version.Space() != c.version.Space() {
@@ -95,12 +118,12 @@
 		for _, resource := range c.resources {
 			add(resource)
 		}
-		return update
 	}
 	for _, service := range subscription {
 		if resource, found := c.resources[service]; found {
 			add(resource)
 		}
 	}
+	slices.SortFunc(update.Resources, func(a, b Resource) int { return cmp.Compare(a.Version, b.Version) })
 	return update
 }
--- /dev/null
+++ b/internal/fleet/configuration/cache_test.go
@@ -0,0 +1,158 @@
+package configuration
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+)
+
+func resource(service string, version Version) Resource {
+	return Resource{Service: service, Version: version, Settings: json.RawMessage(fmt.Sprintf(`{"v":%d}`, version))}
+}
+
+// names are the services of resources, in their order.
+func names(resources []Resource) []string {
+	var all []string
+	for _, r := range resources {
+		all = append(all, r.Service)
+	}
+	return all
+}
+
+// cacheOf holds a at 1.1, b at 1.2 and c at 1.3.
+func cacheOf(t *testing.T) *Cache {
+	t.Helper()
+	cache := &Cache{}
+	_, err := cache.Take(Update{Version: v(1, 3), Resources: []Resource{resource("a", v(1, 1)), resource("b", v(1, 2)), resource("c", v(1, 3))}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cache
+}
+
+func v(space, number uint32) Version { return NewVersion(space, number) }
+
+func TestCacheTake(t *testing.T) {
+	cases := []struct {
+		name             string
+		update           Update
+		changed, removed []string
+		version          Version
+	}{
+		{"a delta", Update{From: v(1, 3), Version: v(1, 4), Resources: []Resource{resource("a", v(1, 4))}}, []string{"a"}, nil, v(1, 4)},
+		{"a delta that overlaps", Update{From: v(1, 1), Version: v(1, 4), Resources: []Resource{resource("b", v(1, 2)), resource("a", v(1, 4))}}, []string{"a"}, nil, v(1, 4)},
+		{"nothing new", Update{From: v(1, 3), Version: v(1, 3)}, nil, nil, v(1, 3)},
+		{"a version without a resource", Update{From: v(1, 3), Version: v(1, 9)}, nil, nil, v(1, 9)},
+		{"a new service", Update{From: v(1, 3), Version: v(1, 4), Resources: []Resource{resource("d", v(1, 4))}}, []string{"d"}, nil, v(1, 4)},
+		{"a snapshot of the same", Update{Version: v(1, 3), Resources: []Resource{resource("a", v(1, 1)), resource("b", v(1, 2)), resource("c", v(1, 3))}}, nil, nil, v(1, 3)},
+		{"a snapshot that removes", Update{Version: v(2, 2), Resources: []Resource{resource("b", v(2, 1))}}, []string{"b"}, []string{"a", "c"}, v(2, 2)},
+		{"a snapshot of nothing", Update{Version: v(2, 1)}, nil, []string{"a", "b", "c"}, v(2, 1)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			cache := cacheOf(t)
+			taken, err := cache.Take(c.update)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !slices.Equal(names(taken.Changed), c.changed) || !slices.Equal(taken.Removed, c.removed) || cache.Version() != c.version {
+				t.Errorf("found %v changed, %v removed, version %v; wanted %v, %v, %v", names(taken.Changed), taken.Removed, cache.Version(), c.changed, c.removed, c.version)
+			}
+		})
+	}
+}
+
+// An update that can't be taken leaves all as it was.
+func TestCacheTakeRefuses(t *testing.T) {
+	var older *OlderError
+	isOlder := func(err error) bool { return errors.As(err, &older) }
+	isGap := func(err error) bool { return errors.Is(err, ErrGap) }
+	isAny := func(err error) bool { return !isOlder(err) && !isGap(err) }
+	cases := []struct {
+		name   string
+		update Update
+		kind   func(error) bool
+	}{
+		{"older", Update{From: v(1, 1), Version: v(1, 2), Resources: []Resource{resource("a", v(1, 2))}}, isOlder},
+		{"an older snapshot", Update{Version: v(1, 2), Resources: []Resource{resource("a", v(1, 2))}}, isOlder},
+		{"none at all", Update{}, isOlder},
+		{"an answer of a relay that is behind", Update{From: v(1, 3), Version: v(1, 2)}, isOlder},
+		{"a gap", Update{From: v(1, 4), Version: v(1, 5), Resources: []Resource{resource("a", v(1, 5))}}, isGap},
+		{"a delta into another space", Update{From: v(1, 3), Version: v(2, 5), Resources: []Resource{resource("a", v(2, 5))}}, isAny},
+		{"a delta that goes back", Update{From: v(1, 9), Version: v(1, 5)}, isAny},
+		{"a resource newer than its update", Update{From: v(1, 3), Version: v(1, 4), Resources: []Resource{resource("a", v(1, 4)), resource("b", v(1, 5))}}, isAny},
+		{"a resource without a version", Update{From: v(1, 3), Version: v(1, 4), Resources: []Resource{{Service: "d"}}}, isAny},
+		{"a resource without a name", Update{From: v(1, 3), Version: v(1, 4), Resources: []Resource{resource("", v(1, 4))}}, isAny},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			cache, same := cacheOf(t), cacheOf(t)
+			taken, err := cache.Take(c.update)
+			oneLine(t, err, "update:", "found", "wanted")
+			if !c.kind(err) {
+				t.Errorf("found the error %T %v, wanted another kind", err, err)
+			}
+			if len(taken.Changed)+len(taken.Removed) != 0 || cache.Version() != same.Version() || !sameResources(cache.resources, same.resources) {
+				t.Errorf("found %+v taken and %+v held, wanted all as it was", taken, cache)
+			}
+		})
+	}
+}
+
+func sameResources(a, b map[string]Resource) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for service, r := range a {
+		other, found := b[service]
+		if !found || r.Service != other.Service || r.Version != other.Version || string(r.Settings) != string(other.Settings) {
+			return false
+		}
+	}
+	return true
+}
+
+func TestCacheSince(t *testing.T) {
+	cases := []struct {
+		name         string
+		version      Version
+		subscription Subscription
+		from         Version
+		services     []string // in the order of their versions
+	}{
+		{"nothing held, all", 0, nil, 0, []string{"a", "b", "c"}},
+		{"nothing held, two", 0, Subscription{"c", "a"}, 0, []string{"a", "c"}},
+		{"nothing held, one unknown", 0, Subscription{"x", "b"}, 0, []string{"b"}},
+		{"nothing held, none subscribed", 0, Subscription{}, 0, nil},
+		{"one behind, all", v(1, 2), nil, v(1, 2), []string{"c"}},
+		{"one behind, not subscribed", v(1, 2), Subscription{"a"}, v(1, 2), nil},
+		{"the newest", v(1, 3), nil, v(1, 3), nil},
+		{"an older space", v(0, 77), Subscription{"a"}, 0, []string{"a"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := cacheOf(t).Since(c.version, c.subscription)
+			if got.From != c.from || got.Version != v(1, 3) || !slices.Equal(names(got.Resources), c.services) {
+				t.Errorf("found %v to %v with %v, wanted %v to 1.3 with %v", got.From, got.Version, names(got.Resources), c.from, c.services)
+			}
+		})
+	}
+}
+
+func TestZeroCache(t *testing.T) {
+	var cache Cache
+	if update := cache.Since(0, nil); !update.Snapshot() || update.Version != 0 || len(update.Resources) != 0 {
+		t.Errorf("found %+v, wanted an empty snapshot", update)
+	}
+	if _, err := cache.Take(Update{From: 1, Version: 2}); !errors.Is(err, ErrGap) {
+		t.Errorf("found %v, wanted %v", err, ErrGap)
+	}
+	if _, found := cache.Resource("a"); found || cache.Len() != 0 {
+		t.Error("found a resource in the zero cache")
+	}
+	if taken, err := cache.Take(Update{}); err != nil || len(taken.Changed) != 0 {
+		t.Errorf("found %v, %v of an empty region", taken, err)
+	}
+}
--- /dev/null
+++ b/internal/fleet/configuration/fuzz_test.go
@@ -0,0 +1,94 @@
+package configuration
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+)
+
+// FuzzPollAnswer: what a relay may answer is taken whole or not at all, and comes
+// out of a second writing as it came out of the first.
+func FuzzPollAnswer(f *testing.F) {
+	for _, seed := range []string{
+		`{}`, `{"region":"r","age_ms":7,"update":{"from":0,"version":4294967297,"resources":[{"service":"a","version":4294967297,"settings":{}}]}}`,
+		`{"refusal":"busy","retry_ms":-9223372036854775808}`, `{"age_ms":-1,"update":{"from":5,"version":3}}`,
+		`{"update":{"from":0,"version":1,"resources":[{"service":"a","version":9,"settings":null}]}}`, `{"update":{"version":1,"resources":[null]}}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var answer, again PollAnswer
+		if json.Unmarshal(text, &answer) != nil {
+			return
+		}
+		if answer.Age() < 0 || answer.Age() > maxAge {
+			t.Fatalf("found age %v", answer.Age())
+		}
+		first := mustMarshal(t, answer)
+		if err := json.Unmarshal(first, &again); err != nil {
+			t.Fatal(err)
+		}
+		if second := mustMarshal(t, again); string(first) != string(second) {
+			t.Fatalf("found %s, wanted %s", second, first)
+		}
+		takeAnswer(t, &answer)
+	})
+}
+
+// takeAnswer holds a cache's invariants against any update.
+func takeAnswer(t *testing.T, answer *PollAnswer) {
+	cache := Cache{}
+	held := Update{Version: NewVersion(1, 2), Resources: []Resource{{Service: "a", Version: NewVersion(1, 2)}}}
+	if _, err := cache.Take(held); err != nil {
+		t.Fatal(err)
+	}
+	if answer.Update == nil {
+		return
+	}
+	before := cache.Version()
+	_, err := cache.Take(*answer.Update)
+	var older *OlderError
+	if cache.Version() < before || errors.As(err, &older) && cache.Version() != before {
+		t.Fatalf("found version %v after %v", cache.Version(), before)
+	}
+	for service, resource := range cache.resources {
+		if resource.Version > cache.Version() || resource.Service != service || resource.Version == 0 {
+			t.Fatalf("found %q with %+v at version %v", service, resource, cache.Version())
+		}
+	}
+}
+
+// FuzzPoll: a poll that passes its check stays within all bounds and comes out of a
+// second writing as it came out of the first.
+func FuzzPoll(f *testing.F) {
+	for _, seed := range []string{
+		`{}`, `{"region":"r","subscriber":"s","services":["a","b"],"version":4294967297,"wait_ms":1500}`,
+		`{"subscriber":"s","services":[],"rejected":[{"service":"a","version":1,"reason":"x\ny"}],"wait_ms":9223372036854775807}`,
+		`{"subscriber":"s","services":null,"version":18446744073709551615,"wait_ms":-1}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var poll, again Poll
+		if json.Unmarshal(text, &poll) != nil {
+			return
+		}
+		if wait := poll.Wait(); wait < 0 || wait > MaxWait {
+			t.Fatalf("found wait %v", wait)
+		}
+		if err := poll.Check(); err != nil {
+			if strings.ContainsFunc(err.Error(), notInLine) {
+				t.Fatalf("found %q, wanted one line", err)
+			}
+			return
+		}
+		first := mustMarshal(t, poll)
+		if err := json.Unmarshal(first, &again); err != nil {
+			t.Fatal(err)
+		}
+		if second := mustMarshal(t, again); string(first) != string(second) || (poll.Services == nil) != (again.Services == nil) {
+			t.Fatalf("found %s, wanted %s", second, first)
+		}
+	})
+}
