configuration: a subscriber probes, stays with a stale relay, and polls at a bounded rate

Need, each found by a test in virtual time: a relay that answers at once had a subscriber poll without end; so did one that answers only the first poll, since a first answer took the pauses away. retry_ms of a year or below zero was obeyed, a relay that is busy for ever held its subscribers for ever, also on their way back to it. A return to the nearest relay that was still bad went through all others. With all relays stale a subscriber stayed with its one for 7 to 22 s after another was whole again. A late relay's answer made the known age older. Subscribers that were answered together polled in step ever after.

Change: the relay that works is kept while another is probed by a single poll, nearer ones after Return, any other after each poll of a stale one; a probe that brings no fresh answer ends where the subscriber was. Polls are paced: 8 at once, then 4 a second. A retry time that makes no sense is drawn anew; the ninth busy answer in a row counts as a failure. The wait of a poll is drawn from three quarters to the whole, less the time of a probe. A stale relay's update is taken where it is newer. DefaultSubscriber's times stay.

--- a/internal/fleet/configuration/subscriber.go
+++ b/internal/fleet/configuration/subscriber.go
@@ -9,22 +9,23 @@
 type SubscriberSettings struct {
 	// Relays is how many relays it may ask, the nearest first; 1 or more.
 	Relays int
-	// Wait is how long a poll waits for news, Timeout how much longer its answer may
-	// take: a relay that stands still is noticed after both, or after Timeout alone by
-	// whoever asks it for the first time.
+	// Wait is how long a poll waits for news at most, Timeout how much longer its answer
+	// may take: a relay that stands still is noticed after both, or after Timeout alone
+	// by whoever asks it for the first time.
 	Wait, Timeout time.Duration
-	// StaleAge is the age from which a relay's answer is not gone by as long as another
-	// relay may know better.
+	// StaleAge is the age from which a subscriber does not stay with a relay as long as
+	// another one may know better.
 	StaleAge time.Duration
 	// RetryLeast and RetryMost bound the mean pause once all relays have failed.
 	RetryLeast, RetryMost time.Duration
-	// Return is the mean time until a subscriber that has moved asks a nearer relay
-	// again; each draws its own.
+	// Return is the mean time until a subscriber that has moved probes a nearer relay;
+	// each draws its own.
 	Return time.Duration
 }
 
-// DefaultSubscriber lets a change be in force within 4 s where one relay of several
-// stands still: 2.1 s until that is noticed, 0.6 s more for each further one.
+// DefaultSubscriber lets a change be in force within 4 s where two of three relays have
+// failed: one that stands still is noticed after 2.1 s, one that is cut off from its
+// council after 3.0 s, and each further one that stands still costs 0.6 s more.
 func DefaultSubscriber(relays int) SubscriberSettings {
 	return SubscriberSettings{
 		Relays: relays, Wait: 1500 * time.Millisecond, Timeout: 600 * time.Millisecond, StaleAge: 1500 * time.Millisecond,
@@ -32,6 +33,14 @@
 	}
 }
 
+// Bounds that hold whatever the relays answer.
+const (
+	pollInterval  = 250 * time.Millisecond // between polls in the mean, beyond a burst
+	pollBurst     = 8                      // polls that may follow each other at once
+	maxBusy       = 8                      // busy answers in a row before another relay is asked
+	maxRetryAfter = 5 * time.Second        // that a busy relay may ask for
+)
+
 // Next is the poll that a subscriber makes next.
 type Next struct {
 	Relay   int           // which one is asked
@@ -42,26 +51,39 @@
 
 // Subscriber decides which relay is asked and when, and holds what was received. It
 // belongs to one goroutine.
+//
+// It is settled at a relay that answers, and polls it again and again. When that
+// relay fails, the next one is asked at once. From time to time it probes another
+// relay by a single poll: a nearer one, or any other where its own is stale. It moves
+// there if the answer is a fresh one; otherwise it goes on where it was settled.
 type Subscriber struct {
 	settings SubscriberSettings
 	rng      *rand.Rand
 	cache    Cache
 
-	relay    int           // that is asked now
-	settled  bool          // the relay has answered a poll since it was turned to
-	tried    int           // relays in a row that brought nothing
-	at       time.Duration // of the next poll
-	returnAt time.Duration // when a nearer relay is asked again
-	stale    bool          // all relays are stale: the answers are gone by all the same
-	answered time.Duration // when a poll was last answered
-	age      time.Duration // of that answer at that time
-	heard    bool          // whether one ever was
+	relay   int           // that is asked now
+	settled bool          // the relay has answered a poll since it was turned to
+	tried   int           // relays in a row that brought nothing
+	busy    int           // busy answers in a row
+	stale   bool          // all relays have failed or are stale: a stale one is stayed with
+	at      time.Duration // of the next poll
+	paced   time.Duration // until when the polls made so far use up pollInterval
+
+	probing   bool          // the relay asked now is probed
+	home      int           // where the subscriber is settled while it probes
+	candidate int           // the latest relay that was probed; -1 for none
+	probeAt   time.Duration // of the next probe
+	probed    time.Duration // when the latest probe began
+
+	answered time.Duration // when what is held was known to be age old
+	age      time.Duration
+	heard    bool // whether a relay ever answered
 }
 
 // NewSubscriber returns one that holds nothing and asks the nearest relay first. All
 // its chance comes from rng.
 func NewSubscriber(settings SubscriberSettings, rng *rand.Rand) *Subscriber {
-	return &Subscriber{settings: settings, rng: rng}
+	return &Subscriber{settings: settings, rng: rng, candidate: -1, probed: -settings.Wait}
 }
 
 // Version is the newest version that was taken; 0 for none.
@@ -79,65 +101,151 @@
 // Next returns the next poll. The first one of a relay does not wait, so that a relay
 // that stands still is noticed soon.
 func (s *Subscriber) Next(now time.Duration) Next {
-	if s.relay > 0 && s.settled && s.returnAt > 0 && now >= s.returnAt {
-		s.turnTo(0)
+	if s.probeDue(now) {
+		s.startProbe(now)
 	}
 	next := Next{Relay: s.relay, At: max(now, s.at), Timeout: s.settings.Timeout}
 	if s.settled {
-		next.Wait = s.settings.Wait
+		next.Wait = s.wait(next.At)
 		next.Timeout += next.Wait
 	}
 	return next
 }
 
+// wait draws for how long a poll waits, so that subscribers which were answered at
+// once don't poll in step ever after. A probe's time is taken off: whatever it was,
+// the settled relay is heard of at least once in a whole Wait.
+func (s *Subscriber) wait(at time.Duration) time.Duration {
+	wait := time.Duration(float64(s.settings.Wait) * (0.75 + 0.25*s.rng.Float64()))
+	if sinceProbe := at - s.probed; sinceProbe < wait {
+		wait -= sinceProbe
+	}
+	return wait
+}
+
 // Answered takes the answer of the relay that was asked last. It returns what has
-// changed, and the error for which an update was not taken.
+// changed, and the error for which an update was not taken. An update that is newer
+// than what is held is taken from a stale relay too; but the subscriber does not stay
+// there as long as another one may know better.
 func (s *Subscriber) Answered(now time.Duration, answer *PollAnswer) (Taken, error) {
-	if answer.Refusal == RefusalBusy {
-		s.tried = 0
-		s.at = now + time.Duration(answer.RetryMS)*time.Millisecond
+	if answer.Refusal == RefusalBusy && !s.probing && s.busy < maxBusy {
+		s.comeAgain(now, answer)
 		return Taken{}, nil
 	}
 	if answer.Refusal != "" || answer.Update == nil {
 		s.Failed(now)
 		return Taken{}, nil
 	}
-	if answer.Age() > s.settings.StaleAge && !s.stale {
-		s.Failed(now) // the last of a round turns stale on
-		return Taken{}, nil
-	}
 	taken, err := s.cache.Take(*answer.Update)
 	if err != nil {
 		s.Failed(now)
 		return Taken{}, err
 	}
-	s.answered, s.age, s.heard = now, answer.Age(), true
-	if answer.Age() <= s.settings.StaleAge {
-		s.stale = false
+	s.learnAge(now, answer.Age())
+	stale := answer.Age() > s.settings.StaleAge
+	if stale && (s.probing || !s.stale) {
+		s.Failed(now)
+		return taken, nil
 	}
-	s.settled, s.tried, s.at = true, 0, now
+	s.settle(now, stale)
 	return taken, nil
 }
 
-// Failed takes that the relay that was asked last gave no answer that can be used.
-// The next one is asked at once; after all of them there is a pause.
+// learnAge takes an answer's age where it is younger than what is known: an update of
+// a late relay does not make older what a better one has said.
+func (s *Subscriber) learnAge(now, age time.Duration) {
+	if known, heard := s.Age(now); !heard || age < known {
+		s.answered, s.age, s.heard = now, age, true
+	}
+}
+
+// comeAgain takes that a relay is busy and says when it is to be asked again. A time
+// that makes no sense is replaced by one of the subscriber's own.
+func (s *Subscriber) comeAgain(now time.Duration, answer *PollAnswer) {
+	s.busy++
+	retry := s.jitter(s.settings.RetryMost)
+	if answer.RetryMS > 0 && answer.RetryMS <= maxRetryAfter.Milliseconds() {
+		retry = time.Duration(answer.RetryMS) * time.Millisecond
+	}
+	s.schedule(now, now+retry)
+}
+
+// settle stays at the relay that has answered.
+func (s *Subscriber) settle(now time.Duration, stale bool) {
+	moved, changed := !s.settled, s.stale != stale
+	s.settled, s.probing, s.stale, s.tried, s.busy = true, false, stale, 0, 0
+	if moved {
+		s.candidate = -1
+	}
+	if moved || changed {
+		s.probeAt = s.drawProbe(now)
+	}
+	s.schedule(now, now)
+}
+
+// Failed takes that the relay that was asked last gave no answer that can be used. A
+// probe ends where the subscriber was settled. Otherwise the next relay is asked at
+// once; after all of them there is a pause.
 func (s *Subscriber) Failed(now time.Duration) {
+	if s.probing {
+		s.endProbe(now)
+		return
+	}
 	s.tried++
-	s.at = now
+	at := now
 	if s.tried%s.settings.Relays == 0 {
 		s.stale = true
-		s.at = now + s.pause(s.tried/s.settings.Relays)
+		at = now + s.pause(s.tried/s.settings.Relays)
+	}
+	s.relay, s.settled, s.busy = (s.relay+1)%s.settings.Relays, false, 0
+	s.schedule(now, at)
+}
+
+// probeDue tells whether another relay is to be probed now: a nearer one, or any
+// while the settled one is stale.
+func (s *Subscriber) probeDue(now time.Duration) bool {
+	return s.settled && now >= s.probeAt && s.candidates() > 0
+}
+
+// candidates is how many relays are probed in turn, the nearest first; the settled one
+// may be among them, and is left out.
+func (s *Subscriber) candidates() int {
+	if s.stale && s.settings.Relays > 1 {
+		return s.settings.Relays
+	}
+	return s.relay
+}
+
+func (s *Subscriber) startProbe(now time.Duration) {
+	candidate := (s.candidate + 1) % s.candidates()
+	if candidate == s.relay {
+		candidate = (candidate + 1) % s.candidates()
 	}
-	s.turnTo((s.relay + 1) % s.settings.Relays)
+	s.home, s.candidate, s.relay = s.relay, candidate, candidate
+	s.probing, s.settled, s.probed = true, false, max(now, s.at)
 }
 
-// turnTo changes the relay. A subscriber that is not at its nearest goes back there
-// at a moment of its own.
-func (s *Subscriber) turnTo(relay int) {
-	s.relay, s.settled = relay, false
-	if relay > 0 {
-		s.returnAt = s.at + s.jitter(s.settings.Return)
+// endProbe goes on at the relay where the subscriber was settled.
+func (s *Subscriber) endProbe(now time.Duration) {
+	s.relay, s.probing, s.settled = s.home, false, true
+	s.probeAt = s.drawProbe(s.probed)
+	s.schedule(now, now)
+}
+
+// drawProbe draws the moment of the next probe. A stale relay is stayed with for
+// about a poll: a better one is found within 4 s of its return, without going round.
+func (s *Subscriber) drawProbe(from time.Duration) time.Duration {
+	if s.stale {
+		return from + s.jitter(s.settings.Wait/2)
 	}
+	return from + s.jitter(s.settings.Return)
+}
+
+// schedule sets the time of the next poll, after one that has just ended. Whatever is
+// answered, polls don't follow each other faster than pollInterval beyond a burst.
+func (s *Subscriber) schedule(now, at time.Duration) {
+	s.paced = max(s.paced, now) + pollInterval
+	s.at = max(at, s.paced-pollBurst*pollInterval)
 }
 
 // pause is the jittered pause after a number of rounds in which all relays failed.
