relay: follows the council and serves subscribers of a zone by long polls

Need: a change of configuration had no way from the council to the sidecars. Excess connections are reset, slow readers cut, and SIGTERM hands subscribers on in a spread. `otterspring relay run|check|status`. Measured: go test -race of both packages, twice; the council is a stand-in as yet.

--- a/cmd/otterspring/main.go
+++ b/cmd/otterspring/main.go
@@ -23,11 +23,12 @@
 // none.
 func run(args []string, out, errw io.Writer) int {
 	var log *logs.Options
+	logger := func() *slog.Logger { return logs.New(out, *log) }
 	root := cli.Root("otterspring", "the operators' command",
-		"otterspring checks files before they are used, runs fleets of sidecars, and councils. Exit codes:\n"+
+		"otterspring checks files before they are used, runs fleets of sidecars, councils and\n"+
+			"relays of configuration. Exit codes:\n"+
 			"0 done, 1 a check failed or it could not be done, 2 usage. Flags may have one dash or two.",
-		checkCommand(out), fleetCommand(out, func() *slog.Logger { return logs.New(out, *log) }),
-		councilCommand(out, func() *slog.Logger { return logs.New(out, *log) }))
+		checkCommand(out), fleetCommand(out, logger), councilCommand(out, logger), relayCommand(out, logger))
 	log = cli.LogFlags(root)
 	root.SetOut(out)
 	root.SetErr(errw)
--- /dev/null
+++ b/cmd/otterspring/relay.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"otterspring/internal/cli"
+	"otterspring/internal/fleet/relay"
+)
+
+const (
+	relayStatusTimeout  = 2 * time.Second
+	maxRelayStatusBytes = 64 << 10
+)
+
+// relayCommand is `otterspring relay` with its verbs.
+func relayCommand(out io.Writer, log func() *slog.Logger) *cobra.Command {
+	return cli.Root("relay", "serve a region's configuration to the sidecars of a zone",
+		"relay follows the council of a region and serves its configuration to the sidecars of a zone\n"+
+			"(docs/operate/configuration.md). It keeps no file. SIGTERM and SIGINT hand the subscribers on\n"+
+			"within the file's drain; a second one ends it at once. Exit codes: 0 done, 1 it could not be\n"+
+			"done, 2 usage.",
+		relayRun(log), relayCheck(out), relayStatus(out))
+}
+
+func relayRun(log func() *slog.Logger) *cobra.Command {
+	return relayVerb("run FILE", "serve until a signal", func(path string) error {
+		file, err := relay.LoadFile(path)
+		if err != nil {
+			return err
+		}
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		context.AfterFunc(ctx, stop) // a second signal ends the process
+		process, err := relay.Open(file, log())
+		if err != nil {
+			return err
+		}
+		return process.Run(ctx)
+	})
+}
+
+func relayCheck(out io.Writer) *cobra.Command {
+	return relayVerb("check FILE", "say what is wrong with a file, start nothing", func(path string) error {
+		file, err := relay.LoadFile(path)
+		if err == nil {
+			fmt.Fprintf(out, "%s: good; relay %s of zone %s, %s, %s at once\n", path, file.Name, file.Zone,
+				plural(len(file.Members), "member", "members"), plural(file.SnapshotsAtOnce, "snapshot", "snapshots"))
+		}
+		return err
+	})
+}
+
+// relayStatus asks a relay how it is.
+func relayStatus(out io.Writer) *cobra.Command {
+	var asJSON bool
+	c := relayVerb("status ADDRESS", "how a relay that runs is", func(address string) error {
+		text, err := fetchRelayInfo(address)
+		if err != nil {
+			return err
+		}
+		if asJSON {
+			fmt.Fprintln(out, string(text))
+			return nil
+		}
+		var info relay.Info
+		if err := json.Unmarshal(text, &info); err != nil {
+			return fmt.Errorf("%s: %w", address, err)
+		}
+		printRelayInfo(out, &info)
+		return nil
+	})
+	c.Flags().BoolVar(&asJSON, "json", false, "the relay's own answer, as JSON in one line")
+	return c
+}
+
+func fetchRelayInfo(address string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), relayStatusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+relay.InfoPath, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: relay status: found address %.80q, wanted IP:PORT", errUsage, address)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxRelayStatusBytes))
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: found status %d, wanted a relay's 200", address, response.StatusCode)
+	}
+	return text, err
+}
+
+func printRelayInfo(out io.Writer, info *relay.Info) {
+	state := "serves"
+	switch {
+	case info.Draining:
+		state = "drains"
+	case !info.Ready:
+		state = "has not heard from a council yet"
+	}
+	fmt.Fprintf(out, "relay %s of zone %s, region %s: %s\n", info.Name, info.Zone, info.Region, state)
+	fmt.Fprintf(out, "version %v, %d ms old\n", info.Version, info.AgeMS)
+	fmt.Fprintf(out, "%s, %s, %d refused\n", plural(info.Subscribers, "subscriber", "subscribers"),
+		plural(int(info.Connections), "connection", "connections"), info.Counts.ConnectionsRefused)
+	fmt.Fprintf(out, "%d polls: %d without news, %d deltas, %d snapshots (%d under way, %d at most), %d told to come again, %d cut\n",
+		info.Counts.Polls, info.Counts.Empty, info.Counts.Deltas, info.Counts.Snapshots, info.SnapshotsNow, info.SnapshotsPeak,
+		info.Counts.Busy, info.Counts.Cut)
+}
+
+// relayVerb is a verb that takes one word.
+func relayVerb(use, short string, do func(word string) error) *cobra.Command {
+	return &cobra.Command{Use: use, Short: short, DisableFlagsInUseLine: true, RunE: func(c *cobra.Command, args []string) error {
+		if len(args) != 1 {
+			return fmt.Errorf("%w: relay %s: found %d words, wanted: %s", errUsage, c.Name(), len(args), use)
+		}
+		return do(args[0])
+	}}
+}
--- /dev/null
+++ b/internal/fleet/relay/poll.go
@@ -0,0 +1,185 @@
+package relay
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"otterspring/internal/fleet/configuration"
+)
+
+const (
+	// maxWait bounds for how long a poll waits, whatever it asks for.
+	maxWait = 5 * time.Second
+	// catchUpWait is for how long a relay that knows less than a subscriber waits to
+	// hear the same: one that is not cut off is behind for some milliseconds only.
+	catchUpWait = 200 * time.Millisecond
+)
+
+// bodies are buffers of polls.
+var bodies = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// servePoll answers one poll of a subscriber.
+func (r *Relay) servePoll(w http.ResponseWriter, req *http.Request) {
+	r.counts.polls.Add(1)
+	poll, err := readPoll(w, req)
+	if err != nil {
+		answer := r.refuse(configuration.RefusalInvalid, err.Error())
+		r.writeAnswer(w, http.StatusBadRequest, answer)
+		return
+	}
+	answer := r.admitPoll(poll)
+	if answer == nil {
+		answer = r.waitForNews(req, poll)
+	}
+	if answer == nil {
+		r.counts.gone.Add(1) // the subscriber has closed its connection
+		return
+	}
+	r.writeAnswer(w, http.StatusOK, answer)
+}
+
+// readPoll reads a poll strictly and checks it.
+func readPoll(w http.ResponseWriter, req *http.Request) (*configuration.Poll, error) {
+	body := bodies.Get().(*bytes.Buffer)
+	defer bodies.Put(body)
+	body.Reset()
+	if _, err := body.ReadFrom(http.MaxBytesReader(w, req.Body, configuration.MaxPollBytes)); err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return nil, fmt.Errorf("poll: found more than %d bytes, wanted %d at most", tooLarge.Limit, tooLarge.Limit)
+		}
+		return nil, fmt.Errorf("poll: %w", err)
+	}
+	poll := &configuration.Poll{}
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(poll); err != nil {
+		return nil, fmt.Errorf("poll: %w", err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, errors.New("poll: found something behind its end, wanted one object")
+	}
+	return poll, poll.Check()
+}
+
+// admitPoll takes note of a poll. It returns a refusal, or nil where the poll may be
+// answered.
+func (r *Relay) admitPoll(poll *configuration.Poll) *configuration.PollAnswer {
+	if poll.Region != r.file.Region {
+		return r.refuse(configuration.RefusalRegion, fmt.Sprintf("region: found %.80q, wanted %q", poll.Region, r.file.Region))
+	}
+	if r.isDraining() {
+		return r.refuse(configuration.RefusalDraining, "")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.registry.Heard(bootTime(), poll) {
+		return r.refuse(configuration.RefusalFull, fmt.Sprintf("found %d subscribers, wanted %d at most", r.registry.Len(), configuration.MaxSubscribers))
+	}
+	return nil
+}
+
+// waiting is a poll that waits for its answer.
+type waiting struct {
+	poll         *configuration.Poll
+	start, end   time.Duration // it is answered at the end though there is no news
+	acknowledged bool          // its version has been taken note of
+}
+
+// waitForNews waits until there is an answer to a poll; nil where the subscriber
+// has gone meanwhile.
+func (r *Relay) waitForNews(req *http.Request, poll *configuration.Poll) *configuration.PollAnswer {
+	wait := &waiting{poll: poll, start: bootTime()}
+	wait.end = wait.start + min(time.Duration(poll.WaitMS)*time.Millisecond, maxWait)
+	draining := r.draining
+	timer := time.NewTimer(maxWait)
+	defer timer.Stop()
+	for {
+		now := bootTime()
+		if draining == nil && now >= wait.end {
+			return r.refuse(configuration.RefusalDraining, "")
+		}
+		answer, until, news := r.decide(wait, now)
+		if answer != nil {
+			return answer
+		}
+		timer.Reset(until - now)
+		select {
+		case <-news:
+		case <-timer.C:
+		case <-draining:
+			draining = nil
+			wait.end = min(wait.end, bootTime()+time.Duration(rand.Float64()*float64(r.file.Drain)))
+		case <-req.Context().Done():
+			return nil
+		}
+	}
+}
+
+// decide returns the answer to a poll, or nil where it is to wait: until a time, or
+// until there is news.
+func (r *Relay) decide(wait *waiting, now time.Duration) (answer *configuration.PollAnswer, until time.Duration, news <-chan struct{}) {
+	stands, update, news := r.feed.look(wait.poll)
+	switch stands {
+	case notReady:
+		return r.refuse(configuration.RefusalNotReady, ""), 0, nil
+	case behind:
+		if until := wait.start + catchUpWait; now < until {
+			return nil, until, news
+		}
+		return r.refuse(configuration.RefusalBehind, ""), 0, nil
+	case lacksSnapshot:
+		return r.snapshot(wait.poll, now, update), 0, nil
+	}
+	if !wait.acknowledged {
+		r.acknowledge(wait.poll)
+		wait.acknowledged = true
+	}
+	if stands == current && now < wait.end {
+		return nil, wait.end, news
+	}
+	r.counts.count(update)
+	return &configuration.PollAnswer{Region: r.file.Region, Update: &update}, 0, nil
+}
+
+// snapshot answers a subscriber that lacks everything, if there is a place.
+func (r *Relay) snapshot(poll *configuration.Poll, now time.Duration, update configuration.Update) *configuration.PollAnswer {
+	r.mu.Lock()
+	admitted, retry := r.admission.admit(now, poll.Subscriber)
+	r.mu.Unlock()
+	if !admitted {
+		answer := r.refuse(configuration.RefusalBusy, "")
+		answer.RetryMS = retry.Milliseconds()
+		return answer
+	}
+	r.counts.snapshots.Add(1)
+	return &configuration.PollAnswer{Region: r.file.Region, Update: &update}
+}
+
+// acknowledge frees the place of a subscriber that holds a version.
+func (r *Relay) acknowledge(poll *configuration.Poll) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.admission.acknowledged(poll.Subscriber)
+}
+
+func (r *Relay) refuse(refusal configuration.Refusal, reason string) *configuration.PollAnswer {
+	r.counts.refused(refusal)
+	return &configuration.PollAnswer{Region: r.file.Region, Refusal: refusal, Reason: reason}
+}
+
+func (r *Relay) isDraining() bool {
+	select {
+	case <-r.draining:
+		return true
+	default:
+		return false
+	}
+}
