--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Checks the format, vets, tests with the race detector, builds, and starts
-# all programs.
+# Checks the format, vets, looks for faults with staticcheck, tests with the race
+# detector, builds, and starts all programs.
 set -euo pipefail
 cd "$(dirname "$0")"
 
@@ -12,14 +12,21 @@
 go vet ./...
 
 # The rig's tests start processes and wait for them most of the time: they run
-# beside the others from the beginning, and those leave them a core.
+# beside the others from the beginning, and those leave them a core. So does
+# staticcheck, whose findings are read at the end of the tests.
 mkdir -p bin
 go test -race -count=1 ./internal/lab/rig >bin/rig-tests.log 2>&1 &
 rig=$!
-trap 'kill "$rig" 2>/dev/null || true' EXIT
+go tool staticcheck ./... >bin/staticcheck.log 2>&1 &
+lint=$!
+trap 'kill "$rig" "$lint" 2>/dev/null || true' EXIT
 others=0
 cores=$(nproc)
 go test -race -count=1 -p "$((cores > 2 ? cores - 1 : 1))" $(go list ./... | grep -v '/internal/lab/rig$') || others=$?
+if ! wait "$lint"; then
+	cat bin/staticcheck.log
+	exit 1
+fi
 if ! wait "$rig"; then
 	cat bin/rig-tests.log
 	exit 1
