--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -88,7 +88,7 @@
 	{Name: "renewed-at-its-end", File: "internal/fleet/council/rules.go", Breaks: "a lease is renewed while its end is on its way to the members",
 		Old: "have.ending && have.epoch == e", New: "have.ending && have.epoch != e"},
 	{Name: "leader-unconfirmed", File: "internal/fleet/council/member.go", Breaks: "a leader renews leases without a majority's word that it leads",
-		Old: "	m.raw.ReadIndex(binary.BigEndian.AppendUint64(nil, m.ticket))\n}", New: "	m.reads[len(m.reads)-1].at = 1\n}"},
+		Old: "	m.raw.ReadIndex(m.readContext(m.ticket))\n}", New: "	m.reads[len(m.reads)-1].at = 1\n}"},
 	{Name: "ticket-of-before", File: "internal/fleet/council/member.go", Breaks: "the result of a command of before a restart answers a question of after",
 		Old: "a != nil && a.term == c.Term {", New: "a != nil {"},
 	{Name: "old-disk-votes", File: "internal/fleet/council/node/node.go", Breaks: "a member goes on with yesterday's disk",
