subscription: the subscriber alone decides when a poll is made

Need: package configuration now paces polls and judges a busy relay's advice; the client had bounds of its own for both, so the rule stood twice.

The client's least interval and its bound on retry_ms are gone.

--- a/internal/subscription/subscription.go
+++ b/internal/subscription/subscription.go
@@ -16,10 +16,6 @@
 	"otterspring/internal/fleet/configuration"
 )
 
-// leastInterval is the least time between two polls of which the first brought
-// nothing, so that a relay which does not wait is not polled without end.
-const leastInterval = 100 * time.Millisecond
-
 // Settings are what a client is told at its start.
 type Settings struct {
 	Region     string   // name of the council whose configuration is followed
@@ -53,9 +49,8 @@
 	encoder    pollEncoder
 
 	// Owned by Run.
-	rejected  []configuration.Rejection
-	failing   []bool        // by relay: its last poll brought nothing
-	notBefore time.Duration // of the next poll
+	rejected []configuration.Rejection
+	failing  []bool // by relay: its last poll brought nothing
 
 	mu         sync.Mutex // guards the following
 	subscriber *configuration.Subscriber
@@ -96,10 +91,9 @@
 	defer c.connection.close()
 	for {
 		next := c.next()
-		if !sleep(ctx, max(next.At, c.notBefore)-c.now()) {
+		if !sleep(ctx, next.At-c.now()) {
 			return
 		}
-		asked := c.now()
 		answer, err := c.poll(ctx, next)
 		switch {
 		case ctx.Err() != nil:
@@ -107,7 +101,7 @@
 		case err != nil:
 			c.failed(next.Relay, err)
 		default:
-			c.answered(next, answer, asked)
+			c.answered(next.Relay, answer)
 		}
 	}
 }
@@ -155,26 +149,21 @@
 }
 
 // answered takes an answer, applies what it changes and notes what can't be used.
-func (c *Client) answered(next configuration.Next, answer *configuration.PollAnswer, asked time.Duration) {
+func (c *Client) answered(relay int, answer *configuration.PollAnswer) {
 	c.mu.Lock()
-	now := c.now()
-	taken, err := c.subscriber.Answered(now, answer)
+	taken, err := c.subscriber.Answered(c.now(), answer)
 	version := c.subscriber.Version()
 	c.mu.Unlock()
 	switch {
 	case err != nil:
-		c.noteFailure(next.Relay, err.Error())
+		c.noteFailure(relay, err.Error())
 	case answer.Refusal != "" && answer.Refusal != configuration.RefusalBusy:
-		c.noteFailure(next.Relay, string(answer.Refusal)+": "+answer.Reason)
+		c.noteFailure(relay, string(answer.Refusal)+": "+answer.Reason)
 	case answer.Update != nil:
-		c.noteAnswer(next.Relay)
+		c.noteAnswer(relay)
 	}
 	if len(taken.Changed)+len(taken.Removed) > 0 {
-		c.rejected = c.apply(taken, version)
-		return // the next poll acknowledges at once
-	}
-	if answer.Refusal == configuration.RefusalBusy || next.Wait > 0 && now-asked < leastInterval {
-		c.notBefore = now + leastInterval
+		c.rejected = c.apply(taken, version) // the next poll acknowledges
 	}
 }
 
