Benchmarks behind the capacity page

The page of the size that is coming states limits; each has to come from a run that anybody can repeat. They report processor time of the process in place of wall time, so that other work on the machine does not stretch them (internal/lab/cost).

--- /dev/null
+++ b/internal/fleet/configuration/capacity_test.go
@@ -0,0 +1,224 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"otterspring/internal/lab/cost"
+)
+
+// capacitySettings are settings of about a length: tenants, whose names fill it up.
+func capacitySettings(length int) json.RawMessage {
+	var settings Settings
+	const each = 64 // of one tenant, with its quota
+	for i := range max(1, length/each) {
+		name := fmt.Sprintf("tenant-%03d-%s", i, strings.Repeat("x", 18))
+		settings.Tenants = append(settings.Tenants, Tenant{Name: name, Quota: 1000 + float64(i)})
+	}
+	text, err := json.Marshal(settings)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+func service(i int) string { return fmt.Sprintf("service-%03d", i) }
+
+// capacityStore holds services that were changed as often as a store remembers.
+func capacityStore(b *testing.B, services, settingsBytes int) *Store {
+	b.Helper()
+	store := &Store{}
+	settings := capacitySettings(settingsBytes)
+	zero := Version(0)
+	for i := range services {
+		if _, err := store.Apply(1, Change{ID: fmt.Sprintf("new-%d", i), Service: service(i), IfVersion: &zero, Settings: settings}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for i := range maxRemembered {
+		if _, err := store.Apply(1, Change{ID: fmt.Sprintf("op-2026-12-02-%06d", i), Service: service(i % services), Settings: settings}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return store
+}
+
+var capacityServices = []int{20, 60, 120, 240, 360, MaxServices}
+
+// BenchmarkStoreApply is what a member pays to check and to apply one change.
+func BenchmarkStoreApply(b *testing.B) {
+	for _, services := range capacityServices {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			store := capacityStore(b, services, 2048)
+			settings := capacitySettings(2048)
+			cost.Loop(b, func(i int) {
+				change := Change{ID: fmt.Sprintf("op-2026-12-03-%06d", i), Service: service(i % services), Settings: settings}
+				if err := change.Check(); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := store.Apply(1, change); err != nil {
+					b.Fatal(err)
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkStoreSnapshot is what a member pays to write its store, and how large that is.
+func BenchmarkStoreSnapshot(b *testing.B) {
+	for _, services := range capacityServices {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			store := capacityStore(b, services, 2048)
+			bytes := 0
+			cost.Loop(b, func(int) {
+				text, err := json.Marshal(store)
+				if err != nil {
+					b.Fatal(err)
+				}
+				bytes = len(text)
+			})
+			b.ReportMetric(float64(bytes), "snapshot-B")
+		})
+	}
+}
+
+// capacityRelay is what a relay holds of a region, and the subscription of one of its
+// subscribers.
+func capacityRelay(b *testing.B, services, subscribed, settingsBytes int) (*Cache, Subscription) {
+	b.Helper()
+	var cache Cache
+	if _, err := cache.Take(capacityStore(b, services, settingsBytes).Since(0)); err != nil {
+		b.Fatal(err)
+	}
+	subscription := make(Subscription, subscribed)
+	for i := range subscription {
+		subscription[i] = service(i * services / subscribed)
+	}
+	return &cache, subscription
+}
+
+// BenchmarkSubscriberSnapshot is what a subscriber's snapshot costs a relay and the
+// subscriber together, by the services that it calls.
+func BenchmarkSubscriberSnapshot(b *testing.B) {
+	for _, subscribed := range []int{5, 20, 60, 120, 240, 360} {
+		b.Run(fmt.Sprintf("services=%d", subscribed), func(b *testing.B) {
+			cache, subscription := capacityRelay(b, 360, subscribed, 2048)
+			bytes := 0
+			cost.Loop(b, func(int) {
+				update := cache.Since(0, subscription)
+				text, err := json.Marshal(PollAnswer{Region: "eu", Update: &update})
+				if err != nil {
+					b.Fatal(err)
+				}
+				bytes = len(text)
+				var answer PollAnswer
+				if err := json.Unmarshal(text, &answer); err != nil {
+					b.Fatal(err)
+				}
+				var own Cache
+				if _, err := own.Take(*answer.Update); err != nil {
+					b.Fatal(err)
+				}
+			})
+			b.ReportMetric(float64(bytes), "wire-B")
+		})
+	}
+}
+
+// BenchmarkSubscriberDelta is the same for one change, by the bytes of one service's
+// settings.
+func BenchmarkSubscriberDelta(b *testing.B) {
+	for _, settings := range []int{512, 1024, 2048, 4096, 8000} {
+		b.Run(fmt.Sprintf("settings=%d", settings), func(b *testing.B) {
+			store := capacityStore(b, 360, settings)
+			var cache Cache
+			if _, err := cache.Take(store.Since(0)); err != nil {
+				b.Fatal(err)
+			}
+			before := store.Resources[service(0)].Version
+			for _, resource := range store.Resources {
+				before = max(before, resource.Version)
+			}
+			before-- // the last change is what is lacked
+			bytes := 0
+			cost.Loop(b, func(int) {
+				update := cache.Since(before, nil)
+				text, err := json.Marshal(PollAnswer{Region: "eu", Update: &update})
+				if err != nil {
+					b.Fatal(err)
+				}
+				bytes = len(text)
+				var answer PollAnswer
+				if err := json.Unmarshal(text, &answer); err != nil {
+					b.Fatal(err)
+				}
+				if len(answer.Update.Resources) != 1 {
+					b.Fatalf("%d resources, wanted 1", len(answer.Update.Resources))
+				}
+			})
+			b.ReportMetric(float64(bytes), "wire-B")
+		})
+	}
+}
+
+// BenchmarkRegistryMemory reports what a relay holds of each subscriber, connections
+// left out, and BenchmarkRegistryHeard what a poll costs it there.
+func BenchmarkRegistryMemory(b *testing.B) {
+	for _, subscribers := range []int{300, 684, 1368, 4096, 13000} {
+		b.Run(fmt.Sprintf("subscribers=%d", subscribers), func(b *testing.B) {
+			cost.Held(b, subscribers, "B/subscriber", func() any {
+				registry := NewRegistry()
+				for i := range subscribers {
+					registry.Heard(0, capacityPoll(i))
+				}
+				return registry
+			})
+		})
+	}
+}
+
+// capacityPoll is a poll of a subscriber of 20 services, as it is read from a connection.
+func capacityPoll(i int) *Poll {
+	poll := &Poll{Subscriber: fmt.Sprintf("sidecar-%05d", i), Version: NewVersion(1, 7)}
+	for k := range 20 {
+		poll.Services = append(poll.Services, service((i+k*18)%360))
+	}
+	return poll
+}
+
+func BenchmarkRegistryHeard(b *testing.B) {
+	for _, subscribers := range []int{300, 684, 1368, 4096, 13000} {
+		b.Run(fmt.Sprintf("subscribers=%d", subscribers), func(b *testing.B) {
+			registry := NewRegistry()
+			polls := make([]*Poll, subscribers)
+			for i := range polls {
+				polls[i] = capacityPoll(i)
+			}
+			cost.Loop(b, func(i int) {
+				if !registry.Heard(time.Duration(i), polls[i%subscribers]) {
+					b.Fatal("no room")
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkAdmission is what one question for a snapshot costs while all places are
+// taken, as after a relay's death.
+func BenchmarkAdmission(b *testing.B) {
+	admission := NewAdmission(DefaultAdmission)
+	rng := rand.New(rand.NewPCG(1, 2))
+	refused := 0
+	cost.Loop(b, func(i int) {
+		if ok, _ := admission.Admit(0, fmt.Sprint(i), i >= 1000, rng.Float64()); !ok {
+			refused++
+		}
+	})
+	if refused == 0 && b.N > DefaultAdmission.Places {
+		b.Fatal("all were admitted")
+	}
+}
--- /dev/null
+++ b/internal/fleet/council/capacity_test.go
@@ -0,0 +1,58 @@
+package council
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"otterspring/internal/lab/cost"
+)
+
+// capacityState is a council's state with facts as supervisors tell them.
+func capacityState(b *testing.B, hosts int) *State {
+	b.Helper()
+	state := NewState("delft.1")
+	for i := range hosts {
+		facts := fmt.Sprintf(`{"zone":"z%d","address":"10.1.%d.%d:7200","instances":20,"program":"/usr/lib/otterspring/sandhinge"}`, i%3, i>>8, i&0xff)
+		result := state.Apply(Command{Version: 1, Kind: Facts, Count: uint64(i), Who: fmt.Sprintf("host-%04d", i), Data: json.RawMessage(facts)})
+		if result.Refused != "" {
+			b.Fatal(result.Refused)
+		}
+	}
+	return state
+}
+
+var capacityHosts = []int{12, 50, 100, 200, 350, MostHosts}
+
+// BenchmarkStateOfHosts is what a member pays to write its whole state, as it does
+// for a snapshot and for whoever asks for it: an owner of the roll ten times a second.
+func BenchmarkStateOfHosts(b *testing.B) {
+	for _, hosts := range capacityHosts {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			state := capacityState(b, hosts)
+			bytes := 0
+			cost.Loop(b, func(int) {
+				text, err := json.Marshal(state)
+				if err != nil {
+					b.Fatal(err)
+				}
+				bytes = len(text)
+			})
+			b.ReportMetric(float64(bytes), "state-B")
+		})
+	}
+}
+
+// BenchmarkCopyOfHosts is what an answer with the whole state costs before it is written.
+func BenchmarkCopyOfHosts(b *testing.B) {
+	for _, hosts := range capacityHosts {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			state := capacityState(b, hosts)
+			cost.Loop(b, func(int) {
+				if len(state.Copy().Facts) != hosts {
+					b.Fatal("hosts are missing")
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/sidecar/capacity_test.go
@@ -0,0 +1,118 @@
+package sidecar
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"otterspring/balance"
+	"otterspring/internal/discovery"
+	"otterspring/internal/engine"
+	"otterspring/internal/httpupstream"
+	"otterspring/internal/lab/cost"
+	"otterspring/internal/wire"
+)
+
+// The sizes of docs/CAPACITY.md: today's list, and up to the whole fleet that is coming.
+var capacitySizes = []int{200, 1000, 2000, 4096, 8000, 13000}
+
+// capacityList is a list in discovery's form, of the length of the protocol's own
+// example.
+func capacityList(servers int) []byte {
+	var text bytes.Buffer
+	text.WriteString(`{"index":1,"snapshot":true,"endpoints":[`)
+	for i := range servers {
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		fmt.Fprintf(&text, `{"name":"s-%08x","address":"10.1.%d.%d:8443","zone":"a","type":"m2","group":%d,"status":"active","weight":1.0,"since_ms":0}`, i, i>>8, i&0xff, i/3)
+	}
+	text.WriteString(`]}`)
+	return text.Bytes()
+}
+
+// capacityEngine is a sidecar's engine with its connection pool, as a start joins
+// them.
+func capacityEngine(b *testing.B, warmKeys bool) *engine.Engine {
+	b.Helper()
+	pool := httpupstream.New(wire.Conns{Idle: 5 * time.Second, Dial: time.Second}, 400)
+	eng, err := engine.New(engine.Settings{
+		Balance: balance.Settings{
+			MaxAttempts: 3, ColdShare: 0.2, ColdTime: 20 * time.Second, TipMultiple: 3, WarmKeys: warmKeys,
+			Classes: []balance.Class{{Name: "read", Deadline: time.Second}},
+		},
+		Dial: time.Second, Open: pool.Open,
+	}, func() {})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return eng
+}
+
+// capacityListed is an engine that was told a whole list.
+func capacityListed(b *testing.B, warmKeys bool, text []byte) *engine.Engine {
+	b.Helper()
+	list, err := discovery.ParseText(text)
+	if err != nil {
+		b.Fatal(err)
+	}
+	eng := capacityEngine(b, warmKeys)
+	eng.Members(balance.ListFull, list, 0)
+	return eng
+}
+
+// BenchmarkListAtStart is what a sidecar pays for a whole list, from its text on.
+func BenchmarkListAtStart(b *testing.B) {
+	for _, warmKeys := range []bool{false, true} {
+		for _, servers := range capacitySizes {
+			b.Run(fmt.Sprintf("keys=%t/servers=%d", warmKeys, servers), func(b *testing.B) {
+				text := capacityList(servers)
+				cost.Loop(b, func(int) { capacityListed(b, warmKeys, text) })
+				b.ReportMetric(float64(len(text)), "wire-B")
+			})
+		}
+	}
+}
+
+// BenchmarkListChange is what a sidecar pays for the change of one server, and for
+// how long no request is decided on.
+func BenchmarkListChange(b *testing.B) {
+	for _, warmKeys := range []bool{false, true} {
+		for _, servers := range capacitySizes {
+			b.Run(fmt.Sprintf("keys=%t/servers=%d", warmKeys, servers), func(b *testing.B) {
+				list, err := discovery.ParseText(capacityList(servers))
+				if err != nil {
+					b.Fatal(err)
+				}
+				eng := capacityEngine(b, warmKeys)
+				eng.Members(balance.ListFull, list, 0)
+				states := []balance.ServerState{balance.Draining, balance.Gone, balance.Ready}
+				cost.Loop(b, func(i int) {
+					entry := list.Entries[i/len(states)%servers]
+					entry.State, entry.Since = states[i%len(states)], int64(i)
+					eng.Members(balance.ListChange, engine.List{Index: int64(i + 2), Entries: []engine.Entry{entry}}, 0)
+				})
+			})
+		}
+	}
+}
+
+// BenchmarkListMemory reports the heap that each server of the list holds in a
+// sidecar, the connection pool's part with it; no connection is open.
+func BenchmarkListMemory(b *testing.B) {
+	for _, warmKeys := range []bool{false, true} {
+		for _, servers := range capacitySizes {
+			b.Run(fmt.Sprintf("keys=%t/servers=%d", warmKeys, servers), func(b *testing.B) {
+				text := capacityList(servers)
+				cost.Held(b, servers, "B/server", func() any {
+					eng := capacityListed(b, warmKeys, text)
+					if _, _, hosts := eng.Counts(); hosts != servers {
+						b.Fatalf("%d servers are held, wanted %d", hosts, servers)
+					}
+					return eng
+				})
+			})
+		}
+	}
+}
