rig speed: the rates are a flag, and a call server without anything before it is a side

What a hop adds is wanted at 60 requests a second, the target's load of one sidecar, and against the bare way. -rates 60 -limit=false -against bare plays just that; the usual rates, figures and names stay. A side without a process has no CPU and memory in the result.

--- a/cmd/rig/main_test.go
+++ b/cmd/rig/main_test.go
@@ -78,6 +78,24 @@
 	}
 }
 
+// Other rates, without the limit, and against no process at all.
+func TestSpeedOfRates(t *testing.T) {
+	var out bytes.Buffer
+	if err := rigged(ctx(t), []string{"speed", "-rounds", "1", "-for", "1s", "-rates", "60,20", "-limit=false", "-against", "bare"}, &out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"p50_60_more_ms=", "p99_20_more_ms=", "p99_60_ratio=", "rounds=1", "failed=0", "bare"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %s in:\n%s", want, out.String())
+		}
+	}
+	for _, other := range []string{"limit_ratio=", "cpu60_ratio=", "memory_ratio=", "NaN"} {
+		if strings.Contains(out.String(), other) {
+			t.Errorf("%s, which was not measured, in:\n%s", other, out.String())
+		}
+	}
+}
+
 // Wrong words are a usage error in one line, before anything starts.
 func TestUsage(t *testing.T) {
 	for _, c := range []struct {
@@ -104,6 +122,8 @@
 		{[]string{"mutants", "-tree", "/none", "-only", "no-budget"}, "no such file"},
 		{[]string{"speed", "-rounds", "0"}, "-rounds: found 0"},
 		{[]string{"speed", "-against", "/none"}, "found no program"},
+		{[]string{"speed", "-rates", "60,0"}, `-rates: found "60,0", wanted one to four numbers`},
+		{[]string{"speed", "-rates", "1,2,3,4,5"}, `-rates: found "1,2,3,4,5"`},
 	} {
 		var out bytes.Buffer
 		err := rigged(ctx(t), c.args, &out)
--- a/cmd/rig/speed.go
+++ b/cmd/rig/speed.go
@@ -17,6 +17,7 @@
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,6 +47,8 @@
 	against  string
 	operator string
 	conns    int
+	rates    []float64
+	limit    bool
 }
 
 // setSpeed is `rig speed`: it compares a sidecar with a reverse proxy, or with another build of
@@ -53,15 +56,20 @@
 func setSpeed(f *flag.FlagSet) runner {
 	var o speedOptions
 	f.Uint64Var(&o.seed, "seed", 1, "where all chance comes from")
-	f.DurationVar(&o.phase, "for", 4*time.Second, "length of each phase, 1s to 5m; there are three of them a round and a side")
+	f.DurationVar(&o.phase, "for", 4*time.Second, "length of each phase, 1s to 5m; one for the limit and one for each rate, a round and a side")
 	f.IntVar(&o.rounds, "rounds", 3, "rounds at most, 1 to 500; each plays both sides, in drawn order")
 	f.Float64Var(&o.width, "width", 0, "stop once the 95 % intervals of CPU a request are this narrow, 0.02 for 2 %; 0 plays all rounds")
 	f.DurationVar(&o.within, "within", 10*time.Minute, "begin no round after this, 1s to 2h")
 	f.StringVar(&o.program, "program", "", "the sidecar to run; empty for the one beside this program")
-	f.StringVar(&o.against, "against", "", "another build of the sidecar to compare with; empty for net/http/httputil's ReverseProxy")
+	f.StringVar(&o.against, "against", "", "another build of the sidecar to compare with; empty for net/http/httputil's ReverseProxy, "+bareWord+" for a call server without anything before it")
 	f.StringVar(&o.operator, "operator", "", "operator's file for the sidecar, not for the other side")
 	f.IntVar(&o.conns, "conns", 128, "connections at the limit, 1 to 200")
-	return func(ctx context.Context, _ []string, out io.Writer) error {
+	f.BoolVar(&o.limit, "limit", true, "play the limit, too")
+	rates := f.String("rates", "300,2400", "requests a second at which CPU and latency are taken, one to four of 1 to 10000")
+	return func(ctx context.Context, _ []string, out io.Writer) (err error) {
+		if o.rates, err = parseRates(*rates); err != nil {
+			return err
+		}
 		for _, err := range []error{
 			within("for", o.phase, time.Second, 5*time.Minute), within("rounds", o.rounds, 1, 500), within("conns", o.conns, 1, 200),
 			within("width", o.width, 0, 1), within("within", o.within, time.Second, 2*time.Hour),
@@ -84,6 +92,19 @@
 	}
 }
 
+// parseRates reads the flag -rates.
+func parseRates(text string) ([]float64, error) {
+	var rates []float64
+	for field := range strings.SplitSeq(text, ",") {
+		rate, err := strconv.ParseFloat(field, 64)
+		if err != nil || !(rate >= 1 && rate <= 10000) || len(rates) == 4 {
+			return nil, fmt.Errorf("%w: -rates: found %q, wanted one to four numbers of 1 to 10000 like 300,2400", errUsage, text)
+		}
+		rates = append(rates, rate)
+	}
+	return rates, nil
+}
+
 // speed is a run: call servers that answer at once, and two sides.
 type speed struct {
 	opt     speedOptions
@@ -103,17 +124,13 @@
 
 // measured is what one round of a side showed.
 type measured struct {
-	limit    float64          // requests a second
-	cpu      [2]time.Duration // a request, at each of the rates
-	p50, p99 [2]time.Duration
+	limit    float64         // requests a second; 0 where it was not played
+	cpu      []time.Duration // a request, at each of the rates
+	p50, p99 []time.Duration
 	peak     int64 // bytes
 	failed   int
 }
 
-// rates are those at which CPU and latency are taken: the site's of one busy
-// sidecar, and the whole fleet's.
-var rates = [2]float64{300, 2400}
-
 const upstreams = 4
 
 // newSpeed starts the call servers and prepares both sides.
@@ -143,7 +160,11 @@
 	}
 	s.sides[0] = side{name: "sidecar", start: s.sidecar(argv, operator)}
 	s.sides[1] = side{name: "ReverseProxy", start: s.proxy}
-	if o.against != "" {
+	switch o.against {
+	case "":
+	case bareWord:
+		s.sides[1] = side{name: bareWord, start: s.bare}
+	default:
 		other, err := program(o.against)
 		if err != nil {
 			s.close()
@@ -184,6 +205,14 @@
 	}
 }
 
+// bareWord is the -against that compares with calls that go straight to a call server.
+const bareWord = "bare"
+
+// bare is a side without a process of its own: what it would cost is not measured.
+func (s *speed) bare(context.Context) (string, int, func(), error) {
+	return s.addrs[0], 0, func() {}, nil
+}
+
 // proxy starts this program as a reverse proxy.
 func (s *speed) proxy(ctx context.Context) (string, int, func(), error) {
 	self, err := os.Executable()
@@ -257,16 +286,37 @@
 				return fmt.Errorf("%s: %w", sd.name, err)
 			}
 			sd.runs = append(sd.runs, m)
-			fmt.Fprintf(out, "round %d  %-14s %7.0f/s at the limit  CPU a request %4.0f and %4.0f us  p50 %5.2f and %5.2f ms  p99 %6.2f and %6.2f ms  peak %5.1f MB  failed %d\n",
-				round+1, sd.name, m.limit, us(m.cpu[0]), us(m.cpu[1]), ms(m.p50[0]), ms(m.p50[1]), ms(m.p99[0]), ms(m.p99[1]), float64(m.peak)/(1<<20), m.failed)
+			fmt.Fprintf(out, "round %d  %-14s %s", round+1, sd.name, m.line(s.opt.rates))
 		}
-		if s.opt.width > 0 && stats.Enough(s.ratio(cpuAt(0)), s.opt.width) && stats.Enough(s.ratio(cpuAt(1)), s.opt.width) {
+		if s.opt.width > 0 && s.narrow() {
 			break
 		}
 	}
 	return s.verdict(out)
 }
 
+// line is what a round of one side showed.
+func (m *measured) line(rates []float64) string {
+	line := ""
+	if m.limit > 0 {
+		line = fmt.Sprintf("%7.0f/s at the limit  ", m.limit)
+	}
+	for i, rate := range rates {
+		line += fmt.Sprintf("at %.0f/s: CPU a request %4.0f us, p50 %5.2f ms, p99 %6.2f ms  ", rate, us(m.cpu[i]), ms(m.p50[i]), ms(m.p99[i]))
+	}
+	return line + fmt.Sprintf("peak %5.1f MB  failed %d\n", float64(m.peak)/(1<<20), m.failed)
+}
+
+// narrow tells whether the intervals of CPU a request are as narrow as asked.
+func (s *speed) narrow() bool {
+	for i := range s.opt.rates {
+		if !stats.Enough(s.ratio(cpuAt(i)), s.opt.width) {
+			return false
+		}
+	}
+	return true
+}
+
 func us(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
 
 func cpuAt(rate int) func(measured) float64 {
@@ -299,20 +349,32 @@
 	for _, m := range s.sides[0].runs {
 		failed += m.failed
 	}
-	figures := []struct {
+	type figure struct {
 		name string
 		iv   stats.Interval
 		unit string // empty for a ratio
-	}{
-		{"limit_ratio", s.ratio(func(m measured) float64 { return m.limit }), ""},
-		{"cpu300_ratio", s.ratio(cpuAt(0)), ""},
-		{"cpu2400_ratio", s.ratio(cpuAt(1)), ""},
-		{"p50_300_more_ms", s.more(func(m measured) float64 { return ms(m.p50[0]) }), "ms"},
-		{"p50_2400_more_ms", s.more(func(m measured) float64 { return ms(m.p50[1]) }), "ms"},
-		{"p99_300_ratio", s.ratio(func(m measured) float64 { return ms(m.p99[0]) }), ""},
-		{"p99_2400_ratio", s.ratio(func(m measured) float64 { return ms(m.p99[1]) }), ""},
-		{"memory_ratio", s.ratio(func(m measured) float64 { return float64(m.peak) }), ""},
 	}
+	var figures []figure
+	widths := ""
+	if s.opt.limit {
+		figures = append(figures, figure{"limit_ratio", s.ratio(func(m measured) float64 { return m.limit }), ""})
+	}
+	for i, rate := range s.opt.rates {
+		cpu := s.ratio(cpuAt(i))
+		figures = append(figures, figure{fmt.Sprintf("cpu%.0f_ratio", rate), cpu, ""})
+		widths += fmt.Sprintf("cpu%.0f_width=%.3f ", rate, cpu.Width())
+	}
+	for i, rate := range s.opt.rates {
+		figures = append(figures, figure{fmt.Sprintf("p50_%.0f_more_ms", rate), s.more(func(m measured) float64 { return ms(m.p50[i]) }), "ms"})
+	}
+	for i, rate := range s.opt.rates {
+		figures = append(figures,
+			figure{fmt.Sprintf("p99_%.0f_more_ms", rate), s.more(func(m measured) float64 { return ms(m.p99[i]) }), "ms"},
+			figure{fmt.Sprintf("p99_%.0f_ratio", rate), s.ratio(func(m measured) float64 { return ms(m.p99[i]) }), ""})
+	}
+	figures = append(figures, figure{"memory_ratio", s.ratio(func(m measured) float64 { return float64(m.peak) }), ""})
+	// A side without a process has neither processor time nor memory.
+	figures = slices.DeleteFunc(figures, func(f figure) bool { return f.iv.Pairs == 0 })
 	fmt.Fprintf(out, "\n%s to %s, median of %d rounds with its 95 %% interval:\n", s.sides[0].name, s.sides[1].name, len(s.sides[0].runs))
 	last := ""
 	for _, f := range figures {
@@ -323,23 +385,28 @@
 		fmt.Fprintf(out, "%-18s %s  %s\n", f.name, f.iv, said)
 		last += fmt.Sprintf("%s=%.3f ", f.name, f.iv.Median)
 	}
-	fmt.Fprintf(out, "%srounds=%d cpu300_width=%.3f cpu2400_width=%.3f failed=%d\n", last, len(s.sides[0].runs), figures[1].iv.Width(), figures[2].iv.Width(), failed)
+	fmt.Fprintf(out, "%srounds=%d %sfailed=%d\n", last, len(s.sides[0].runs), widths, failed)
 	return nil
 }
 
 // measure plays the three phases of one side.
 func (s *speed) measure(ctx context.Context, sd *side) (measured, error) {
-	var m measured
+	n := len(s.opt.rates)
+	m := measured{cpu: make([]time.Duration, n), p50: make([]time.Duration, n), p99: make([]time.Duration, n)}
 	addr, pid, stop, err := sd.start(ctx)
 	if err != nil {
 		return m, err
 	}
 	defer stop()
-	pin(pid)
+	if pid != 0 {
+		pin(pid)
+	}
 	s.closed(ctx, addr, 500*time.Millisecond) // warm up
-	n, _ := s.closed(ctx, addr, s.opt.phase)
-	m.limit = float64(n) / s.opt.phase.Seconds()
-	for i, rate := range rates {
+	if s.opt.limit {
+		served, _ := s.closed(ctx, addr, s.opt.phase)
+		m.limit = float64(served) / s.opt.phase.Seconds()
+	}
+	for i, rate := range s.opt.rates {
 		if err := s.open(ctx, addr, pid, rate, i, &m); err != nil {
 			return m, err
 		}
