--- a/internal/strictfile/strictfile.go
+++ b/internal/strictfile/strictfile.go
@@ -10,6 +10,7 @@
 //	max:"5m"        largest value
 //	oneof:"a|b"     the only words allowed
 //	need:"true"     the key must be there
+//	refused:"why"   the key is known and not taken; why says what is wanted instead
 //
 // Field types are string, bool, int, float64, time.Duration ("250ms"), Size
 // ("8MiB"), types that read their own text (encoding.TextUnmarshaler, whose
@@ -319,9 +320,15 @@
 // table puts a table's values into a struct.
 func (d *decoder) table(values map[string]any, into reflect.Value, path string) {
 	fields := map[string]int{}
+	refused := map[string]string{}
 	var known []string
 	for i := range into.NumField() {
-		if key := into.Type().Field(i).Tag.Get("toml"); key != "" {
+		tag := into.Type().Field(i).Tag
+		key, why := tag.Get("toml"), tag.Get("refused")
+		switch {
+		case why != "":
+			refused[key] = why
+		case key != "":
 			fields[key] = i
 			known = append(known, key)
 		}
@@ -338,6 +345,10 @@
 		return strings.Compare(a, b)
 	})
 	for _, key := range keys {
+		if why := refused[key]; why != "" {
+			d.fail(join(path, key), "a key that is not taken here", why)
+			continue
+		}
 		at, ok := fields[key]
 		if !ok {
 			d.fail(join(path, key), "a key that is not known", "one of "+strings.Join(known, ", "))
--- a/internal/strictfile/strictfile_test.go
+++ b/internal/strictfile/strictfile_test.go
@@ -23,6 +23,8 @@
 	Words []string      `toml:"words" max:"3"`
 	Sub   inner         `toml:"sub"`
 	Many  []inner       `toml:"many"`
+
+	_ struct{} `toml:"port" refused:"listen"`
 }
 
 func TestDecodeTakesWhatIsWanted(t *testing.T) {
@@ -56,6 +58,8 @@
 func TestDecodeNamesWhatIsWrong(t *testing.T) {
 	for _, c := range []struct{ text, want string }{
 		{"on = true\nwayt = \"1s\"", `f:2: wayt: found a key that is not known, wanted one of wait, room`},
+		{"on = true\nport = 5", `f:2: port: found a key that is not taken here, wanted listen`},
+		{"size = 5", `f:1: size: found a key that is not known, wanted one of wait, room, count, share, on, words, sub, many`},
 		{"wait = \"250\"", `f:1: wait: found "250", wanted a duration with its unit`},
 		{"wait = 250", `f:1: wait: found 250, wanted a duration`},
 		{"\n\nwait = \"6s\"", `f:3: wait: found "6s", wanted 100ms to 5s`},
