otterspring config: put, get, list and status of services' settings

A version conflict has exit code 3, each refusal is one line. status joins what relays say: in force, rejected and why, behind, silent for how long.

--- a/cmd/otterspring/main.go
+++ b/cmd/otterspring/main.go
@@ -19,16 +19,24 @@
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-// run returns the exit code: 0, 1 where a check failed, 2 for a usage that is
-// none.
+// The exit codes.
+const (
+	exitDone = iota
+	exitFailed
+	exitUsage
+	exitConflict // config put: the service has another version
+)
+
+// run returns the exit code.
 func run(args []string, out, errw io.Writer) int {
 	var log *logs.Options
 	logger := func() *slog.Logger { return logs.New(out, *log) }
 	root := cli.Root("otterspring", "the operators' command",
 		"otterspring checks files before they are used, runs fleets of sidecars, councils and\n"+
-			"relays of configuration. Exit codes:\n"+
-			"0 done, 1 a check failed or it could not be done, 2 usage. Flags may have one dash or two.",
-		checkCommand(out), fleetCommand(out, logger), councilCommand(out, logger), relayCommand(out, logger))
+			"relays of configuration, and changes the settings of services. Exit codes:\n"+
+			"0 done, 1 a check failed or it could not be done, 2 usage, 3 a version conflict (config put).\n"+
+			"Flags may have one dash or two.",
+		checkCommand(out), fleetCommand(out, logger), councilCommand(out, logger), relayCommand(out, logger), configCommand(out))
 	log = cli.LogFlags(root)
 	root.SetOut(out)
 	root.SetErr(errw)
@@ -36,13 +44,16 @@
 	err := root.Execute()
 	switch {
 	case err == nil:
-		return 0
+		return exitDone
 	case errors.Is(err, errSaid):
-		return 1
+		return exitFailed
 	}
 	cli.Fail(errw, "otterspring", log, err)
-	if errors.Is(err, errUsage) {
-		return 2
+	switch {
+	case errors.Is(err, errUsage):
+		return exitUsage
+	case errors.Is(err, errConflict):
+		return exitConflict
 	}
-	return 1
+	return exitFailed
 }
