council node's tests: no address twice

A port that was let go before the next was taken came twice in one run of a like test: all listeners stay open until each member has its own.

--- a/internal/fleet/council/node/node_test.go
+++ b/internal/fleet/council/node/node_test.go
@@ -65,12 +65,16 @@
 	var b strings.Builder
 	b.WriteString("name = \"test\"\ndirectory = \"state\"\ntick = \"20ms\"\nlease = \"1s\"\nmargin = \"100ms\"\n")
 	ip := fmt.Sprintf("127.%d.%d.%d", 60+os.Getpid()%40, 1+os.Getpid()/40%250, 1+ips.Add(1))
+	var listeners []net.Listener // all open until each has an address of its own
 	for i := 1; i <= n; i++ {
 		ln, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
+		listeners = append(listeners, ln)
 		fmt.Fprintf(&b, "[[member]]\nnumber = %d\naddress = %q\n", i, ln.Addr())
+	}
+	for _, ln := range listeners {
 		ln.Close()
 	}
 	os.WriteFile(w.path, []byte(b.String()), 0o600)
