--- a/cmd/otterspring/config.go
+++ b/cmd/otterspring/config.go
@@ -26,7 +26,8 @@
 // Bounds of a call to a council by the config command.
 const (
 	configTryTimeout  = 10 * time.Second // of one question
-	completionTimeout = 2 * time.Second  // of the names for a shell
+	configRetryPause  = 50 * time.Millisecond
+	completionTimeout = 2 * time.Second // of the names for a shell
 )
 
 // configOptions are what all verbs of config share.
@@ -119,8 +120,11 @@
 			return nil, errors.New(a.Refused)
 		case err == nil:
 			return a, nil
-		case ctx.Err() != nil:
+		}
+		select {
+		case <-ctx.Done():
 			return nil, &unansweredError{err}
+		case <-time.After(configRetryPause):
 		}
 	}
 }
--- a/cmd/otterspring/config_test.go
+++ b/cmd/otterspring/config_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -63,11 +64,12 @@
 	path    string // of the council's file
 	file    *node.File
 	members map[int]*exec.Cmd
+	taken   map[string]bool // addresses that freeAddress has returned
 }
 
 func newRegion(t *testing.T) *region {
 	t.Helper()
-	r := &region{t: t, folder: t.TempDir(), members: map[int]*exec.Cmd{}}
+	r := &region{t: t, folder: t.TempDir(), members: map[int]*exec.Cmd{}, taken: map[string]bool{}}
 	r.ip = fmt.Sprintf("127.%d.%d.%d", 110+os.Getpid()%40, 1+os.Getpid()/40%250, 1+testIPs.Add(1))
 	r.path = filepath.Join(r.folder, "council.toml")
 	text := "name = \"west\"\ndirectory = \"state\"\ntick = \"20ms\"\nlease = \"1s\"\nmargin = \"100ms\"\n"
@@ -86,15 +88,21 @@
 	return r
 }
 
-// freeAddress is one that nobody listens on.
+// freeAddress is one that nobody listens on, another each time.
 func (r *region) freeAddress() string {
 	r.t.Helper()
-	ln, err := net.Listen("tcp", r.ip+":0")
-	if err != nil {
-		r.t.Fatal(err)
+	for {
+		ln, err := net.Listen("tcp", r.ip+":0")
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		address := ln.Addr().String()
+		ln.Close()
+		if !r.taken[address] {
+			r.taken[address] = true
+			return address
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
 }
 
 func (r *region) write(path, text string) {
@@ -315,6 +323,39 @@
 	}
 }
 
+// A member that can't tell whether a change took effect is asked again with the same
+// id, until one can.
+func TestConfigPutRepeatsWhatIsUnknown(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	var ids []string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		var q ask.Question
+		if err := json.NewDecoder(request.Body).Decode(&q); err != nil || q.Change == nil {
+			t.Errorf("%+v, %v, wanted a change", q, err)
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		ids = append(ids, q.Change.ID)
+		answer := ask.Answer{Council: "west#1", No: council.ErrUnknown.Error(), Unknown: true}
+		if len(ids) == 3 {
+			answer = ask.Answer{Council: "west#1", Resource: &configuration.Resource{Service: "mail", Version: configuration.NewVersion(1, 5)}}
+		}
+		json.NewEncoder(w).Encode(answer)
+	}))
+	defer server.Close()
+	folder := t.TempDir()
+	r := &region{t: t, folder: folder, path: filepath.Join(folder, "council.toml")}
+	r.write(r.path, fmt.Sprintf("name = \"west\"\ndirectory = \"state\"\n[[member]]\nnumber = 1\naddress = %q\n", server.Listener.Addr()))
+	if version := r.put("-timeout", patience.String(), r.settingsFile("mail.toml", "mail", "acme")); version != "1.5" {
+		t.Errorf("version %s, wanted 1.5", version)
+	}
+	if len(ids) != 3 || ids[0] == "" || ids[1] != ids[0] || ids[2] != ids[0] {
+		t.Errorf("ids %q, wanted three times the same", ids)
+	}
+}
+
 // Without a majority put says that it does not know, and how to find out.
 func TestConfigPutWithoutMajority(t *testing.T) {
 	t.Parallel()
