council: changes and confirmed reads in the virtual engine

Operators change settings under crashes, stops, cuts and lost answers; none is lost or applied twice, and a read that is confirmed on any member lacks nothing that anybody was told before. A leader's answer to a read of before a restart must not confirm one of after it: the test fails without the incarnation.

--- /dev/null
+++ b/internal/fleet/council/configure_sim_test.go
@@ -0,0 +1,362 @@
+package council
+
+import (
+	crand "crypto/rand"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"go.etcd.io/raft/v3/raftpb"
+
+	"otterspring/internal/fleet/configuration"
+)
+
+// configureSim lets operators change settings and followers read them in the virtual
+// engine: answers are lost, and a change without an answer is sent again with the
+// same id to whoever leads then.
+type configureSim struct {
+	*sim
+	rng       *rand.Rand // its own: the engine's draws stay those of its seed
+	operators []*simOperator
+	versions  map[string]configuration.Version // by change id, of all that anybody was told
+	ids       map[configuration.Version]string
+	replaced  map[string]string // by service and version: the change that was made for it
+	newest    configuration.Version // that anybody was told
+
+	applied, repeated, conflicts, reads, followerReads int
+}
+
+// simOperator has one change under way at a time.
+type simOperator struct {
+	change *configuration.Change // nil: none under way
+	tries  int
+	busy   int                              // step at which it asks again
+	held   map[string]configuration.Version // what it has read of each service
+	made   int
+}
+
+const (
+	simServices    = 4
+	simAnswerSteps = 60 // after which an operator asks again
+)
+
+func newConfigureSim(t testing.TB, seed uint64, members int) *configureSim {
+	s := &configureSim{
+		sim: newSim(t, seed, members), rng: rand.New(rand.NewPCG(seed, 11)),
+		versions: map[string]configuration.Version{}, ids: map[configuration.Version]string{}, replaced: map[string]string{},
+	}
+	for range 3 {
+		s.operators = append(s.operators, &simOperator{held: map[string]configuration.Version{}})
+	}
+	return s
+}
+
+func (s *configureSim) runConfigure(steps int) {
+	for range steps {
+		s.run(1)
+		s.tellAble()
+		for i, o := range s.operators {
+			if s.step >= o.busy && s.rng.IntN(4) == 0 {
+				s.runOperator(i, o)
+			}
+		}
+		if s.rng.IntN(2) == 0 {
+			s.read(s.members[s.rng.IntN(len(s.members))])
+		}
+	}
+}
+
+func (s *configureSim) up(m *simMember) bool { return m.m != nil && s.step >= m.awake }
+
+// tellAble has the leader agree on what all members can apply.
+func (s *configureSim) tellAble() {
+	for _, leader := range s.members {
+		if !s.up(leader) || !leader.m.Leads() || s.rng.IntN(20) > 0 {
+			continue
+		}
+		for _, m := range s.members {
+			if leader.m.State().Able[m.id] < StateVersion {
+				leader.m.Propose(Command{Kind: Can, Member: m.id, Epoch: StateVersion}, nil)
+			}
+		}
+	}
+}
+
+func (s *configureSim) runOperator(number int, o *simOperator) {
+	if o.change == nil {
+		o.change, o.tries = s.newChange(number, o), 0
+	}
+	m := s.members[s.rng.IntN(len(s.members))]
+	if !s.up(m) {
+		return
+	}
+	change := o.change
+	o.tries++
+	tries, lost := o.tries, s.rng.IntN(5) == 0
+	o.busy = s.step + simAnswerSteps
+	command, err := NewConfigure(*change)
+	if err != nil {
+		s.fail("%v", err)
+	}
+	m.m.Propose(command, func(r Result, err error) {
+		if err == nil && r.Refused == "" {
+			s.wasApplied(change, r.Version, tries)
+		}
+		if lost || o.change != change {
+			return
+		}
+		o.busy = 0
+		if err != nil || r.Refused != "" && !r.Conflict && o.held[change.Service] == 0 {
+			return // asked again: another leads, or not all can apply it yet
+		}
+		o.change = nil
+		if r.Conflict {
+			s.conflicts++
+			if version, applied := s.versions[change.ID]; applied {
+				s.fail("change %s was applied as %v, and its operator is told of a conflict: %s", change.ID, version, r.Refused)
+			}
+		}
+		// It reads before it changes again.
+		o.held[change.Service] = 0
+		if resource := m.m.State().Configured().Resources[change.Service]; resource != nil {
+			o.held[change.Service] = resource.Version
+		}
+	})
+}
+
+// newChange changes one service at the version that its operator has read.
+func (s *configureSim) newChange(number int, o *simOperator) *configuration.Change {
+	o.made++
+	service := fmt.Sprint("service-", s.rng.IntN(simServices))
+	change := &configuration.Change{
+		ID: fmt.Sprintf("operator-%d-%d", number, o.made), Service: service,
+		Settings: json.RawMessage(fmt.Sprintf(`{"tenants":[{"name":"by-%d-%d"}]}`, number, o.made)),
+	}
+	if version := o.held[service]; version == 0 || s.rng.IntN(2) == 0 {
+		change.IfVersion = &version
+	}
+	return change
+}
+
+// wasApplied takes that somebody could have been told so.
+func (s *configureSim) wasApplied(change *configuration.Change, version configuration.Version, tries int) {
+	id := change.ID
+	if change.IfVersion != nil {
+		replaced := fmt.Sprintf("%s at %v", change.Service, *change.IfVersion)
+		if other := s.replaced[replaced]; other != "" && other != id {
+			s.fail("%s was replaced by change %s and by %s", replaced, other, id)
+		}
+		s.replaced[replaced] = id
+	}
+	if was, known := s.versions[id]; known && was != version {
+		s.fail("change %s was applied twice: as %v and as %v", id, was, version)
+	}
+	if was, known := s.ids[version]; known && was != id {
+		s.fail("version %v was given to %s and to %s", version, was, id)
+	}
+	if tries > 1 {
+		s.repeated++
+	}
+	s.applied++
+	s.versions[id], s.ids[version] = version, id
+	s.newest = max(s.newest, version)
+}
+
+// read asks any member what a majority knows: it lacks nothing of what anybody was
+// told before.
+func (s *configureSim) read(m *simMember) {
+	if !s.up(m) {
+		return
+	}
+	least, member := s.newest, m.m
+	member.ReadAnywhere(func(err error) {
+		if err != nil {
+			return
+		}
+		s.reads++
+		if !member.Leads() {
+			s.followerReads++
+		}
+		if got := member.State().Configured().Version; got < least {
+			s.fail("member %d read version %v, wanted %v at least, which somebody was told before", m.id, got, least)
+		}
+	})
+}
+
+// settle ends all trouble and awaits that all members have applied the same.
+func (s *configureSim) settle() {
+	for range 2000 {
+		s.step++
+		clear(s.cut)
+		for _, m := range s.members {
+			m.awake = 0
+			s.runMember(m)
+		}
+		s.deliver()
+	}
+}
+
+// Changes under crashes, stops, cuts and lost answers: none that was told is lost,
+// none is applied twice, no version is given or replaced twice, and no member's confirmed read
+// lacks what somebody was told before.
+func TestVirtualConfiguration(t *testing.T) {
+	reader := crand.Reader
+	defer func() { crand.Reader = reader }()
+	sum := configureSim{}
+	for i := range *simSeeds {
+		seed := *simFirst + i
+		s := newConfigureSim(t, uint64(seed), 5-2*(seed%2))
+		s.runConfigure(1000)
+		s.settle()
+		for _, m := range s.members {
+			s.check(m)
+		}
+		sum.applied += s.applied
+		sum.repeated += s.repeated
+		sum.conflicts += s.conflicts
+		sum.reads += s.reads
+		sum.followerReads += s.followerReads
+	}
+	t.Logf("%d seeds from %d: applied=%d repeated=%d conflicts=%d reads=%d by followers=%d", *simSeeds, *simFirst, sum.applied, sum.repeated, sum.conflicts, sum.reads, sum.followerReads)
+	if sum.applied < 10**simSeeds || sum.repeated < *simSeeds || sum.conflicts < *simSeeds || sum.followerReads < 10**simSeeds {
+		t.Error("too little took place to show anything")
+	}
+}
+
+// check holds a member's state against what anybody was told.
+func (s *configureSim) check(m *simMember) {
+	store := m.m.State().Configured()
+	if store.Version < s.newest {
+		s.fail("member %d has version %v, wanted %v at least", m.id, store.Version, s.newest)
+	}
+	seen := map[string]configuration.Version{}
+	for _, remembered := range store.Remembered {
+		if was, twice := seen[remembered.ID]; twice {
+			s.fail("change %s was applied twice: as %v and as %v", remembered.ID, was, remembered.Version)
+		}
+		seen[remembered.ID] = remembered.Version
+	}
+	for id, version := range s.versions {
+		if seen[id] != version {
+			s.fail("member %d has change %s as version %v, wanted %v", m.id, id, seen[id], version)
+		}
+	}
+}
+
+// A member of version 1 beside two of version 2: a change is held back, and nothing
+// is agreed on, until that one can apply it.
+func TestConfigureIsHeldBackByOneMember(t *testing.T) {
+	reader := crand.Reader
+	defer func() { crand.Reader = reader }()
+	s := newSim(t, 1, 3)
+	command, err := NewConfigure(create("a", "mail", json.RawMessage(`{}`)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	propose := func(c Command) (result Result) {
+		t.Helper()
+		done := false
+		for range 2000 {
+			s.step++
+			for _, m := range s.members {
+				s.runMember(m)
+			}
+			s.deliver()
+			if done {
+				return result
+			}
+			for _, m := range s.members {
+				if m.m.Leads() && s.step%simAnswerSteps == 0 {
+					m.m.Propose(c, func(r Result, err error) {
+						result, done = r, err == nil
+					})
+				}
+			}
+		}
+		t.Fatalf("%+v: no answer", c)
+		return result
+	}
+	for member, version := range map[uint64]Epoch{1: 2, 2: 2, 3: 1} {
+		propose(Command{Kind: Can, Member: member, Epoch: version})
+	}
+	if r := propose(command); r.Refused == "" {
+		t.Errorf("beside a member of version 1: %+v, wanted it held back", r)
+	}
+	for _, m := range s.members {
+		if m.m.State().Configuration != nil {
+			t.Errorf("member %d has a configuration", m.id)
+		}
+	}
+	propose(Command{Kind: Can, Member: 3, Epoch: 2})
+	if r := propose(command); r.Refused != "" || r.Version == 0 {
+		t.Errorf("all can: %+v, wanted a version", r)
+	}
+}
+
+// A leader's answer to a read of before a restart does not confirm one of after it,
+// though both bear the same number.
+func TestReadOfBeforeARestart(t *testing.T) {
+	reader := crand.Reader
+	defer func() { crand.Reader = reader }()
+	s := newSim(t, 1, 3)
+	cutOff := uint64(0) // member to which nothing comes
+	var held *raftpb.Message
+	until := func(what string, done func() bool) {
+		t.Helper()
+		for range 2000 {
+			if done() {
+				return
+			}
+			s.step++
+			for _, m := range s.members {
+				s.runMember(m)
+			}
+			for _, l := range s.mail {
+				if l.msg.GetType() == raftpb.MsgReadIndexResp && held == nil {
+					held = l.msg
+				}
+			}
+			s.mail = slices.DeleteFunc(s.mail, func(l letter) bool { return l.msg.GetTo() == cutOff || l.msg == held })
+			s.deliver()
+		}
+		t.Fatal("found no " + what)
+	}
+	var leader, follower *simMember
+	until("leader that all know", func() bool {
+		for _, m := range s.members {
+			if m.m == nil || m.m.Leader() == 0 {
+				return false
+			}
+			if m.m.Leads() {
+				leader = m
+			}
+		}
+		return leader != nil
+	})
+	follower = s.members[leader.id%3]
+	follower.m.ReadAnywhere(func(err error) { t.Errorf("the read of before the restart has ended: %v", err) })
+	until("answer to a read", func() bool { return held != nil })
+
+	follower.m, follower.output = nil, nil
+	until("follower that knows the leader again", func() bool { return follower.m != nil && follower.m.Leader() == leader.id })
+	cutOff = follower.id
+	agreed := false
+	leader.m.Propose(Command{Kind: Take, Who: "h1", Duty: duty}, func(r Result, err error) { agreed = err == nil && r.Refused == "" })
+	until("owner of the duty", func() bool { return agreed })
+	follower.m.ReadAnywhere(func(err error) {
+		if err == nil && follower.m.State().Duties[duty] == nil {
+			t.Error("a read is confirmed without what was agreed on before it")
+		}
+	})
+	if err := follower.m.Step(held); err != nil {
+		t.Fatal(err)
+	}
+	if out, ok := follower.m.Output(); ok {
+		follower.keep(out)
+		if err := follower.m.Stored(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/fleet/council/member.go
+++ b/internal/fleet/council/member.go
@@ -378,10 +378,9 @@
 	m.raw.ReadIndex(m.readContext(m.ticket))
 }
 
-// readContext names a read. The leader keeps reads of all members by it.
+// readContext names a read of this run of the member.
 func (m *Member) readContext(ticket uint64) []byte {
-	context := binary.BigEndian.AppendUint64(nil, m.ID)
-	context = binary.BigEndian.AppendUint64(context, m.Incarnation)
+	context := binary.BigEndian.AppendUint64(nil, m.Incarnation)
 	return binary.BigEndian.AppendUint64(context, ticket)
 }
 
--- a/internal/fleet/council/sim_test.go
+++ b/internal/fleet/council/sim_test.go
@@ -182,6 +182,7 @@
 		if m.m, err = NewMember(m.id, m.disk, s.lease); err != nil {
 			s.fail("member %d: %v", m.id, err)
 		}
+		m.m.Incarnation = uint64(s.step)
 	}
 	if m.output != nil { // it was on its way to the disk
 		m.keep(*m.output)
