--- /dev/null
+++ b/cmd/otterspring/relay_test.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"otterspring/internal/fleet/council/ask"
+	"otterspring/internal/fleet/relay"
+)
+
+// programVariable makes this program be otterspring, in place of the tests.
+const programVariable = "TEST_OTTERSPRING"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(programVariable) != "" {
+		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// relayPatience bounds what a test waits for: only a hang lasts longer.
+const relayPatience = 60 * time.Second
+
+// writeRelayFile writes a relay's file and returns its path.
+func writeRelayFile(t *testing.T, listen, member, more string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "relay.toml")
+	text := fmt.Sprintf("region = \"west\"\nzone = \"west-1\"\nname = \"r1\"\nlisten = %q\nmembers = [%q]\n%s", listen, member, more)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// freeAddress is one at which nobody listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.7:0", 150+os.Getpid()%40, 1+os.Getpid()/40%250))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// Each fault of a relay is one line with its place, and the right exit code.
+func TestRelayExitCodes(t *testing.T) {
+	foreign := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		json.NewEncoder(w).Encode(ask.Answer{Council: "east#1", No: "found council west, wanted east"})
+	}))
+	defer foreign.Close()
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	nobody := freeAddress(t)
+	good := writeRelayFile(t, freeAddress(t), nobody, "")
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"relay", "run"}, 2, "wanted: run FILE"},
+		{[]string{"relay", "dance"}, 2, "wanted one of run, check, status"},
+		{[]string{"relay", "check", good}, 0, "good; relay r1 of zone west-1, 1 member, 64 snapshots at once"},
+		{[]string{"relay", "check", writeRelayFile(t, nobody, nobody, "")}, 1, "relay.toml:5: members: found " + nobody + " twice"},
+		{[]string{"relay", "run", writeRelayFile(t, nobody, freeAddress(t), "dance = 1")}, 1, "relay.toml:6: dance: found a key that is not known"},
+		{[]string{"relay", "run", writeRelayFile(t, taken.Addr().String(), nobody, "")}, 1, "relay.toml: listen: listen tcp " + taken.Addr().String()},
+		{[]string{"relay", "run", writeRelayFile(t, freeAddress(t), foreign.Listener.Addr().String(), "")}, 1, `: found council "east", wanted "west"`},
+		{[]string{"relay", "status", nobody}, 1, "connection refused"},
+		{[]string{"relay", "status", "a b"}, 2, `found address "a b"`},
+		{[]string{"relay", "status", foreign.Listener.Addr().String()}, 1, "found no relay"},
+		{[]string{"__complete", "relay", "status", "--j"}, 0, "--json"},
+	} {
+		var out, errw bytes.Buffer
+		code := run(c.args, &out, &errw)
+		text := out.String() + errw.String()
+		if code != c.code || !strings.Contains(text, c.want) || code != 0 && strings.Count(errw.String(), "\n") != 1 {
+			t.Errorf("%v: exit code %d, want %d and %q: %s", c.args, code, c.code, c.want, text)
+		}
+	}
+}
+
+// startRelay starts a relay without a council in a process of its own.
+func startRelay(t *testing.T, more string) (process *exec.Cmd, address string) {
+	t.Helper()
+	address = freeAddress(t)
+	process = exec.Command(os.Args[0], "relay", "run", writeRelayFile(t, address, freeAddress(t), more))
+	process.Env = append(os.Environ(), programVariable+"=1")
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // a test that is ended leaves nobody
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { process.Process.Kill(); process.Wait() })
+	awaitRelay(t, address, func(*relay.Info) bool { return true })
+	return process, address
+}
+
+// awaitRelay waits until a relay answers, and something is true of it.
+func awaitRelay(t *testing.T, address string, is func(info *relay.Info) bool) {
+	t.Helper()
+	for end := time.Now().Add(relayPatience); ; time.Sleep(5 * time.Millisecond) {
+		var out, errw bytes.Buffer
+		var info relay.Info
+		if run([]string{"relay", "status", "-json", address}, &out, &errw) == 0 && json.Unmarshal(out.Bytes(), &info) == nil && is(&info) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("relay %s: %s%s", address, out.String(), errw.String())
+		}
+	}
+}
+
+// The first signal begins a drain, the second ends the process at once.
+func TestRelaySignals(t *testing.T) {
+	t.Parallel()
+	process, address := startRelay(t, "drain = \"100ms\"\n")
+	var out, errw bytes.Buffer
+	if code := run([]string{"relay", "status", address}, &out, &errw); code != 0 || !strings.Contains(out.String(), "has not heard from a council yet") {
+		t.Errorf("status: %d %s%s", code, out.String(), errw.String())
+	}
+	process.Process.Signal(syscall.SIGTERM)
+	if err := process.Wait(); err != nil {
+		t.Errorf("after SIGTERM: %v, wanted exit code 0", err)
+	}
+	process, address = startRelay(t, "drain = \"1m\"\n")
+	conn, err := net.Dial("tcp", address) // a drain lasts while somebody is connected
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	process.Process.Signal(syscall.SIGTERM)
+	awaitRelay(t, address, func(info *relay.Info) bool { return info.Draining })
+	process.Process.Signal(syscall.SIGTERM)
+	process.Wait()
+	if status := process.ProcessState.Sys().(syscall.WaitStatus); !status.Signaled() || status.Signal() != syscall.SIGTERM {
+		t.Errorf("after the second SIGTERM: %v, wanted an end by it", process.ProcessState)
+	}
+}
