--- a/internal/fleet/relay/standin_test.go
+++ b/internal/fleet/relay/standin_test.go
@@ -50,6 +50,8 @@
 
 func (s *standIn) address() string { return s.server.Listener.Addr().String() }
 
+func (s *standIn) members() []string { return []string{s.address()} }
+
 func (s *standIn) secondAddress() string { return s.second.Listener.Addr().String() }
 
 func (s *standIn) serve(w http.ResponseWriter, req *http.Request) {
