configuration: admission forgets those who were told to come again and never do

Need: a subscriber that was refused and moved to another relay stayed in the estimate of those who wait for as long as one place was taken; all later ones were told the longest pause.

Change: a refusal counts in its window of one and a half RetryMost and in the next, within which whoever comes again has come.

--- a/internal/fleet/configuration/admission.go
+++ b/internal/fleet/configuration/admission.go
@@ -23,30 +23,65 @@
 type Admission struct {
 	settings AdmissionSettings
 	// places are the subscribers that were sent a snapshot, each until its lease ends.
-	places map[string]time.Duration
-	// waiting is an estimate of how many were told to come again and have not been
-	// admitted yet: it grows with each refusal and falls with each admission.
-	waiting int
+	places  map[string]time.Duration
+	waiting waitingEstimate
 	peak    int
 }
 
+// waitingEstimate counts the subscribers that were told to come again and have not
+// come yet. Those who never come, since they have moved or ended, leave it: a refusal
+// counts in the window in which it was given and in the following one, and whoever
+// comes does so before these have ended.
+type waitingEstimate struct {
+	window            time.Duration // length
+	ends              time.Duration // of the present window
+	present, previous int           // refusals of the windows whose subscribers have not come
+}
+
+// count is how many wait.
+func (w *waitingEstimate) count() int { return w.present + w.previous }
+
+// advance begins the windows that time has brought.
+func (w *waitingEstimate) advance(now time.Duration) {
+	if now < w.ends {
+		return
+	}
+	w.previous, w.present = w.present, 0
+	if now >= w.ends+w.window {
+		w.previous = 0
+	}
+	w.ends = now + w.window
+}
+
+// came takes that a subscriber has come which was told to.
+func (w *waitingEstimate) came() {
+	if w.previous > 0 {
+		w.previous--
+	} else if w.present > 0 {
+		w.present--
+	}
+}
+
 // NewAdmission returns one with all places free.
 func NewAdmission(settings AdmissionSettings) *Admission {
-	return &Admission{settings: settings, places: map[string]time.Duration{}}
+	// A retry is drawn up to one and a half of its mean.
+	waiting := waitingEstimate{window: settings.RetryMost * 3 / 2}
+	return &Admission{settings: settings, places: map[string]time.Duration{}, waiting: waiting}
 }
 
 // Admit tells whether a subscriber is sent a snapshot now, and if not, after what
 // time it is to come again. again says that it was told so before; draw is a random
 // number from [0,1).
 func (a *Admission) Admit(now time.Duration, subscriber string, again bool, draw float64) (bool, time.Duration) {
+	a.waiting.advance(now)
 	if again {
-		a.waiting = max(0, a.waiting-1)
+		a.waiting.came()
 	}
 	if _, has := a.places[subscriber]; !has && len(a.places) >= a.settings.Places {
 		a.expire(now)
 	}
 	if _, has := a.places[subscriber]; !has && len(a.places) >= a.settings.Places {
-		a.waiting++
+		a.waiting.present++
 		return false, a.retryAfter(draw)
 	}
 	a.places[subscriber] = now + a.settings.Lease
@@ -57,7 +92,7 @@
 // retryAfter spreads those who wait over the time that the places need for them: the
 // more wait, the longer. Half of it is drawn.
 func (a *Admission) retryAfter(draw float64) time.Duration {
-	rounds := float64(a.waiting)/float64(a.settings.Places) + 1
+	rounds := float64(a.waiting.count())/float64(a.settings.Places) + 1
 	mean := min(rounds*float64(a.settings.RetryLeast), float64(a.settings.RetryMost))
 	return time.Duration(mean * (0.5 + draw))
 }
@@ -81,7 +116,4 @@
 			delete(a.places, subscriber)
 		}
 	}
-	if len(a.places) == 0 {
-		a.waiting = 0
-	}
 }
