configuration: the registry forgets who has ended, also where there is room

Need: a subscriber that had ended was reported until the registry was full; a full one was searched on each poll of an unknown subscriber, 16,384 entries each; an empty subscription was kept as one to all services; rejections were the caller's memory.

Change: Heard forgets every 10 s; an empty subscription is told from none; rejections are copied.

Measured: TestRegistryForgetsWithoutNeedOfRoom, TestRegistryTellsWhoRejects and TestRegistryOwnsWhatItKeeps fail on the code of before.

--- a/internal/fleet/configuration/registry.go
+++ b/internal/fleet/configuration/registry.go
@@ -10,13 +10,18 @@
 // MaxSubscribers is how many subscribers a relay knows at a time.
 const MaxSubscribers = 16 << 10
 
-// forgetAfter is after what time a subscriber that does not poll is forgotten.
-const forgetAfter = 15 * time.Minute
+// forgetAfter is after what time a subscriber that does not poll is forgotten, and
+// forgetEvery how often they are looked for: not on each poll while there is no room.
+const (
+	forgetAfter = 15 * time.Minute
+	forgetEvery = 10 * time.Second
+)
 
 // Registry remembers what each subscriber of a relay has acknowledged: a constant
 // amount for each, whatever has changed meanwhile.
 type Registry struct {
 	subscribers map[string]*subscriber
+	forgetAt    time.Duration // when subscribers are forgotten next
 }
 
 type subscriber struct {
@@ -32,21 +37,22 @@
 // Heard takes a poll that was checked. It returns false where there is no room for a
 // further subscriber.
 func (r *Registry) Heard(now time.Duration, p *Poll) bool {
+	if now >= r.forgetAt {
+		r.Forget(now)
+		r.forgetAt = now + forgetEvery
+	}
 	known := r.subscribers[p.Subscriber]
 	if known == nil {
-		if len(r.subscribers) >= MaxSubscribers {
-			r.Forget(now)
-		}
 		if len(r.subscribers) >= MaxSubscribers {
 			return false
 		}
 		known = &subscriber{}
 		r.subscribers[p.Subscriber] = known
 	}
-	if !slices.Equal(known.services, p.Services) {
+	if (known.services == nil) != (p.Services == nil) || !slices.Equal(known.services, p.Services) {
 		known.services = slices.Clone(p.Services)
 	}
-	known.version, known.rejected, known.heard = p.Version, p.Rejected, now
+	known.version, known.rejected, known.heard = p.Version, slices.Clone(p.Rejected), now
 	return true
 }
 
--- /dev/null
+++ b/internal/fleet/configuration/registry_test.go
@@ -0,0 +1,128 @@
+package configuration
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestRegistryTellsWhoRejects(t *testing.T) {
+	r := NewRegistry()
+	r.Heard(time.Second, &Poll{Subscriber: "s1", Services: Subscription{"a", "b"}, Version: 7})
+	r.Heard(2*time.Second, &Poll{Subscriber: "s0", Services: Subscription{"a"}, Version: 7, Rejected: []Rejection{{Service: "a", Version: 7, Reason: "no such class"}}})
+	r.Heard(2*time.Second, &Poll{Subscriber: "all", Version: 6})
+	r.Heard(2*time.Second, &Poll{Subscriber: "none", Services: Subscription{}, Version: 7})
+	wanted := []SubscriberStatus{
+		{Subscriber: "all", Version: 6, SilentMS: 1000},
+		{Subscriber: "s0", Version: 7, Rejected: 7, Reason: "no such class", SilentMS: 1000},
+		{Subscriber: "s1", Version: 7, SilentMS: 2000},
+	}
+	if got := r.Status(3*time.Second, "a"); !slices.Equal(got, wanted) {
+		t.Errorf("found %+v, wanted %+v", got, wanted)
+	}
+	if got := r.Status(3*time.Second, "b"); !slices.Equal(got, []SubscriberStatus{wanted[0], wanted[2]}) {
+		t.Errorf("found %+v, wanted all and s1", got)
+	}
+	r.Heard(4*time.Second, &Poll{Subscriber: "s0", Services: Subscription{"a"}, Version: 8})
+	if got := r.Status(4*time.Second, "a")[1]; got.Rejected != 0 || got.Reason != "" || got.Version != 8 {
+		t.Errorf("found %+v, wanted no rejection after the newer version", got)
+	}
+}
+
+// What a poll's caller does with its memory later does not change what is known.
+func TestRegistryOwnsWhatItKeeps(t *testing.T) {
+	r := NewRegistry()
+	poll := Poll{Subscriber: "s", Services: Subscription{"a"}, Rejected: []Rejection{{Service: "a", Version: 1, Reason: "x"}}}
+	r.Heard(0, &poll)
+	poll.Services[0], poll.Rejected[0].Reason = "b", "y"
+	if got := r.Status(0, "a"); len(got) != 1 || got[0].Reason != "x" {
+		t.Errorf("found %+v, wanted s with its own reason", got)
+	}
+}
+
+func TestRegistryForgets(t *testing.T) {
+	r := NewRegistry()
+	for i := range MaxSubscribers {
+		if !r.Heard(0, &Poll{Subscriber: fmt.Sprint(i)}) {
+			t.Fatalf("found no room for subscriber %d", i)
+		}
+	}
+	late := &Poll{Subscriber: "late"}
+	if r.Heard(time.Minute, late) {
+		t.Error("found room beyond the bound")
+	}
+	if !r.Heard(time.Minute, &Poll{Subscriber: "7"}) || r.Len() != MaxSubscribers {
+		t.Error("found no room for one that is known")
+	}
+	if now := forgetAfter + 30*time.Second; !r.Heard(now, late) || r.Len() != 2 {
+		t.Errorf("found %d known, wanted 7 and late after %v", r.Len(), now)
+	}
+}
+
+// One that has ended is not reported for ever, although there is room.
+func TestRegistryForgetsWithoutNeedOfRoom(t *testing.T) {
+	r := NewRegistry()
+	r.Heard(0, &Poll{Subscriber: "ended"})
+	for now := time.Duration(0); now <= forgetAfter+forgetEvery+time.Second; now += time.Second {
+		r.Heard(now, &Poll{Subscriber: "alive"})
+	}
+	if r.Len() != 1 {
+		t.Errorf("found %d known, wanted 1", r.Len())
+	}
+}
+
+// What is kept of a subscriber does not grow with the changes that it takes.
+func TestRegistryIsConstantPerSubscriber(t *testing.T) {
+	const subscribers = 500
+	kept := func(r *Registry, from, changes int) uint64 {
+		for i := range changes {
+			for s := range subscribers {
+				poll := Poll{Subscriber: fmt.Sprint("subscriber-", s), Services: subscriptionOf(20), Version: Version(from + i),
+					Rejected: []Rejection{{Service: "service-0", Version: Version(from + i), Reason: fmt.Sprint("reason ", i)}}}
+				r.Heard(time.Duration(i)*time.Millisecond, &poll)
+			}
+		}
+		return heapBytes()
+	}
+	r := NewRegistry()
+	first := kept(r, 1, 2)
+	second := kept(r, 3, 100)
+	runtime.KeepAlive(r)
+	if r.Len() != subscribers || second > first+subscribers*64 {
+		t.Errorf("found %d bytes after 2 changes and %d after 102, wanted no more", first, second)
+	}
+}
+
+// heapBytes is what is in use on the heap.
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+func subscriptionOf(services int) Subscription {
+	var all Subscription
+	for i := range services {
+		all = append(all, fmt.Sprint("service-", i))
+	}
+	return all
+}
+
+func TestMergeStatus(t *testing.T) {
+	got := MergeStatus(
+		[]SubscriberStatus{{Subscriber: "b", Version: 1, SilentMS: 5000}, {Subscriber: "a", Version: 3, SilentMS: 10}},
+		nil,
+		[]SubscriberStatus{{Subscriber: "b", Version: 2, SilentMS: 20, Rejected: 2, Reason: "r"}, {Subscriber: "a", Version: 1, SilentMS: 9000}},
+	)
+	wanted := []SubscriberStatus{{Subscriber: "a", Version: 3, SilentMS: 10}, {Subscriber: "b", Version: 2, SilentMS: 20, Rejected: 2, Reason: "r"}}
+	if !slices.Equal(got, wanted) {
+		t.Errorf("found %+v, wanted %+v", got, wanted)
+	}
+	if got := MergeStatus(); len(got) != 0 {
+		t.Errorf("found %+v of no relays", got)
+	}
+}
