configuration: a poll is not refused for the reasons of its rejections

Need: since the check of polls wants 32 rejections and a printable reason each, a sidecar with 33 of them, or with a reason cut within a character, was refused by every relay and lost all configuration for the wording of a report.

Change: reasons are bounded where they are kept: Registry.Heard stores BoundRejections of the poll.

--- a/internal/fleet/configuration/registry.go
+++ b/internal/fleet/configuration/registry.go
@@ -52,7 +52,7 @@
 	if (known.services == nil) != (p.Services == nil) || !slices.Equal(known.services, p.Services) {
 		known.services = slices.Clone(p.Services)
 	}
-	known.version, known.rejected, known.heard = p.Version, slices.Clone(p.Rejected), now
+	known.version, known.rejected, known.heard = p.Version, BoundRejections(p.Rejected), now
 	return true
 }
 
