configuration: settings are read by one strict reader and stored as they are sent

Need: a key that stood twice was taken by its last value, and null for an absent field; readers of JSON differ in both. Errors of a wrong type named Go's types instead of place, found and wanted, and an unknown key with a line break broke the line. Settings of less than 8 KiB could grow beyond it when sent, since JSON escapes <, > and &: the council took them, and every sidecar refused them; a file's blanks made stored bytes differ from received ones.

Change: object.go reads objects, lists, strings and numbers, each with its place. The size is held against the form that is sent, and Store.Apply stores this form. An empty list of tenants stays one when it is written again.

--- /dev/null
+++ b/internal/fleet/configuration/object.go
@@ -0,0 +1,107 @@
+package configuration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+)
+
+// member is a key of a JSON object with its value.
+type member struct {
+	key   string
+	value json.RawMessage
+}
+
+// readObject reads the members of a JSON object in their order. A key that stands
+// twice is refused: readers differ in which of the two they take.
+func readObject(place string, text json.RawMessage) ([]member, error) {
+	if !beginsWith(text, '{') {
+		return nil, fmt.Errorf("%s: found %s, wanted a JSON object", place, excerpt(text))
+	}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	if _, err := decoder.Token(); err != nil {
+		return nil, fmt.Errorf("%s: found no JSON (%w), wanted an object", place, err)
+	}
+	var members []member
+	seen := map[string]bool{}
+	for decoder.More() {
+		var next member
+		token, err := decoder.Token()
+		if err == nil {
+			next.key, _ = token.(string) // what stands for a key is a string
+			err = decoder.Decode(&next.value)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s: found no JSON (%w), wanted an object", place, err)
+		}
+		if seen[next.key] {
+			return nil, fmt.Errorf("%s: found the key twice, wanted each once", placeOf(place, next.key))
+		}
+		seen[next.key] = true
+		members = append(members, next)
+	}
+	return members, nil
+}
+
+// readList reads the elements of a JSON list.
+func readList(place string, text json.RawMessage, most int) ([]json.RawMessage, error) {
+	elements := []json.RawMessage{}
+	if !beginsWith(text, '[') || json.Unmarshal(text, &elements) != nil {
+		return nil, fmt.Errorf("%s: found %s, wanted a list of objects", place, excerpt(text))
+	}
+	if len(elements) > most {
+		return nil, fmt.Errorf("%s: found %d, wanted %d at most", place, len(elements), most)
+	}
+	return elements, nil
+}
+
+func readString(place string, text json.RawMessage) (string, error) {
+	var value string
+	if !beginsWith(text, '"') || json.Unmarshal(text, &value) != nil {
+		return "", fmt.Errorf("%s: found %s, wanted a string", place, excerpt(text))
+	}
+	return value, nil
+}
+
+// readNumber reads a number from 0 to most.
+func readNumber(place string, text json.RawMessage, most float64) (float64, error) {
+	value, err := strconv.ParseFloat(string(text), 64)
+	if !beginsNumber(text) || err != nil || value < 0 || value > most {
+		return 0, fmt.Errorf("%s: found %s, wanted a number from 0 to %v", place, excerpt(text), most)
+	}
+	return value, nil
+}
+
+// readWhole reads a whole number from 0 to most.
+func readWhole(place string, text json.RawMessage, most int64) (int64, error) {
+	value, err := strconv.ParseInt(string(text), 10, 64)
+	if !beginsNumber(text) || err != nil || value < 0 || value > most {
+		return 0, fmt.Errorf("%s: found %s, wanted a whole number from 0 to %d", place, excerpt(text), most)
+	}
+	return value, nil
+}
+
+// beginsWith tells the kind of a JSON value by its first byte.
+func beginsWith(text json.RawMessage, first byte) bool {
+	text = bytes.TrimLeft(text, " \t\r\n")
+	return len(text) > 0 && text[0] == first
+}
+
+// beginsNumber tells a number from words that strconv reads as one, such as Inf.
+func beginsNumber(text json.RawMessage) bool {
+	return len(text) > 0 && (text[0] == '-' || text[0] >= '0' && text[0] <= '9')
+}
+
+// placeOf names a member of an object. A key that can't stand in a line is quoted.
+func placeOf(place, key string) string {
+	if CheckName("key", key) != nil {
+		key = fmt.Sprintf("%.40q", key)
+	}
+	if place == "settings" {
+		return key
+	}
+	return place + "." + key
+}
+
+func excerpt(text []byte) string { return fmt.Sprintf("%.40q", text) }
--- a/internal/fleet/configuration/settings.go
+++ b/internal/fleet/configuration/settings.go
@@ -1,12 +1,8 @@
 package configuration
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
-	"math"
 	"slices"
 	"time"
 )
@@ -23,8 +19,9 @@
 // Settings are what a service's resource may say: what takes force in a running
 // sidecar. Absent fields leave the sidecar's own as they are.
 type Settings struct {
-	// Tenants replace the sidecar's tenants and their shares; absent leaves them.
-	Tenants []Tenant `json:"tenants,omitempty"`
+	// Tenants replace the sidecar's tenants and their shares; absent leaves them, an
+	// empty list removes them.
+	Tenants []Tenant `json:"tenants,omitzero"`
 	Classes []Class  `json:"classes,omitempty"`
 }
 
@@ -59,115 +56,147 @@
 // line: which key, what was found and what is wanted. A council's member makes this
 // check before it proposes a change, and a sidecar before it takes one.
 func ParseSettings(text []byte) (Settings, error) {
-	var settings Settings
-	if len(text) > MaxSettingsBytes {
-		return settings, fmt.Errorf("settings: found %d bytes, wanted %d at most", len(text), MaxSettingsBytes)
-	}
-	if err := checkKeys(text); err != nil {
-		return settings, err
-	}
-	if err := decodeStrictly(text, &settings); err != nil {
-		return Settings{}, fmt.Errorf("settings: %w", err)
+	canonical, err := canonicalSettings(text)
+	if err != nil {
+		return Settings{}, err
 	}
-	if err := settings.check(); err != nil {
+	members, err := readObject("settings", canonical)
+	if err != nil {
 		return Settings{}, err
 	}
+	var settings Settings
+	for _, member := range members {
+		switch member.key {
+		case "tenants":
+			settings.Tenants, err = readTenants(member.value)
+		case "classes":
+			settings.Classes, err = readClasses(member.value)
+		default:
+			err = refuseKey(placeOf("settings", member.key), member.key, topKeys, rollKeys)
+		}
+		if err != nil {
+			return Settings{}, err
+		}
+	}
 	return settings, nil
 }
 
-// checkKeys names the first key that is not known or wants a roll.
-func checkKeys(text []byte) error {
-	var top map[string]json.RawMessage
-	if err := json.Unmarshal(text, &top); err != nil || top == nil {
-		return fmt.Errorf("settings: found %.40q, wanted a JSON object", text)
-	}
-	for _, key := range sortedKeys(top) {
-		if err := checkKey(key, key, topKeys, rollKeys); err != nil {
-			return err
-		}
+// canonicalSettings returns settings in the form in which they are stored and sent.
+// Their size is bounded in this form: the one of the file may be shorter, since JSON
+// that is sent escapes some characters.
+func canonicalSettings(text []byte) (json.RawMessage, error) {
+	if len(text) > MaxSettingsBytes {
+		return nil, fmt.Errorf("settings: found %d bytes, wanted %d at most", len(text), MaxSettingsBytes)
 	}
-	if err := checkEntries("tenants", top["tenants"], tenantKeys, nil); err != nil {
-		return err
+	canonical, err := json.Marshal(json.RawMessage(text))
+	if err != nil || len(text) == 0 {
+		return nil, fmt.Errorf("settings: found %s, wanted a JSON object and nothing behind it", excerpt(text))
 	}
-	return checkEntries("classes", top["classes"], classKeys, rollOfOne)
-}
-
-func checkEntries(list string, text json.RawMessage, known, roll []string) error {
-	var entries []map[string]json.RawMessage
-	if text == nil {
-		return nil
-	}
-	if err := json.Unmarshal(text, &entries); err != nil {
-		return fmt.Errorf("%s: found %.40q, wanted a list of objects", list, text)
-	}
-	for i, entry := range entries {
-		for _, key := range sortedKeys(entry) {
-			if err := checkKey(fmt.Sprintf("%s[%d].%s", list, i, key), key, known, roll); err != nil {
-				return err
-			}
-		}
+	if len(canonical) > MaxSettingsBytes {
+		return nil, fmt.Errorf("settings: found %d bytes as they are sent, wanted %d at most", len(canonical), MaxSettingsBytes)
 	}
-	return nil
+	return canonical, nil
 }
 
-func checkKey(place, key string, known, roll []string) error {
-	switch {
-	case slices.Contains(known, key):
-		return nil
-	case slices.Contains(roll, key):
+// refuseKey is the error for a key that is not one of those known.
+func refuseKey(place, key string, known, roll []string) error {
+	if slices.Contains(roll, key) {
 		return fmt.Errorf("%s: found a change that takes force at a start only, wanted one of %q: change the files and roll", place, known)
 	}
 	return fmt.Errorf("%s: found an unknown key, wanted one of %q", place, known)
 }
 
-func sortedKeys(m map[string]json.RawMessage) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
+func readTenants(text json.RawMessage) ([]Tenant, error) {
+	elements, err := readList("tenants", text, MaxTenants)
+	if err != nil {
+		return nil, err
+	}
+	tenants, names := make([]Tenant, len(elements)), map[string]bool{}
+	for i, element := range elements {
+		place := fmt.Sprintf("tenants[%d]", i)
+		if err := tenants[i].read(place, element); err != nil {
+			return nil, err
+		}
+		if err := checkEntryName(place+".name", tenants[i].Name, names); err != nil {
+			return nil, err
+		}
 	}
-	slices.Sort(keys)
-	return keys
+	return tenants, nil
 }
 
-func decodeStrictly(text []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
+func (t *Tenant) read(place string, text json.RawMessage) error {
+	members, err := readObject(place, text)
+	if err != nil {
 		return err
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("found more behind the object, wanted its end")
+	for _, member := range members {
+		at := placeOf(place, member.key)
+		switch member.key {
+		case "name":
+			t.Name, err = readString(at, member.value)
+		case "quota-per-s":
+			t.Quota, err = readNumber(at, member.value, MaxQuota)
+		default:
+			err = refuseKey(at, member.key, tenantKeys, nil)
+		}
+		if err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
-func (s *Settings) check() error {
-	if len(s.Tenants) > MaxTenants || len(s.Classes) > MaxClasses {
-		return fmt.Errorf("settings: found %d tenants and %d classes, wanted %d and %d at most", len(s.Tenants), len(s.Classes), MaxTenants, MaxClasses)
+func readClasses(text json.RawMessage) ([]Class, error) {
+	elements, err := readList("classes", text, MaxClasses)
+	if err != nil {
+		return nil, err
 	}
-	names := map[string]bool{}
-	for i, tenant := range s.Tenants {
-		if err := checkEntryName("tenants", i, tenant.Name, names); err != nil {
-			return err
+	classes, names := make([]Class, len(elements)), map[string]bool{}
+	for i, element := range elements {
+		place := fmt.Sprintf("classes[%d]", i)
+		if err := classes[i].read(place, element); err != nil {
+			return nil, err
 		}
-		if err := checkRange(fmt.Sprintf("tenants[%d].quota-per-s", i), tenant.Quota, MaxQuota); err != nil {
-			return err
+		if err := checkEntryName(place+".name", classes[i].Name, names); err != nil {
+			return nil, err
 		}
 	}
-	clear(names)
-	for i := range s.Classes {
-		if err := checkEntryName("classes", i, s.Classes[i].Name, names); err != nil {
-			return err
-		}
-		if err := s.Classes[i].check(fmt.Sprintf("classes[%d]", i)); err != nil {
+	return classes, nil
+}
+
+func (c *Class) read(place string, text json.RawMessage) error {
+	members, err := readObject(place, text)
+	if err != nil {
+		return err
+	}
+	for _, member := range members {
+		if err := c.readMember(placeOf(place, member.key), member); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func checkEntryName(list string, i int, name string, seen map[string]bool) error {
-	place := fmt.Sprintf("%s[%d].name", list, i)
+func (c *Class) readMember(place string, member member) (err error) {
+	switch member.key {
+	case "name":
+		c.Name, err = readString(place, member.value)
+	case "aim-us":
+		c.AimMicroseconds = new(int64)
+		*c.AimMicroseconds, err = readWhole(place, member.value, MaxAim.Microseconds())
+	case "worth":
+		c.Worth = new(float64)
+		*c.Worth, err = readNumber(place, member.value, MaxWorth)
+	case "late-worth":
+		c.LateWorth = new(float64)
+		*c.LateWorth, err = readNumber(place, member.value, 1)
+	default:
+		err = refuseKey(place, member.key, classKeys, rollOfOne)
+	}
+	return err
+}
+
+func checkEntryName(place, name string, seen map[string]bool) error {
 	if err := CheckName(place, name); err != nil {
 		return err
 	}
@@ -177,27 +206,3 @@
 	seen[name] = true
 	return nil
 }
-
-func (c *Class) check(place string) error {
-	if c.AimMicroseconds != nil {
-		if err := checkRange(place+".aim-us", float64(*c.AimMicroseconds), float64(MaxAim.Microseconds())); err != nil {
-			return err
-		}
-	}
-	if c.Worth != nil {
-		if err := checkRange(place+".worth", *c.Worth, MaxWorth); err != nil {
-			return err
-		}
-	}
-	if c.LateWorth != nil {
-		return checkRange(place+".late-worth", *c.LateWorth, 1)
-	}
-	return nil
-}
-
-func checkRange(place string, value, most float64) error {
-	if math.IsNaN(value) || value < 0 || value > most {
-		return fmt.Errorf("%s: found %v, wanted 0 to %v", place, value, most)
-	}
-	return nil
-}
--- a/internal/fleet/configuration/store.go
+++ b/internal/fleet/configuration/store.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -68,6 +69,11 @@
 	if version, known := s.remembered(c.ID); known {
 		return version, nil
 	}
+	settings, err := canonicalSettings(c.Settings)
+	if err != nil {
+		return 0, err
+	}
+	c.Settings = settings
 	if err := s.admits(c); err != nil {
 		return 0, err
 	}
@@ -136,12 +142,7 @@
 }
 
 func (s *Store) byVersion() []*Resource {
-	return slices.SortedFunc(maps.Values(s.Resources), func(a, b *Resource) int {
-		if a.Version < b.Version {
-			return -1
-		}
-		return 1
-	})
+	return slices.SortedFunc(maps.Values(s.Resources), func(a, b *Resource) int { return cmp.Compare(a.Version, b.Version) })
 }
 
 // Since returns what a relay lacks that holds version: the resources that have
--- /dev/null
+++ b/internal/fleet/configuration/store_test.go
@@ -0,0 +1,283 @@
+package configuration
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// put is a change; ifVersion below zero stands for any version.
+func put(id, service string, ifVersion int64) Change {
+	change := Change{ID: id, Service: service, Settings: json.RawMessage(`{"tenants":[{"name":"` + id + `"}]}`)}
+	if ifVersion >= 0 {
+		version := Version(ifVersion)
+		change.IfVersion = &version
+	}
+	return change
+}
+
+func mustApply(t *testing.T, s *Store, space uint32, change Change) Version {
+	t.Helper()
+	version, err := s.Apply(space, change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return version
+}
+
+// storeOf holds a at 1.1, b at 1.2 and c at 1.3.
+func storeOf(t *testing.T) *Store {
+	t.Helper()
+	s := &Store{}
+	for i, service := range []string{"a", "b", "c"} {
+		if version := mustApply(t, s, 1, put(fmt.Sprint("id-", service), service, 0)); version != v(1, uint32(i+1)) {
+			t.Fatalf("found version %v of change %d", version, i)
+		}
+	}
+	return s
+}
+
+func TestStoreCompareAndSet(t *testing.T) {
+	one := int64(v(1, 1))
+	cases := []struct {
+		name     string
+		change   Change
+		conflict *ConflictError // nil where the change is taken
+	}{
+		{"its version", put("x", "a", one), nil},
+		{"any version", put("x", "a", -1), nil},
+		{"another version", put("x", "a", one+1), &ConflictError{"a", v(1, 1), v(1, 2)}},
+		{"created again", put("x", "a", 0), &ConflictError{"a", v(1, 1), 0}},
+		{"a new one", put("x", "d", 0), nil},
+		{"a new one with a version", put("x", "d", one), &ConflictError{"d", 0, v(1, 1)}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := storeOf(t)
+			before := string(mustMarshal(t, s))
+			version, err := s.Apply(1, c.change)
+			if c.conflict == nil {
+				if err != nil || version != v(1, 4) || s.Version != v(1, 4) || s.Resources[c.change.Service].Version != version {
+					t.Errorf("found %v, %v, wanted 1.4", version, err)
+				}
+				return
+			}
+			var conflict *ConflictError
+			if !errors.As(err, &conflict) || *conflict != *c.conflict {
+				t.Errorf("found %v, wanted %v", err, c.conflict)
+			}
+			oneLine(t, err, "service "+c.change.Service+":", "found version", "wanted")
+			if after := string(mustMarshal(t, s)); after != before {
+				t.Errorf("found %s after a refusal, wanted %s", after, before)
+			}
+		})
+	}
+}
+
+func TestStoreRefuses(t *testing.T) {
+	s := storeOf(t)
+	_, err := s.Apply(1, put("x", "unknown", -1))
+	oneLine(t, err, "service unknown:", "found no such service", "wanted")
+	_, err = s.Apply(1, Change{ID: "x", Service: "a", Settings: json.RawMessage(`{`)})
+	oneLine(t, err, "settings:", "found", "wanted")
+	for i := len(s.Resources); i < MaxServices; i++ {
+		mustApply(t, s, 1, put(fmt.Sprint("id-", i), fmt.Sprint("service-", i), 0))
+	}
+	_, err = s.Apply(1, put("over", "over", 0))
+	oneLine(t, err, "service over:", "found 512 services", "wanted 512")
+	mustApply(t, s, 1, put("other", "a", -1)) // one that is there changes all the same
+}
+
+func TestStoreBoundsAllSettings(t *testing.T) {
+	s := &Store{}
+	full := func(i int) Change {
+		c := put(fmt.Sprint("id-", i), fmt.Sprint("service-", i), 0)
+		c.Settings = json.RawMessage(`{"x":"` + strings.Repeat("x", MaxSettingsBytes-8) + `"}`)
+		return c
+	}
+	for i := range MaxTotalBytes / MaxSettingsBytes {
+		mustApply(t, s, 1, full(i))
+	}
+	_, err := s.Apply(1, full(1000))
+	oneLine(t, err, "service service-1000:", "found 3153920 bytes", "wanted 3145728")
+	again := full(3)
+	again.ID, again.IfVersion = "again", nil
+	mustApply(t, s, 1, again) // of the same size
+}
+
+// What a relay and a sidecar receive is what is stored, byte for byte, and no longer
+// than what was checked.
+func TestStoreHoldsSettingsAsTheyAreSent(t *testing.T) {
+	s := &Store{}
+	change := put("x", "a", 0)
+	change.Settings = json.RawMessage("{\n  \"tenants\": [ {\"name\": \"<&>\"} ]\n}\n")
+	mustApply(t, s, 1, change)
+	var received Update
+	if err := json.Unmarshal(mustMarshal(t, s.Since(0)), &received); err != nil {
+		t.Fatal(err)
+	}
+	if got, wanted := string(received.Resources[0].Settings), string(s.Resources["a"].Settings); got != wanted {
+		t.Errorf("found %s, wanted %s", got, wanted)
+	}
+}
+
+func TestStoreAppliesAnIDOnce(t *testing.T) {
+	s := storeOf(t)
+	first := mustApply(t, s, 1, put("again", "a", int64(v(1, 1))))
+	mustApply(t, s, 1, put("later", "a", int64(first)))
+	before := string(mustMarshal(t, s))
+	if version, err := s.Apply(1, put("again", "a", int64(v(1, 1)))); err != nil || version != first {
+		t.Errorf("found %v, %v, wanted %v of the first time", version, err, first)
+	}
+	if after := string(mustMarshal(t, s)); after != before {
+		t.Errorf("found %s, wanted nothing applied: %s", after, before)
+	}
+}
+
+func TestStoreRemembersABoundedNumber(t *testing.T) {
+	s := storeOf(t)
+	first := mustApply(t, s, 1, put("first", "a", -1))
+	for i := range maxRemembered - 1 {
+		mustApply(t, s, 1, put(fmt.Sprint("n", i), "a", -1))
+	}
+	if len(s.Remembered) != maxRemembered || s.Remembered[0].ID != "first" || s.Remembered[maxRemembered-1].ID != fmt.Sprint("n", maxRemembered-2) {
+		t.Fatalf("found %d remembered from %q to %q", len(s.Remembered), s.Remembered[0].ID, s.Remembered[len(s.Remembered)-1].ID)
+	}
+	if version := mustApply(t, s, 1, put("first", "a", -1)); version != first {
+		t.Errorf("found %v, wanted the oldest remembered, %v", version, first)
+	}
+	mustApply(t, s, 1, put("one more", "a", -1))
+	if version := mustApply(t, s, 1, put("first", "a", -1)); version == first {
+		t.Error("found a change remembered beyond the bound")
+	}
+	if !slices.IsSortedFunc(s.Remembered, func(a, b Remembered) int { return int(a.Version) - int(b.Version) }) {
+		t.Error("found the remembered out of order, wanted the oldest first")
+	}
+}
+
+func TestStoreSince(t *testing.T) {
+	cases := []struct {
+		name     string
+		version  Version
+		from     Version
+		services []string
+	}{
+		{"nothing held", 0, 0, []string{"b", "c", "a"}},
+		{"two behind", v(1, 2), v(1, 2), []string{"c", "a"}},
+		{"the newest", v(1, 4), v(1, 4), nil},
+		{"an older space", v(0, 9), 0, []string{"b", "c", "a"}},
+		{"a newer space: this member is late", v(2, 1), 0, []string{"b", "c", "a"}},
+		{"a newer version: this member is late", v(1, 9), 0, []string{"b", "c", "a"}},
+	}
+	s := storeOf(t)
+	mustApply(t, s, 1, put("x", "a", -1))
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := s.Since(c.version)
+			if got.From != c.from || got.Version != v(1, 4) || !slices.Equal(names(got.Resources), c.services) {
+				t.Errorf("found %v to %v with %v, wanted %v to 1.4 with %v", got.From, got.Version, names(got.Resources), c.from, c.services)
+			}
+			relay := cacheAt(t, c.version)
+			if _, err := relay.Take(got); c.version > v(1, 4) != (err != nil) {
+				t.Errorf("found %v when %v takes it", err, c.version)
+			}
+		})
+	}
+}
+
+// cacheAt holds nothing at a version.
+func cacheAt(t *testing.T, version Version) *Cache {
+	cache := &Cache{}
+	if _, err := cache.Take(Update{Version: version}); err != nil {
+		t.Fatal(err)
+	}
+	return cache
+}
+
+func TestEmptyStore(t *testing.T) {
+	var s Store
+	if update := s.Since(0); !update.Snapshot() || update.Version != 0 || len(update.Resources) != 0 {
+		t.Errorf("found %+v", update)
+	}
+	s.BeginSpace(3)
+	if s.Version != v(3, 1) {
+		t.Errorf("found %v, wanted 3.1", s.Version)
+	}
+	if version := mustApply(t, &s, 3, put("x", "a", 0)); version != v(3, 2) {
+		t.Errorf("found %v, wanted 3.2", version)
+	}
+}
+
+// A restored store gives all that it holds anew, above all versions of before, and in
+// the same order.
+func TestBeginSpace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, space := &Store{}, uint32(1)
+		for i := range rapid.IntRange(0, 30).Draw(t, "changes") {
+			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
+				space += uint32(rapid.IntRange(0, 2).Draw(t, "spaces")) // 0: of the present space, by a mistake
+				s.BeginSpace(space)
+			}
+			service := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "service"))
+			change := put(fmt.Sprint("id-", i), service, -1)
+			if s.Resources[service] == nil {
+				change.IfVersion = new(Version)
+			}
+			if _, err := s.Apply(space, change); err != nil {
+				t.Fatal(err)
+			}
+		}
+		before, highest := s.Copy(), s.Version
+		s.BeginSpace(space + 1)
+		if !slices.Equal(names(before.Since(0).Resources), names(s.Since(0).Resources)) {
+			t.Fatalf("found the order %v, wanted %v", names(s.Since(0).Resources), names(before.Since(0).Resources))
+		}
+		seen := map[Version]bool{}
+		for service, resource := range s.Resources {
+			if resource.Version <= highest || resource.Version.Space() != space+1 || resource.Version >= s.Version || seen[resource.Version] {
+				t.Fatalf("%s: found %v of a store at %v, wanted one of its own above %v", service, resource.Version, s.Version, highest)
+			}
+			if string(resource.Settings) != string(before.Resources[service].Settings) || before.Resources[service].Version > highest {
+				t.Fatalf("%s: found other settings, or a copy that changed", service)
+			}
+			seen[resource.Version] = true
+		}
+	})
+}
+
+// A copy is a store of its own.
+func TestStoreCopy(t *testing.T) {
+	s := storeOf(t)
+	before := string(mustMarshal(t, s))
+	c := s.Copy()
+	mustApply(t, c, 1, put("x", "a", -1))
+	mustApply(t, c, 1, put("y", "new", 0))
+	c.BeginSpace(2)
+	if after := string(mustMarshal(t, s)); after != before {
+		t.Errorf("found %s, wanted %s", after, before)
+	}
+	if empty := new(Store).Copy(); empty.Version != 0 || empty.Resources != nil {
+		t.Errorf("found %+v, wanted an empty copy", empty)
+	}
+}
+
+func TestChangeCheck(t *testing.T) {
+	good := put("x", "a", 0)
+	if err := good.Check(); err != nil {
+		t.Error(err)
+	}
+	for text, spoil := range map[string]func(*Change){
+		"id:":      func(c *Change) { c.ID = "" },
+		"service:": func(c *Change) { c.Service = "a b" },
+		"colour:":  func(c *Change) { c.Settings = json.RawMessage(`{"colour":1}`) },
+	} {
+		c := good
+		spoil(&c)
+		oneLine(t, c.Check(), text, "found", "wanted")
+	}
+}
