configuration: an empty list of classes stays one, and U+FFFD counts as printable

Need: found by FuzzParseSettings and FuzzPoll: settings that were written again lost an empty list; the tests' own idea of a line refused the replacement character, which %q prints as it is.

Change: omitzero for classes; a line is valid UTF-8 that is printable.

--- a/internal/fleet/configuration/message.go
+++ b/internal/fleet/configuration/message.go
@@ -73,7 +73,7 @@
 }
 
 // notInLine tells which characters a line of text can't have.
-func notInLine(r rune) bool { return r == utf8.RuneError || !unicode.IsPrint(r) }
+func notInLine(r rune) bool { return !unicode.IsPrint(r) }
 
 // BoundRejections returns what is kept of rejections: MaxRejections at most, each with
 // a reason in one line of MaxReasonBytes at most. A poll that says more is not refused:
--- a/internal/fleet/configuration/settings.go
+++ b/internal/fleet/configuration/settings.go
@@ -22,7 +22,7 @@
 	// Tenants replace the sidecar's tenants and their shares; absent leaves them, an
 	// empty list removes them.
 	Tenants []Tenant `json:"tenants,omitzero"`
-	Classes []Class  `json:"classes,omitempty"`
+	Classes []Class  `json:"classes,omitzero"`
 }
 
 // Tenant is a customer with its agreed rate.
