configuration: the test of StaleAge meets the moment of the stop that fails with 1.5 s

Need: the test that was committed with it stepped over that moment, so that it passed with 1.5 s too (worst 3.85 s).

Change: stops from 1 to 2 s after the cut, each 50 ms.

--- a/internal/fleet/configuration/subscriber_test.go
+++ b/internal/fleet/configuration/subscriber_test.go
@@ -449,7 +449,7 @@
 func TestInForceWithinFourSecondsOfTwoFaultsOfOneRelay(t *testing.T) {
 	worst := time.Duration(0)
 	for phase := time.Duration(0); phase < 1600*time.Millisecond; phase += 50 * time.Millisecond {
-		for later := 500 * time.Millisecond; later < 3*time.Second; later += 150 * time.Millisecond {
+		for later := time.Second; later < 2*time.Second; later += 50 * time.Millisecond {
 			faults := func(w *world) {
 				w.relays[0].setCut(true)
 				w.relays[1].stop()
