--- a/cmd/otterspring/config_test.go
+++ b/cmd/otterspring/config_test.go
@@ -32,6 +32,9 @@
 var programFolder string
 
 func TestMain(m *testing.M) {
+	if os.Getenv(programVariable) != "" {
+		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	}
 	code := m.Run()
 	if programFolder != "" {
 		os.RemoveAll(programFolder)
--- a/cmd/otterspring/relay_test.go
+++ b/cmd/otterspring/relay_test.go
@@ -19,19 +19,10 @@
 	"otterspring/internal/fleet/relay"
 )
 
-// programVariable makes this program be otterspring, in place of the tests.
+// programVariable makes this program be otterspring, in place of the tests: TestMain
+// sees to it.
 const programVariable = "TEST_OTTERSPRING"
 
-func TestMain(m *testing.M) {
-	if os.Getenv(programVariable) != "" {
-		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
-	}
-	os.Exit(m.Run())
-}
-
-// relayPatience bounds what a test waits for: only a hang lasts longer.
-const relayPatience = 60 * time.Second
-
 // writeRelayFile writes a relay's file and returns its path.
 func writeRelayFile(t *testing.T, listen, member, more string) string {
 	t.Helper()
@@ -43,10 +34,10 @@
 	return path
 }
 
-// freeAddress is one at which nobody listens.
+// freeAddress is one at which nobody listens, with an IP that no other test uses.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.7:0", 150+os.Getpid()%40, 1+os.Getpid()/40%250))
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 150+os.Getpid()%40, 1+os.Getpid()/40%250, 1+testIPs.Add(1)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -111,7 +102,7 @@
 // awaitRelay waits until a relay answers, and something is true of it.
 func awaitRelay(t *testing.T, address string, is func(info *relay.Info) bool) {
 	t.Helper()
-	for end := time.Now().Add(relayPatience); ; time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
 		var out, errw bytes.Buffer
 		var info relay.Info
 		if run([]string{"relay", "status", "-json", address}, &out, &errw) == 0 && json.Unmarshal(out.Bytes(), &info) == nil && is(&info) {
