--- a/internal/fleet/relay/feed.go
+++ b/internal/fleet/relay/feed.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -12,31 +13,83 @@
 type feed struct {
 	mu    sync.RWMutex
 	cache configuration.Cache
-	news  chan struct{} // closed and made anew with each newer version
 	heard time.Duration // when the newest call was sent that was answered
 	known bool          // whether one ever was
+
+	waitersMu sync.Mutex // taken after mu
+	waiters   map[*waiter]struct{}
+}
+
+// waiter is a poll that waits for news. Its handler is its owner, and takes it out.
+type waiter struct {
+	poll   *configuration.Poll
+	behind bool          // any newer version is news
+	news   chan struct{} // takes one
 }
 
-func newFeed() *feed { return &feed{news: make(chan struct{})} }
+func newFeed() *feed { return &feed{waiters: map[*waiter]struct{}{}} }
 
-// take takes the answer to a call that was sent at a time. It wakes who waits for a
-// newer version.
+// take takes the answer to a call that was sent at a time. It wakes the polls for
+// which there is news.
 func (f *feed) take(sent time.Duration, update configuration.Update) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.cache.Version()
-	if _, err := f.cache.Take(update); err != nil {
+	taken, err := f.cache.Take(update)
+	if err != nil {
 		return err
 	}
-	first := !f.known
 	f.heard, f.known = max(f.heard, sent), true
-	if first || f.cache.Version() != before {
-		close(f.news)
-		f.news = make(chan struct{})
+	if f.cache.Version() != before {
+		f.wake(taken.Changed, update.Snapshot())
 	}
 	return nil
 }
 
+// wake wakes the polls that subscribe to something that has changed, or all of them.
+func (f *feed) wake(changed []configuration.Resource, all bool) {
+	f.waitersMu.Lock()
+	defer f.waitersMu.Unlock()
+	for w := range f.waiters {
+		if !all && !w.behind && !subscribes(w.poll.Services, changed) {
+			continue
+		}
+		select {
+		case w.news <- struct{}{}:
+		default: // it has been woken, and not looked yet
+		}
+	}
+}
+
+// subscribes tells whether a subscription has one of the resources.
+func subscribes(subscription configuration.Subscription, resources []configuration.Resource) bool {
+	if subscription == nil {
+		return true
+	}
+	for _, resource := range resources {
+		if slices.Contains(subscription, resource.Service) {
+			return true
+		}
+	}
+	return false
+}
+
+// forget takes a poll out that does not wait any more.
+func (f *feed) forget(w *waiter) {
+	f.waitersMu.Lock()
+	defer f.waitersMu.Unlock()
+	delete(f.waiters, w)
+}
+
+// enter has a poll woken when there is news. The caller holds mu, so that no news
+// comes between its look and this.
+func (f *feed) enter(w *waiter, behind bool) {
+	f.waitersMu.Lock()
+	defer f.waitersMu.Unlock()
+	w.behind = behind
+	f.waiters[w] = struct{}{}
+}
+
 // version is the newest that is held, and whether a council was ever heard.
 func (f *feed) version() (configuration.Version, bool) {
 	f.mu.RLock()
@@ -66,26 +119,26 @@
 	lacksSnapshot                 // it holds nothing that a delta could begin at
 )
 
-// look tells how a poll stands, with the update that would answer it and what is
-// closed once there is a newer version.
-func (f *feed) look(p *configuration.Poll) (standing, configuration.Update, <-chan struct{}) {
+// look tells how a poll stands, with the update that would answer it. One that lacks
+// nothing is entered among those that wait.
+func (f *feed) look(w *waiter) (standing, configuration.Update) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	held := f.cache.Version()
 	switch {
 	case !f.known:
-		return notReady, configuration.Update{}, f.news
-	case p.Version > held:
-		return behind, configuration.Update{}, f.news
+		return notReady, configuration.Update{}
+	case w.poll.Version > held:
+		f.enter(w, true)
+		return behind, configuration.Update{}
 	}
-	update := f.cache.Since(p.Version, p.Services)
+	update := f.cache.Since(w.poll.Version, w.poll.Services)
 	switch {
-	case held == 0:
-		return current, update, f.news // a council without any service
-	case update.Snapshot():
-		return lacksSnapshot, update, f.news
+	case held != 0 && update.Snapshot():
+		return lacksSnapshot, update
 	case len(update.Resources) > 0:
-		return lacksDelta, update, f.news
+		return lacksDelta, update
 	}
-	return current, update, f.news
+	f.enter(w, false)
+	return current, update
 }
--- a/internal/fleet/relay/poll.go
+++ b/internal/fleet/relay/poll.go
@@ -88,7 +88,7 @@
 
 // waiting is a poll that waits for its answer.
 type waiting struct {
-	poll         *configuration.Poll
+	waiter
 	start, end   time.Duration // it is answered at the end though there is no news
 	acknowledged bool          // its version has been taken note of
 }
@@ -96,7 +96,8 @@
 // waitForNews waits until there is an answer to a poll; nil where the subscriber
 // has gone meanwhile.
 func (r *Relay) waitForNews(req *http.Request, poll *configuration.Poll) *configuration.PollAnswer {
-	wait := &waiting{poll: poll, start: bootTime()}
+	wait := &waiting{waiter: waiter{poll: poll, news: make(chan struct{}, 1)}, start: bootTime()}
+	defer r.feed.forget(&wait.waiter)
 	wait.end = wait.start + min(time.Duration(poll.WaitMS)*time.Millisecond, maxWait)
 	draining := r.draining
 	timer := time.NewTimer(maxWait)
@@ -106,13 +107,13 @@
 		if draining == nil && now >= wait.end {
 			return r.refuse(configuration.RefusalDraining, "")
 		}
-		answer, until, news := r.decide(wait, now)
+		answer, until := r.decide(wait, now)
 		if answer != nil {
 			return answer
 		}
 		timer.Reset(until - now)
 		select {
-		case <-news:
+		case <-wait.news:
 		case <-timer.C:
 		case <-draining:
 			draining = nil
@@ -124,29 +125,29 @@
 }
 
 // decide returns the answer to a poll, or nil where it is to wait: until a time, or
-// until there is news.
-func (r *Relay) decide(wait *waiting, now time.Duration) (answer *configuration.PollAnswer, until time.Duration, news <-chan struct{}) {
-	stands, update, news := r.feed.look(wait.poll)
+// until it is woken.
+func (r *Relay) decide(wait *waiting, now time.Duration) (answer *configuration.PollAnswer, until time.Duration) {
+	stands, update := r.feed.look(&wait.waiter)
 	switch stands {
 	case notReady:
-		return r.refuse(configuration.RefusalNotReady, ""), 0, nil
+		return r.refuse(configuration.RefusalNotReady, ""), 0
 	case behind:
 		if until := wait.start + catchUpWait; now < until {
-			return nil, until, news
+			return nil, until
 		}
-		return r.refuse(configuration.RefusalBehind, ""), 0, nil
+		return r.refuse(configuration.RefusalBehind, ""), 0
 	case lacksSnapshot:
-		return r.snapshot(wait.poll, now, update), 0, nil
+		return r.snapshot(wait.poll, now, update), 0
 	}
 	if !wait.acknowledged {
 		r.acknowledge(wait.poll)
 		wait.acknowledged = true
 	}
 	if stands == current && now < wait.end {
-		return nil, wait.end, news
+		return nil, wait.end
 	}
 	r.counts.count(update)
-	return &configuration.PollAnswer{Region: r.file.Region, Update: &update}, 0, nil
+	return &configuration.PollAnswer{Region: r.file.Region, Update: &update}, 0
 }
 
 // snapshot answers a subscriber that lacks everything, if there is a place.
--- a/internal/fleet/relay/process_test.go
+++ b/internal/fleet/relay/process_test.go
@@ -397,12 +397,14 @@
 		}
 		var snapshots underWay
 		refused := make(chan struct{}) // closed once somebody was told to come again
+		goOn := sync.OnceFunc(func() { close(refused) })
+		t.Cleanup(goOn)
 		for _, s := range restarted {
 			s.snapshots, s.settle = &snapshots, func() { <-refused }
 			s.begin()
 		}
 		await(t, "a subscriber that is told to come again", func() bool { info, _ := r.info(); return info.Counts.Busy > before.Counts.Busy })
-		close(refused)
+		goOn()
 		second := c.put(t, settingsB, "a")
 		subscribers.hold(t, second)
 		info, _ := r.info()
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -314,10 +314,19 @@
 	const changes = 20 // with waits of 5 s: 100 s
 	begun := time.Now()
 	for i := range changes {
+		p := configuration.Poll{Version: version, WaitMS: 5000}
+		if i%2 == 0 {
+			p.Services = configuration.Subscription{"other", "a"}
+		}
 		answers := make(chan configuration.PollAnswer, 1)
-		go func() { answers <- poll(t, r.Address(), configuration.Poll{Version: version, WaitMS: 5000}) }()
+		go func() { answers <- poll(t, r.Address(), p) }()
 		await(t, "the poll", func() bool { return r.counts.read().Polls == int64(i+1) })
-		version = council.put(t, settingsB, "a")
+		if i%4 == 3 { // the council is restored: all have to come for a snapshot
+			council.set(func(s *standIn) { s.store.BeginSpace(version.Space() + 1); version = s.store.Version })
+			council.wake()
+		} else {
+			version = council.put(t, settingsB, "a")
+		}
 		if answer := <-answers; answer.Update == nil || answer.Update.Version != version {
 			t.Fatalf("change %d: found %+v, wanted version %v", i, answer, version)
 		}
@@ -325,6 +334,11 @@
 			t.Fatalf("%d changes took longer than %v: polls are not woken", i+1, patience)
 		}
 	}
+	await(t, "no poll that waits", func() bool {
+		r.feed.waitersMu.Lock()
+		defer r.feed.waitersMu.Unlock()
+		return len(r.feed.waiters) == 0
+	})
 }
 
 // A connection beyond the bound is ended at once, and one that ends makes room.
--- a/internal/fleet/relay/standin_test.go
+++ b/internal/fleet/relay/standin_test.go
@@ -119,13 +119,20 @@
 		if s.store.Resources[service] == nil {
 			change.IfVersion = new(configuration.Version)
 		}
-		if _, err := s.store.Apply(1, change); err != nil {
+		if _, err := s.store.Apply(max(1, s.store.Version.Space()), change); err != nil {
 			t.Fatal(err)
 		}
 	}
+	s.wakeLocked()
+	return s.store.Version
+}
+
+// wake ends the calls that wait for a newer version.
+func (s *standIn) wake() { s.set((*standIn).wakeLocked) }
+
+func (s *standIn) wakeLocked() {
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.store.Version
 }
 
 // callsUnderWay is how many calls to an address are under way.
