--- /dev/null
+++ b/internal/lab/rig/capacity_test.go
@@ -0,0 +1,80 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"otterspring/internal/lab/standin/registry"
+)
+
+// discoveryTold is after what time a sidecar that has started was told the whole list:
+// it asks within two seconds.
+const discoveryTold = 4 * time.Second
+
+// BenchmarkSidecarMemory reports what a sidecar's process takes that was started with
+// a list of a size and serves nobody: the most since its start, and what of it is
+// mapped from the program's file, in kB. It is looked at once discovery has told the
+// whole list, too.
+func BenchmarkSidecarMemory(b *testing.B) {
+	self, err := os.Executable()
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, memory := range []int{32, 128} {
+		for _, servers := range []int{200, 1000, 2000, 4096, 8000, 13000} {
+			b.Run(fmt.Sprintf("memory=%dMB/servers=%d", memory, servers), func(b *testing.B) {
+				addresses := make([]string, servers)
+				for i := range addresses {
+					addresses[i] = fmt.Sprintf("127.1.%d.%d:8443", i>>8, i&0xff)
+				}
+				for b.Loop() {
+					startedWith(b, Options{
+						Seed: 1, External: addresses, Program: []string{self}, Dir: b.TempDir(), MemoryMB: memory, Sockets: 1024,
+						Registry: registry.Config{Lines: 1_000_000},
+					})
+				}
+			})
+		}
+	}
+}
+
+// startedWith starts a world's only sidecar and reports its memory.
+func startedWith(b *testing.B, o Options) {
+	b.Helper()
+	w, err := New(o)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer w.Close()
+	if err := w.StartAll(context.Background(), 1); err != nil {
+		b.Fatal(err)
+	}
+	time.Sleep(discoveryTold)
+	pid := w.Instances[0].Pids()[0]
+	b.ReportMetric(statusKB(b, pid, "VmHWM"), "peak-kB")
+	b.ReportMetric(statusKB(b, pid, "RssFile"), "mapped-kB")
+}
+
+// statusKB reads a field of /proc/PID/status that is in kB.
+func statusKB(b *testing.B, pid int, field string) float64 {
+	b.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, rest, found := strings.Cut(string(text), "\n"+field+":")
+	fields := strings.Fields(rest)
+	if !found || len(fields) == 0 {
+		b.Fatalf("no %s of process %d", field, pid)
+	}
+	value, err := strconv.ParseFloat(fields[0], 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return value
+}
