--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -21,6 +21,7 @@
 	"otterspring/internal/cli"
 	"otterspring/internal/daemon"
 	"otterspring/internal/lab/rig"
+	"otterspring/internal/lab/scale"
 	"otterspring/internal/logs"
 )
 
@@ -43,6 +44,7 @@
 	{"nemesis", "FILE...", "many real processes with faults between them, drawn by seed; histories, judged; what breaks is made smaller", setNemesis},
 	{"owner", "", "a council and many hosts, rolled while their processes fail: one owner at a time, none rolled twice or left out", setOwner},
 	{"council", "", "what a council of processes costs and carries: commits, fsyncs, hosts that hear", setCouncil},
+	{"scale", "", "a council, relays and thousands of subscribers of configuration, with faults by seed; or several sizes, with lines fitted", setScale},
 	{"judge", "FILE...", "histories that were written before, held against everything that must hold", setJudge},
 	{"report", "FILE...", "one page of storms' results, with plots", setReport},
 	{"mutants", "", "breaks the program one line at a time and tells which test and storm notice", setMutants},
@@ -66,6 +68,9 @@
 	if len(args) > 0 && args[0] == rig.ReaperWord {
 		return rig.Reap(os.Stdin)
 	}
+	if len(args) > 0 && args[0] == scale.HollowWord {
+		return scale.RunHollow(os.Stdin, os.Stdout, os.Stderr)
+	}
 	if len(args) > 0 && args[0] == proxyWord {
 		return runProxy(args[1:])
 	}
--- a/internal/lab/rig/hosts.go
+++ b/internal/lab/rig/hosts.go
@@ -250,7 +250,7 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("%s: %w", one.role, err)
 	}
-	h.w.reaper.watch(cmd.Process.Pid)
+	h.w.reaper.Watch(cmd.Process.Pid)
 	h.sessions[cmd.Process.Pid] = one
 	one.sup, one.down = p, false
 	h.started++
--- a/internal/lab/rig/reaper.go
+++ b/internal/lab/rig/reaper.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,16 +17,16 @@
 // reaper: it ends what the rig leaves behind when it is killed.
 const ReaperWord = "reaper-of-a-rig"
 
-// reaper is the rig's hold on one. A supervisor's instances outlive it, as they
+// Reaper is the rig's hold on one. A supervisor's instances outlive it, as they
 // are meant to; in a rig that is killed nobody would end them.
-type reaper struct {
+type Reaper struct {
 	mu   sync.Mutex
 	pipe io.WriteCloser
 	cmd  *exec.Cmd
 }
 
-// startReaper starts the program self as a reaper.
-func startReaper(self []string) (*reaper, error) {
+// StartReaper starts the program self as a reaper.
+func StartReaper(self []string) (*Reaper, error) {
 	cmd := exec.Command(self[0], append(self[1:len(self):len(self)], ReaperWord)...)
 	pipe, err := cmd.StdinPipe()
 	if err != nil {
@@ -36,11 +37,11 @@
 	if err := cmd.Start(); err != nil {
 		return nil, fmt.Errorf("rig: the reaper: %w", err)
 	}
-	return &reaper{pipe: pipe, cmd: cmd}, nil
+	return &Reaper{pipe: pipe, cmd: cmd}, nil
 }
 
-// watch has the reaper end a session, should the rig be killed.
-func (r *reaper) watch(session int) {
+// Watch has the reaper end a session, should the rig be killed.
+func (r *Reaper) Watch(session int) {
 	if r == nil {
 		return
 	}
@@ -49,8 +50,18 @@
 	fmt.Fprintln(r.pipe, session)
 }
 
-// close ends the reaper, which ends what is left.
-func (r *reaper) close() {
+// Remove has the reaper remove a folder of the rig's own, behind the processes.
+func (r *Reaper) Remove(folder string) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintln(r.pipe, folder)
+}
+
+// Close ends the reaper, which ends what is left.
+func (r *Reaper) Close() {
 	if r == nil {
 		return
 	}
@@ -58,13 +69,18 @@
 	r.cmd.Wait()
 }
 
-// Reap is the reaper's program: it reads sessions until its input ends, as it
-// does when the rig is gone in whatever way, and ends all processes of them.
+// Reap is the reaper's program: it reads sessions and folders until its input ends,
+// as it does when the rig is gone in whatever way, ends all processes of the first
+// and removes the others.
 func Reap(in io.Reader) int {
 	sessions := map[int]bool{}
 	sc := bufio.NewScanner(in)
 	for sc.Scan() {
-		if n, err := strconv.Atoi(strings.TrimSpace(sc.Text())); err == nil && n > 1 && n != os.Getpid() {
+		text := strings.TrimSpace(sc.Text())
+		if temporary(text) {
+			defer os.RemoveAll(text)
+		}
+		if n, err := strconv.Atoi(text); err == nil && n > 1 && n != os.Getpid() {
 			sessions[n] = true
 		}
 	}
@@ -73,3 +89,12 @@
 	}
 	return 1
 }
+
+// temporary tells whether a path is a folder of a rig's own among the system's
+// temporary ones.
+func temporary(path string) bool {
+	return filepath.Dir(path) == filepath.Clean(os.TempDir()) && strings.HasPrefix(filepath.Base(path), "rig")
+}
+
+// Pid is the reaper's number.
+func (r *Reaper) Pid() int { return r.cmd.Process.Pid }
--- a/internal/lab/rig/storm.go
+++ b/internal/lab/rig/storm.go
@@ -346,7 +346,7 @@
 			return nil, err
 		}
 	} else {
-		if w.reaper, err = startReaper(o.Self); err != nil {
+		if w.reaper, err = StartReaper(o.Self); err != nil {
 			return nil, err
 		}
 		if between, err = newHosts(w, p, hist); err != nil {
--- a/internal/lab/rig/world.go
+++ b/internal/lab/rig/world.go
@@ -92,7 +92,7 @@
 	relays map[[2]int]*relay.Relay
 	links  []*lossylink.Link
 	lag    *registry.Registry // tells half of the instances, where it may lag; nil for none
-	reaper *reaper            // nil for none
+	reaper *Reaper            // nil for none
 	linked map[string]string  // address at which discovery tells of a server over CoAP
 }
 
@@ -261,7 +261,7 @@
 	for _, l := range w.links {
 		l.Close()
 	}
-	w.reaper.close()
+	w.reaper.Close()
 }
 
 // tell has discovery tell of a server, also the one that may lag.
