--- a/internal/lab/scale/control.go
+++ b/internal/lab/scale/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,7 +13,6 @@
 	"sync"
 	"time"
 
-	"otterspring/internal/fleet/configuration"
 	"otterspring/internal/fleet/council/ask"
 	"otterspring/internal/lab/rig"
 	"otterspring/internal/lab/standin/relay"
@@ -182,14 +180,18 @@
 		go func() {
 			one.mu.Lock()
 			defer one.mu.Unlock()
-			errs <- errors.Join(c.startRelay(one), c.awaitRelay(ctx, one, startWithin))
+			if err := c.startRelay(one); err != nil {
+				errs <- err
+				return
+			}
+			errs <- c.awaitRelay(ctx, one, startWithin)
 		}()
 	}
-	var all error
+	var all []error
 	for range c.zones {
-		all = errors.Join(all, <-errs)
+		all = append(all, <-errs)
 	}
-	return all
+	return firstError(all...)
 }
 
 // startMember starts a member's process. The caller holds its mutex.
@@ -227,7 +229,7 @@
 				return m, nil
 			}
 		}
-		if err := errors.Join(ctx.Err(), errors.Join(c.council.crashes()...)); err != nil {
+		if err := firstError(append(c.council.crashes(), ctx.Err())...); err != nil {
 			return nil, err
 		}
 		time.Sleep(askEvery)
--- a/internal/lab/scale/hollows.go
+++ b/internal/lab/scale/hollows.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -273,15 +272,18 @@
 
 // end has all subscribers end and waits for their last records.
 func (h *hollows) end() error {
-	var all error
 	for _, p := range h.all {
 		p.process.expectEnd()
-		all = errors.Join(all, p.order(&Order{End: true}))
+		if err := p.order(&Order{End: true}); err != nil {
+			return fmt.Errorf("%s: %w", p.process.Name, err)
+		}
 	}
 	for _, p := range h.all {
-		all = errors.Join(all, p.await(func() bool { return p.done }, "done"))
+		if err := p.await(func() bool { return p.done }, "done"); err != nil {
+			return err
+		}
 	}
-	return all
+	return nil
 }
 
 // close ends the processes.
--- a/internal/lab/scale/load.go
+++ b/internal/lab/scale/load.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -60,23 +59,67 @@
 
 // create creates all services.
 func (l *load) create(ctx context.Context) error {
+	if err := l.createFirst(ctx); err != nil {
+		return err
+	}
 	numbers := make(chan int)
 	var wg sync.WaitGroup
 	for range creators {
 		wg.Go(func() {
 			for service := range numbers {
-				change := l.draw(service)
-				change.IfVersion = new(configuration.Version)
-				l.submit(ctx, service, change, false)
+				l.submit(ctx, service, l.creation(service), false)
 			}
 		})
 	}
-	for service := range l.services {
+	for service := 1; service < len(l.services); service++ {
 		numbers <- service
 	}
 	close(numbers)
 	wg.Wait()
-	return errors.Join(append(l.failed(), ctx.Err())...)
+	return firstError(append(l.failed(), ctx.Err())...)
+}
+
+// createFirst creates the first service. A new council refuses changes until it
+// knows that all of its members can apply them.
+func (l *load) createFirst(ctx context.Context) error {
+	change := l.creation(0)
+	last := ""
+	for began := Now(); Now() < began+startWithin && ctx.Err() == nil; {
+		answer, err := l.ask(ctx, change)
+		if err == nil && answer.Refused == "" && answer.Resource != nil {
+			l.answered(0, change, answer, false, Now())
+			return nil
+		}
+		if err == nil {
+			last = answer.Refused
+		}
+		time.Sleep(repeatAfter)
+	}
+	return firstError(ctx.Err(), fmt.Errorf("%s: found no change accepted within %v (%s), wanted one", change.Service, startWithin, last))
+}
+
+// creation makes the change that creates a service.
+func (l *load) creation(service int) *configuration.Change {
+	change := l.draw(service)
+	change.IfVersion = new(configuration.Version)
+	return change
+}
+
+// ask asks for a change once.
+func (l *load) ask(ctx context.Context, change *configuration.Change) (*ask.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeWithin)
+	defer cancel()
+	return l.client.Do(ctx, ask.Question{Kind: ask.Configure, Change: change})
+}
+
+// firstError is the first of several that is one.
+func firstError(all ...error) error {
+	for _, err := range all {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // run makes changes at a pace until an end, and waits until the outcome of all is
@@ -156,9 +199,7 @@
 	began := Now()
 	var last error
 	for Now() < began+changeWithin && ctx.Err() == nil {
-		asking, cancel := context.WithTimeout(ctx, changeWithin)
-		answer, err := l.client.Do(asking, ask.Question{Kind: ask.Configure, Change: change})
-		cancel()
+		answer, err := l.ask(ctx, change)
 		if err == nil {
 			l.answered(service, change, answer, older, began)
 			return
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"sync"
@@ -122,7 +121,7 @@
 		if lacking == 0 {
 			return nil
 		}
-		if err := errors.Join(r.crashes()...); err != nil {
+		if err := firstError(r.crashes()...); err != nil {
 			return err
 		}
 		if Now() > began+within {
