rig scale: a small run with all faults and the rig's end by any signal are tests

A rig that is ended by SIGINT, SIGTERM or SIGKILL leaves no process, found by a variable in their environment, and no file. Real sidecars count as stale by what /up says. -operator-program is looked at before anything is begun.

--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -153,12 +153,8 @@
 // program, else this program itself.
 func program(named string) ([]string, error) {
 	if named != "" {
-		info, err := os.Stat(named)
-		if err != nil || info.IsDir() || info.Mode()&0o111 == 0 {
-			return nil, fmt.Errorf("%w: -program: found no program at %q", errUsage, named)
-		}
-		abs, err := filepath.Abs(named)
-		return []string{abs}, err
+		path, err := namedProgram("program", named)
+		return []string{path}, err
 	}
 	self, err := os.Executable()
 	if err != nil {
@@ -171,6 +167,15 @@
 	return []string{self, sidecarWord}, nil
 }
 
+// namedProgram returns the path of a program that a flag names.
+func namedProgram(flag, named string) (string, error) {
+	info, err := os.Stat(named)
+	if err != nil || info.IsDir() || info.Mode()&0o111 == 0 {
+		return "", fmt.Errorf("%w: -%s: found no program at %q", errUsage, flag, named)
+	}
+	return filepath.Abs(named)
+}
+
 // ready returns the sidecar to run, as program does, and the folder of a run.
 func ready(named string) (argv []string, dir string, clean func(), err error) {
 	if argv, err = program(named); err != nil {
--- a/cmd/rig/main_test.go
+++ b/cmd/rig/main_test.go
@@ -8,20 +8,31 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/rig"
+	"otterspring/internal/lab/scale"
 	"otterspring/internal/logs"
 )
 
-// TestMain is the rig itself where it runs itself as a sidecar or a proxy.
+// selfWord is the variable by which a test starts this program as the rig.
+const selfWord = "RIG_TEST_AS_RIG"
+
+// TestMain is the rig itself where a test or the rig runs it so.
 func TestMain(m *testing.M) {
-	if len(os.Args) > 1 && (os.Args[1] == sidecarWord || os.Args[1] == proxyWord) {
+	words := []string{sidecarWord, proxyWord, rig.ReaperWord, scale.HollowWord}
+	if os.Getenv(selfWord) != "" || len(os.Args) > 1 && slices.Contains(words, os.Args[1]) {
 		os.Exit(run(os.Args[1:]))
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	if operatorFolder != "" {
+		os.RemoveAll(operatorFolder)
+	}
+	os.Exit(code)
 }
 
 func ctx(t *testing.T) context.Context {
--- a/cmd/rig/scale.go
+++ b/cmd/rig/scale.go
@@ -70,12 +70,15 @@
 	if err := o.check(sizes); err != nil {
 		return scaleUsage(err)
 	}
+	if err := o.findPrograms(); err != nil {
+		return err
+	}
 	dir, clean, err := scratch()
 	if err != nil {
 		return err
 	}
 	defer clean()
-	if err := o.findPrograms(ctx, dir); err != nil {
+	if err := o.buildOperator(ctx, dir); err != nil {
 		return err
 	}
 	show := progress(os.Stderr, 1)
@@ -154,8 +157,9 @@
 	return err
 }
 
-// findPrograms finds the sidecar and the operators' command, or builds the latter.
-func (o *scaleFlags) findPrograms(ctx context.Context, dir string) error {
+// findPrograms finds the programs that are named, or stand beside this one. Where
+// there is no operators' command, its place is left empty.
+func (o *scaleFlags) findPrograms() error {
 	self, err := os.Executable()
 	if err != nil {
 		return err
@@ -165,24 +169,33 @@
 	if programs.Sidecar, err = program(o.program); err != nil {
 		return err
 	}
+	if o.operator != "" {
+		path, err := namedProgram("operator-program", o.operator)
+		programs.Operator = []string{path}
+		return err
+	}
 	beside := filepath.Join(filepath.Dir(self), "otterspring")
-	switch _, err := os.Stat(beside); {
-	case o.operator != "":
-		programs.Operator = []string{o.operator}
-	case err == nil:
+	if _, err := os.Stat(beside); err == nil {
 		programs.Operator = []string{beside}
-	default:
-		built := filepath.Join(dir, "otterspring")
-		build := exec.CommandContext(ctx, "go", "build", "-o", built, "./cmd/otterspring")
-		build.Dir = o.tree
-		if text, err := build.CombinedOutput(); err != nil {
-			return fmt.Errorf("go build ./cmd/otterspring in %s: %v: %s", o.tree, err, text)
-		}
-		programs.Operator = []string{built}
 	}
 	return nil
 }
 
+// buildOperator builds the operators' command into a folder, where none was found.
+func (o *scaleFlags) buildOperator(ctx context.Context, dir string) error {
+	if len(o.options.Programs.Operator) > 0 {
+		return nil
+	}
+	built := filepath.Join(dir, "otterspring")
+	build := exec.CommandContext(ctx, "go", "build", "-o", built, "./cmd/otterspring")
+	build.Dir = o.tree
+	if text, err := build.CombinedOutput(); err != nil {
+		return fmt.Errorf("go build ./cmd/otterspring in %s: %v: %s", o.tree, err, text)
+	}
+	o.options.Programs.Operator = []string{built}
+	return nil
+}
+
 // playSeeds plays a run with each seed.
 func (o *scaleFlags) playSeeds(ctx context.Context, out io.Writer, show *bar, seeds []uint64) error {
 	var runs []*scale.Figures
--- /dev/null
+++ b/cmd/rig/scale_test.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// operatorProgram builds the operators' command once for all tests of scale.
+var operatorProgram = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "rig-scale-test")
+	if err != nil {
+		return "", err
+	}
+	operatorFolder = dir
+	built := filepath.Join(dir, "otterspring")
+	build := exec.Command("go", "build", "-o", built, "./cmd/otterspring")
+	build.Dir = "../.."
+	if text, err := build.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("go build: %v: %s", err, text)
+	}
+	return built, nil
+})
+
+// operatorFolder is removed by TestMain.
+var operatorFolder string
+
+// smallScale is a run of a few seconds with all faults.
+func smallScale(t *testing.T, seed int, more ...string) []string {
+	t.Helper()
+	operator, err := operatorProgram()
+	if err != nil {
+		t.Fatal(err)
+	}
+	args := []string{"scale", "-sidecars", "60", "-real", "1", "-zones", "3", "-services", "40", "-calls-services", "8",
+		"-changes-per-s", "20", "-for", "6s", "-faults", "all", "-seed", strconv.Itoa(seed), "-operator-program", operator}
+	return append(args, more...)
+}
+
+// scaleTries are how often a run is made that the machine was too slow for.
+const scaleTries = 3
+
+// A small run with all faults keeps all rules. On a machine that is crowded by other
+// tests a run is void: it may have been late then, but must not have gone back, lost
+// or doubled anything, and one of a few must keep all.
+func TestScale(t *testing.T) {
+	const seed = 7
+	for try := 1; ; try++ {
+		var out bytes.Buffer
+		err := rigged(ctx(t), smallScale(t, seed), &out)
+		t.Logf("seed %d, try %d: %v\n%s", seed, try, err, out.String())
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		checkScaleLine(t, lines[len(lines)-1])
+		kept := err == nil || errors.Is(err, errVoid) && !strings.Contains(out.String(), "  broken: ")
+		if kept {
+			return
+		}
+		if !errors.Is(err, errVoid) || try == scaleTries {
+			t.Fatalf("try %d: %v, wanted all rules kept", try, err)
+		}
+	}
+}
+
+// checkScaleLine holds the last line of a run against its figures and their order.
+func checkScaleLine(t *testing.T, line string) {
+	t.Helper()
+	keys := strings.Fields("sidecars= real= processes= memory_mb= changes= in_force_p50_s= in_force_p99_s= in_force_max_s= unreachable= back_max_s= stale= back= " +
+		"lost_changes= applied_twice= bytes_per_sidecar_s= worst_bytes_s= cpu_share= kb_per_sidecar= relay_cores_per_1000= snapshots_at_once= lost= twice= " +
+		"council_cores= accept_max_s= void=")
+	fields := strings.Fields(line)
+	if len(fields) != len(keys) {
+		t.Fatalf("found %d figures in %q, wanted %d", len(fields), line, len(keys))
+	}
+	for i, key := range keys {
+		if !strings.HasPrefix(fields[i], key) {
+			t.Errorf("figure %d: found %s, wanted %s", i+1, fields[i], key)
+		}
+	}
+	for _, want := range []string{"sidecars=60 ", " back=0 ", " lost_changes=0 ", " applied_twice=0 ", " twice=0 "} {
+		if !strings.Contains(line+" ", want) {
+			t.Errorf("found no %q in %q", want, line)
+		}
+	}
+	if changes := figure(line, "changes"); changes < 80 {
+		t.Errorf("found %d changes, wanted about 115", changes)
+	}
+	if bytes := figure(line, "worst_bytes_s"); bytes <= 0 {
+		t.Errorf("found %d bytes, wanted what the subscribers sent and received", bytes)
+	}
+}
+
+// figure is a whole number of a line of figures; -1 for none.
+func figure(line, key string) int {
+	for _, field := range strings.Fields(line) {
+		if text, found := strings.CutPrefix(field, key+"="); found {
+			n, err := strconv.Atoi(text)
+			if err == nil {
+				return n
+			}
+		}
+	}
+	return -1
+}
+
+// Whatever ends the rig, no process and no file of it stays.
+func TestScaleLeavesNothingBehind(t *testing.T) {
+	for _, signal := range []syscall.Signal{syscall.SIGINT, syscall.SIGTERM, syscall.SIGKILL} {
+		t.Run(signal.String(), func(t *testing.T) { endScale(t, signal) })
+	}
+}
+
+// scaleProcesses are those of a small run: the rig and its reaper, a council of
+// three, three relays, one process of hollow subscribers and one sidecar.
+const scaleProcesses = 10
+
+// endScale starts a run, ends the rig by a signal and looks at what is left.
+func endScale(t *testing.T, signal syscall.Signal) {
+	temporary := t.TempDir()
+	mark := "RIG_SCALE_TEST=" + temporary
+	rig := exec.Command(os.Args[0], smallScale(t, 1, "-for", "60s")...)
+	rig.Env = append(os.Environ(), mark, "TMPDIR="+temporary, selfWord+"=1")
+	var said bytes.Buffer
+	rig.Stdout, rig.Stderr = &said, &said
+	rig.WaitDelay = 5 * time.Second
+	if err := rig.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- rig.Wait() }()
+	if !eventually(func() bool { return len(marked(mark)) >= scaleProcesses || len(ended) > 0 }) || len(ended) > 0 {
+		rig.Process.Kill()
+		t.Fatalf("found %d processes, wanted %d: %s", len(marked(mark)), scaleProcesses, said.String())
+	}
+	if err := rig.Process.Signal(signal); err != nil {
+		t.Fatal(err)
+	}
+	if !eventually(func() bool { return len(ended) > 0 }) {
+		rig.Process.Kill()
+		t.Fatalf("found it running after %v: %s", signal, said.String())
+	}
+	if !eventually(func() bool { return len(marked(mark)) == 0 }) {
+		t.Errorf("found processes %v after %v, wanted none", marked(mark), signal)
+	}
+	left := []os.DirEntry{}
+	if !eventually(func() bool { left, _ = os.ReadDir(temporary); return len(left) == 0 }) {
+		t.Errorf("found %v after %v, wanted no file", left, signal)
+	}
+}
+
+// eventually waits until a condition holds; the bound only ends a test that hangs.
+func eventually(holds func() bool) bool {
+	for began := time.Now(); time.Since(began) < time.Minute; time.Sleep(50 * time.Millisecond) {
+		if holds() {
+			return true
+		}
+	}
+	return false
+}
+
+// marked are the processes with a variable in their environment.
+func marked(variable string) []string {
+	var all []string
+	files, _ := filepath.Glob("/proc/[0-9]*/environ")
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err == nil && bytes.Contains(append([]byte{0}, text...), []byte("\x00"+variable+"\x00")) {
+			all = append(all, filepath.Base(filepath.Dir(file)))
+		}
+	}
+	return all
+}
+
+// What can't be played is told in one line, and nothing is begun.
+func TestScaleUsage(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"-sidecars", "0"}, "-sidecars: found 0, wanted 1 to 20000"},
+		{[]string{"-sidecars", "20000", "-calls-services", "360"}, "MB at most"},
+		{[]string{"-services", "10", "-calls-services", "11"}, "-calls-services: found 11, wanted 1 to 10"},
+		{[]string{"-zones", "1"}, "-zones: found 1, wanted 2 to 64"},
+		{[]string{"-changes-per-s", "1000"}, "-changes-per-s: found 1000, wanted 0 to 500"},
+		{[]string{"-settings-bytes", "10"}, "-settings-bytes: found 10"},
+		{[]string{"-faults", "some"}, "-faults: found \"some\", wanted none or all"},
+		{[]string{"-seeds", "3..1"}, "-seeds: found \"3..1\""},
+		{[]string{"-sweep", "-faults", "all"}, "-sweep: found it with -faults all"},
+		{[]string{"-sweep", "-sizes", "10,20,30"}, "-sizes: found 3, wanted 4 or more"},
+		{[]string{"-sweep", "-sizes", "10,20,20,30"}, "-sizes: found 20 before 20"},
+		{[]string{"-sweep", "-sizes", "10,x"}, "-sizes: found \"10,x\""},
+		{[]string{"-program", "/none"}, "found no program"},
+		{[]string{"-operator-program", "/none"}, "found no program"},
+	} {
+		var out bytes.Buffer
+		err := rigged(ctx(t), append([]string{"scale"}, c.args...), &out)
+		if !errors.Is(err, errUsage) || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") || out.Len() > 0 {
+			t.Errorf("%v: %v, %q, want %s", c.args, err, out.String(), c.want)
+		}
+	}
+	if left, err := os.ReadDir(os.TempDir()); err != nil || len(left) > 0 {
+		t.Errorf("found %v, %v, wanted nothing begun", left, err)
+	}
+}
--- a/internal/lab/scale/sidecars.go
+++ b/internal/lab/scale/sidecars.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -23,15 +24,16 @@
 // sidecars are real ones with stand-in call servers and clients, under the usual
 // audit.
 type sidecars struct {
-	world  *rig.World // nil for none
-	seed   uint64
-	result *rig.FleetResult
-	err    error
+	world       *rig.World // nil for none
+	subscribers []Subscriber
+	seed        uint64
+	result      *rig.FleetResult
+	err         error
 }
 
 // startSidecars starts them; each follows the configuration as its topology says.
 func startSidecars(ctx context.Context, o *Options, in string, t *Topology, relays []string) (*sidecars, error) {
-	s := &sidecars{seed: o.Seed}
+	s := &sidecars{seed: o.Seed, subscribers: t.Subscribers[t.Hollow:]}
 	if o.Real == 0 {
 		return s, nil
 	}
@@ -41,7 +43,7 @@
 	}
 	world, err := rig.New(rig.Options{
 		Seed: o.Seed, Instances: o.Real, Servers: sidecarServers, Stretch: sidecarStretch, Program: o.Programs.Sidecar, Dir: directory,
-		Operator: func(i int, _ string) string { return operatorText(t, &t.Subscribers[t.Hollow+i], relays) },
+		Operator: func(i int, _ string) string { return operatorText(t, &s.subscribers[i], relays) },
 	})
 	if err != nil {
 		return nil, err
@@ -98,8 +100,8 @@
 	return sum, running
 }
 
-// finish takes down what became of the requests, and whether the sidecars hold the
-// newest versions.
+// finish takes down what became of the requests, and which sidecars lack the newest
+// version of a service that they follow.
 func (s *sidecars) finish(f *Figures, newest []configuration.Version) {
 	if s.world == nil {
 		return
@@ -116,4 +118,28 @@
 	for _, problem := range report.Problems {
 		f.Failures = append(f.Failures, fmt.Errorf("request: %s", problem))
 	}
+	for i, instance := range s.world.Instances {
+		held, err := configuredVersion(instance.Addr)
+		if err != nil {
+			f.Failures = append(f.Failures, fmt.Errorf("%s: %w", instance.Name, err))
+		}
+		for _, service := range s.subscribers[i].Services {
+			if held < newest[service] {
+				f.Stale++
+				break
+			}
+		}
+	}
+}
+
+// configuredVersion asks a sidecar which version of the configuration it has taken.
+func configuredVersion(address string) (configuration.Version, error) {
+	client := http.Client{Timeout: askWithin}
+	defer client.CloseIdleConnections()
+	response, err := client.Get("http://" + address + "/up")
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	return configuration.ParseVersion(response.Header.Get("X-Configuration"))
 }
