--- a/internal/lab/scale/control.go
+++ b/internal/lab/scale/control.go
@@ -33,17 +33,15 @@
 	reaper    *rig.Reaper
 	directory string
 
-	council      group
-	relays       group
-	members      []*member
-	zones        []*zoneRelay
-	councilFile  string
-	http         http.Client
-	mu           sync.Mutex // guards the following
-	outages      []Outage
-	peak         int // snapshots under way at a time, over all relays
-	snapshots    int64
-	busyRefusals int64
+	council     group
+	relays      group
+	members     []*member
+	zones       []*zoneRelay
+	councilFile string
+	http        http.Client
+	mu          sync.Mutex // guards the following
+	outages     []Outage
+	peak        int // snapshots under way at a time, over all relays
 }
 
 // member is one of the council.
