--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -21,6 +21,7 @@
 	"otterspring/internal/cli"
 	"otterspring/internal/daemon"
 	"otterspring/internal/lab/rig"
+	"otterspring/internal/lab/scale"
 	"otterspring/internal/logs"
 )
 
@@ -43,6 +44,7 @@
 	{"nemesis", "FILE...", "many real processes with faults between them, drawn by seed; histories, judged; what breaks is made smaller", setNemesis},
 	{"owner", "", "a council and many hosts, rolled while their processes fail: one owner at a time, none rolled twice or left out", setOwner},
 	{"council", "", "what a council of processes costs and carries: commits, fsyncs, hosts that hear", setCouncil},
+	{"scale", "", "a council, relays and thousands of subscribers of configuration, with faults by seed; or several sizes, with lines fitted", setScale},
 	{"judge", "FILE...", "histories that were written before, held against everything that must hold", setJudge},
 	{"report", "FILE...", "one page of storms' results, with plots", setReport},
 	{"mutants", "", "breaks the program one line at a time and tells which test and storm notice", setMutants},
@@ -66,6 +68,9 @@
 	if len(args) > 0 && args[0] == rig.ReaperWord {
 		return rig.Reap(os.Stdin)
 	}
+	if len(args) > 0 && args[0] == scale.HollowWord {
+		return scale.RunHollow(os.Stdin, os.Stdout, os.Stderr)
+	}
 	if len(args) > 0 && args[0] == proxyWord {
 		return runProxy(args[1:])
 	}
@@ -148,12 +153,8 @@
 // program, else this program itself.
 func program(named string) ([]string, error) {
 	if named != "" {
-		info, err := os.Stat(named)
-		if err != nil || info.IsDir() || info.Mode()&0o111 == 0 {
-			return nil, fmt.Errorf("%w: -program: found no program at %q", errUsage, named)
-		}
-		abs, err := filepath.Abs(named)
-		return []string{abs}, err
+		path, err := namedProgram("program", named)
+		return []string{path}, err
 	}
 	self, err := os.Executable()
 	if err != nil {
@@ -166,6 +167,15 @@
 	return []string{self, sidecarWord}, nil
 }
 
+// namedProgram returns the path of a program that a flag names.
+func namedProgram(flag, named string) (string, error) {
+	info, err := os.Stat(named)
+	if err != nil || info.IsDir() || info.Mode()&0o111 == 0 {
+		return "", fmt.Errorf("%w: -%s: found no program at %q", errUsage, flag, named)
+	}
+	return filepath.Abs(named)
+}
+
 // ready returns the sidecar to run, as program does, and the folder of a run.
 func ready(named string) (argv []string, dir string, clean func(), err error) {
 	if argv, err = program(named); err != nil {
