--- a/internal/sidecar/capacity_test.go
+++ b/internal/sidecar/capacity_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,3 +118,23 @@
 		}
 	}
 }
+
+// A reload brings no setting into use: a sidecar that runs is told of a change of them
+// by the configuration of its services only (docs/CAPACITY.md, Limits).
+func TestReloadBringsNoSettings(t *testing.T) {
+	read := func(old, new string) Config {
+		text := strings.Replace(configText("127.0.0.1:1"), old, new, 1)
+		cfg, err := parseConfig([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return cfg
+	}
+	before, same, after := read("", ""), read("", ""), read(`"aim-us":8000000`, `"aim-us":7000000`)
+	if found := before.differs(&same); len(found) != 0 {
+		t.Errorf("the same file: %q wait for the next start, wanted none", found)
+	}
+	if found := before.differs(&after); !slices.Equal(found, []string{"settings"}) {
+		t.Errorf("another aim: %q wait for the next start, wanted settings", found)
+	}
+}
