--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -45,6 +45,7 @@
 	{"owner", "", "a council and many hosts, rolled while their processes fail: one owner at a time, none rolled twice or left out", setOwner},
 	{"council", "", "what a council of processes costs and carries: commits, fsyncs, hosts that hear", setCouncil},
 	{"scale", "", "a council, relays and thousands of subscribers of configuration, with faults by seed; or several sizes, with lines fitted", setScale},
+	{"fit", "FILE...", "lines over the sizes of benchmarks, with intervals, from what go test -bench has printed", setFit},
 	{"judge", "FILE...", "histories that were written before, held against everything that must hold", setJudge},
 	{"report", "FILE...", "one page of storms' results, with plots", setReport},
 	{"mutants", "", "breaks the program one line at a time and tells which test and storm notice", setMutants},
