configuration: tests for what 76 mutants of the package showed to be unchecked

Need: nine of them survived: an estimate after a quiet time and of one that comes again, the draw of a retry, a copy's remembered ids, an empty list of tenants, a pause after failures long ago, the first probe after a move, patience with the next busy relay; and a check of numbers that valid JSON makes needless, which is taken out.

Change: a test for each.

--- a/internal/fleet/configuration/admission_test.go
+++ b/internal/fleet/configuration/admission_test.go
@@ -107,6 +107,42 @@
 	}
 }
 
+// After a long quiet time nobody is waited for.
+func TestWaitingEstimateEndsInQuiet(t *testing.T) {
+	settings := AdmissionSettings{Places: 1, Lease: 2 * time.Hour, RetryLeast: 50 * time.Millisecond, RetryMost: 2 * time.Second}
+	a := NewAdmission(settings)
+	a.Admit(0, "holder", false, 0)
+	refuse(a, 0, 1000)
+	if short := refuse(a, time.Hour, 1); short > 2*settings.RetryLeast {
+		t.Errorf("found a retry after %v with one that waits, wanted %v at most", short, 2*settings.RetryLeast)
+	}
+}
+
+// One that comes again and again is one that waits.
+func TestWaitingEstimateCountsOneOnce(t *testing.T) {
+	settings := AdmissionSettings{Places: 1, Lease: time.Hour, RetryLeast: 50 * time.Millisecond, RetryMost: 2 * time.Second}
+	a := NewAdmission(settings)
+	a.Admit(0, "holder", false, 0)
+	for i := range 200 {
+		now := time.Duration(i) * 100 * time.Millisecond
+		if _, retry := a.Admit(now, "patient", i > 0, 0.5); retry > 2*settings.RetryLeast {
+			t.Fatalf("visit %d: found a retry after %v, wanted %v at most", i, retry, 2*settings.RetryLeast)
+		}
+	}
+}
+
+// Half of a retry's mean is drawn, to both sides.
+func TestRetriesAreSpread(t *testing.T) {
+	settings := AdmissionSettings{Places: 1, Lease: time.Hour, RetryLeast: 100 * time.Millisecond, RetryMost: 100 * time.Millisecond}
+	a := NewAdmission(settings)
+	a.Admit(0, "holder", false, 0)
+	_, early := a.Admit(0, "a", false, 0)
+	_, late := a.Admit(0, "b", false, 0.99)
+	if early != 50*time.Millisecond || late != 149*time.Millisecond {
+		t.Errorf("found %v and %v, wanted 50ms and 149ms", early, late)
+	}
+}
+
 // The same while a few are refused all the time.
 func TestWaitingEstimateDoesNotDrift(t *testing.T) {
 	settings := AdmissionSettings{Places: 1, Lease: time.Second, RetryLeast: 10 * time.Millisecond, RetryMost: 2 * time.Second}
--- a/internal/fleet/configuration/object.go
+++ b/internal/fleet/configuration/object.go
@@ -64,19 +64,20 @@
 	return value, nil
 }
 
-// readNumber reads a number from 0 to most.
+// readNumber reads a number from 0 to most out of valid JSON, which has no words such
+// as Inf that strconv takes.
 func readNumber(place string, text json.RawMessage, most float64) (float64, error) {
 	value, err := strconv.ParseFloat(string(text), 64)
-	if !beginsNumber(text) || err != nil || value < 0 || value > most {
+	if err != nil || value < 0 || value > most {
 		return 0, fmt.Errorf("%s: found %s, wanted a number from 0 to %v", place, excerpt(text), most)
 	}
 	return value, nil
 }
 
-// readWhole reads a whole number from 0 to most.
+// readWhole reads a whole number from 0 to most out of valid JSON.
 func readWhole(place string, text json.RawMessage, most int64) (int64, error) {
 	value, err := strconv.ParseInt(string(text), 10, 64)
-	if !beginsNumber(text) || err != nil || value < 0 || value > most {
+	if err != nil || value < 0 || value > most {
 		return 0, fmt.Errorf("%s: found %s, wanted a whole number from 0 to %d", place, excerpt(text), most)
 	}
 	return value, nil
@@ -88,11 +89,6 @@
 	return len(text) > 0 && text[0] == first
 }
 
-// beginsNumber tells a number from words that strconv reads as one, such as Inf.
-func beginsNumber(text json.RawMessage) bool {
-	return len(text) > 0 && (text[0] == '-' || text[0] >= '0' && text[0] <= '9')
-}
-
 // placeOf names a member of an object. A key that can't stand in a line is quoted.
 func placeOf(place, key string) string {
 	if CheckName("key", key) != nil {
--- a/internal/fleet/configuration/settings_test.go
+++ b/internal/fleet/configuration/settings_test.go
@@ -111,7 +111,7 @@
 func FuzzParseSettings(f *testing.F) {
 	for _, seed := range []string{
 		`{}`, `{"tenants":[{"name":"a","quota-per-s":1e3}],"classes":[{"name":"c","aim-us":5,"worth":1,"late-worth":0.5}]}`,
-		`{"tenants":[],"tenants":[]}`, `{"Tenants":null}`, `{"limits":1}`, ` {"classes" : [ {"name":"<&>","worth":-0} ] } `, `{"a\u2028b":"\ud800"}`, `{"classes":[]}`, `{}{}`, `[[[[`, "\xff", "{\"\xff\":null}",
+		`{"tenants":[],"tenants":[]}`, `{"Tenants":null}`, `{"limits":1}`, ` {"classes" : [ {"name":"<&>","worth":-0} ] } `, `{"a\u2028b":"\ud800"}`, `{"classes":[]}`, `{"tenants":[]}`, `{}{}`, `[[[[`, "\xff", "{\"\xff\":null}",
 	} {
 		f.Add([]byte(seed))
 	}
--- a/internal/fleet/configuration/store_test.go
+++ b/internal/fleet/configuration/store_test.go
@@ -261,6 +261,14 @@
 	if after := string(mustMarshal(t, s)); after != before {
 		t.Errorf("found %s, wanted %s", after, before)
 	}
+	for i := range maxRemembered {
+		mustApply(t, s, 1, put(fmt.Sprint("n", i), "a", -1))
+	}
+	oldest := s.Remembered[0].ID
+	mustApply(t, s.Copy(), 1, put("z", "a", -1))
+	if s.Remembered[0].ID != oldest {
+		t.Errorf("found %q as the oldest remembered, wanted %q", s.Remembered[0].ID, oldest)
+	}
 	if empty := new(Store).Copy(); empty.Version != 0 || empty.Resources != nil {
 		t.Errorf("found %+v, wanted an empty copy", empty)
 	}
--- a/internal/fleet/configuration/subscriber_test.go
+++ b/internal/fleet/configuration/subscriber_test.go
@@ -158,6 +158,50 @@
 	if next := s.Next(now); next.Relay != 1 {
 		t.Errorf("found %+v, wanted relay 1", next)
 	}
+	mustAnswer(t, s, now, &PollAnswer{Refusal: RefusalBusy, RetryMS: 100})
+	if next := s.Next(now); next.Relay != 1 {
+		t.Errorf("found %+v, wanted the next relay to be waited for as long", next)
+	}
+}
+
+// A failure long ago does not count towards a round without any answer.
+func TestNoPauseWhileRelaysAnswer(t *testing.T) {
+	s, now := decider(3, 1), time.Duration(0)
+	for range 20 {
+		now += 2 * time.Second
+		s.Next(now)
+		s.Failed(now)
+		if next := s.Next(now); next.At != now {
+			t.Fatalf("found a pause of %v, wanted the next relay at once", next.At-now)
+		}
+		mustAnswer(t, s, now, fresh(v(1, 1)))
+	}
+}
+
+// After a move the nearest is probed first, whatever was probed before.
+func TestFirstProbeAfterAMoveIsTheNearest(t *testing.T) {
+	s, now := settleAt(t, 4, 2)
+	probe := func() int {
+		for home := s.relay; s.Next(now).Relay == home; {
+			now += s.Next(now).Wait
+			mustAnswer(t, s, now, fresh(v(1, 1)))
+		}
+		probed := s.relay
+		s.Failed(now)
+		return probed
+	}
+	if probed := probe(); probed != 0 {
+		t.Fatalf("found a probe of relay %d, wanted 0", probed)
+	}
+	s.Next(now)
+	s.Failed(now)
+	mustAnswer(t, s, now, fresh(v(1, 1)))
+	if s.relay != 3 {
+		t.Fatalf("found relay %d, wanted 3", s.relay)
+	}
+	if probed := probe(); probed != 0 {
+		t.Errorf("found a probe of relay %d after the move, wanted 0", probed)
+	}
 }
 
 // Whatever relays answer, and however soon, a subscriber's polls are bounded.
