configuration: tests of a sidecar that rejects and of the subscribers of a killed relay

Measured: 400 subscribers of a killed relay, polls per 100 ms from 5 to 7 s after the kill under three times their mean; the test fails where the wait of a poll is not drawn.

--- a/internal/fleet/configuration/model_test.go
+++ b/internal/fleet/configuration/model_test.go
@@ -379,3 +379,70 @@
 		t.Error(m.broken)
 	}
 }
+
+// A sidecar that can't use a version says so by its polls, and keeps the last good;
+// once it is sent one that it can use, nobody hears of the bad one any more.
+func TestSidecarThatRejects(t *testing.T) {
+	w := newWorld(13, 2, []Subscription{{"a"}, {"a"}})
+	w.run(time.Second)
+	good := w.change("a")
+	w.run(time.Second)
+	bad := w.change("a")
+	rejecting := w.subscribers[1]
+	rejecting.rejected = []Rejection{{Service: "a", Version: bad, Reason: "no such class"}}
+	w.run(3 * time.Second)
+	status := w.relays[0].registry.Status(w.now, "a")
+	if len(status) != 2 || status[0].Rejected != 0 || status[1].Rejected != bad || status[1].Reason != "no such class" {
+		t.Errorf("found %+v, wanted %v rejected by the second alone", status, bad)
+	}
+	if status[0].Version != bad || status[1].Version != bad || good >= bad {
+		t.Errorf("found %+v, wanted %v taken by both", status, bad)
+	}
+	next := w.change("a")
+	rejecting.rejected = nil
+	w.run(3 * time.Second)
+	for _, s := range w.relays[0].registry.Status(w.now, "a") {
+		if s.Version != next || s.Rejected != 0 || s.SilentMS > 2000 {
+			t.Errorf("found %+v, wanted %v and no rejection", s, next)
+		}
+	}
+}
+
+// The subscribers of a relay that was killed ask the next one at the same moment, and
+// have spread over its time a few polls later.
+func TestSubscribersOfAKilledRelaySpread(t *testing.T) {
+	const zone, bin = 400, 100 * time.Millisecond
+	subscriptions := make([]Subscription, zone)
+	for i := range subscriptions {
+		subscriptions[i] = Subscription{"a"}
+	}
+	w := newWorld(17, 2, subscriptions)
+	w.run(time.Second)
+	w.change("a")
+	w.run(2 * time.Second)
+	w.relays[0].kill()
+	killed := w.now
+	w.run(7 * time.Second)
+	polls := map[time.Duration]int{}
+	total, from := 0, 5*time.Second
+	for _, s := range w.subscribers {
+		if s.relay != 1 {
+			t.Fatalf("%s asks relay %d, wanted 1", s.name, s.relay)
+		}
+		for _, at := range s.polls {
+			if since := at - killed; since >= from {
+				polls[since/bin]++
+				total++
+			}
+		}
+	}
+	mean := float64(total) / float64((7*time.Second-from)/bin)
+	for at, count := range polls {
+		if float64(count) > 3*mean {
+			t.Errorf("found %d polls within 100 ms, %v after the kill, wanted three times the mean of %.0f at most", count, at*bin, mean)
+		}
+	}
+	if peak := w.relays[1].admission.Peak(); peak > 0 {
+		t.Errorf("found %d snapshots at a time, wanted none for those who hold a version", peak)
+	}
+}
--- a/internal/fleet/configuration/subscriber.go
+++ b/internal/fleet/configuration/subscriber.go
@@ -235,7 +235,8 @@
 }
 
 // drawProbe draws the moment of the next probe. A stale relay is stayed with for
-// about a poll: a better one is found within 4 s of its return, without going round.
+// about a poll, so that one of three relays is found within 4 s of its return without
+// going round; each relay beyond three adds a Wait.
 func (s *Subscriber) drawProbe(from time.Duration) time.Duration {
 	if s.stale {
 		return from + s.jitter(s.settings.Wait/2)
