--- a/internal/fleet/configuration/subscriber_test.go
+++ b/internal/fleet/configuration/subscriber_test.go
@@ -158,6 +158,50 @@
 	if next := s.Next(now); next.Relay != 1 {
 		t.Errorf("found %+v, wanted relay 1", next)
 	}
+	mustAnswer(t, s, now, &PollAnswer{Refusal: RefusalBusy, RetryMS: 100})
+	if next := s.Next(now); next.Relay != 1 {
+		t.Errorf("found %+v, wanted the next relay to be waited for as long", next)
+	}
+}
+
+// A failure long ago does not count towards a round without any answer.
+func TestNoPauseWhileRelaysAnswer(t *testing.T) {
+	s, now := decider(3, 1), time.Duration(0)
+	for range 20 {
+		now += 2 * time.Second
+		s.Next(now)
+		s.Failed(now)
+		if next := s.Next(now); next.At != now {
+			t.Fatalf("found a pause of %v, wanted the next relay at once", next.At-now)
+		}
+		mustAnswer(t, s, now, fresh(v(1, 1)))
+	}
+}
+
+// After a move the nearest is probed first, whatever was probed before.
+func TestFirstProbeAfterAMoveIsTheNearest(t *testing.T) {
+	s, now := settleAt(t, 4, 2)
+	probe := func() int {
+		for home := s.relay; s.Next(now).Relay == home; {
+			now += s.Next(now).Wait
+			mustAnswer(t, s, now, fresh(v(1, 1)))
+		}
+		probed := s.relay
+		s.Failed(now)
+		return probed
+	}
+	if probed := probe(); probed != 0 {
+		t.Fatalf("found a probe of relay %d, wanted 0", probed)
+	}
+	s.Next(now)
+	s.Failed(now)
+	mustAnswer(t, s, now, fresh(v(1, 1)))
+	if s.relay != 3 {
+		t.Fatalf("found relay %d, wanted 3", s.relay)
+	}
+	if probed := probe(); probed != 0 {
+		t.Errorf("found a probe of relay %d after the move, wanted 0", probed)
+	}
 }
 
 // Whatever relays answer, and however soon, a subscriber's polls are bounded.
@@ -444,6 +488,30 @@
 	}
 }
 
+// The worst of all: a relay is cut off and stands still just before that is noticed,
+// and the next one stands still too. It is what StaleAge is drawn from.
+func TestInForceWithinFourSecondsOfTwoFaultsOfOneRelay(t *testing.T) {
+	worst := time.Duration(0)
+	for phase := time.Duration(0); phase < 1600*time.Millisecond; phase += 50 * time.Millisecond {
+		for later := time.Second; later < 2*time.Second; later += 50 * time.Millisecond {
+			faults := func(w *world) {
+				w.relays[0].setCut(true)
+				w.relays[1].stop()
+				w.after(later, w.relays[0].stop)
+			}
+			took := reached(t, uint64(later), phase, faults)
+			worst = max(worst, took)
+			if took > 4*time.Second {
+				t.Fatalf("phase %v, stopped %v after the cut: in force after %v, wanted 4 s at most", phase, later, took)
+			}
+		}
+	}
+	t.Logf("worst %v", worst)
+	if worst < 3400*time.Millisecond {
+		t.Errorf("the worst phase took %v, wanted one of 3.4 s or more: the fault was not met", worst)
+	}
+}
+
 // A change that is accepted some time after a relay has stopped, or while a probe of
 // one that still stands is under way, takes no longer.
 func TestInForceWithinFourSecondsOfAnyFault(t *testing.T) {
