subscription: one place judges an answer, and a test ends a client within a poll

Need: planted faults showed two checks of the client to stand twice (a negative age, an answer with neither update nor refusal: package configuration has both), and no test to notice an end that waits for a poll's timeout.

The doubles are gone; the log says of each answer that is not used why, and the table of bad relays wants that line.

--- a/internal/subscription/poll.go
+++ b/internal/subscription/poll.go
@@ -67,15 +67,10 @@
 	return body
 }
 
-// checkAnswer tells whether an answer can be one to a client of the region.
-func checkAnswer(answer *configuration.PollAnswer, region string) error {
-	switch {
-	case answer.Region != region:
+// checkRegion tells whether an answer can be one to a client of the region.
+func checkRegion(answer *configuration.PollAnswer, region string) error {
+	if answer.Region != region {
 		return fmt.Errorf("region: found an answer of %.80q, wanted %q", answer.Region, region)
-	case answer.AgeMS < 0:
-		return fmt.Errorf("age_ms: found %d, wanted 0 or more", answer.AgeMS)
-	case answer.Update == nil && answer.Refusal == "":
-		return fmt.Errorf("answer: found neither an update nor a refusal, wanted one of them")
 	}
 	return nil
 }
--- a/internal/subscription/subscription.go
+++ b/internal/subscription/subscription.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -136,7 +137,7 @@
 	if err := c.connection.exchange(ctx, address, request, time.Now().Add(timeout), answer); err != nil {
 		return nil, err
 	}
-	return answer, checkAnswer(answer, c.settings.Region)
+	return answer, checkRegion(answer, c.settings.Region)
 }
 
 // failed notes a poll without an answer that can be used.
@@ -157,10 +158,10 @@
 	switch {
 	case err != nil:
 		c.noteFailure(relay, err.Error())
-	case answer.Refusal != "" && answer.Refusal != configuration.RefusalBusy:
-		c.noteFailure(relay, string(answer.Refusal)+": "+answer.Reason)
-	case answer.Update != nil:
+	case answer.Refusal == "" && answer.Update != nil:
 		c.noteAnswer(relay)
+	case answer.Refusal != configuration.RefusalBusy:
+		c.noteFailure(relay, fmt.Sprintf("found refusal %.80q (%.*s), wanted an update", answer.Refusal, configuration.MaxReasonBytes, answer.Reason))
 	}
 	if len(taken.Changed)+len(taken.Removed) > 0 {
 		c.rejected = c.apply(taken, version) // the next poll acknowledges
--- a/internal/subscription/subscription_test.go
+++ b/internal/subscription/subscription_test.go
@@ -236,37 +236,39 @@
 		name  string
 		times configuration.SubscriberSettings
 		first func(w http.ResponseWriter, ended chan struct{})
+		said  string // a part of the line in the log
 	}{
-		{"hanging", short, func(_ http.ResponseWriter, ended chan struct{}) { <-ended }},
+		{"hanging", short, func(_ http.ResponseWriter, ended chan struct{}) { <-ended }, "waiting for the answer: "},
 		{"half an answer", short, func(w http.ResponseWriter, ended chan struct{}) {
 			w.Header().Set("Content-Length", "1000")
 			fmt.Fprint(w, `{"region":`)
 			w.(http.Flusher).Flush()
 			<-ended
-		}},
-		{"shut", times(2), func(http.ResponseWriter, chan struct{}) { panic(http.ErrAbortHandler) }},
+		}, "reading the answer: "},
+		{"shut", times(2), func(http.ResponseWriter, chan struct{}) { panic(http.ErrAbortHandler) }, "the connection was shut without an answer"},
 		{"shut after half", times(2), func(w http.ResponseWriter, _ chan struct{}) {
 			w.Header().Set("Content-Length", "1000")
 			fmt.Fprint(w, `{"region":`)
-		}},
-		{"no JSON", times(2), func(w http.ResponseWriter, _ chan struct{}) { http.Error(w, "no", http.StatusNotFound) }},
+		}, "reading the answer: unexpected EOF"},
+		{"no JSON", times(2), func(w http.ResponseWriter, _ chan struct{}) { http.Error(w, "no", http.StatusNotFound) }, "answer of status 404"},
 		{"too long", times(2), func(w http.ResponseWriter, _ chan struct{}) {
 			text, _ := json.Marshal(older)
 			w.Write(append(text, bytes.Repeat([]byte(" "), configuration.MaxUpdateBytes)...))
-		}},
+		}, "body size exceeds the given limit"},
 		{"other region", times(2), func(w http.ResponseWriter, _ chan struct{}) {
 			write(w, configuration.PollAnswer{Region: "south", Update: older.Update})
-		}},
+		}, "found an answer of"},
 		{"neither update nor refusal", times(2), func(w http.ResponseWriter, _ chan struct{}) {
 			write(w, configuration.PollAnswer{Region: region})
-		}},
+		}, `found refusal \"\" (), wanted an update`},
 		{"age below zero", times(2), func(w http.ResponseWriter, _ chan struct{}) {
 			write(w, configuration.PollAnswer{Region: region, AgeMS: -1, Update: older.Update})
-		}},
-		{"draining", times(2), func(w http.ResponseWriter, _ chan struct{}) { refuse(w, configuration.RefusalDraining) }},
-		{"not ready", times(2), func(w http.ResponseWriter, _ chan struct{}) { refuse(w, configuration.RefusalNotReady) }},
+		}, ""},
+		{"draining", times(2), func(w http.ResponseWriter, _ chan struct{}) { refuse(w, configuration.RefusalDraining) }, `found refusal \"draining\"`},
+		{"not ready", times(2), func(w http.ResponseWriter, _ chan struct{}) { refuse(w, configuration.RefusalNotReady) }, `found refusal \"not_ready\"`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			log := captureLog(t)
 			var near *relay
 			near = newRelay(t, func(w http.ResponseWriter, _ configuration.Poll, _ int) { test.first(w, near.ended) })
 			far := newRelay(t, holding(version))
@@ -275,6 +277,9 @@
 			if versions := c.versions(); len(versions) != 1 {
 				t.Errorf("applied: found %v, wanted %v alone", versions, version)
 			}
+			if text := log.String(); !strings.Contains(text, test.said) {
+				t.Errorf("log: found %q, wanted %q", text, test.said)
+			}
 			if near.count() == 0 {
 				t.Error("nearest relay: found no poll, wanted the first one there")
 			}
@@ -427,10 +432,7 @@
 }
 
 func TestClientLogsAFailingRelayOnce(t *testing.T) {
-	log := &lines{}
-	before := slog.Default()
-	slog.SetDefault(slog.New(slog.NewTextHandler(log, nil)))
-	defer slog.SetDefault(before)
+	log := captureLog(t)
 	near := newRelay(t, func(w http.ResponseWriter, _ configuration.Poll, number int) {
 		write(w, configuration.PollAnswer{Region: "south", Refusal: configuration.RefusalRegion})
 	})
@@ -441,6 +443,29 @@
 	}
 }
 
+// The end does not wait for an answer that is to come.
+func TestClientEndsInTheMiddleOfAPoll(t *testing.T) {
+	came := make(chan struct{}, 1)
+	var near *relay
+	near = newRelay(t, func(http.ResponseWriter, configuration.Poll, int) {
+		came <- struct{}{}
+		<-near.ended
+	})
+	long := times(1)
+	long.Timeout = 10 * hang
+	run(t, long, nil, near.address()) // its end is bounded by hang
+	<-came
+}
+
+// captureLog has the log written to lines until the test's end.
+func captureLog(t *testing.T) *lines {
+	log := &lines{}
+	before := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(log, nil)))
+	t.Cleanup(func() { slog.SetDefault(before) })
+	return log
+}
+
 // lines is a log that several goroutines write.
 type lines struct {
 	mu   sync.Mutex
