subscription: rejections are bounded by the rule of package configuration

Its BoundRejections cuts reasons to one line of the bound, at the end of a character; the client's own cut went through the middle of one.

--- a/internal/operator/configuration.go
+++ b/internal/operator/configuration.go
@@ -14,7 +14,8 @@
 
 // Configuration follows the settings of services at the relays of this zone
 // (docs/operate/configuration.md). It is read at the start; a reload leaves it as it
-// is.
+// is. A process that takes over from another begins with the settings of its own file,
+// whatever the other had in force, and asks for a snapshot.
 type Configuration struct {
 	// Region is the name of the council whose configuration is followed.
 	Region string `toml:"region"`
--- a/internal/subscription/poll.go
+++ b/internal/subscription/poll.go
@@ -53,7 +53,6 @@
 	const end = len("]}")
 	opening := `,"rejected":[`
 	for _, rejection := range rejected {
-		rejection.Reason = rejection.Reason[:min(len(rejection.Reason), configuration.MaxReasonBytes)]
 		text, err := json.Marshal(rejection)
 		if err != nil || len(body)+len(opening)+len(text)+end > configuration.MaxPollBytes {
 			continue
--- a/internal/subscription/subscription.go
+++ b/internal/subscription/subscription.go
@@ -164,7 +164,7 @@
 		c.noteFailure(relay, fmt.Sprintf("found refusal %.80q (%.*s), wanted an update", answer.Refusal, configuration.MaxReasonBytes, answer.Reason))
 	}
 	if len(taken.Changed)+len(taken.Removed) > 0 {
-		c.rejected = c.apply(taken, version) // the next poll acknowledges
+		c.rejected = configuration.BoundRejections(c.apply(taken, version)) // the next poll acknowledges
 	}
 }
 
