rig scale: standard names for a subscriber's incarnations; a line a second from the start on

Need: the names table withdraws "lives"; the line on a terminal came only with the load.

Measured: the tests of internal/lab/scale and cmd/rig pass, TestScale four times in a row under the race detector at a load of 55 on 8 cores.

--- a/cmd/rig/scale.go
+++ b/cmd/rig/scale.go
@@ -36,6 +36,8 @@
 	sweepLength = 15 * time.Second
 	scaleLength = 60 * time.Second
 	scaleReal   = 20
+	// progressEvery is how often the line on a terminal changes at the most.
+	progressEvery = 900 * time.Millisecond
 )
 
 // setScale is `rig scale`.
@@ -287,6 +289,10 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.lit = true
+	now := time.Now()
+	if now.Sub(b.shown) < progressEvery {
+		return
+	}
+	b.shown, b.lit = now, true
 	fmt.Fprintf(b.w, "\r\x1b[K%s: %.0f s, %d changes, %.0f%% of the cores idle", p.Phase, p.Elapsed.Seconds(), p.Changes, 100*p.Idle)
 }
--- a/cmd/rig/scale_test.go
+++ b/cmd/rig/scale_test.go
@@ -53,6 +53,7 @@
 // tests a run is void: it may have been late then, but must not have gone back, lost
 // or doubled anything, and one of a few must keep all.
 func TestScale(t *testing.T) {
+	t.Parallel()
 	const seed = 7
 	for try := 1; ; try++ {
 		var out bytes.Buffer
@@ -113,6 +114,7 @@
 
 // Whatever ends the rig, no process and no file of it stays.
 func TestScaleLeavesNothingBehind(t *testing.T) {
+	t.Parallel()
 	for _, signal := range []syscall.Signal{syscall.SIGINT, syscall.SIGTERM, syscall.SIGKILL} {
 		t.Run(signal.String(), func(t *testing.T) { endScale(t, signal) })
 	}
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -71,7 +71,7 @@
 	changing    sync.WaitGroup // starts and restarts under way
 }
 
-// hollowSubscriber is one subscriber over all its lives.
+// hollowSubscriber is one subscriber over all its incarnations.
 type hollowSubscriber struct {
 	number   uint32
 	settings subscription.Settings
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -83,7 +83,7 @@
 	// Where it is one among the system's temporary folders whose name begins with
 	// "rig", it is removed should the rig be killed.
 	Directory string
-	// Progress is told once a second how the run goes; nil for nobody.
+	// Progress is told about once a second how the run goes; nil for nobody.
 	Progress func(Progress)
 }
 
