relay: settings go out as they came, and slow readers are cut in their time

Need: json.Marshal read all settings of an answer again. A test notices now where an answer has no deadline of its own: no test did.

--- /dev/null
+++ b/internal/fleet/relay/encode_test.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+	"testing"
+
+	"otterspring/internal/fleet/configuration"
+)
+
+// Answers are read as what json.Marshal writes.
+func TestEncodeAnswer(t *testing.T) {
+	t.Parallel()
+	resources := []configuration.Resource{
+		{Service: "a", Version: 1<<32 + 1, Settings: json.RawMessage(settingsA)},
+		{Service: `quo"ted\<&>`, Version: 7, Settings: json.RawMessage(`{}`)},
+	}
+	for _, answer := range []configuration.PollAnswer{
+		{},
+		{Region: "west", AgeMS: 12, Refusal: configuration.RefusalBusy, RetryMS: 50},
+		{Region: "west", Refusal: configuration.RefusalInvalid, Reason: "found \"x\"\n"},
+		{Region: "west", Update: &configuration.Update{}},
+		{Region: "west", Update: &configuration.Update{From: 1<<32 + 5, Version: 1<<32 + 6}},
+		{Region: "west", AgeMS: 3, Update: &configuration.Update{Version: 1<<64 - 1, Resources: resources[:1]}},
+		{Region: `we"st`, AgeMS: 3, Update: &configuration.Update{From: 1, Version: 9, Resources: resources}},
+	} {
+		var text bytes.Buffer
+		if err := encodeAnswer(&text, &answer); err != nil {
+			t.Fatal(err)
+		}
+		plain, err := json.Marshal(answer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var found, wanted any
+		if err := json.Unmarshal(text.Bytes(), &found); err != nil {
+			t.Fatalf("%s: %v", text.Bytes(), err)
+		}
+		if err := json.Unmarshal(plain, &wanted); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(found, wanted) {
+			t.Errorf("found  %s\nwanted %s", text.Bytes(), plain)
+		}
+	}
+}
--- a/internal/fleet/relay/poll.go
+++ b/internal/fleet/relay/poll.go
@@ -22,8 +22,18 @@
 	catchUpWait = 200 * time.Millisecond
 )
 
-// bodies are buffers of polls.
-var bodies = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+// buffers are those of polls and of answers.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// maxKeptBuffer bounds a buffer that is kept for another poll.
+const maxKeptBuffer = configuration.MaxPollBytes
+
+func releaseBuffer(buffer *bytes.Buffer) {
+	if buffer.Cap() <= maxKeptBuffer {
+		buffer.Reset()
+		buffers.Put(buffer)
+	}
+}
 
 // servePoll answers one poll of a subscriber.
 func (r *Relay) servePoll(w http.ResponseWriter, req *http.Request) {
@@ -47,9 +57,8 @@
 
 // readPoll reads a poll strictly and checks it.
 func readPoll(w http.ResponseWriter, req *http.Request) (*configuration.Poll, error) {
-	body := bodies.Get().(*bytes.Buffer)
-	defer bodies.Put(body)
-	body.Reset()
+	body := buffers.Get().(*bytes.Buffer)
+	defer releaseBuffer(body)
 	if _, err := body.ReadFrom(http.MaxBytesReader(w, req.Body, configuration.MaxPollBytes)); err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -352,6 +352,33 @@
 	})
 }
 
+// Those who don't read are cut each after the time that they have. One that was only
+// cut by the bound on its connection would make this last longer than the test may.
+func TestCutInTime(t *testing.T) {
+	t.Parallel()
+	council := newStandIn(t, "west#1")
+	const bigServices = 40
+	var services []string
+	for i := range bigServices {
+		services = append(services, fmt.Sprint("big", i))
+	}
+	version := council.put(t, bigSettings(t), services...)
+	file := testFile(council.address())
+	file.WriteTimeout = 100 * time.Millisecond
+	r := start(t, file)
+	r.holds(version)
+	begun := time.Now()
+	for i := range int64(7) { // with the bound on a connection: 70 s
+		conn := dialSmall(t, r.Address())
+		text := `{"region":"west","subscriber":"deaf","version":0,"wait_ms":0}`
+		fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: relay\r\nContent-Length: %d\r\n\r\n%s", configuration.PollPath, len(text), text)
+		await(t, "the cut", func() bool { return r.counts.read().Cut == i+1 })
+		if time.Since(begun) > patience {
+			t.Fatalf("%d cuts took longer than %v", i+1, patience)
+		}
+	}
+}
+
 // A connection beyond the bound is ended at once, and one that ends makes room.
 func TestConnectionsAreBounded(t *testing.T) {
 	t.Parallel()
--- a/internal/fleet/relay/serve.go
+++ b/internal/fleet/relay/serve.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -77,23 +78,35 @@
 	if answer.Refusal == configuration.RefusalDraining {
 		w.Header().Set("Connection", "close")
 	}
+	text := buffers.Get().(*bytes.Buffer)
+	defer releaseBuffer(text)
 	answer.AgeMS = r.feed.age(bootTime()).Milliseconds()
-	r.writeJSON(w, status, answer)
+	if err := encodeAnswer(text, answer); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	r.write(w, status, text.Bytes())
 }
 
-// writeJSON writes a whole answer, within the time that a subscriber has to read it.
+// writeJSON writes an answer of another kind.
 func (r *Relay) writeJSON(w http.ResponseWriter, status int, value any) {
 	text, err := json.Marshal(value)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	r.write(w, status, text)
+}
+
+// write writes a whole answer, within the time that a subscriber has to read it.
+func (r *Relay) write(w http.ResponseWriter, status int, text []byte) {
 	controller := http.NewResponseController(w)
 	controller.SetWriteDeadline(time.Now().Add(r.file.WriteTimeout))
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(status)
-	if _, err = w.Write(text); err == nil {
+	_, err := w.Write(text)
+	if err == nil {
 		err = controller.Flush()
 	}
 	if err != nil {
