relay: an old version is not told with the age of a newer one

Need: a relay that woke took a fresh answer of the council between making up a reply and writing it, and told an old version to be 4 ms old; TestStoppedRelayWakes found it twice under load. A reply keeps when that was heard which it tells, and so do status and info.

--- a/internal/fleet/relay/feed.go
+++ b/internal/fleet/relay/feed.go
@@ -13,13 +13,28 @@
 type feed struct {
 	mu    sync.RWMutex
 	cache configuration.Cache
-	heard time.Duration // when the newest call was sent that was answered
-	known bool          // whether one ever was
+	heard hearing
 
 	waitersMu sync.Mutex // taken after mu
 	waiters   map[*waiter]struct{}
 }
 
+// hearing is when a council was last heard: the newest call that was answered was
+// sent at that time. It is kept with what was held then, since an old version must not
+// be told with the age of a newer one.
+type hearing struct {
+	at    time.Duration
+	known bool // whether one ever was
+}
+
+// age is how long ago a council was heard; 0 where none ever was.
+func (h hearing) age(now time.Duration) time.Duration {
+	if !h.known {
+		return 0
+	}
+	return max(0, now-h.at)
+}
+
 // waiter is a poll that waits for news. Its handler is its owner, and takes it out.
 type waiter struct {
 	poll   *configuration.Poll
@@ -39,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	f.heard, f.known = max(f.heard, sent), true
+	f.heard = hearing{at: max(f.heard.at, sent), known: true}
 	if f.cache.Version() != before {
 		f.wake(taken.Changed, update.Snapshot())
 	}
@@ -90,22 +105,12 @@
 	f.waiters[w] = struct{}{}
 }
 
-// version is the newest that is held, and whether a council was ever heard.
-func (f *feed) version() (configuration.Version, bool) {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	return f.cache.Version(), f.known
-}
-
-// age is how long ago the newest call was sent that was answered; 0 where none ever
-// was.
-func (f *feed) age(now time.Duration) time.Duration {
+// state is the newest version that is held, and when the council was heard that
+// has no newer one.
+func (f *feed) state() (configuration.Version, hearing) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	if !f.known {
-		return 0
-	}
-	return max(0, now-f.heard)
+	return f.cache.Version(), f.heard
 }
 
 // standing is how a poll stands to what the feed holds.
@@ -119,26 +124,34 @@
 	lacksSnapshot                 // it holds nothing that a delta could begin at
 )
 
-// look tells how a poll stands, with the update that would answer it. One that lacks
-// nothing is entered among those that wait.
-func (f *feed) look(w *waiter) (standing, configuration.Update) {
+// view is what the feed has for a poll.
+type view struct {
+	stands standing
+	update configuration.Update // that answers the poll, if it may be answered
+	heard  hearing              // of what is held
+}
+
+// look tells how a poll stands. One that lacks nothing is entered among those that
+// wait.
+func (f *feed) look(w *waiter) view {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	held := f.cache.Version()
 	switch {
-	case !f.known:
-		return notReady, configuration.Update{}
+	case !f.heard.known:
+		return view{stands: notReady}
 	case w.poll.Version > held:
 		f.enter(w, true)
-		return behind, configuration.Update{}
+		return view{stands: behind, heard: f.heard}
 	}
-	update := f.cache.Since(w.poll.Version, w.poll.Services)
+	seen := view{stands: current, update: f.cache.Since(w.poll.Version, w.poll.Services), heard: f.heard}
 	switch {
-	case held != 0 && update.Snapshot():
-		return lacksSnapshot, update
-	case len(update.Resources) > 0:
-		return lacksDelta, update
+	case held != 0 && seen.update.Snapshot():
+		seen.stands = lacksSnapshot
+	case len(seen.update.Resources) > 0:
+		seen.stands = lacksDelta
+	default:
+		f.enter(w, false)
 	}
-	f.enter(w, false)
-	return current, update
+	return seen
 }
--- a/internal/fleet/relay/follow.go
+++ b/internal/fleet/relay/follow.go
@@ -80,7 +80,7 @@
 // call asks one member once for what is newer than what is held. The first call to
 // a member does not wait, so that one that stands still is noticed soon.
 func (f *follower) call(ctx context.Context, address string) error {
-	held, _ := f.feed.version()
+	held, _ := f.feed.state()
 	question := ask.Question{Kind: ask.Follow, Version: held}
 	if f.settled {
 		question.WaitMS = int(followWait.Milliseconds())
@@ -129,7 +129,7 @@
 // checkCouncil refuses a second council that was given the same name by mistake. A
 // council that was restored has a new number, too, and versions of a newer space.
 func (f *follower) checkCouncil(address string, answer *ask.Answer) error {
-	held, _ := f.feed.version()
+	held, _ := f.feed.state()
 	if f.council == "" || answer.Council == f.council || answer.Update.Version.Space() > held.Space() {
 		return nil
 	}
@@ -142,7 +142,7 @@
 
 func (f *follower) succeeded(address string) {
 	if !f.settled {
-		version, _ := f.feed.version()
+		version, _ := f.feed.state()
 		f.log.Info(fmt.Sprintf("follows %s at %s, version %v", f.council, address, version), logs.Cause("follows"))
 	}
 	f.settled, f.failed = true, 0
@@ -172,8 +172,8 @@
 }
 
 func (f *follower) heldText() string {
-	held, known := f.feed.version()
-	if !known {
+	held, heard := f.feed.state()
+	if !heard.known {
 		return "none"
 	}
 	return configuration.Version.String(held)
--- a/internal/fleet/relay/poll.go
+++ b/internal/fleet/relay/poll.go
@@ -41,7 +41,7 @@
 	poll, err := readPoll(w, req)
 	if err != nil {
 		answer := r.refuse(configuration.RefusalInvalid, err.Error())
-		r.writeAnswer(w, http.StatusBadRequest, answer)
+		r.writeReply(w, http.StatusBadRequest, answer)
 		return
 	}
 	answer := r.admitPoll(poll)
@@ -52,7 +52,7 @@
 		r.counts.gone.Add(1) // the subscriber has closed its connection
 		return
 	}
-	r.writeAnswer(w, http.StatusOK, answer)
+	r.writeReply(w, http.StatusOK, answer)
 }
 
 // readPoll reads a poll strictly and checks it.
@@ -80,7 +80,7 @@
 
 // admitPoll takes note of a poll. It returns a refusal, or nil where the poll may be
 // answered.
-func (r *Relay) admitPoll(poll *configuration.Poll) *configuration.PollAnswer {
+func (r *Relay) admitPoll(poll *configuration.Poll) *reply {
 	if poll.Region != r.file.Region {
 		return r.refuse(configuration.RefusalRegion, fmt.Sprintf("region: found %.80q, wanted %q", poll.Region, r.file.Region))
 	}
@@ -104,7 +104,7 @@
 
 // waitForNews waits until there is an answer to a poll; nil where the subscriber
 // has gone meanwhile.
-func (r *Relay) waitForNews(req *http.Request, poll *configuration.Poll) *configuration.PollAnswer {
+func (r *Relay) waitForNews(req *http.Request, poll *configuration.Poll) *reply {
 	wait := &waiting{waiter: waiter{poll: poll, news: make(chan struct{}, 1)}, start: bootTime()}
 	defer r.feed.forget(&wait.waiter)
 	wait.end = wait.start + min(time.Duration(poll.WaitMS)*time.Millisecond, maxWait)
@@ -135,9 +135,9 @@
 
 // decide returns the answer to a poll, or nil where it is to wait: until a time, or
 // until it is woken.
-func (r *Relay) decide(wait *waiting, now time.Duration) (answer *configuration.PollAnswer, until time.Duration) {
-	stands, update := r.feed.look(&wait.waiter)
-	switch stands {
+func (r *Relay) decide(wait *waiting, now time.Duration) (answer *reply, until time.Duration) {
+	seen := r.feed.look(&wait.waiter)
+	switch seen.stands {
 	case notReady:
 		return r.refuse(configuration.RefusalNotReady, ""), 0
 	case behind:
@@ -146,21 +146,21 @@
 		}
 		return r.refuse(configuration.RefusalBehind, ""), 0
 	case lacksSnapshot:
-		return r.snapshot(wait.poll, now, update), 0
+		return r.snapshot(wait.poll, now, seen), 0
 	}
 	if !wait.acknowledged {
 		r.acknowledge(wait.poll)
 		wait.acknowledged = true
 	}
-	if stands == current && now < wait.end {
+	if seen.stands == current && now < wait.end {
 		return nil, wait.end
 	}
-	r.counts.count(update)
-	return &configuration.PollAnswer{Region: r.file.Region, Update: &update}, 0
+	r.counts.count(seen.update)
+	return r.update(seen), 0
 }
 
 // snapshot answers a subscriber that lacks everything, if there is a place.
-func (r *Relay) snapshot(poll *configuration.Poll, now time.Duration, update configuration.Update) *configuration.PollAnswer {
+func (r *Relay) snapshot(poll *configuration.Poll, now time.Duration, seen view) *reply {
 	r.mu.Lock()
 	admitted, retry := r.admission.admit(now, poll.Subscriber)
 	r.mu.Unlock()
@@ -170,7 +170,7 @@
 		return answer
 	}
 	r.counts.snapshots.Add(1)
-	return &configuration.PollAnswer{Region: r.file.Region, Update: &update}
+	return r.update(seen)
 }
 
 // acknowledge frees the place of a subscriber that holds a version.
@@ -180,9 +180,14 @@
 	r.admission.acknowledged(poll.Subscriber)
 }
 
-func (r *Relay) refuse(refusal configuration.Refusal, reason string) *configuration.PollAnswer {
+func (r *Relay) update(seen view) *reply {
+	return &reply{PollAnswer: configuration.PollAnswer{Region: r.file.Region, Update: &seen.update}, heard: seen.heard}
+}
+
+func (r *Relay) refuse(refusal configuration.Refusal, reason string) *reply {
 	r.counts.refused(refusal)
-	return &configuration.PollAnswer{Region: r.file.Region, Refusal: refusal, Reason: reason}
+	_, heard := r.feed.state()
+	return &reply{PollAnswer: configuration.PollAnswer{Region: r.file.Region, Refusal: refusal, Reason: reason}, heard: heard}
 }
 
 func (r *Relay) isDraining() bool {
--- a/internal/fleet/relay/serve.go
+++ b/internal/fleet/relay/serve.go
@@ -45,26 +45,26 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	version, heard := r.feed.state()
 	now := bootTime()
-	version, _ := r.feed.version()
 	r.mu.Lock()
 	subscribers := r.registry.Status(now, service)
 	r.mu.Unlock()
 	r.writeJSON(w, http.StatusOK, &configuration.StatusAnswer{
-		Region: r.file.Region, Version: version, AgeMS: r.feed.age(now).Milliseconds(), Subscribers: subscribers,
+		Region: r.file.Region, Version: version, AgeMS: heard.age(now).Milliseconds(), Subscribers: subscribers,
 	})
 }
 
 // serveInfo tells how the relay is.
 func (r *Relay) serveInfo(w http.ResponseWriter, _ *http.Request) {
+	version, heard := r.feed.state()
 	now := bootTime()
 	info := &Info{
 		Region: r.file.Region, Zone: r.file.Zone, Name: r.file.Name,
-		AgeMS: r.feed.age(now).Milliseconds(), Draining: r.isDraining(),
+		Version: version, Ready: heard.known, AgeMS: heard.age(now).Milliseconds(), Draining: r.isDraining(),
 		Connections: r.listener.open.Load(), Counts: r.counts.read(),
 	}
 	info.Counts.ConnectionsRefused = r.listener.refused.Load()
-	info.Version, info.Ready = r.feed.version()
 	r.mu.Lock()
 	r.registry.Forget(now)
 	info.Subscribers = r.registry.Len()
@@ -73,15 +73,21 @@
 	r.writeJSON(w, http.StatusOK, info)
 }
 
-// writeAnswer writes an answer with the age that the relay's knowledge has now.
-func (r *Relay) writeAnswer(w http.ResponseWriter, status int, answer *configuration.PollAnswer) {
+// reply is the answer to a poll, with when what it tells was heard.
+type reply struct {
+	configuration.PollAnswer
+	heard hearing
+}
+
+// writeReply writes a reply with the age that it has now.
+func (r *Relay) writeReply(w http.ResponseWriter, status int, answer *reply) {
 	if answer.Refusal == configuration.RefusalDraining {
 		w.Header().Set("Connection", "close")
 	}
 	text := buffers.Get().(*bytes.Buffer)
 	defer releaseBuffer(text)
-	answer.AgeMS = r.feed.age(bootTime()).Milliseconds()
-	if err := encodeAnswer(text, answer); err != nil {
+	answer.AgeMS = answer.heard.age(bootTime()).Milliseconds()
+	if err := encodeAnswer(text, &answer.PollAnswer); err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
