relay's tests: no child inherits the listener that finds a free address

Need: TestLeaderKilled failed once in some twenty runs, the relay's address was in use: a child that was started by a test beside it had a copy of the listener until it ran its program.

--- a/cmd/otterspring/relay_test.go
+++ b/cmd/otterspring/relay_test.go
@@ -34,9 +34,13 @@
 	return path
 }
 
-// freeAddress is one at which nobody listens, with an IP that no other test uses.
+// freeAddress is one at which nobody listens, with an IP that no other test uses. No
+// child is started meanwhile: until it runs its program it would have a copy of the
+// listener, and keep the address in use.
 func freeAddress(t *testing.T) string {
 	t.Helper()
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 150+os.Getpid()%40, 1+os.Getpid()/40%250, 1+testIPs.Add(1)))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/relay/process_test.go
+++ b/internal/fleet/relay/process_test.go
@@ -58,9 +58,13 @@
 var lastIP atomic.Int32
 
 // freePort is an address of an IP that no other test uses, at which nobody listens.
+// No child is started meanwhile: until it runs its program it would have a copy of
+// the listener, and keep the address in use.
 func freePort(t testing.TB) string {
 	t.Helper()
-	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%40, 1+os.Getpid()/40%250, 1+lastIP.Add(1))
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	ip := fmt.Sprintf("127.%d.%d.%d", 190+os.Getpid()%40, 1+os.Getpid()/40%250, 1+lastIP.Add(1))
 	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		t.Fatal(err)
