--- a/internal/fleet/relay/feed.go
+++ b/internal/fleet/relay/feed.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -12,47 +13,104 @@
 type feed struct {
 	mu    sync.RWMutex
 	cache configuration.Cache
-	news  chan struct{} // closed and made anew with each newer version
-	heard time.Duration // when the newest call was sent that was answered
-	known bool          // whether one ever was
+	heard hearing
+
+	waitersMu sync.Mutex // taken after mu
+	waiters   map[*waiter]struct{}
+}
+
+// hearing is when a council was last heard: the newest call that was answered was
+// sent at that time. It is kept with what was held then, since an old version must not
+// be told with the age of a newer one.
+type hearing struct {
+	at    time.Duration
+	known bool // whether one ever was
+}
+
+// age is how long ago a council was heard; 0 where none ever was.
+func (h hearing) age(now time.Duration) time.Duration {
+	if !h.known {
+		return 0
+	}
+	return max(0, now-h.at)
+}
+
+// waiter is a poll that waits for news. Its handler is its owner, and takes it out.
+type waiter struct {
+	poll   *configuration.Poll
+	behind bool          // any newer version is news
+	news   chan struct{} // takes one
 }
 
-func newFeed() *feed { return &feed{news: make(chan struct{})} }
+func newFeed() *feed { return &feed{waiters: map[*waiter]struct{}{}} }
 
-// take takes the answer to a call that was sent at a time. It wakes who waits for a
-// newer version.
+// take takes the answer to a call that was sent at a time. It wakes the polls for
+// which there is news.
 func (f *feed) take(sent time.Duration, update configuration.Update) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.cache.Version()
-	if _, err := f.cache.Take(update); err != nil {
+	taken, err := f.cache.Take(update)
+	if err != nil {
 		return err
 	}
-	first := !f.known
-	f.heard, f.known = max(f.heard, sent), true
-	if first || f.cache.Version() != before {
-		close(f.news)
-		f.news = make(chan struct{})
+	f.heard = hearing{at: max(f.heard.at, sent), known: true}
+	if f.cache.Version() != before {
+		f.wake(taken.Changed, update.Snapshot())
 	}
 	return nil
 }
 
-// version is the newest that is held, and whether a council was ever heard.
-func (f *feed) version() (configuration.Version, bool) {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	return f.cache.Version(), f.known
+// wake wakes the polls that subscribe to something that has changed, or all of them.
+func (f *feed) wake(changed []configuration.Resource, all bool) {
+	f.waitersMu.Lock()
+	defer f.waitersMu.Unlock()
+	for w := range f.waiters {
+		if !all && !w.behind && !subscribes(w.poll.Services, changed) {
+			continue
+		}
+		select {
+		case w.news <- struct{}{}:
+		default: // it has been woken, and not looked yet
+		}
+	}
 }
 
-// age is how long ago the newest call was sent that was answered; 0 where none ever
-// was.
-func (f *feed) age(now time.Duration) time.Duration {
+// subscribes tells whether a subscription has one of the resources.
+func subscribes(subscription configuration.Subscription, resources []configuration.Resource) bool {
+	if subscription == nil {
+		return true
+	}
+	for _, resource := range resources {
+		if slices.Contains(subscription, resource.Service) {
+			return true
+		}
+	}
+	return false
+}
+
+// forget takes a poll out that does not wait any more.
+func (f *feed) forget(w *waiter) {
+	f.waitersMu.Lock()
+	defer f.waitersMu.Unlock()
+	delete(f.waiters, w)
+}
+
+// enter has a poll woken when there is news. The caller holds mu, so that no news
+// comes between its look and this.
+func (f *feed) enter(w *waiter, behind bool) {
+	f.waitersMu.Lock()
+	defer f.waitersMu.Unlock()
+	w.behind = behind
+	f.waiters[w] = struct{}{}
+}
+
+// state is the newest version that is held, and when the council was heard that
+// has no newer one.
+func (f *feed) state() (configuration.Version, hearing) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	if !f.known {
-		return 0
-	}
-	return max(0, now-f.heard)
+	return f.cache.Version(), f.heard
 }
 
 // standing is how a poll stands to what the feed holds.
@@ -66,26 +124,34 @@
 	lacksSnapshot                 // it holds nothing that a delta could begin at
 )
 
-// look tells how a poll stands, with the update that would answer it and what is
-// closed once there is a newer version.
-func (f *feed) look(p *configuration.Poll) (standing, configuration.Update, <-chan struct{}) {
+// view is what the feed has for a poll.
+type view struct {
+	stands standing
+	update configuration.Update // that answers the poll, if it may be answered
+	heard  hearing              // of what is held
+}
+
+// look tells how a poll stands. One that lacks nothing is entered among those that
+// wait.
+func (f *feed) look(w *waiter) view {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	held := f.cache.Version()
 	switch {
-	case !f.known:
-		return notReady, configuration.Update{}, f.news
-	case p.Version > held:
-		return behind, configuration.Update{}, f.news
+	case !f.heard.known:
+		return view{stands: notReady}
+	case w.poll.Version > held:
+		f.enter(w, true)
+		return view{stands: behind, heard: f.heard}
 	}
-	update := f.cache.Since(p.Version, p.Services)
+	seen := view{stands: current, update: f.cache.Since(w.poll.Version, w.poll.Services), heard: f.heard}
 	switch {
-	case held == 0:
-		return current, update, f.news // a council without any service
-	case update.Snapshot():
-		return lacksSnapshot, update, f.news
-	case len(update.Resources) > 0:
-		return lacksDelta, update, f.news
+	case held != 0 && seen.update.Snapshot():
+		seen.stands = lacksSnapshot
+	case len(seen.update.Resources) > 0:
+		seen.stands = lacksDelta
+	default:
+		f.enter(w, false)
 	}
-	return current, update, f.news
+	return seen
 }
