--- a/internal/fleet/configuration/model_test.go
+++ b/internal/fleet/configuration/model_test.go
@@ -20,10 +20,11 @@
 	held    int // changes whose time was held against inForceWithin
 }
 
-// pendingChange is a change that has to be in force at a subscriber.
+// pendingChange is a change that has to be in force at a subscriber, or all that the
+// council held when the subscriber was restarted.
 type pendingChange struct {
 	accepted    time.Duration
-	service     string
+	service     string // empty for all
 	version     Version
 	subscriber  *worldSubscriber
 	incarnation int
@@ -59,9 +60,11 @@
 // promise does not hold for it, or it has been noted as broken.
 func (m *model) settled(p *pendingChange) bool {
 	switch {
+	case m.now < p.accepted:
+		return false // it has not begun again
 	case p.subscriber.incarnation != p.incarnation, p.space != m.council.space:
 		return true
-	case p.subscriber.versions[p.service] >= p.version:
+	case p.isInForce():
 		m.held++
 		return true
 	case !m.goodSince(p.accepted):
@@ -73,6 +76,13 @@
 	return false
 }
 
+func (p *pendingChange) isInForce() bool {
+	if p.service == "" {
+		return p.subscriber.version >= p.version
+	}
+	return p.subscriber.versions[p.service] >= p.version
+}
+
 // goodSince tells whether any relay could serve from before a time until now.
 func (m *model) goodSince(at time.Duration) bool {
 	return slices.ContainsFunc(m.relays, func(r *worldRelay) bool {
@@ -92,6 +102,17 @@
 	}
 }
 
+// restartAndFollow restarts a subscriber, which then has to be served anew in time.
+func (m *model) restartAndFollow(n int, after time.Duration) {
+	s := m.subscribers[n]
+	s.restart(after)
+	if m.loss > 0 {
+		return
+	}
+	all := &pendingChange{accepted: m.now + after, version: m.council.store.Version, subscriber: s, incarnation: s.incarnation + 1, space: m.council.space}
+	m.pending = append(m.pending, all)
+}
+
 // operations are what may happen to a model, each with an argument of its own.
 var operations = map[string]func(*model, int){
 	"change":       func(m *model, n int) { m.changeAndFollow(modelServices[n%len(modelServices)]) },
@@ -111,11 +132,11 @@
 	"join":   func(m *model, n int) { m.relays[n%len(m.relays)].setCut(false) },
 	"drain":  func(m *model, n int) { m.relays[n%len(m.relays)].drain() },
 	"restart": func(m *model, n int) {
-		m.subscribers[n%len(m.subscribers)].restart(time.Duration(n%50) * time.Millisecond)
+		m.restartAndFollow(n%len(m.subscribers), time.Duration(n%50)*time.Millisecond)
 	},
 	"restart a third": func(m *model, n int) {
 		for i := n % 3; i < len(m.subscribers); i += 3 {
-			m.subscribers[i].restart(0)
+			m.restartAndFollow(i, 0)
 		}
 	},
 	"lose":       func(m *model, n int) { m.loss = 0.3; m.pending = nil },
