--- a/internal/fleet/configuration/subscriber_test.go
+++ b/internal/fleet/configuration/subscriber_test.go
@@ -285,6 +285,25 @@
 	}
 }
 
+// A relay that is no longer stale is stayed with: its subscribers don't all probe the
+// nearer one at once.
+func TestFreshAgainIsNoReasonToProbe(t *testing.T) {
+	s, now := decider(2, 1), time.Second
+	s.Failed(now)
+	s.Failed(now)
+	s.Failed(now)
+	mustAnswer(t, s, now, staleAnswer(v(1, 1)))
+	if next := s.Next(now); next.Relay != 1 || next.Wait == 0 {
+		t.Fatalf("found %+v, wanted to stay at relay 1, which is stale", next)
+	}
+	mustAnswer(t, s, now, fresh(v(1, 1)))
+	for end := now + DefaultSubscriber(2).Return/2; now < end; now += 100 * time.Millisecond {
+		if next := s.Next(now); next.Relay != 1 {
+			t.Fatalf("found a probe of relay %d at %v, wanted none before %v", next.Relay, now, end)
+		}
+	}
+}
+
 // A relay that is whole again is found within 4 s by the subscribers of stale ones,
 // whichever it is and also where the others stand still.
 func TestStaleSubscriberFindsAWholeRelay(t *testing.T) {
