--- a/cmd/otterspring/config_test.go
+++ b/cmd/otterspring/config_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -95,12 +94,7 @@
 func (r *region) freeAddress() string {
 	r.t.Helper()
 	for {
-		ln, err := net.Listen("tcp", r.ip+":0")
-		if err != nil {
-			r.t.Fatal(err)
-		}
-		address := ln.Addr().String()
-		ln.Close()
+		address := freePort(r.t, r.ip)
 		if !r.taken[address] {
 			r.taken[address] = true
 			return address
--- a/cmd/otterspring/relay_test.go
+++ b/cmd/otterspring/relay_test.go
@@ -34,14 +34,20 @@
 	return path
 }
 
-// freeAddress is one at which nobody listens, with an IP that no other test uses. No
-// child is started meanwhile: until it runs its program it would have a copy of the
-// listener, and keep the address in use.
+// freeAddress is one at which nobody listens, with an IP that no other test uses.
 func freeAddress(t *testing.T) string {
+	t.Helper()
+	return freePort(t, fmt.Sprintf("127.%d.%d.%d", 150+os.Getpid()%40, 1+os.Getpid()/40%250, 1+testIPs.Add(1)))
+}
+
+// freePort is an address of an IP at which nobody listens. No child is started
+// meanwhile: until it runs its program it would have a copy of the listener, and keep
+// the address in use.
+func freePort(t *testing.T, ip string) string {
 	t.Helper()
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 150+os.Getpid()%40, 1+os.Getpid()/40%250, 1+testIPs.Add(1)))
+	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
