--- a/cmd/rig/nemesis.go
+++ b/cmd/rig/nemesis.go
@@ -332,7 +332,7 @@
 	fmt.Fprintf(out, "%s; %d processes, %d kinds of fault, most at once %d, %.0f s\n", p.res.Line(), b.Processes, len(b.Kinds), b.AtOnce, p.took.Seconds())
 	if c := b.Council; c != nil && c.List != nil {
 		fmt.Fprintf(out, "  list: discovery worked through %.0f lines a second; a sidecar knew after %.3f s (half), the last after %.3f s (half), %.3f s (most); sidecars asked %d times themselves\n",
-			p.res.Figures["list_lines_s"], quantile(c.List.Known, 0.5), quantile(c.List.Last, 0.5), quantile(c.List.Last, 1), c.List.Self)
+			p.res.Figures["list_lines_s"], quantile(c.List.Delays, 0.5), quantile(c.List.LastDelays, 0.5), quantile(c.List.LastDelays, 1), c.List.DirectCalls)
 	} else if c != nil {
 		fmt.Fprintf(out, "  list: each sidecar asks; discovery worked through %.0f lines a second\n", p.res.Figures["list_lines_s"])
 	}
@@ -438,7 +438,7 @@
 		t.gaps = append(t.gaps, c.Gaps...)
 		if l := c.List; l != nil {
 			t.lists += l.Handovers
-			t.listKnown, t.listLast = append(t.listKnown, l.Known...), append(t.listLast, l.Last...)
+			t.listKnown, t.listLast = append(t.listKnown, l.Delays...), append(t.listLast, l.LastDelays...)
 		}
 	}
 	t.ops += p.verdict.Ops
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -118,8 +118,8 @@
 	if d.settings.CoAP.Listen != "" || d.settings.CoAP.Servers {
 		opt.CoAP = &d.settings.CoAP
 	}
-	if l := d.settings.List; l.Near != "" {
-		opt.Near, opt.Source, opt.Turn = l.Near, l.Source, sidecar.TurnOf(cfg.Name, l.Spread)
+	if l := d.settings.List; l.Proxy != "" {
+		opt.ListProxy, opt.ListSource, opt.FailoverDelay = l.Proxy, l.Source, sidecar.FailoverDelay(cfg.Name, l.Jitter)
 	}
 	s, err := sidecar.StartWith(cfg, opt)
 	if err != nil {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -152,10 +152,10 @@
 	br      *bufio.Reader
 	parser  fastjson.Parser
 
-	near   string        // a door of this host that hands the list on; empty for none
-	source string        // whose versions that list has to bear
-	turnAt time.Duration // how long after near has failed addr is asked
-	last   int           // moves as far as calls have followed them
+	proxy         string        // a local proxy that relays the list; empty for none
+	source        string        // the discovery that has to have assigned that list's versions
+	failoverDelay time.Duration // how long after the proxy has failed addr is watched
+	last          int           // moves as far as calls have followed them
 
 	watchFor time.Duration // how long a watch waits; a test's may be shorter
 	crossing time.Duration // the constant; a test's on a slow machine is longer
@@ -230,11 +230,11 @@
 func (d *Follower) Run(ctx context.Context, eng *engine.Engine) {
 	d.eng = eng
 	defer d.hangUp()
-	if d.near == "" {
+	if d.proxy == "" {
 		d.far(ctx, 0)
 		return
 	}
-	d.nearby(ctx)
+	d.followProxy(ctx)
 }
 
 // far follows discovery itself until ctx ends. tries are how many calls are made
--- a/internal/fleet/duty/list/list.go
+++ b/internal/fleet/duty/list/list.go
@@ -1,12 +1,12 @@
-// Package list decides what a host does with discovery's list where one process a
-// zone asks for all its neighbours: what is newer, what a watch is told, when a
-// host asks by itself, and whom the owner of the duty has to tell. It does no I/O
-// and reads no clock.
+// Package list holds the decisions about discovery's list where one process of a
+// zone watches discovery for all hosts: which update is newer, what a subscriber
+// lacks, when a host watches discovery itself, and to which hosts the owner of the
+// duty has to send. It does no I/O and reads no clock.
 //
-// The versions of a list are discovery's own. A list that was handed on is as if
-// discovery had told it, and whoever holds one takes only what is newer: an owner
-// that wakes up late can't take a drain back, bring a dead server back, or make a
-// cold one warm, whether or not a fence stands in its way.
+// The versions of a list are discovery's own, whoever relays it. A cache takes only
+// what is newer than what it has: an owner that was suspended and resumes can't undo
+// a drain, revive a server that has left, or make a cold one warm, with or without a
+// fence in its way.
 package list
 
 import (
@@ -20,53 +20,59 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Bounds. What goes beyond is refused.
+// Bounds of a list.
 const (
-	MostEntries = 4096
-	MostLeft    = 512 // servers that are gone and that a change may still have to name
+	// MaxEntries is how many servers an update may name; a larger one is refused.
+	MaxEntries = 4096
+	// MaxDeparted is how many servers that have left a cache remembers, so that its
+	// deltas can name them.
+	MaxDeparted = 512
 )
 
+// The statuses of a server on the wire.
+const (
+	statusActive  = "active"
+	statusLeaving = "leaving"
+	statusLeft    = "left"
+)
+
+var statuses = []string{statusActive, statusLeaving, statusLeft}
+
 // Entry is one server as discovery wrote it.
 type Entry struct {
-	Name   string
-	Status string // active, leaving or left
-	Text   json.RawMessage
-	at     int64 // version of its latest change
+	Name    string
+	Status  string
+	Text    json.RawMessage // the whole entry
+	changed int64           // version of its latest change
 }
 
-// Update is a list, or what changed of one, as it goes from one process to the
-// next.
+// Update is a snapshot of a list or a delta between two of its versions.
 type Update struct {
-	Source  string  // name of the discovery that its versions are of
-	From    int64   // the version that it changes; 0 for a whole list
-	Index   int64   // its version
-	Entries []Entry // a whole list names none that is gone
+	Source  string  // name of the discovery that assigned the versions
+	From    int64   // version that a delta starts from; 0 for a snapshot
+	Version int64   // version that the update leads to
+	Entries []Entry // a snapshot names no server that has left
 }
 
-// wire is discovery's form.
-type wire struct {
-	Index     int64             `json:"index"`
-	Snapshot  bool              `json:"snapshot"`
+// wireUpdate is an update as discovery answers it. Its index is the version.
+type wireUpdate struct {
+	Index     *int64            `json:"index"`
+	Snapshot  *bool             `json:"snapshot"`
 	Endpoints []json.RawMessage `json:"endpoints"`
 }
 
-var statuses = []string{"active", "leaving", "left"}
-
-// Decode reads discovery's answer to a call that had since, or to one for the whole
-// list, strictly: what is not understood is no list.
+// Decode reads discovery's answer to a request for the changes since a version, or
+// for a snapshot where since is 0. It is strict: an answer with one entry that can't
+// be read is refused as a whole.
 func Decode(text []byte, source string, since int64) (Update, error) {
-	var w struct {
-		Index     *int64            `json:"index"`
-		Snapshot  *bool             `json:"snapshot"`
-		Endpoints []json.RawMessage `json:"endpoints"`
-	}
+	var w wireUpdate
 	if err := json.Unmarshal(text, &w); err != nil {
 		return Update{}, fmt.Errorf("list: %w", err)
 	}
-	if w.Index == nil || *w.Index < 0 || w.Snapshot == nil || w.Endpoints == nil || len(w.Endpoints) > MostEntries {
-		return Update{}, fmt.Errorf("list: found %.60q, wanted index, snapshot and up to %d endpoints", text, MostEntries)
+	if w.Index == nil || *w.Index < 0 || w.Snapshot == nil || w.Endpoints == nil || len(w.Endpoints) > MaxEntries {
+		return Update{}, fmt.Errorf("list: found %.60q, wanted index, snapshot and up to %d endpoints", text, MaxEntries)
 	}
-	u := Update{Source: source, From: since, Index: *w.Index}
+	u := Update{Source: source, From: since, Version: *w.Index}
 	if *w.Snapshot {
 		u.From = 0
 	} else if since == 0 {
@@ -82,273 +88,299 @@
 	return u, nil
 }
 
-// Text is an update in discovery's form.
-func (u *Update) Text() []byte {
-	w := wire{Index: u.Index, Snapshot: u.From == 0, Endpoints: make([]json.RawMessage, 0, len(u.Entries))}
+// Encode writes an update as discovery would answer it.
+func (u *Update) Encode() []byte {
+	snapshot := u.From == 0
+	w := wireUpdate{Index: &u.Version, Snapshot: &snapshot, Endpoints: make([]json.RawMessage, 0, len(u.Entries))}
 	for _, e := range u.Entries {
 		w.Endpoints = append(w.Endpoints, e.Text)
 	}
 	text, err := json.Marshal(w)
 	if err != nil {
-		return nil // entries are what was read as JSON
+		return nil // entries were read as JSON
 	}
 	return text
 }
 
-// Held is the list as one process holds it.
-type Held struct {
-	Source string
-	Index  int64 // 0: none yet
-	// floor is the least version whose changes since are known one by one.
-	floor   int64
-	entries map[string]*Entry
-	order   []string
-	left    int
-	Older   int // updates that were no newer, and changed nothing
+// Cache is one process's copy of the list.
+type Cache struct {
+	Source  string
+	Version int64 // 0 while it is empty
+	// compacted is the version up to which changes are not known one by one: who has
+	// an older version gets a snapshot.
+	compacted int64
+	entries   map[string]*Entry
+	order     []string // names in the order in which they were first seen
+	departed  int      // entries with the status left
 }
 
-// NewHeld returns one that holds nothing yet of the discovery of that name.
-func NewHeld(source string) *Held {
-	return &Held{Source: source, entries: map[string]*Entry{}}
+// NewCache returns an empty cache for the list of the discovery of that name.
+func NewCache(source string) *Cache {
+	return &Cache{Source: source, entries: map[string]*Entry{}}
 }
 
-// ErrGap is an update that begins behind what is held: a whole list is wanted.
-var ErrGap = errors.New("list: found changes that begin behind what is held, wanted the whole list")
+// ErrGap says that a delta starts from a later version than the cache has: a
+// snapshot is needed.
+var ErrGap = errors.New("list: found changes that start from a later version than the cached one, wanted the whole list")
 
-// Take takes an update where it is newer, and tells whether it was.
-func (h *Held) Take(u Update) (bool, error) {
+// Apply takes an update that is newer than the cache, and reports whether it was.
+func (c *Cache) Apply(u Update) (bool, error) {
 	switch {
-	case u.Source != h.Source:
-		return false, fmt.Errorf("list: found one of %s, wanted %s's: versions of two can't be compared", u.Source, h.Source)
-	case len(u.Entries) > MostEntries:
-		return false, fmt.Errorf("list: found %d servers, wanted %d at most", len(u.Entries), MostEntries)
-	case u.Index <= h.Index && h.Index > 0:
-		h.Older++
+	case u.Source != c.Source:
+		return false, fmt.Errorf("list: found one of %s, wanted %s's: versions of two can't be compared", u.Source, c.Source)
+	case len(u.Entries) > MaxEntries:
+		return false, fmt.Errorf("list: found %d servers, wanted %d at most", len(u.Entries), MaxEntries)
+	case u.Version <= c.Version && c.Version > 0:
 		return false, nil
-	case u.From > h.Index || u.From > 0 && h.Index == 0:
+	case u.From > c.Version || u.From > 0 && c.Version == 0:
 		return false, ErrGap
 	}
-	named := map[string]bool{}
 	for _, e := range u.Entries {
-		named[e.Name] = true
-		h.put(e, u.Index)
+		c.put(e, u.Version)
 	}
 	if u.From == 0 {
-		for _, name := range h.order {
-			if e := h.entries[name]; !named[name] && e.Status != "left" {
-				h.put(Entry{Name: name, Status: "left", Text: gone(e.Text)}, u.Index)
-			}
-		}
-		// What came and went since the version before is not in a whole list: who holds
-		// one from between must get the whole list, too, or would keep what has left.
-		h.floor = u.Index
+		c.removeAllBut(u.Entries, u.Version)
+		// A snapshot does not name what came and went since the version before. A
+		// subscriber at a version in between needs the snapshot, too, or it would keep a
+		// server that has left.
+		c.compacted = u.Version
 	}
-	h.Index = u.Index
-	h.trim()
+	c.Version = u.Version
+	c.compact()
 	return true, nil
 }
 
-// gone is the text of a server that a whole list leaves out.
-func gone(text json.RawMessage) json.RawMessage {
-	var all map[string]json.RawMessage
-	if json.Unmarshal(text, &all) != nil {
+// removeAllBut marks the servers that a snapshot does not name as left.
+func (c *Cache) removeAllBut(kept []Entry, version int64) {
+	named := make(map[string]bool, len(kept))
+	for _, e := range kept {
+		named[e.Name] = true
+	}
+	for _, name := range c.order {
+		if e := c.entries[name]; !named[name] && e.Status != statusLeft {
+			c.put(Entry{Name: name, Status: statusLeft, Text: withStatusLeft(e.Text)}, version)
+		}
+	}
+}
+
+// withStatusLeft returns an entry's text with the status left.
+func withStatusLeft(text json.RawMessage) json.RawMessage {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(text, &fields) != nil {
 		return text
 	}
-	all["status"] = json.RawMessage(`"left"`)
-	out, err := json.Marshal(all)
+	fields["status"] = json.RawMessage(`"` + statusLeft + `"`)
+	out, err := json.Marshal(fields)
 	if err != nil {
 		return text
 	}
 	return out
 }
 
-func (h *Held) put(e Entry, at int64) {
-	old := h.entries[e.Name]
+func (c *Cache) put(e Entry, version int64) {
+	old := c.entries[e.Name]
 	if old == nil {
-		h.order = append(h.order, e.Name)
+		c.order = append(c.order, e.Name)
 	} else if old.Status == e.Status && bytes.Equal(old.Text, e.Text) {
 		return
-	} else if old.Status == "left" {
-		h.left--
+	} else if old.Status == statusLeft {
+		c.departed--
 	}
-	if e.Status == "left" {
-		h.left++
+	if e.Status == statusLeft {
+		c.departed++
 	}
-	e.at = at
-	h.entries[e.Name] = &e
+	e.changed = version
+	c.entries[e.Name] = &e
 }
 
-// trim forgets the servers that have been gone longest, and with them the changes
-// up to then one by one.
-func (h *Held) trim() {
-	for h.left > MostLeft {
-		var first *Entry
-		for _, name := range h.order {
-			if e := h.entries[name]; e.Status == "left" && (first == nil || e.at < first.at) {
-				first = e
+// compact forgets the servers that left longest ago, and with them the changes up to
+// then one by one.
+func (c *Cache) compact() {
+	for c.departed > MaxDeparted {
+		var oldest *Entry
+		for _, name := range c.order {
+			if e := c.entries[name]; e.Status == statusLeft && (oldest == nil || e.changed < oldest.changed) {
+				oldest = e
 			}
 		}
-		h.floor = max(h.floor, first.at)
-		delete(h.entries, first.Name)
-		h.order = slices.DeleteFunc(h.order, func(n string) bool { return n == first.Name })
-		h.left--
+		c.compacted = max(c.compacted, oldest.changed)
+		delete(c.entries, oldest.Name)
+		c.order = slices.DeleteFunc(c.order, func(n string) bool { return n == oldest.Name })
+		c.departed--
 	}
 }
 
-// Since is what to tell who has the version since: what changed, or the whole list
-// where since is 0 or the changes since are not known.
-func (h *Held) Since(since int64) Update {
-	u := Update{Source: h.Source, From: since, Index: h.Index}
-	if since < h.floor || since > h.Index {
+// Since returns what a subscriber at a version lacks: a delta, or a snapshot where
+// the version is 0 or the changes since then are not known.
+func (c *Cache) Since(version int64) Update {
+	u := Update{Source: c.Source, From: version, Version: c.Version}
+	if version < c.compacted || version > c.Version {
 		u.From = 0
 	}
-	for _, name := range h.order {
-		e := h.entries[name]
-		if u.From == 0 && e.Status != "left" || u.From > 0 && e.at > u.From {
+	for _, name := range c.order {
+		e := c.entries[name]
+		if u.From == 0 && e.Status != statusLeft || u.From > 0 && e.changed > u.From {
 			u.Entries = append(u.Entries, *e)
 		}
 	}
 	return u
 }
 
-// Settings are how long a host goes by what it heard last.
+// Settings bound how long a host relies on what it received last.
 type Settings struct {
-	// Silent is after how long without a word of the owner a host asks by itself,
-	// spread over Spread more by its name.
-	Silent, Spread time.Duration
-	// Stale is after how long without a word of the owner or of discovery nobody
-	// should go by what this host holds.
-	Stale time.Duration
+	// HeartbeatTimeout is how long after the owner's last heartbeat a host watches
+	// discovery itself, plus a part of Jitter that is fixed by the host's name.
+	HeartbeatTimeout, Jitter time.Duration
+	// StalenessLimit is how long after the last heartbeat or answer of discovery the
+	// cache may still be served.
+	StalenessLimit time.Duration
 }
 
-// Follow decides whether a host asks discovery by itself.
-type Follow struct {
-	set    Settings
-	offset time.Duration
-	heard  time.Duration // of the owner
-	told   time.Duration // by discovery
-	known  bool          // told or heard at all
-	alone  bool
-	own    bool
+// Watcher decides whether a host watches discovery itself, and whether its cache is
+// recent enough to be served.
+type Watcher struct {
+	settings    Settings
+	jitter      time.Duration
+	heartbeatAt time.Duration // the owner's last
+	answeredAt  time.Duration // discovery's last answer to this host
+	initialized bool          // any heartbeat or answer has arrived
+	fallback    bool
+	owner       bool
 }
 
-// NewFollow returns the decisions of a host, which has heard nobody yet.
-func NewFollow(set Settings, host string, now time.Duration) *Follow {
-	f := &Follow{set: set, heard: now, told: now - set.Stale}
-	if set.Spread > 0 {
-		f.offset = time.Duration(xxhash.Sum64String(host) % uint64(set.Spread))
+// NewWatcher returns the decisions of a host that has received nothing yet.
+func NewWatcher(settings Settings, host string, now time.Duration) *Watcher {
+	w := &Watcher{settings: settings, heartbeatAt: now, answeredAt: now - settings.StalenessLimit}
+	if settings.Jitter > 0 {
+		w.jitter = time.Duration(xxhash.Sum64String(host) % uint64(settings.Jitter))
 	}
-	return f
+	return w
 }
 
-// Heard takes a word of the owner that was not refused, and that says that what it
-// knows is of late.
-func (f *Follow) Heard(now time.Duration) { f.heard, f.alone, f.known = now, false, true }
+// Heartbeat records a heartbeat of the owner that was not refused and whose sender
+// is itself up to date.
+func (w *Watcher) Heartbeat(now time.Duration) {
+	w.heartbeatAt, w.fallback, w.initialized = now, false, true
+}
 
-// Told takes an answer of discovery.
-func (f *Follow) Told(now time.Duration) { f.told, f.known = now, true }
+// Answered records an answer of discovery.
+func (w *Watcher) Answered(now time.Duration) { w.answeredAt, w.initialized = now, true }
 
-// Own says whether this host has the duty. One that had it counts as having heard
-// of its owner until then; one that gets it goes by that owner's last word at first.
-func (f *Follow) Own(on bool, now time.Duration) {
-	if f.own && !on {
-		f.heard = now
+// SetOwner says whether this host owns the duty. A host that gives it up waits a whole
+// heartbeat timeout for the next owner; one that takes it over relies at first on
+// the last heartbeat of the owner before.
+func (w *Watcher) SetOwner(owner bool, now time.Duration) {
+	if w.owner && !owner {
+		w.heartbeatAt = now
 	}
-	if !f.own && on && f.known {
-		f.told = max(f.told, f.heard) // what the owner before knew stands until it is old
+	if !w.owner && owner && w.initialized {
+		w.answeredAt = max(w.answeredAt, w.heartbeatAt)
 	}
-	f.own = on
+	w.owner = owner
 }
 
-// Knows tells whether it has heard anybody yet.
-func (f *Follow) Knows() bool { return f.known }
+// Initialized reports whether any heartbeat or answer has arrived yet.
+func (w *Watcher) Initialized() bool { return w.initialized }
 
-// Asks tells whether this host asks discovery now: it owns the duty, the owner was
-// silent for too long, or it has just started and knows nothing: its sidecars would
-// ask in its place, one by one.
-func (f *Follow) Asks(now time.Duration) bool {
-	if now > f.heard+f.set.Silent+f.offset {
-		f.alone = true
+// ShouldWatch reports whether this host watches discovery now: it owns the duty, the
+// owner's heartbeats have timed out, or it has just started and its cache is empty,
+// where its sidecars would otherwise ask one by one.
+func (w *Watcher) ShouldWatch(now time.Duration) bool {
+	if now > w.heartbeatAt+w.settings.HeartbeatTimeout+w.jitter {
+		w.fallback = true
 	}
-	return f.own || f.alone || !f.known
+	return w.owner || w.fallback || !w.initialized
 }
 
-// Alone tells whether it asks though another has the duty, or nobody.
-func (f *Follow) Alone() bool { return f.alone && !f.own }
+// Fallback reports whether this host watches discovery without owning the duty, for
+// want of heartbeats.
+func (w *Watcher) Fallback() bool { return w.fallback && !w.owner }
 
-// Fresh tells whether others may go by what this host holds.
-func (f *Follow) Fresh(now time.Duration) bool {
-	last := f.told
-	if !f.own {
-		last = max(f.told, f.heard)
+// Fresh reports whether the cache may be served. An owner's own heartbeats prove
+// nothing to itself.
+func (w *Watcher) Fresh(now time.Duration) bool {
+	last := w.answeredAt
+	if !w.owner {
+		last = max(w.answeredAt, w.heartbeatAt)
 	}
-	return f.known && now <= last+f.set.Stale
+	return w.initialized && now <= last+w.settings.StalenessLimit
 }
 
-// Receiver is a host that the owner tells.
-type Receiver struct {
-	index int64 // that it said it holds; -1 for not known
-	last  time.Duration
-	out   bool
+// unknownVersion is the version of a subscriber whose cache is not known.
+const unknownVersion = -1
+
+// subscriber is a host to which the owner sends updates and heartbeats.
+type subscriber struct {
+	version  int64 // that it has acknowledged, or unknownVersion
+	sentAt   time.Duration
+	inFlight bool
 }
 
-// Telling decides whom an owner has to tell what.
-type Telling struct {
-	Every time.Duration // a word at least, also where nothing is new
-	Most  int           // words under way at a time
-	by    map[string]*Receiver
-	out   int
+// Publisher decides to which hosts the owner sends what.
+type Publisher struct {
+	heartbeatInterval time.Duration
+	maxInFlight       int
+	subscribers       map[string]*subscriber
+	inFlight          int
 }
 
-// NewTelling returns one that has told nobody yet.
-func NewTelling(every time.Duration, most int) *Telling {
-	return &Telling{Every: every, Most: most, by: map[string]*Receiver{}}
+// NewPublisher returns one without subscribers. Each subscriber is sent something in
+// every heartbeat interval, also where nothing is new; at most maxInFlight requests
+// are sent at a time.
+func NewPublisher(heartbeatInterval time.Duration, maxInFlight int) *Publisher {
+	return &Publisher{heartbeatInterval: heartbeatInterval, maxInFlight: maxInFlight, subscribers: map[string]*subscriber{}}
 }
 
-// Hosts says who there is. What is known of the others is forgotten.
-func (t *Telling) Hosts(names []string) {
-	for name, r := range t.by {
-		if !slices.Contains(names, name) && !r.out {
-			delete(t.by, name)
+// SetHosts says which hosts there are. The others are forgotten once no request to
+// them is in flight.
+func (p *Publisher) SetHosts(names []string) {
+	for name, s := range p.subscribers {
+		if !slices.Contains(names, name) && !s.inFlight {
+			delete(p.subscribers, name)
 		}
 	}
 	for _, name := range names {
-		if t.by[name] == nil {
-			t.by[name] = &Receiver{index: -1, last: -time.Hour}
+		if p.subscribers[name] == nil {
+			p.subscribers[name] = &subscriber{version: unknownVersion, sentAt: -time.Hour}
 		}
 	}
 }
 
-// Next names the hosts to tell now, of a list at index, and for each the version
-// that it holds (0 for the whole list). They count as under way until Done.
-func (t *Telling) Next(now time.Duration, index int64) map[string]int64 {
+// Due returns the hosts to send to now that the list is at a version, each with the
+// version that it has (0 where it needs a snapshot). They count as in flight until
+// they are Acknowledged.
+func (p *Publisher) Due(now time.Duration, version int64) map[string]int64 {
 	due := map[string]int64{}
-	names := make([]string, 0, len(t.by))
-	for name := range t.by {
-		names = append(names, name)
-	}
-	// Whoever was told longest ago first: with more hosts than words at a time all
-	// have their turn.
-	slices.SortFunc(names, func(a, b string) int { return int(t.by[a].last - t.by[b].last) })
-	for _, name := range names {
-		r := t.by[name]
-		if r.out || t.out >= t.Most || r.index >= index && now < r.last+t.Every {
+	for _, name := range p.longestWaitingFirst() {
+		s := p.subscribers[name]
+		if s.inFlight || p.inFlight >= p.maxInFlight || s.version >= version && now < s.sentAt+p.heartbeatInterval {
 			continue
 		}
-		r.out = true
-		t.out++
-		due[name] = max(0, r.index)
+		s.inFlight = true
+		p.inFlight++
+		due[name] = max(0, s.version)
 	}
 	return due
 }
 
-// Done takes the answer of a host: the version that it holds now, -1 where it is
+// longestWaitingFirst orders the hosts so that all have their turn, also where there
+// are more of them than requests may be in flight.
+func (p *Publisher) longestWaitingFirst() []string {
+	names := make([]string, 0, len(p.subscribers))
+	for name := range p.subscribers {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int { return int(p.subscribers[a].sentAt - p.subscribers[b].sentAt) })
+	return names
+}
+
+// Acknowledged ends a request to a host, which has this version now; -1 where that is
 // not known.
-func (t *Telling) Done(host string, index int64, now time.Duration) {
-	r := t.by[host]
-	if r == nil || !r.out {
+func (p *Publisher) Acknowledged(host string, version int64, now time.Duration) {
+	s := p.subscribers[host]
+	if s == nil || !s.inFlight {
 		return
 	}
-	r.out, r.index, r.last = false, index, now
-	t.out--
+	s.inFlight, s.version, s.sentAt = false, version, now
+	p.inFlight--
 }
--- a/internal/fleet/supervisor/everywhere.go
+++ b/internal/fleet/supervisor/everywhere.go
@@ -50,14 +50,14 @@
 	Instance string        `json:"instance,omitempty"`
 	Order    string        `json:"order,omitempty"`
 	Program  string        `json:"program,omitempty"`
-	List     *handed       `json:"list,omitempty"`
+	List     *listPush     `json:"list,omitempty"`
 }
 
 // told is its answer.
 type told struct {
 	Refused string          `json:"refused,omitempty"`
 	Host    everywhere.Host `json:"host"`
-	Index   int64           `json:"index,omitempty"` // of the list that it holds
+	Index   int64           `json:"index,omitempty"` // version of the list that it has cached
 	Late    int             `json:"late"`            // effects that were refused since the start
 }
 
@@ -93,7 +93,7 @@
 	server := &http.Server{Handler: http.HandlerFunc(s.takeEffect), ReadTimeout: effectFor, WriteTimeout: effectFor + time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 4 << 10}
 	s.wg.Go(func() { server.Serve(ask.Bounded(ln, mostEffects)) })
 	s.wg.Go(func() { <-ctx.Done(); server.Close(); s.client.Close() })
-	if err := s.joinList(ctx); err != nil {
+	if err := s.startListProxy(ctx); err != nil {
 		return err
 	}
 	s.wg.Go(func() { s.hear(ctx) })
@@ -129,8 +129,8 @@
 			if first {
 				// A majority knows of no owner: any is newer than nobody.
 				s.fence.Hear(Duty, council.Tenant{})
-				if s.near != nil {
-					s.fence.Hear(s.near.duty, council.Tenant{})
+				if s.listProxy != nil {
+					s.fence.Hear(s.listProxy.duty, council.Tenant{})
 				}
 			}
 			return nil
@@ -140,9 +140,9 @@
 			continue
 		}
 		vacant := false
-		if s.near != nil && a.Duties[s.near.duty].Owner == "" {
+		if s.listProxy != nil && a.Duties[s.listProxy.duty].Owner == "" {
 			vacant = true
-			s.near.vacant(ctx, me)
+			s.listProxy.tryToOwn(ctx, me)
 		}
 		if a.Open[Duty] && a.Duties[Duty].Owner == "" {
 			vacant = true
@@ -376,7 +376,7 @@
 	switch e.Do {
 	case "look":
 	case "list":
-		index, err := s.near.taken(e)
+		index, err := s.listProxy.receive(e)
 		if err != nil {
 			return refused(err)
 		}
@@ -411,7 +411,7 @@
 // heardOf says that a newer owner than before is known, in whatever way: from here on
 // nothing of an older one is taken.
 func (s *Supervisor) heardOf(duty string, before council.Tenant) {
-	if duty != Duty && (s.near == nil || duty != s.near.duty) {
+	if duty != Duty && (s.listProxy == nil || duty != s.listProxy.duty) {
 		return // no effect of it comes here
 	}
 	if now := s.fence.Newest(duty); now.Epoch > before.Epoch && now.Owner != "" {
--- a/internal/fleet/supervisor/file.go
+++ b/internal/fleet/supervisor/file.go
@@ -98,7 +98,7 @@
 		Name: "n{i}", FirstPort: 20000,
 		Start:   Start{Lines: 280, CallLines: 77, ListLines: 70, Ready: 10 * time.Second},
 		Restart: Restart{Mode: "term", AtOnce: 1, EndWithin: 30 * time.Second, PauseAfter: 2},
-		List:    ListFile{Source: "discovery", Silent: 1500 * time.Millisecond, Spread: 2 * time.Second, Stale: 4 * time.Second},
+		List:    ListFile{Source: "discovery", HeartbeatTimeout: 1500 * time.Millisecond, Jitter: 2 * time.Second, StalenessLimit: 4 * time.Second},
 		Crash:   Crash{First: 500 * time.Millisecond, Most: 30 * time.Second, Loop: 5, Within: time.Minute},
 	}
 }
@@ -171,8 +171,8 @@
 		if l.Source == "" || len(l.Source) > 64 || strings.ContainsAny(l.Source, " \r\n") {
 			return f.bad("list.source", strconv.Quote(l.Source), "a name of 1 to 64 bytes without blanks")
 		}
-		if l.Stale <= l.Silent {
-			return f.bad("list.stale", l.Stale.String(), fmt.Sprintf("more than %v (list.silent)", l.Silent))
+		if l.StalenessLimit <= l.HeartbeatTimeout {
+			return f.bad("list.stale", l.StalenessLimit.String(), fmt.Sprintf("more than %v (list.silent)", l.HeartbeatTimeout))
 		}
 	}
 	if c.Host == "" || len(c.Host) > 32 || strings.ContainsAny(c.Host, "/. \n") {
--- a/internal/fleet/supervisor/list.go
+++ b/internal/fleet/supervisor/list.go
@@ -20,60 +20,74 @@
 	"otterspring/internal/logs"
 )
 
-// What a supervisor does with discovery's list: one of a zone asks for all
-// neighbours, the others hear from it, and each has a door for its sidecars at which
-// it is as if they asked discovery. What is decided, package list decides.
+// The supervisor's part in relaying discovery's list. The owner of a zone's duty
+// watches discovery and sends updates and heartbeats to the supervisors of the zone;
+// each supervisor serves its host's sidecars from its cache, at a local endpoint
+// that answers as discovery would. Package list holds the decisions.
 
 const (
-	// listWatch is how long an asking host's watch waits. It is short, since what a
-	// watch that has fallen silent misses counts as told 6 s later; few hosts ask.
-	listWatch  = 2 * time.Second
-	listFirst  = time.Millisecond
-	listWithin = time.Second // and how much longer than that an answer may take
-	wholeList  = 4 * time.Second
-	mostList   = 1 << 20
-	listWord   = 500 * time.Millisecond // the owner tells each host at least so often
-	listWords  = 32                     // at a time
-	listLooks  = 20 * time.Millisecond
-	// ownFails is for how long an owner's calls may fail until it gives the duty to
-	// somebody whose calls may not, and ownRests how long it does not ask for it then.
-	ownFails = 3 * time.Second
-	ownRests = 10 * time.Second
-	doorWait = 10 * time.Second // of a sidecar's watch
-	doorLook = 200 * time.Millisecond
-	mostDoor = 2 * MostInstances // connections of sidecars
+	// listWatchTimeout is how long a watch waits for a change. It is short: a watch
+	// whose connection has died is noticed at its end, what it missed counts as
+	// delivered 6 s later, and few hosts watch.
+	listWatchTimeout = 2 * time.Second
+	// listFirstWatchTimeout is that of the first watch, which only has to confirm the
+	// cached version: until then a host has nothing recent to serve.
+	listFirstWatchTimeout = time.Millisecond
+	listAnswerTimeout     = time.Second // beyond the watch's own
+	listSnapshotTimeout   = 4 * time.Second
+	maxListBytes          = 1 << 20
+
+	listRetryBase     = 100 * time.Millisecond
+	maxListRetryShift = 4
+
+	listHeartbeatInterval = 500 * time.Millisecond
+	maxListPushes         = 32 // in flight at a time
+	listPollInterval      = 20 * time.Millisecond
+	listHostsInterval     = time.Second
+
+	// listOwnerFailureLimit is for how long an owner's calls to discovery may fail until
+	// it gives the duty up, and listOwnerBackoff for how long it leaves it to others.
+	listOwnerFailureLimit = 3 * time.Second
+	listOwnerBackoff      = 10 * time.Second
+
+	proxyWatchLimit     = 10 * time.Second // of a sidecar's watch
+	proxyFreshnessCheck = 200 * time.Millisecond
+	maxProxyConnections = 2 * MostInstances
 )
 
-// ListSource is the header of a door's answers that names the discovery whose
-// versions they bear.
-const ListSource = "X-List-Source"
+// listSourceHeader names, in the local endpoint's answers, the discovery that
+// assigned the list's versions.
+const listSourceHeader = "X-List-Source"
+
+// listPath is where discovery and the local endpoint serve the list.
+const listPath = "/discovery/hosts"
 
-// handed is an update as an owner posts it.
-type handed struct {
+// listPush is an update or a heartbeat as an owner sends it.
+type listPush struct {
 	Source string          `json:"source"`
 	From   int64           `json:"from"`
 	Text   json.RawMessage `json:"text"`
-	Fresh  bool            `json:"fresh"` // the owner was told of late
+	Fresh  bool            `json:"fresh"` // the owner's own cache is recent
 }
 
-// neighbours is a host's part of the duty list.
-type neighbours struct {
-	s    *Supervisor
-	duty string
-	set  ListFile
+// listProxy is a host's cache of discovery's list, its watch and its local endpoint.
+type listProxy struct {
+	supervisor *Supervisor
+	duty       string
+	settings   ListFile
 
 	owning atomic.Bool
 
-	mu      sync.Mutex
-	held    *list.Held
-	follow  *list.Follow
-	news    chan struct{} // closed and made anew with each newer list
-	failing time.Duration // since when own calls fail; 0 for not
-	rests   time.Duration // until when the duty is not asked for
+	mu           sync.Mutex
+	cache        *list.Cache
+	watcher      *list.Watcher
+	changed      chan struct{} // closed and replaced with each newer version
+	failingSince time.Duration // calls to discovery; 0 if the last one succeeded
+	backoffUntil time.Duration // until when the duty is left to others
 }
 
-// joinList begins a host's part.
-func (s *Supervisor) joinList(ctx context.Context) error {
+// startListProxy starts a host's part in the relaying, where its file asks for it.
+func (s *Supervisor) startListProxy(ctx context.Context) error {
 	f := s.file.List
 	if f.Discovery == "" {
 		return nil
@@ -82,310 +96,364 @@
 	if err != nil {
 		return fmt.Errorf("list.listen: %w", err)
 	}
-	set := list.Settings{Silent: f.Silent, Spread: f.Spread, Stale: f.Stale}
-	n := &neighbours{s: s, duty: "list:" + s.file.Council.Zone, set: f, held: list.NewHeld(f.Source), news: make(chan struct{})}
-	n.follow = list.NewFollow(set, s.file.Council.Host, bootTime())
-	s.near = n
-	server := &http.Server{Handler: http.HandlerFunc(n.door), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 4 << 10}
-	s.wg.Go(func() { server.Serve(ask.Bounded(ln, mostDoor)) })
+	settings := list.Settings{HeartbeatTimeout: f.HeartbeatTimeout, Jitter: f.Jitter, StalenessLimit: f.StalenessLimit}
+	p := &listProxy{
+		supervisor: s,
+		duty:       listDuty(s.file.Council.Zone),
+		settings:   f,
+		cache:      list.NewCache(f.Source),
+		watcher:    list.NewWatcher(settings, s.file.Council.Host, bootTime()),
+		changed:    make(chan struct{}),
+	}
+	s.listProxy = p
+	server := &http.Server{Handler: p, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 4 << 10}
+	s.wg.Go(func() { server.Serve(ask.Bounded(ln, maxProxyConnections)) })
 	s.wg.Go(func() { <-ctx.Done(); server.Close() })
-	s.wg.Go(func() { n.ask(ctx) })
+	s.wg.Go(func() { p.watchDiscovery(ctx) })
 	return nil
 }
 
-// ask asks discovery while this host is to.
-func (n *neighbours) ask(ctx context.Context) {
-	// The first call does not wait: what it tells is that nothing is new, and until that
-	// is known a host that begins to ask has nobody's word to go by.
-	tries, wait := 0, listFirst
+// listDuty is the name of a zone's duty at the council.
+func listDuty(zone string) string { return "list:" + zone }
+
+// watchDiscovery watches discovery whenever the watcher says so, until ctx ends.
+func (p *listProxy) watchDiscovery(ctx context.Context) {
+	failures, timeout := 0, listFirstWatchTimeout
 	for ctx.Err() == nil {
-		n.mu.Lock()
-		asks, since, alone := n.follow.Asks(bootTime()), n.held.Index, n.follow.Alone()
-		n.mu.Unlock()
-		if !asks {
-			tries, wait = 0, listFirst
-			pause(ctx, listLooks)
+		p.mu.Lock()
+		watches, since, fallback := p.watcher.ShouldWatch(bootTime()), p.cache.Version, p.watcher.Fallback()
+		p.mu.Unlock()
+		if !watches {
+			failures, timeout = 0, listFirstWatchTimeout
+			pause(ctx, listPollInterval)
 			continue
 		}
-		if alone {
-			n.s.log.Info("list: no owner is heard of, asking discovery for this host", logs.Cause("list alone"))
-		}
-		err := n.call(ctx, since, wait)
-		now := bootTime()
-		n.mu.Lock()
-		if err == nil {
-			n.follow.Told(now)
-			n.failing = 0
-		} else if n.failing == 0 {
-			n.failing = now
+		if fallback {
+			p.supervisor.log.Info("list: no heartbeat of an owner, watching discovery from this host", logs.Cause("list fallback"))
 		}
-		n.mu.Unlock()
+		err := p.fetch(ctx, since, timeout)
+		p.recordAnswer(err)
 		if err == nil {
-			tries, wait = 0, listWatch
+			failures, timeout = 0, listWatchTimeout
 			continue
 		}
-		n.s.log.Warn(fmt.Sprintf("list: discovery at %s: %v", n.set.Discovery, err), logs.Cause("discovery"))
-		tries = min(tries+1, 4)
-		mean := 100 * time.Millisecond << tries
+		p.supervisor.log.Warn(fmt.Sprintf("list: discovery at %s: %v", p.settings.Discovery, err), logs.Cause("discovery"))
+		failures = min(failures+1, maxListRetryShift)
+		mean := listRetryBase << failures
 		pause(ctx, mean/2+time.Duration(rand.Int64N(int64(mean))))
 	}
 }
 
+// recordAnswer notes whether a call to discovery succeeded.
+func (p *listProxy) recordAnswer(err error) {
+	now := bootTime()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case err == nil:
+		p.watcher.Answered(now)
+		p.failingSince = 0
+	case p.failingSince == 0:
+		p.failingSince = now
+	}
+}
+
 var listClient = http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}}
 
-// call asks discovery once, for what is newer than since, waiting for it, or for the
-// whole list, and takes what it tells.
-func (n *neighbours) call(ctx context.Context, since int64, wait time.Duration) error {
-	url, within := "http://"+n.set.Discovery+"/discovery/hosts", wholeList
+// fetch makes one call to discovery and applies the answer: a watch for changes
+// since a version, or a request for a snapshot where that is 0.
+func (p *listProxy) fetch(ctx context.Context, since int64, watchTimeout time.Duration) error {
+	url, timeout := "http://"+p.settings.Discovery+listPath, listSnapshotTimeout
 	if since > 0 {
-		url += fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds())
-		within = wait + listWithin
+		url += fmt.Sprintf("?since=%d&timeout_ms=%d", since, watchTimeout.Milliseconds())
+		timeout = watchTimeout + listAnswerTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, within)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if err := inject.Way(ctx, n.set.Discovery); err != nil {
+	if err := inject.Way(ctx, p.settings.Discovery); err != nil {
 		return err
 	}
-	req, err := http.NewRequestWithContext(ctx, "GET", url, nil)
+	text, err := get(ctx, url)
 	if err != nil {
 		return err
 	}
-	r, err := listClient.Do(req)
+	u, err := list.Decode(text, p.settings.Source, since)
 	if err != nil {
 		return err
 	}
-	defer r.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(r.Body, mostList+1))
+	if u.Version < since {
+		return fmt.Errorf("found version %d after version %d: it counts from the start again, and this is not relayed", u.Version, since)
+	}
+	return p.apply(u, "discovery")
+}
+
+// get returns the body of an answer of discovery, which is bounded.
+func get(ctx context.Context, url string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if r.StatusCode != http.StatusOK || len(text) > mostList {
-		return fmt.Errorf("found status %d and %d bytes, wanted 200 and %d at most", r.StatusCode, len(text), mostList)
+	response, err := listClient.Do(request)
+	if err != nil {
+		return nil, err
 	}
-	u, err := list.Decode(text, n.set.Source, since)
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes+1))
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if u.Index < since {
-		return fmt.Errorf("found version %d after version %d: it counts anew, and this is not handed on", u.Index, since)
+	if response.StatusCode != http.StatusOK || len(text) > maxListBytes {
+		return nil, fmt.Errorf("found status %d and %d bytes, wanted 200 and %d at most", response.StatusCode, len(text), maxListBytes)
 	}
-	return n.take(u, "discovery")
+	return text, nil
 }
 
-// take takes an update, and wakes who waits for a newer one.
-func (n *neighbours) take(u list.Update, of string) error {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	newer, err := n.held.Take(u)
+// apply takes an update and wakes the watches that wait for a newer version.
+func (p *listProxy) apply(u list.Update, sender string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	newer, err := p.cache.Apply(u)
 	if newer {
-		close(n.news)
-		n.news = make(chan struct{})
-		n.s.log.Debug(fmt.Sprintf("list: version %d of %s", n.held.Index, of), logs.Cause("list"))
+		close(p.changed)
+		p.changed = make(chan struct{})
+		p.supervisor.log.Debug(fmt.Sprintf("list: version %d of %s", p.cache.Version, sender), logs.Cause("list"))
 	}
 	return err
 }
 
-// taken is what an owner's word came to, which the fence has let through: the
-// version that is held now. Run's goroutine.
-func (n *neighbours) taken(e effect) (int64, error) {
-	if n == nil || e.List == nil || e.Duty != n.duty {
+// receive takes a push of an owner that the fence has accepted, and returns the
+// version that is cached now. It runs on Run's goroutine.
+func (p *listProxy) receive(e effect) (int64, error) {
+	if p == nil || e.List == nil || e.Duty != p.duty {
 		return 0, errors.New("found a list, wanted none here")
 	}
 	u, err := list.Decode(e.List.Text, e.List.Source, e.List.From)
 	if err != nil {
 		return 0, err
 	}
-	n.mu.Lock()
-	before := n.held.Index
-	n.mu.Unlock()
-	if err = n.take(u, e.Owner); err != nil && !errors.Is(err, list.ErrGap) {
-		return 0, err // another discovery's: this host goes on by itself
+	p.mu.Lock()
+	before := p.cache.Version
+	p.mu.Unlock()
+	if err = p.apply(u, e.Owner); err != nil && !errors.Is(err, list.ErrGap) {
+		return 0, err // of another discovery: this host's heartbeat timeout runs on
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if e.List.Fresh && err == nil {
-		n.follow.Heard(bootTime())
+		p.watcher.Heartbeat(bootTime())
 	}
-	if n.held.Index != before {
-		n.s.say("takes list %d of %s, epoch %v", n.held.Index, e.Owner, e.Epoch)
+	if p.cache.Version != before {
+		p.supervisor.say("applied list version %d of %s, epoch %v", p.cache.Version, e.Owner, e.Epoch)
 		inject.At("list-taken")
 	}
-	return n.held.Index, nil
+	return p.cache.Version, nil
 }
 
-// vacant is called where nobody owns the duty.
-func (n *neighbours) vacant(ctx context.Context, me string) {
-	n.mu.Lock()
-	rests := bootTime() < n.rests
-	n.mu.Unlock()
-	if rests || !n.owning.CompareAndSwap(false, true) {
+// tryToOwn asks for the duty, which nobody owns, and carries it out if it is given.
+func (p *listProxy) tryToOwn(ctx context.Context, me string) {
+	p.mu.Lock()
+	backsOff := bootTime() < p.backoffUntil
+	p.mu.Unlock()
+	if backsOff || !p.owning.CompareAndSwap(false, true) {
 		return
 	}
-	n.s.wg.Go(func() {
-		defer n.owning.Store(false)
-		if r := n.s.reign(ctx, n.duty, me); r != nil {
-			r.during(ctx, func(ctx context.Context) string { return n.tell(ctx, r) })
+	p.supervisor.wg.Go(func() {
+		defer p.owning.Store(false)
+		if r := p.supervisor.reign(ctx, p.duty, me); r != nil {
+			r.during(ctx, func(ctx context.Context) string { return p.publish(ctx, r) })
 		}
 	})
 }
 
-// tell asks discovery for the zone and tells all its hosts, until the tenure ends.
-func (n *neighbours) tell(ctx context.Context, r *reign) string {
-	n.own(true)
-	defer n.own(false)
-	var addresses sync.Map // by host
+// acknowledgement is a host's answer to a push.
+type acknowledgement struct {
+	host    string
+	version int64
+}
+
+// publish sends updates and heartbeats to the zone's hosts until the tenure ends or
+// the duty is given up. It returns why.
+func (p *listProxy) publish(ctx context.Context, r *reign) string {
+	p.setOwner(true)
+	defer p.setOwner(false)
+	var addresses sync.Map // string by host
 	hosts := make(chan []string, 1)
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	// It may end before the tenure does: who asks for the hosts ends with it.
-	ctx, end := context.WithCancel(ctx)
-	defer end()
-	wg.Go(func() { n.who(ctx, &addresses, hosts) })
-	tell := list.NewTelling(listWord, listWords)
-	type done struct {
-		host  string
-		index int64
-	}
-	dones := make(chan done, listWords)
+	// It may end before the tenure does: the goroutine that asks for the hosts ends with it.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wg.Go(func() { p.watchHosts(ctx, &addresses, hosts) })
+	publisher := list.NewPublisher(listHeartbeatInterval, maxListPushes)
+	acknowledgements := make(chan acknowledgement, maxListPushes)
 	for {
-		n.mu.Lock()
-		news, index, failing := n.news, n.held.Index, n.failing
-		n.mu.Unlock()
-		now := bootTime()
+		p.mu.Lock()
+		changed, version := p.changed, p.cache.Version
+		p.mu.Unlock()
 		switch {
 		case ctx.Err() != nil || !r.held():
 			return "the tenure is over"
-		case failing > 0 && now > failing+ownFails:
-			n.mu.Lock()
-			n.rests = now + ownRests
-			n.mu.Unlock()
+		case p.backOff():
 			return "discovery does not answer here"
 		}
-		if index > 0 {
-			for host, since := range tell.Next(now, index) {
+		if version > 0 {
+			for host, since := range publisher.Due(bootTime(), version) {
 				address, _ := addresses.Load(host)
-				wg.Go(func() { dones <- done{host, n.post(r, address.(string), since)} })
+				wg.Go(func() { acknowledgements <- acknowledgement{host, p.push(r, address.(string), since)} })
 			}
 		}
 		select {
-		case d := <-dones:
-			tell.Done(d.host, d.index, bootTime())
+		case a := <-acknowledgements:
+			publisher.Acknowledged(a.host, a.version, bootTime())
 		case names := <-hosts:
-			tell.Hosts(names)
-		case <-news:
-		case <-time.After(listLooks):
+			publisher.SetHosts(names)
+		case <-changed:
+		case <-time.After(listPollInterval):
 		case <-ctx.Done():
 		}
 	}
 }
 
-// post tells one host what it lacks; it returns the version that the host holds
-// then, -1 where that is not known.
-func (n *neighbours) post(r *reign, address string, since int64) int64 {
-	n.mu.Lock()
-	u := n.held.Since(min(since, n.held.Index)) // a host may hold a newer one: a word without news
-	h := &handed{Source: u.Source, From: u.From, Text: u.Text(), Fresh: n.follow.Fresh(bootTime())}
-	n.mu.Unlock()
-	inject.At("list-tells") // a stop here is longer than any lease: fence and version are there for it
-	t, err := r.effect(address, effect{Do: "list", List: h})
+// backOff reports whether calls to discovery have failed for so long that the duty
+// is better left to others, and leaves it to them for a while.
+func (p *listProxy) backOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := bootTime()
+	if p.failingSince == 0 || now <= p.failingSince+listOwnerFailureLimit {
+		return false
+	}
+	p.backoffUntil = now + listOwnerBackoff
+	return true
+}
+
+// push sends a host what it lacks. It returns the version that the host has then, -1
+// where that is not known.
+func (p *listProxy) push(r *reign, address string, since int64) int64 {
+	p.mu.Lock()
+	// A host may have a newer version than this owner: it is sent a heartbeat only.
+	u := p.cache.Since(min(since, p.cache.Version))
+	message := &listPush{Source: u.Source, From: u.From, Text: u.Encode(), Fresh: p.watcher.Fresh(bootTime())}
+	p.mu.Unlock()
+	inject.At("list-tells") // a stop here outlasts any lease: fence and version are there for it
+	t, err := r.effect(address, effect{Do: "list", List: message})
 	switch {
 	case err != nil:
-		n.s.log.Debug(fmt.Sprintf("list: %s: %v", address, err), logs.Cause("list"+address))
+		p.supervisor.log.Debug(fmt.Sprintf("list: %s: %v", address, err), logs.Cause("list"+address))
 		return -1
 	case t.Refused != "":
-		n.s.log.Warn(fmt.Sprintf("list: %s: refused: %s", address, t.Refused), logs.Cause("refused"+address))
+		p.supervisor.log.Warn(fmt.Sprintf("list: %s: refused: %s", address, t.Refused), logs.Cause("refused"+address))
 		return -1
 	}
 	return t.Index
 }
 
-// who asks the council which hosts the zone has, as long as the tenure lasts.
-func (n *neighbours) who(ctx context.Context, addresses *sync.Map, hosts chan<- []string) {
-	for ctx.Err() == nil {
-		a, err := n.s.asks(ctx, ask.Question{Kind: ask.State}, effectFor)
-		if err == nil && a.State != nil {
-			var names []string
-			for name, text := range a.State.Facts {
-				var f fact
-				if json.Unmarshal(text, &f) == nil && "list:"+f.Zone == n.duty && f.Address != "" {
-					names = append(names, name)
-					addresses.Store(name, f.Address)
-				}
-			}
-			select {
-			case hosts <- names:
-			case <-ctx.Done():
+// watchHosts asks the council which hosts the zone has, until ctx ends.
+func (p *listProxy) watchHosts(ctx context.Context, addresses *sync.Map, hosts chan<- []string) {
+	for ; ctx.Err() == nil; pause(ctx, listHostsInterval) {
+		a, err := p.supervisor.asks(ctx, ask.Question{Kind: ask.State}, effectFor)
+		if err != nil || a.State == nil {
+			continue
+		}
+		var names []string
+		for name, text := range a.State.Facts {
+			var f fact
+			if json.Unmarshal(text, &f) == nil && listDuty(f.Zone) == p.duty && f.Address != "" {
+				names = append(names, name)
+				addresses.Store(name, f.Address)
 			}
 		}
-		pause(ctx, time.Second)
+		select {
+		case hosts <- names:
+		case <-ctx.Done():
+		}
 	}
 }
 
-func (n *neighbours) own(on bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.follow.Own(on, bootTime())
+func (p *listProxy) setOwner(owner bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.watcher.SetOwner(owner, bootTime())
+}
+
+// cached is what the proxy has for one request of a sidecar.
+type cached struct {
+	initialized bool
+	fresh       bool
+	version     int64
+	update      list.Update   // without a source if there is nothing to send yet
+	changed     chan struct{} // closed with the next version
+}
+
+// lookUp returns what the cache has beyond a version; an update without changes
+// where the watch has ended at that version.
+func (p *listProxy) lookUp(since int64, ended bool) cached {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := cached{initialized: p.watcher.Initialized(), fresh: p.watcher.Fresh(bootTime()), version: p.cache.Version, changed: p.changed}
+	if c.fresh && (c.version > since || ended && c.version == since) {
+		c.update = p.cache.Since(max(0, since))
+	}
+	return c
 }
 
-// door answers this host's sidecars as discovery would. Where nobody should go by
-// what is held it says so at once, and they ask by themselves.
-func (n *neighbours) door(w http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodGet || r.URL.Path != "/discovery/hosts" {
+// ServeHTTP answers this host's sidecars as discovery would. Where the cache is too
+// old it says so at once, and they turn to discovery.
+func (p *listProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet || r.URL.Path != listPath {
 		http.NotFound(w, r)
 		return
 	}
 	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("timeout_ms"))
-	end := time.After(min(doorWait, max(0, time.Duration(wait)*time.Millisecond)))
-	for over := since <= 0; ; {
-		n.mu.Lock()
-		fresh, index, news, knows := n.follow.Fresh(bootTime()), n.held.Index, n.news, n.follow.Knows()
-		var u list.Update
-		if fresh && (index > since || over && index == since) {
-			u = n.held.Since(max(0, since))
-		}
-		n.mu.Unlock()
+	timeout := time.After(min(proxyWatchLimit, max(0, time.Duration(wait)*time.Millisecond)))
+	for ended := since <= 0; ; {
+		c := p.lookUp(since, ended)
 		switch {
-		case !knows && !over:
-			// This host has just started: what it is about to be told is worth the wait.
-		case !fresh || index == 0:
-			http.Error(w, "found no word of owner or discovery of late", http.StatusServiceUnavailable)
+		case !c.initialized && !ended:
+			// This host has just started, and is about to receive the list: that is worth the wait.
+		case !c.fresh || c.version == 0:
+			http.Error(w, "found no recent heartbeat of the owner and no recent answer of discovery", http.StatusServiceUnavailable)
 			return
-		case u.Source != "":
-			text := u.Text()
-			w.Header().Set("Content-Type", "application/json")
-			w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-			w.Header().Set(ListSource, u.Source)
-			w.Write(text)
+		case c.update.Source != "":
+			writeUpdate(w, &c.update)
 			return
-		case over:
-			http.Error(w, fmt.Sprintf("found version %d held, wanted %d", index, since), http.StatusServiceUnavailable)
+		case ended:
+			http.Error(w, fmt.Sprintf("found version %d cached, wanted %d", c.version, since), http.StatusServiceUnavailable)
 			return
 		}
 		select {
-		case <-news:
-		case <-end:
-			over = true
-		case <-time.After(doorLook):
+		case <-c.changed:
+		case <-timeout:
+			ended = true
+		case <-time.After(proxyFreshnessCheck):
 		case <-r.Context().Done():
 			return
 		}
 	}
 }
 
-// ListFile is what a fleet file says of the list.
+func writeUpdate(w http.ResponseWriter, u *list.Update) {
+	text := u.Encode()
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.Header().Set(listSourceHeader, u.Source)
+	w.Write(text)
+}
+
+// ListFile is the [list] table of a fleet file.
 type ListFile struct {
-	// Discovery is asked for the whole zone; Listen is this host's door for its
-	// sidecars. Empty: off.
+	// Discovery is watched for the whole zone; Listen is the local endpoint for this
+	// host's sidecars. Empty: off.
 	Discovery string `toml:"discovery"`
 	Listen    string `toml:"listen"`
-	// Source names the discovery whose versions these are, the same for all hosts and
+	// Source names the discovery that assigns the versions, the same for all hosts and
 	// sidecars: versions of two can't be compared.
 	Source string `toml:"source"`
-	// Silent is after how long without a word of the zone's owner this host asks by
-	// itself, at a moment of its own within Spread more; Stale is after how long
-	// without any word its sidecars are sent to discovery themselves.
-	Silent time.Duration `toml:"silent" min:"1s" max:"1m"`
-	Spread time.Duration `toml:"spread" min:"0s" max:"5m"`
-	Stale  time.Duration `toml:"stale" min:"2s" max:"5m"`
+	// HeartbeatTimeout is how long after the owner's last heartbeat this host watches
+	// discovery itself, plus its own part of Jitter; StalenessLimit is how long after
+	// the last heartbeat or answer its cache is still served.
+	HeartbeatTimeout time.Duration `toml:"silent" min:"1s" max:"1m"`
+	Jitter           time.Duration `toml:"spread" min:"0s" max:"5m"`
+	StalenessLimit   time.Duration `toml:"stale" min:"2s" max:"5m"`
 }
--- a/internal/fleet/supervisor/supervisor.go
+++ b/internal/fleet/supervisor/supervisor.go
@@ -35,28 +35,28 @@
 // Supervisor runs a fleet. All its state belongs to the goroutine of Run;
 // others send it events.
 type Supervisor struct {
-	file    *File
-	specs   []Spec
-	plan    *plan.Plan
-	procs   []map[int]*process // of each instance, by the plan's number
-	program string             // that starts are of
-	next    *release           // being rolled out; nil if nothing is
-	events  chan func(now time.Duration) []plan.Action
-	origin  time.Time
-	seen    time.Duration // of the latest look, or the end of the wait behind it
-	lock    *os.File
-	ln      net.Listener
-	wg      sync.WaitGroup
-	ctx     context.Context // ends with Run: what waits for a process does, too
-	end     context.CancelFunc
-	said    []string       // the latest words, for status
-	client  *ask.Client    // of the council; nil where there is none
-	fence   *council.Fence // of owners
-	near    *neighbours    // of the duty list; nil where it is off
-	owning  atomic.Bool    // the roll, or asks for it
-	orders  map[int]string // the council's order that each instance was started for last
-	failed  map[int]string // and the one of which its new process did not become ready
-	log     *slog.Logger
+	file      *File
+	specs     []Spec
+	plan      *plan.Plan
+	procs     []map[int]*process // of each instance, by the plan's number
+	program   string             // that starts are of
+	next      *release           // being rolled out; nil if nothing is
+	events    chan func(now time.Duration) []plan.Action
+	origin    time.Time
+	seen      time.Duration // of the latest look, or the end of the wait behind it
+	lock      *os.File
+	ln        net.Listener
+	wg        sync.WaitGroup
+	ctx       context.Context // ends with Run: what waits for a process does, too
+	end       context.CancelFunc
+	said      []string       // the latest words, for status
+	client    *ask.Client    // of the council; nil where there is none
+	fence     *council.Fence // of owners
+	listProxy *listProxy     // nil where the list is not relayed
+	owning    atomic.Bool    // the roll, or asks for it
+	orders    map[int]string // the council's order that each instance was started for last
+	failed    map[int]string // and the one of which its new process did not become ready
+	log       *slog.Logger
 }
 
 // release is what a roll brings.
--- a/internal/lab/experiment/verdict.go
+++ b/internal/lab/experiment/verdict.go
@@ -130,12 +130,12 @@
 	Gaps                                       []time.Duration // from an owner's death to the next owner
 }
 
-// Listed is what was seen of the duty list.
+// Listed are the figures of the duty list.
 type Listed struct {
-	Handovers int
-	Known     []time.Duration // from when the zone was told of a change to when a sidecar knew it
-	Last      []time.Duration // and to when the last of them did
-	Self      int             // calls of sidecars at discovery since the first fault between processes
+	Handovers   int
+	Delays      []time.Duration // from a zone's first answer with a change to each sidecar that had it cached
+	LastDelays  []time.Duration // and to the last sidecar that did
+	DirectCalls int             // calls of sidecars at discovery since the first fault between processes
 }
 
 // Counts are what an engine's carriers saw. Those that an engine can't see are
@@ -250,8 +250,8 @@
 			res.Figures["late_tried"], res.Figures["handovers"] = float64(o.LateTried), float64(o.Handovers)
 			res.Figures["roll_at_once"], res.Figures["roll_zone_at_once"] = float64(o.Most), float64(o.MostZone)
 			if l := o.List; l != nil {
-				res.Figures["list_last_s"], res.Figures["list_self"], res.Figures["list_handovers"] = 0, float64(l.Self), float64(l.Handovers)
-				for _, d := range l.Last {
+				res.Figures["list_last_s"], res.Figures["list_self"], res.Figures["list_handovers"] = 0, float64(l.DirectCalls), float64(l.Handovers)
+				for _, d := range l.LastDelays {
 					res.Figures["list_last_s"] = max(res.Figures["list_last_s"], d.Seconds())
 				}
 			}
--- a/internal/lab/rig/council.go
+++ b/internal/lab/rig/council.go
@@ -37,7 +37,7 @@
 	rolling map[string]string // instances that are under way, and for which order
 	epochs  map[string]uint64 // newest that each supervisor said that it owns, or has heard of
 	tenures map[uint64]*tenure
-	list    *listed // nil where the list is not handed on
+	list    *listRun // nil where the list is not relayed
 }
 
 // tenure is one owner's time by its own count: from what it said when it began to
@@ -129,7 +129,7 @@
 		members = append(members, strconv.Quote(h.owned.address[m.role]))
 	}
 	return fmt.Sprintf("[council]\nname = \"world\"\nmembers = [%s]\nhost = %q\nzone = %q\nlisten = %q\n",
-		strings.Join(members, ", "), one.name, h.zoneOf(one), h.owned.address[one.role]) + h.listOf(one)
+		strings.Join(members, ", "), one.name, h.zoneOf(one), h.owned.address[one.role]) + h.listTable(one)
 }
 
 // argv is what a role is started with. The caller holds the mutex.
@@ -155,7 +155,7 @@
 
 var (
 	listsLine   = regexp.MustCompile(`council: (\S+) owns (list:\S+) under epoch (\d+)\.(\d+)`)
-	handsLine   = regexp.MustCompile(`takes list (\d+) of (\S+), epoch (\d+)\.(\d+)`)
+	handsLine   = regexp.MustCompile(`applied list version (\d+) of (\S+), epoch (\d+)\.(\d+)`)
 	ownsLine    = regexp.MustCompile(`council: (\S+) owns roll under epoch (\d+)\.(\d+)`)
 	endsLine    = regexp.MustCompile(`council: \S+ ends epoch (\d+)\.(\d+) of roll: .*\(over for ([0-9a-zµ.]+)\)`)
 	takesLine   = regexp.MustCompile(`takes (?:restart|reload) of (\S+) for order (\S+) of (\S+), epoch (\d+)\.(\d+)`)
@@ -233,7 +233,7 @@
 			h.owned.epochs[role] = max(h.owned.epochs[role], epochOf(m[3], m[4]))
 		} else {
 			duty = m[1]
-			h.owned.list.heard(role, epochOf(m[3], m[4]))
+			h.owned.list.sawEpoch(role, epochOf(m[3], m[4]))
 		}
 		h.note(history.Entry{Event: audit.Event{Do: history.Effect, At: now}, Who: m[2], To: role, Duty: duty, Op: "look", Number: epochOf(m[3], m[4]), Result: history.Done})
 	}
--- a/internal/lab/rig/disturb.go
+++ b/internal/lab/rig/disturb.go
@@ -23,7 +23,7 @@
 func (h *hosts) disturb(st experiment.Step) error {
 	f := &h.plan.Storm.Faults[st.Fault]
 	st.Proc = h.resolve(st)
-	h.unquiet(st.Proc, f)
+	h.disturbList(st.Proc, f)
 	switch {
 	case st.Do == experiment.End && f.Until != "" && h.hit(st.Proc, st.Fault) > 0:
 		h.wg.Go(func() {
--- a/internal/lab/rig/hosts.go
+++ b/internal/lab/rig/hosts.go
@@ -129,7 +129,7 @@
 			if err := write(filepath.Join(dir, in.Name+".tmpl"), text); err != nil {
 				return nil, err
 			}
-			operator := h.nearOf(one)
+			operator := h.proxyTable(one)
 			if s.World.Supervisor.Mode == "handover" {
 				operator += fmt.Sprintf("[handover]\nsocket = %q\n", filepath.Join(dir, "run", in.Name+".sock"))
 			}
--- a/internal/lab/rig/list.go
+++ b/internal/lab/rig/list.go
@@ -12,49 +12,68 @@
 	"otterspring/internal/lab/history"
 )
 
-// listed is what is seen of the duty list: one supervisor a zone asks discovery,
-// the others hand on what it is told.
-type listed struct {
-	owner  string            // role of the one that owns it last, in any zone
-	epochs map[string]uint64 // newest that each supervisor owns or has heard of
-	res    experiment.Listed
-	calls  int        // of sidecars at discovery before the first fault; -1 for not counted yet
-	told   chan int64 // versions that a zone was told, for the watch over sidecars
-	quiet  time.Duration
-}
-
-// quietAfter is how long after a fault on the list's way a change counts as told to
-// all at once again. Until then it counts as told 6 s after it was made, as anything
-// that discovery has to tell.
-const quietAfter = 8 * time.Second
-
-// newList opens discovery's doors for the supervisors, and takes addresses for
-// theirs.
+// The duty list in an experiment: one supervisor of a zone watches discovery, and the
+// others relay what it sends them to their sidecars.
+
+// listRun is what is known of the duty list in a run. The mutex of hosts guards it,
+// but for the channel.
+type listRun struct {
+	owner     string            // role of its latest owner, in any zone
+	epochs    map[string]uint64 // newest that each supervisor owns or knows of
+	res       experiment.Listed
+	baseline  int        // direct calls before the first fault; noBaseline before that
+	delivered chan int64 // versions that a zone has received, for watchLists
+	settledAt time.Duration
+}
+
+// noBaseline is the baseline before the first fault.
+const noBaseline = -1
+
+// settleTime is how long after a fault on the list's path a change counts as
+// delivered to a whole zone at once again. Until then it counts as delivered 6 s
+// after it was made, as all changes do.
+const settleTime = 8 * time.Second
+
+const (
+	versionPollInterval = 250 * time.Millisecond
+	// A change is followed to all sidecars for deliveryLimit, at deliveryPollInterval.
+	deliveryLimit        = 2 * time.Second
+	deliveryPollInterval = 2 * time.Millisecond
+	maxDelays            = 100_000
+)
+
+// discoveryAddress and proxyAddress are the keys of the addresses of one supervisor's
+// discovery and of its local endpoint.
+func discoveryAddress(role string) string { return "d1" + role }
+func proxyAddress(role string) string     { return "proxy" + role }
+
+// newList opens an endpoint of discovery for each supervisor, and takes addresses for
+// their own.
 func (h *hosts) newList(take func(string) error) error {
-	l := &listed{epochs: map[string]uint64{}, told: make(chan int64, 64), calls: -1}
+	l := &listRun{epochs: map[string]uint64{}, delivered: make(chan int64, 64), baseline: noBaseline}
 	h.owned.list = l
 	for n := range h.plan.Storm.World.Hosts {
 		role := fmt.Sprintf("f%d", n+1)
-		if err := take("door" + role); err != nil {
+		if err := take(proxyAddress(role)); err != nil {
 			return err
 		}
 		reg := h.w.Registry
 		if h.w.lag != nil && n%2 == 1 {
 			reg = h.w.lag
 		}
-		door, err := reg.Open(role)
+		endpoint, err := reg.Open(role)
 		if err != nil {
 			return err
 		}
 		zone := h.zone(n)
-		door.Along(func() []string {
+		endpoint.Along(func() []string {
 			select {
-			case l.told <- reg.Index():
+			case l.delivered <- reg.Index():
 			default:
 			}
-			return h.along(zone)
+			return h.deliveredWith(zone)
 		})
-		h.owned.address["d1"+role] = door.Addr()
+		h.owned.address[discoveryAddress(role)] = endpoint.Addr()
 	}
 	return nil
 }
@@ -76,58 +95,63 @@
 	return "roll-of-all"
 }
 
-// listOf is what a host's fleet file says of the list, nearOf what its sidecars'
-// operator's files do.
-func (h *hosts) listOf(one *host) string {
-	if h.owned.list == nil {
+// relays reports whether supervisors relay the list in this run.
+func (h *hosts) relays() bool { return h.owned != nil && h.owned.list != nil }
+
+// listTable is the [list] table of a host's fleet file.
+func (h *hosts) listTable(one *host) string {
+	if !h.relays() {
 		return ""
 	}
-	return fmt.Sprintf("[list]\ndiscovery = %q\nlisten = %q\n", h.owned.address["d1"+one.role], h.owned.address["door"+one.role])
+	return fmt.Sprintf("[list]\ndiscovery = %q\nlisten = %q\n", h.owned.address[discoveryAddress(one.role)], h.owned.address[proxyAddress(one.role)])
 }
 
-func (h *hosts) nearOf(one *host) string {
-	if h.owned == nil || h.owned.list == nil {
+// proxyTable is the [list] table of the operator's file of a host's sidecars.
+func (h *hosts) proxyTable(one *host) string {
+	if !h.relays() {
 		return ""
 	}
-	return fmt.Sprintf("[list]\nnear = %q\n", h.owned.address["door"+one.role])
+	return fmt.Sprintf("[list]\nnear = %q\n", h.owned.address[proxyAddress(one.role)])
 }
 
-func (l *listed) heard(role string, epoch uint64) {
+// sawEpoch notes that a supervisor knows of an epoch.
+func (l *listRun) sawEpoch(role string, epoch uint64) {
 	if l != nil {
 		l.epochs[role] = max(l.epochs[role], epoch)
 	}
 }
 
-func (l *listed) owns(role string, epoch uint64) {
+// owns notes that a supervisor owns the duty under an epoch.
+func (l *listRun) owns(role string, epoch uint64) {
 	if l != nil {
 		l.owner = role
 		l.res.Handovers++
-		l.heard(role, epoch)
+		l.sawEpoch(role, epoch)
 	}
 }
 
-// lags tells whether an instance may be told by the discovery that lags: each second
-// one by itself, and where lists are handed on any.
-func (h *hosts) lags(instance int) bool {
-	return instance%2 == 1 || h.owned != nil && h.owned.list != nil
-}
+// lags reports whether an instance's list may come from the discovery that lags: that
+// of each second one where it watches discovery itself, that of any where lists are
+// relayed.
+func (h *hosts) lags(instance int) bool { return instance%2 == 1 || h.relays() }
 
-// unquiet notes a fault on the list's way: from then on until some time after it a
-// change does not count as told to all of a zone at once.
-func (h *hosts) unquiet(proc string, f *experiment.Fault) {
-	if h.owned == nil || h.owned.list == nil || proc != "" && strings.IndexByte("fhm", proc[0]) < 0 {
+// disturbList notes a fault on the list's path: from then on until it has settled a
+// change does not count as delivered to all of a zone at once.
+func (h *hosts) disturbList(proc string, f *experiment.Fault) {
+	if !h.relays() || proc != "" && strings.IndexByte("fhm", proc[0]) < 0 {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.owned.list.calls < 0 {
-		h.owned.list.calls = h.selfCalls()
+	l := h.owned.list
+	if l.baseline == noBaseline {
+		l.baseline = h.directCalls()
 	}
-	h.owned.list.quiet = max(h.owned.list.quiet, h.w.Log.Now()+f.For.On(h.plan.Storm.For)+quietAfter)
+	l.settledAt = max(l.settledAt, h.w.Log.Now()+f.For.On(h.plan.Storm.For)+settleTime)
 }
 
-// selfCalls is how often sidecars have called discovery themselves.
-func (h *hosts) selfCalls() (n int) {
+// directCalls is how often sidecars have called discovery themselves.
+func (h *hosts) directCalls() (n int) {
 	for _, in := range h.w.Instances {
 		in.mu.Lock()
 		n += in.door.Calls()
@@ -136,11 +160,12 @@
 	return n
 }
 
-// along are the instances of a zone that count as told with one of its supervisors.
-func (h *hosts) along(zone string) []string {
+// deliveredWith returns the instances of a zone to which a change counts as delivered
+// together with the first supervisor of the zone.
+func (h *hosts) deliveredWith(zone string) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.w.Log.Now() < h.owned.list.quiet {
+	if h.w.Log.Now() < h.owned.list.settledAt {
 		return nil
 	}
 	var all []string
@@ -155,62 +180,65 @@
 	return all
 }
 
-const (
-	listLook  = 250 * time.Millisecond
-	listBurst = 2 * time.Second
-	mostKnown = 100_000
-)
-
-// watchLists looks which version of the list each instance holds: now and then, and
-// without a pause while a change is on its way, to tell how long that takes.
+// watchLists notes which version of the list each instance has cached: at intervals,
+// and without a pause while a change is being delivered, to measure how long that
+// takes.
 func (h *hosts) watchLists() {
-	tick := time.NewTicker(listLook)
+	tick := time.NewTicker(versionPollInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-h.end:
 			return
 		case <-tick.C:
-			h.seeLists()
-		case index := <-h.owned.list.told:
-			h.follow(index)
+			h.cachedVersions()
+		case version := <-h.owned.list.delivered:
+			h.followDelivery(version)
 		}
 	}
 }
 
-// follow looks until all instances hold a version, or for a while.
-func (h *hosts) follow(index int64) {
-	began := h.w.Log.Now()
-	known := map[string]bool{}
-	for h.w.Log.Now() < began+listBurst {
+// followDelivery polls until all instances have cached a version, or for deliveryLimit.
+func (h *hosts) followDelivery(version int64) {
+	start := h.w.Log.Now()
+	done := map[string]bool{}
+	for h.w.Log.Now() < start+deliveryLimit {
 		select {
 		case <-h.end:
 			return
 		default:
 		}
-		time.Sleep(2 * time.Millisecond)
-		for name, at := range h.seeLists() {
-			if at < index || known[name] {
+		time.Sleep(deliveryPollInterval)
+		for name, cached := range h.cachedVersions() {
+			if cached < version || done[name] {
 				continue
 			}
-			known[name] = true
-			h.mu.Lock()
-			if l := &h.owned.list.res; len(l.Known) < mostKnown {
-				l.Known = append(l.Known, h.w.Log.Now()-began)
-				if len(known) == len(h.w.Instances) {
-					l.Last = append(l.Last, h.w.Log.Now()-began)
-				}
-			}
-			h.mu.Unlock()
+			done[name] = true
+			h.addDelay(h.w.Log.Now()-start, len(done) == len(h.w.Instances))
 		}
-		if len(known) == len(h.w.Instances) {
+		if len(done) == len(h.w.Instances) {
 			return
 		}
 	}
 }
 
-// seeLists takes down which version each instance holds.
-func (h *hosts) seeLists() map[string]int64 {
+// addDelay notes how long a change took to one instance, which may be the last.
+func (h *hosts) addDelay(delay time.Duration, last bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	res := &h.owned.list.res
+	if len(res.Delays) >= maxDelays {
+		return
+	}
+	res.Delays = append(res.Delays, delay)
+	if last {
+		res.LastDelays = append(res.LastDelays, delay)
+	}
+}
+
+// cachedVersions asks each instance which version it has cached, and notes the answers
+// in the history.
+func (h *hosts) cachedVersions() map[string]int64 {
 	all := map[string]int64{}
 	for _, in := range h.w.Instances {
 		r, err := quickClient.Get("http://" + in.Addr + "/up")
@@ -218,27 +246,28 @@
 			continue
 		}
 		r.Body.Close()
-		index, err := strconv.ParseInt(r.Header.Get("X-List"), 10, 64)
+		version, err := strconv.ParseInt(r.Header.Get("X-List"), 10, 64)
 		if err != nil || r.StatusCode != 200 {
 			continue
 		}
-		all[in.Name] = index
+		all[in.Name] = version
 		h.mu.Lock()
-		h.note(history.Entry{Event: audit.Event{Do: history.Saw}, Who: in.Name + "#" + r.Header.Get("X-Pid"), Key: "list", Number: uint64(index)})
+		h.note(history.Entry{Event: audit.Event{Do: history.Saw}, Who: in.Name + "#" + r.Header.Get("X-Pid"), Key: "list", Number: uint64(version)})
 		h.mu.Unlock()
 	}
 	return all
 }
 
-// listResult is what was seen of the list. The caller holds the mutex.
+// listResult returns the figures of the list. The caller holds the mutex.
 func (h *hosts) listResult() *experiment.Listed {
-	if h.owned.list == nil {
+	l := h.owned.list
+	if l == nil {
 		return nil
 	}
-	res := h.owned.list.res
-	if h.owned.list.calls >= 0 {
-		res.Self = h.selfCalls() - h.owned.list.calls
+	res := l.res
+	if l.baseline != noBaseline {
+		res.DirectCalls = h.directCalls() - l.baseline
 	}
-	res.Known, res.Last = slices.Clone(res.Known), slices.Clone(res.Last)
+	res.Delays, res.LastDelays = slices.Clone(res.Delays), slices.Clone(res.LastDelays)
 	return &res
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -27,16 +27,16 @@
 	List     List     `toml:"list"`
 }
 
-// List takes discovery's list from a door of this host, which hands it on
+// List has discovery's list watched at a local proxy of this host, which relays it
 // (docs/operate/list.md). It is read at the start; a reload leaves it as it is.
 type List struct {
-	// Near is the door's address. Empty: off.
-	Near string `toml:"near"`
-	// Source names the discovery whose versions the door hands on.
+	// Proxy is the proxy's address. Empty: off.
+	Proxy string `toml:"near"`
+	// Source names the discovery whose list the proxy relays.
 	Source string `toml:"source"`
-	// Spread is within what time after the door has failed discovery is asked: each
-	// sidecar has a moment of its own by its name.
-	Spread time.Duration `toml:"spread" min:"0s" max:"5m"`
+	// Jitter bounds how long after the proxy has failed a sidecar fails over to
+	// discovery: each has a delay of its own by its name.
+	Jitter time.Duration `toml:"spread" min:"0s" max:"5m"`
 }
 
 // Drain bounds the end of an instance. Used from the next drain on, so a reload
@@ -118,7 +118,7 @@
 
 // Defaults returns what holds without a file: everything is off.
 func Defaults() File {
-	return File{Handover: Handover{Ready: 10 * time.Second}, List: List{Source: "discovery", Spread: 2 * time.Second}, CoAP: CoAP{
+	return File{Handover: Handover{Ready: 10 * time.Second}, List: List{Source: "discovery", Jitter: 2 * time.Second}, CoAP: CoAP{
 		Open: 256, Kept: 4096, KeptBytes: 1 << 20, Settled: 65536, Transfers: 16, TransferBytes: 1 << 20, Observers: 64, ObserveEvery: 2 * time.Second, AckTimeout: 2 * time.Second,
 		Trusted: []Network{{netip.MustParsePrefix("127.0.0.0/8")}, {netip.MustParsePrefix("::1/128")}},
 	}}
@@ -172,7 +172,7 @@
 	if s := f.Handover.Socket; s != "" && !strings.HasPrefix(s, "/") {
 		bad(fmt.Sprintf("%q", s), "an absolute path")
 	}
-	if a := f.List.Near; a != "" {
+	if a := f.List.Proxy; a != "" {
 		if addr, err := netip.ParseAddrPort(a); err != nil || addr.Port() == 0 {
 			say("list.near", strconv.Quote(a), "an IP address and a port")
 		}
@@ -211,7 +211,7 @@
 	if f.CoAP.Listen != "" || f.CoAP.Servers {
 		on = append(on, "coap")
 	}
-	if f.List.Near != "" {
+	if f.List.Proxy != "" {
 		on = append(on, "list")
 	}
 	return on
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -86,10 +86,11 @@
 	CoAP *operator.CoAP
 	// Packets is the socket for CoAP of the process before; nil to listen anew.
 	Packets *net.UDPConn
-	// Near is a door of this host that hands the list of the discovery Source on, and
-	// Turn how long after it has failed discovery itself is asked. Empty for none.
-	Near, Source string
-	Turn         time.Duration
+	// ListProxy is a local proxy that relays the list of the discovery ListSource, and
+	// FailoverDelay how long after it has failed discovery itself is watched. Empty for
+	// none.
+	ListProxy, ListSource string
+	FailoverDelay         time.Duration
 	// Paused starts without accepting, until Resume.
 	Paused bool
 }
@@ -118,7 +119,7 @@
 		return nil, err
 	}
 	d := discovery.New(cfg.Discovery, !cfg.Settings.Subscribe, cfg.Known.Index, schemes...)
-	d.Near(opt.Near, opt.Source, opt.Turn)
+	d.UseProxy(opt.ListProxy, opt.ListSource, opt.FailoverDelay)
 	eng, err := engine.New(engine.Settings{Balance: cfg.Settings, Seed: cfg.Seed, Dial: cfg.Conns.Dial, Open: open}, d.Ask)
 	if err != nil {
 		return nil, err
@@ -193,12 +194,12 @@
 // Addr is where the sidecar listens.
 func (s *Sidecar) Addr() string { return s.front.Addr().String() }
 
-// TurnOf is the moment within a spread that is a sidecar's own, by its name. It is
+// FailoverDelay is the part of a jitter that is a sidecar's own, by its name. It is
 // the same in each of its processes, and even over names that count up.
-func TurnOf(name string, spread time.Duration) time.Duration {
-	if spread <= 0 {
+func FailoverDelay(name string, jitter time.Duration) time.Duration {
+	if jitter <= 0 {
 		return 0
 	}
 	sum := sha256.Sum256([]byte(name))
-	return time.Duration(binary.BigEndian.Uint64(sum[:8]) % uint64(spread))
+	return time.Duration(binary.BigEndian.Uint64(sum[:8]) % uint64(jitter))
 }
