--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -121,6 +121,9 @@
 	if l := d.settings.List; l.Proxy != "" {
 		opt.ListProxy, opt.ListSource, opt.FailoverDelay = l.Proxy, l.Source, sidecar.FailoverDelay(cfg.Name, l.Jitter)
 	}
+	if d.settings.Configuration.On() {
+		opt.Configuration = &d.settings.Configuration
+	}
 	s, err := sidecar.StartWith(cfg, opt)
 	if err != nil {
 		return err
