--- a/internal/fleet/duty/list/capacity_test.go
+++ b/internal/fleet/duty/list/capacity_test.go
@@ -8,8 +8,8 @@
 	"otterspring/internal/lab/cost"
 )
 
-// capacitySizes are sizes of lists up to the most that a host holds.
-var capacitySizes = []int{200, 500, 1000, 2000, MostEntries}
+// capacitySizes are sizes of lists up to the most that a host caches.
+var capacitySizes = []int{200, 500, 1000, 2000, MaxEntries}
 
 // capacityEntry is a server's entry as discovery writes it, of the length of the
 // protocol's own example.
@@ -21,63 +21,63 @@
 }
 
 func capacityUpdate(servers int) Update {
-	update := Update{Source: "d", Index: 1}
+	update := Update{Source: "d", Version: 1}
 	for i := range servers {
 		update.Entries = append(update.Entries, capacityEntry(i, "active", 1764633600000))
 	}
 	return update
 }
 
-func capacityHeld(b *testing.B, servers int) *Held {
+func capacityCache(b *testing.B, servers int) *Cache {
 	b.Helper()
-	held := NewHeld("d")
-	if _, err := held.Take(capacityUpdate(servers)); err != nil {
+	cache := NewCache("d")
+	if _, err := cache.Apply(capacityUpdate(servers)); err != nil {
 		b.Fatal(err)
 	}
-	return held
+	return cache
 }
 
-// BenchmarkOneChange is what a host pays for one server's change: it is read, taken,
-// and written for one that is to hear of it.
+// BenchmarkOneChange is what a host pays for one server's change: it is decoded,
+// applied, and encoded for a subscriber.
 func BenchmarkOneChange(b *testing.B) {
 	for _, servers := range capacitySizes {
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
-			held := capacityHeld(b, servers)
+			cache := capacityCache(b, servers)
 			status := []string{"leaving", "active"}
 			cost.Loop(b, func(i int) {
-				index := held.Index
-				change := Update{Source: "d", From: index, Index: index + 1, Entries: []Entry{capacityEntry(0, status[i%2], 1764633600000)}}
-				read, err := Decode(change.Text(), "d", index)
+				version := cache.Version
+				change := Update{Source: "d", From: version, Version: version + 1, Entries: []Entry{capacityEntry(0, status[i%2], 1764633600000)}}
+				decoded, err := Decode(change.Encode(), "d", version)
 				if err != nil {
 					b.Fatal(err)
 				}
-				if newer, err := held.Take(read); err != nil || !newer {
+				if newer, err := cache.Apply(decoded); err != nil || !newer {
 					b.Fatal(newer, err)
 				}
-				if told := held.Since(index); len(told.Entries) != 1 {
-					b.Fatalf("%d entries are told, wanted 1", len(told.Entries))
+				if delta := cache.Since(version); len(delta.Entries) != 1 {
+					b.Fatalf("a delta of %d entries, wanted 1", len(delta.Entries))
 				}
 			})
 		})
 	}
 }
 
-// BenchmarkWholeList is what a whole list costs: it is written by one host, read and
-// taken by another.
+// BenchmarkWholeList is what a snapshot costs: it is encoded by one host, decoded and
+// applied by another.
 func BenchmarkWholeList(b *testing.B) {
 	for _, servers := range capacitySizes {
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
-			held := capacityHeld(b, servers)
+			cache := capacityCache(b, servers)
 			bytes := 0
 			cost.Loop(b, func(int) {
-				whole := held.Since(0)
-				text := whole.Text()
+				snapshot := cache.Since(0)
+				text := snapshot.Encode()
 				bytes = len(text)
-				read, err := Decode(text, "d", 0)
+				decoded, err := Decode(text, "d", 0)
 				if err != nil {
 					b.Fatal(err)
 				}
-				if _, err := NewHeld("d").Take(read); err != nil {
+				if _, err := NewCache("d").Apply(decoded); err != nil {
 					b.Fatal(err)
 				}
 			})
@@ -86,11 +86,11 @@
 	}
 }
 
-// BenchmarkHeldMemory reports the heap that each server of a list holds at a host.
+// BenchmarkHeldMemory reports the heap that each server of a list takes at a host.
 func BenchmarkHeldMemory(b *testing.B) {
 	for _, servers := range capacitySizes {
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
-			cost.Held(b, servers, "B/server", func() any { return capacityHeld(b, servers) })
+			cost.Held(b, servers, "B/server", func() any { return capacityCache(b, servers) })
 		})
 	}
 }
@@ -100,28 +100,28 @@
 func BenchmarkTell(b *testing.B) {
 	for _, hosts := range []int{12, 50, 100, 200, 512, 684, 1625} {
 		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
-			telling := NewTelling(500*time.Millisecond, 32)
+			publisher := NewPublisher(500*time.Millisecond, 32)
 			names := make([]string, hosts)
 			for i := range names {
 				names[i] = fmt.Sprintf("h%d", i)
 			}
-			telling.Hosts(names)
+			publisher.SetHosts(names)
 			now := time.Duration(0)
 			var out []string
-			told := 0
+			acknowledged := 0
 			cost.Loop(b, func(int) {
 				now += 500 * time.Millisecond / time.Duration(hosts)
-				for host := range telling.Next(now, 1) {
+				for host := range publisher.Due(now, 1) {
 					out = append(out, host)
 				}
 				if len(out) > 0 {
-					telling.Done(out[0], 1, now)
+					publisher.Acknowledged(out[0], 1, now)
 					out = out[1:]
-					told++
+					acknowledged++
 				}
 			})
-			if told == 0 {
-				b.Fatal("nobody was told")
+			if acknowledged == 0 {
+				b.Fatal("nobody was sent anything")
 			}
 		})
 	}
