--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -41,7 +41,7 @@
 var Table = []Mutant{
 	// The five that were tried when no rig and no storm noticed them.
 	{Name: "unsafe-again", Played: betweenLists, File: "balance/balance.go", Breaks: "an unsafe request may be sent again",
-		Old: "case r.class.Effect == Once:\n\t\treturn false", New: "case r.class.Effect == Once:\n\t\treturn true"},
+		Old: "return r.class.Effect == Keyed && now < r.anchor.sent", New: "return r.class.Effect == Once || now < r.anchor.sent"},
 	{Name: "cold-unguarded", File: "balance/members.go", Breaks: "the guard of cold servers is off",
 		Old: "func (b *Balancer) certain(s *server, now time.Duration) float64 {\n", New: "func (b *Balancer) certain(s *server, now time.Duration) float64 {\n\tif now > 0 {\n\t\treturn 1\n\t}\n"},
 	{Name: "no-own-end", File: "balance/balance.go", Breaks: "a request's own end never comes",
@@ -53,9 +53,9 @@
 
 	// Retries.
 	{Name: "copies-free", File: "balance/balance.go", Breaks: "second copies are not counted by the budget",
-		Old: "\tif s := b.pick(r, now); s != nil {\n\t\tb.budget.spend(now)\n", New: "\tif s := b.pick(r, now); s != nil {\n"},
+		Old: "\tif len(r.attempts) > 0 {\n\t\tb.budget.spend(now)\n", New: "\tif len(r.attempts) > 0 && r.open == 0 {\n\t\tb.budget.spend(now)\n"},
 	{Name: "copies-unasked", File: "balance/balance.go", Breaks: "second copies don't ask the budget",
-		Old: "|| !b.mayResend(r, now) || !b.budget.allows(now) {\n\t\treturn\n", New: "|| !b.mayResend(r, now) {\n\t\treturn\n"},
+		Old: "!(b.mayResend(r, now) && b.budget.allows(now))", New: "!(b.mayResend(r, now) && (r.open > 0 || b.budget.allows(now)))"},
 	{Name: "floor-of-ten", File: "balance/settings.go", Breaks: "the budget's floor is five times as large",
 		Old: "budgetFloor   = 2.0", New: "budgetFloor   = 10.0"},
 	{Name: "half-again", File: "balance/settings.go", Breaks: "the budget lets half as many retries as first attempts go",
@@ -67,7 +67,7 @@
 	{Name: "no-jitter", File: "balance/budget.go", Breaks: "the pause is not jittered",
 		Old: "(1 - pauseJitter + 2*pauseJitter*rng.Float64())", New: "(1 + 0*pauseJitter*rng.Float64())"},
 	{Name: "key-window-over", File: "balance/balance.go", Breaks: "a keyed request is repeated after its pod has forgotten it",
-		Old: "return now < r.anchor.sent+r.class.Window", New: "return true"},
+		Old: "return r.class.Effect == Keyed && now < r.anchor.sent+r.class.Window", New: "return r.class.Effect == Keyed"},
 	{Name: "key-elsewhere", File: "balance/pick.go", Breaks: "a keyed request that may have run is repeated in another pod",
 		Old: "return r.anchor == nil || sameGroup(r.class.Group, s, r.anchor.server)", New: "return true"},
 	{Name: "refuses-what-ran", File: "balance/balance.go", Breaks: "a request that may have run is refused as harmless to try again",
