--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -53,7 +53,7 @@
 
 	// Retries.
 	{Name: "copies-free", File: "balance/balance.go", Breaks: "second copies are not counted by the budget",
-		Old: "\tif len(r.attempts) > 0 {\n\t\tb.budget.spend(now)\n", New: "\tif len(r.attempts) > 0 && r.open == 0 {\n\t\tb.budget.spend(now)\n"},
+		Old: "\t} else {\n\t\tb.budget.spend(now)\n", New: "\t} else if r.open == 0 {\n\t\tb.budget.spend(now)\n"},
 	{Name: "copies-unasked", File: "balance/balance.go", Breaks: "second copies don't ask the budget",
 		Old: "!(b.mayResend(r, now) && b.budget.allows(now))", New: "!(b.mayResend(r, now) && (r.open > 0 || b.budget.allows(now)))"},
 	{Name: "floor-of-ten", File: "balance/settings.go", Breaks: "the budget's floor is five times as large",
