The rig's tests run beside each other, and test.sh overlaps its parts

Need: test.sh took 336 s on 8 cores, nearly all of it the rig's tests waiting for their own processes one after the other.

The rig that stops itself is a process of its own, so that no other test stops with it; what it has to say is as before. TestFleetRestarts counts its process's goroutines and descriptors, and has one to itself.

test.sh compiles once what all tests are linked from, runs rig, fleet and staticcheck beside the others, then the tests with the tag faults beside the build of the programs. Each part's log is printed, and its failure fails the run.

--- a/internal/lab/rig/coap_test.go
+++ b/internal/lab/rig/coap_test.go
@@ -69,6 +69,7 @@
 // Sidecars are killed, ended and handed over while devices repeat what is lost: what
 // an earlier life has run does not run again in the next.
 func TestCoAPRestarts(t *testing.T) {
+	t.Parallel()
 	for _, how := range []Mode{Kill, Term, HandOver} {
 		t.Run(string(how), func(t *testing.T) {
 			t.Parallel()
--- a/internal/lab/rig/fleet_test.go
+++ b/internal/lab/rig/fleet_test.go
@@ -21,6 +21,9 @@
 	if os.Getenv("TEST_RUNS_PROGRAM") == "rig" {
 		os.Exit(playAsRig())
 	}
+	if os.Getenv("TEST_RUNS_PROGRAM") == "stopped-rig" {
+		os.Exit(stopAndJudge())
+	}
 	if os.Getenv("TEST_RUNS_PROGRAM") == "sidecar" {
 		os.Exit(daemon.Main(os.Args[1:], os.Stderr))
 	}
--- a/test.sh
+++ b/test.sh
@@ -11,31 +11,52 @@
 fi
 go vet ./...
 
-# The rig's tests start processes and wait for them most of the time: they run
-# beside the others from the beginning, and those leave them a core. So does
-# staticcheck, whose findings are read at the end of the tests.
 mkdir -p bin
-go test -race -count=1 ./internal/lab/rig >bin/rig-tests.log 2>&1 &
-rig=$!
-go tool staticcheck ./... >bin/staticcheck.log 2>&1 &
-lint=$!
-trap 'kill "$rig" "$lint" 2>/dev/null || true' EXIT
-others=0
 cores=$(nproc)
+declare -A jobs # process IDs by name, of what runs beside the tests
+trap 'kill "${jobs[@]}" 2>/dev/null || true' EXIT
+
+# start runs a command beside the tests; its output goes to a log in bin/.
+start() {
+	local name=$1
+	shift
+	"$@" >"bin/$name.log" 2>&1 &
+	jobs[$name]=$!
+}
+
+# finish waits for a command, prints its output, and ends all where it failed.
+finish() {
+	local status=0
+	wait "${jobs[$1]}" || status=$?
+	unset "jobs[$1]"
+	cat "bin/$1.log"
+	[ "$status" = 0 ] || { echo "$1 failed" >&2; exit "$status"; }
+}
+
+build_programs() {
+	CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/sandhinge ./cmd/wirehost &&
+		go build -o bin/ ./cmd/otterspring ./cmd/rig
+}
+
+# What all the tests are linked from is compiled once, before they compile beside
+# each other.
+go build -race ./...
+
+# The rig's tests start processes and wait for them most of the time: they run
+# beside the others from the beginning, many at a time, and those leave them a core.
+# TestFleetRestarts counts its own process's goroutines and descriptors, and has a
+# process to itself.
+start rig go test -race -count=1 -parallel 16 -skip '^TestFleetRestarts$' ./internal/lab/rig
+start fleet go test -race -count=1 -run '^TestFleetRestarts$' ./internal/lab/rig
+start staticcheck go tool staticcheck ./...
+others=0
 go test -race -count=1 -p "$((cores > 2 ? cores - 1 : 1))" $(go list ./... | grep -v '/internal/lab/rig$') || others=$?
-if ! wait "$lint"; then
-	cat bin/staticcheck.log
-	exit 1
-fi
-if ! wait "$rig"; then
-	cat bin/rig-tests.log
-	exit 1
-fi
-cat bin/rig-tests.log
+start faults go test -race -count=1 -tags faults ./internal/inject ./internal/disk
+start programs build_programs
+for job in staticcheck programs faults fleet rig; do
+	finish "$job"
+done
 [ "$others" = 0 ] || exit "$others"
-go test -race -count=1 -tags faults ./internal/inject ./internal/disk
-mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/sandhinge ./cmd/wirehost
-go build -o bin/ ./cmd/otterspring ./cmd/rig
 
 # The adapter answers an empty batch and ends with its input.
 reply=$(printf '{"op":"begin-batch","ts-us":1}\n{"op":"over-to-you"}\n' | bin/wirehost)
