--- a/test.sh
+++ b/test.sh
@@ -9,14 +9,13 @@
 	echo "not gofmt'd: $unformatted" >&2
 	exit 1
 fi
-go vet ./...
 
 mkdir -p bin
 cores=$(nproc)
-declare -A jobs # process IDs by name, of what runs beside the tests
+declare -A jobs # process IDs by name, of what runs in the background
 trap 'kill "${jobs[@]}" 2>/dev/null || true' EXIT
 
-# start runs a command beside the tests; its output goes to a log in bin/.
+# start runs a command in the background; its output goes to a log in bin/.
 start() {
 	local name=$1
 	shift
@@ -34,28 +33,31 @@
 }
 
 build_programs() {
-	CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/sandhinge ./cmd/wirehost &&
-		go build -o bin/ ./cmd/otterspring ./cmd/rig
+	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/sandhinge ./cmd/wirehost
+	go build -o bin/ ./cmd/otterspring ./cmd/rig
 }
 
-# What all the tests are linked from is compiled once, before they compile beside
-# each other.
+# What takes cores and measures no time comes first, so that no test meets a
+# compiler: what the tests are linked from, with faults compiled in and without, and
+# the programs.
+start vet go vet ./...
+start staticcheck go tool staticcheck ./...
 go build -race ./...
+go build -race -tags faults ./cmd/... ./internal/inject ./internal/disk
+build_programs
+finish vet
+finish staticcheck
 
-# The rig's tests start processes and wait for them most of the time: they run
-# beside the others from the beginning, many at a time, and those leave them a core.
-# TestFleetRestarts counts its own process's goroutines and descriptors, and has a
-# process to itself.
+# The rig's tests start processes and wait for them most of the time: they run many
+# at a time, and the others leave them half of the cores. TestFleetRestarts counts its
+# own process's goroutines and descriptors, and has a process to itself.
 start rig go test -race -count=1 -parallel 16 -skip '^TestFleetRestarts$' ./internal/lab/rig
 start fleet go test -race -count=1 -run '^TestFleetRestarts$' ./internal/lab/rig
-start staticcheck go tool staticcheck ./...
 others=0
-go test -race -count=1 -p "$((cores > 2 ? cores - 1 : 1))" $(go list ./... | grep -v '/internal/lab/rig$') || others=$?
-start faults go test -race -count=1 -tags faults ./internal/inject ./internal/disk
-start programs build_programs
-for job in staticcheck programs faults fleet rig; do
-	finish "$job"
-done
+go test -race -count=1 -p "$(((cores + 1) / 2))" $(go list ./... | grep -v '/internal/lab/rig$') || others=$?
+go test -race -count=1 -tags faults ./internal/inject ./internal/disk
+finish fleet
+finish rig
 [ "$others" = 0 ] || exit "$others"
 
 # The adapter answers an empty batch and ends with its input.
