--- a/internal/fleet/council/node/configuration_test.go
+++ b/internal/fleet/council/node/configuration_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -17,7 +19,7 @@
 )
 
 // configurable starts a council of three and awaits that all can apply changes.
-func configurable(t *testing.T) *world {
+func configurable(t testing.TB) *world {
 	t.Helper()
 	w := build(t, t.TempDir(), 3)
 	for i := 1; i <= 3; i++ {
@@ -280,3 +282,74 @@
 		t.Errorf("%d changes at once: %d writes, wanted half of them at most", together, shared)
 	}
 }
+
+// BenchmarkFollow is the processor time that a council's three members spend together:
+// in a second without polls, in one in which 19 relays wait for news in vain, and on
+// bringing one change to all of them.
+func BenchmarkFollow(b *testing.B) {
+	const relays, waitMS = 19, 350
+	w := configurable(b)
+	changes := 0
+	perSecond := func(b *testing.B, used time.Duration) {
+		b.ReportMetric(used.Seconds()/b.Elapsed().Seconds(), "cores")
+	}
+	b.Run("alone", func(b *testing.B) {
+		start := w.processorTime()
+		for range b.N {
+			time.Sleep(waitMS * time.Millisecond)
+		}
+		perSecond(b, w.processorTime()-start)
+	})
+	version := w.configures(changeOf("a", "mail", 0, `{}`)).Resource.Version
+	b.Run("idle", func(b *testing.B) {
+		var polls sync.WaitGroup
+		start := w.processorTime()
+		for i := range relays {
+			polls.Go(func() {
+				for range b.N {
+					w.polls(1+i%3, version, waitMS, updates)
+				}
+			})
+		}
+		polls.Wait()
+		perSecond(b, w.processorTime()-start)
+	})
+	b.Run("change", func(b *testing.B) {
+		start := w.processorTime()
+		for range b.N {
+			var polls sync.WaitGroup
+			for k := range relays {
+				polls.Go(func() {
+					w.polls(1+k%3, version, 2000, func(a *ask.Answer) bool { return a.Update != nil && a.Update.Version > version })
+				})
+			}
+			changes++
+			change := &configuration.Change{ID: fmt.Sprint("change-", changes), Service: "mail", Settings: json.RawMessage(`{}`)}
+			next := w.configures(change).Resource.Version
+			polls.Wait()
+			version = next
+		}
+		b.ReportMetric(float64(w.processorTime()-start)/float64(b.N), "cpu-ns/change")
+	})
+}
+
+// processorTime is what the members' processes have used so far.
+func (w *world) processorTime() (total time.Duration) {
+	w.t.Helper()
+	for _, process := range w.procs {
+		threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", process.Process.Pid))
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		for _, thread := range threads {
+			text, err := os.ReadFile(thread)
+			if err != nil {
+				continue // it has ended
+			}
+			var ran int64
+			fmt.Sscan(string(text), &ran)
+			total += time.Duration(ran)
+		}
+	}
+	return total
+}
--- a/internal/fleet/council/node/node_test.go
+++ b/internal/fleet/council/node/node_test.go
@@ -52,14 +52,14 @@
 
 // world is a council of processes.
 type world struct {
-	t     *testing.T
+	t     testing.TB
 	path  string
 	file  *File
 	procs map[int]*exec.Cmd
 }
 
 // build writes the file of a council of n members, and of more that may join.
-func build(t *testing.T, dir string, n int) *world {
+func build(t testing.TB, dir string, n int) *world {
 	t.Helper()
 	w := &world{t: t, path: filepath.Join(dir, "council.toml"), procs: map[int]*exec.Cmd{}}
 	var b strings.Builder
