--- a/internal/fleet/council/configure_test.go
+++ b/internal/fleet/council/configure_test.go
@@ -304,13 +304,16 @@
 			taken(s.Apply(Command{Kind: End, ID: id, Who: wide(i), Duty: wide(i), Epoch: r.Duty.Epoch, Data: blob(MostNote)}))
 		}
 	}
-	settings := settingsOf(configuration.MaxTotalBytes / configuration.MaxServices)
 	for i := range configuration.MaxServices {
-		taken(configured(t, s, create(wide(i), wide(i), settings)))
+		taken(configured(t, s, create(wide(i), wide(i), json.RawMessage(`{}`))))
 	}
 	const remembered = 4096
-	for i := range remembered + 10 {
-		change := configuration.Change{ID: wide(1000 + i), Service: wide(i % configuration.MaxServices), Settings: settings}
+	settings := settingsOf(configuration.MaxTotalBytes / configuration.MaxServices)
+	for i := range remembered {
+		change := configuration.Change{ID: wide(1000 + i), Service: wide(i % configuration.MaxServices), Settings: json.RawMessage(`{}`)}
+		if i >= remembered-configuration.MaxServices { // large ones take their time
+			change.Settings = settings
+		}
 		if _, err := s.Configuration.Apply(s.Space, change); err != nil {
 			t.Fatal(err)
 		}
