configuration: a subscriber names its services once, then sends their digest

A poll bears a digest in the place of services that were named to the same relay before. The relay goes by what it remembers of that subscriber anyway, and asks for the services again where it has forgotten them (refusal unknown_services). Further: an empty subscription is sent as such and not as all services, a poll's wait is bounded in one place, and a relay takes polls that say more than it knows: sidecars and relays are rolled one after the other, and a newer sidecar was refused.

--- a/internal/fleet/configuration/message.go
+++ b/internal/fleet/configuration/message.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"strings"
 	"time"
@@ -68,6 +69,20 @@
 	return nil
 }
 
+// Digest returns a number that stands for a subscription in polls; 0 for all services.
+// Two subscriptions in other orders have other digests.
+func (s Subscription) Digest() uint64 {
+	if s == nil {
+		return 0
+	}
+	hash := fnv.New64a()
+	for _, service := range s {
+		hash.Write([]byte(service))
+		hash.Write([]byte{0}) // names have no zero byte
+	}
+	return max(1, hash.Sum64())
+}
+
 // Rejection says that a subscriber can't use a version of a service's settings, and
 // keeps those that it had before.
 type Rejection struct {
@@ -118,6 +133,10 @@
 	Subscriber string `json:"subscriber"`
 	// Services is the subscription; absent for all services, empty for none.
 	Services Subscription `json:"services,omitzero"`
+	// ServicesDigest stands in the place of Services in a poll of a subscriber that has
+	// named them to this relay before: a poll does not grow with its subscription. 0 for
+	// none.
+	ServicesDigest uint64 `json:"services_digest,omitempty"`
 	// Version is the newest that the subscriber has taken; 0 where it holds nothing
 	// and wants a snapshot.
 	Version Version `json:"version"`
@@ -149,6 +168,9 @@
 	if p.WaitMS < 0 {
 		return fmt.Errorf("wait_ms: found %d, wanted 0 or more", p.WaitMS)
 	}
+	if p.ServicesDigest != 0 && p.Services != nil {
+		return fmt.Errorf("services_digest: found it beside services, wanted one of them")
+	}
 	return p.Services.Check()
 }
 
@@ -164,6 +186,9 @@
 	RefusalDraining Refusal = "draining"  // it ends: another relay is to be asked
 	RefusalRegion   Refusal = "region"    // it serves another region
 	RefusalInvalid  Refusal = "invalid"   // the poll can't be understood
+	// RefusalUnknownServices is of a digest that the relay does not know: the same poll is
+	// to be sent again with its services.
+	RefusalUnknownServices Refusal = "unknown_services"
 )
 
 // PollAnswer is a relay's answer to a poll: an update, which may bring nothing new,
--- a/internal/fleet/configuration/message_test.go
+++ b/internal/fleet/configuration/message_test.go
@@ -156,3 +156,17 @@
 	}
 	return text
 }
+
+func TestDigestTellsSubscriptionsApart(t *testing.T) {
+	seen := map[uint64]int{}
+	for i, subscription := range []Subscription{nil, {}, {"a"}, {"b"}, {"a", "b"}, {"b", "a"}, {"ab"}} {
+		digest := subscription.Digest()
+		if before, found := seen[digest]; found {
+			t.Errorf("found digest %d for %d and %d, wanted each its own", digest, before, i)
+		}
+		seen[digest] = i
+	}
+	if Subscription(nil).Digest() != 0 {
+		t.Error("all services: found a digest, wanted 0")
+	}
+}
--- a/internal/fleet/configuration/registry.go
+++ b/internal/fleet/configuration/registry.go
@@ -26,6 +26,7 @@
 
 type subscriber struct {
 	services Subscription
+	digest   uint64 // of services
 	version  Version
 	rejected []Rejection
 	heard    time.Duration
@@ -51,11 +52,26 @@
 	}
 	if (known.services == nil) != (p.Services == nil) || !slices.Equal(known.services, p.Services) {
 		known.services = slices.Clone(p.Services)
+		known.digest = known.services.Digest()
 	}
 	known.version, known.rejected, known.heard = p.Version, BoundRejections(p.Rejected), now
 	return true
 }
 
+// Resolve puts the services that a subscriber has named before in the place of their
+// digest. It returns false where they are not known.
+func (r *Registry) Resolve(p *Poll) bool {
+	if p.ServicesDigest == 0 {
+		return true
+	}
+	known := r.subscribers[p.Subscriber]
+	if known == nil || known.digest != p.ServicesDigest {
+		return false
+	}
+	p.Services, p.ServicesDigest = known.services, 0
+	return true
+}
+
 // Forget drops the subscribers that have not polled for long.
 func (r *Registry) Forget(now time.Duration) {
 	maps.DeleteFunc(r.subscribers, func(_ string, s *subscriber) bool { return now > s.heard+forgetAfter })
--- a/internal/fleet/relay/poll.go
+++ b/internal/fleet/relay/poll.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// maxWait bounds for how long a poll waits, whatever it asks for.
-	maxWait = 5 * time.Second
 	// catchUpWait is for how long a relay that knows less than a subscriber waits to
 	// hear the same: one that is not cut off is behind for some milliseconds only.
 	catchUpWait = 200 * time.Millisecond
@@ -55,7 +53,7 @@
 	r.writeReply(w, http.StatusOK, answer)
 }
 
-// readPoll reads a poll strictly and checks it.
+// readPoll reads a poll and checks it.
 func readPoll(w http.ResponseWriter, req *http.Request) (*configuration.Poll, error) {
 	body := buffers.Get().(*bytes.Buffer)
 	defer releaseBuffer(body)
@@ -67,8 +65,7 @@
 		return nil, fmt.Errorf("poll: %w", err)
 	}
 	poll := &configuration.Poll{}
-	decoder := json.NewDecoder(body)
-	decoder.DisallowUnknownFields()
+	decoder := json.NewDecoder(body) // a newer sidecar's poll may say more
 	if err := decoder.Decode(poll); err != nil {
 		return nil, fmt.Errorf("poll: %w", err)
 	}
@@ -89,6 +86,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.registry.Resolve(poll) {
+		return r.refuse(configuration.RefusalUnknownServices, "")
+	}
 	if !r.registry.Heard(bootTime(), poll) {
 		return r.refuse(configuration.RefusalFull, fmt.Sprintf("found %d subscribers, wanted %d at most", r.registry.Len(), configuration.MaxSubscribers))
 	}
@@ -107,9 +107,9 @@
 func (r *Relay) waitForNews(req *http.Request, poll *configuration.Poll) *reply {
 	wait := &waiting{waiter: waiter{poll: poll, news: make(chan struct{}, 1)}, start: bootTime()}
 	defer r.feed.forget(&wait.waiter)
-	wait.end = wait.start + min(time.Duration(poll.WaitMS)*time.Millisecond, maxWait)
+	wait.end = wait.start + poll.Wait()
 	draining := r.draining
-	timer := time.NewTimer(maxWait)
+	timer := time.NewTimer(configuration.MaxWait)
 	defer timer.Stop()
 	for {
 		now := bootTime()
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -19,7 +19,7 @@
 
 // Bounds of the server's connections.
 const (
-	readTimeout    = maxWait + 5*time.Second // of a whole poll, until its answer is begun
+	readTimeout    = configuration.MaxWait + 5*time.Second // of a whole poll, until its answer is begun
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 30 * time.Second
 	maxHeaderBytes = 4 << 10
--- a/internal/subscription/poll.go
+++ b/internal/subscription/poll.go
@@ -13,25 +13,44 @@
 // client is marshalled once.
 type pollEncoder struct {
 	constant []byte // the poll's JSON object up to its varying members
+	short    []byte // the same with the digest of the services in their place
 	body     []byte // of the request under way; reused
 	request  []byte // reused
 }
 
 func newPollEncoder(settings Settings) pollEncoder {
-	constant, err := json.Marshal(struct {
-		Region     string                     `json:"region"`
-		Subscriber string                     `json:"subscriber"`
-		Services   configuration.Subscription `json:"services,omitempty"`
-	}{settings.Region, settings.Subscriber, settings.Services})
+	members := constantMembers{Region: settings.Region, Subscriber: settings.Subscriber, Services: settings.Services}
+	encoder := pollEncoder{constant: members.open()}
+	members.Services, members.Digest = nil, settings.Services.Digest()
+	encoder.short = members.open()
+	return encoder
+}
+
+// constantMembers are those of a poll that stay the same.
+type constantMembers struct {
+	Region     string                     `json:"region"`
+	Subscriber string                     `json:"subscriber"`
+	Services   configuration.Subscription `json:"services,omitzero"`
+	Digest     uint64                     `json:"services_digest,omitempty"`
+}
+
+// open returns the members as an object that is not closed yet.
+func (m constantMembers) open() []byte {
+	text, err := json.Marshal(m)
 	if err != nil {
-		panic(err) // strings always marshal
+		panic(err) // strings and numbers always marshal
 	}
-	return pollEncoder{constant: constant[:len(constant)-1]}
+	return text[:len(text)-1]
 }
 
-// encode returns the request of a poll; it is valid until the next call.
-func (e *pollEncoder) encode(address string, version configuration.Version, rejected []configuration.Rejection, wait time.Duration) []byte {
-	body := append(e.body[:0], e.constant...)
+// encode returns the request of a poll; it is valid until the next call. named says
+// that the services were named to the relay before: their digest is sent in their place.
+func (e *pollEncoder) encode(address string, named bool, version configuration.Version, rejected []configuration.Rejection, wait time.Duration) []byte {
+	constant := e.constant
+	if named {
+		constant = e.short
+	}
+	body := append(e.body[:0], constant...)
 	body = append(body, `,"version":`...)
 	body = strconv.AppendUint(body, uint64(version), 10)
 	body = append(body, `,"wait_ms":`...)
--- a/internal/subscription/subscription.go
+++ b/internal/subscription/subscription.go
@@ -52,6 +52,7 @@
 	// Owned by Run.
 	rejected []configuration.Rejection
 	failing  []bool // by relay: its last poll brought nothing
+	namedTo  string // address of the relay that the services were named to last
 
 	mu         sync.Mutex // guards the following
 	subscriber *configuration.Subscriber
@@ -132,9 +133,25 @@
 
 // exchange sends a poll and returns its answer, or why that can't be used.
 func (c *Client) exchange(ctx context.Context, address string, wait, timeout time.Duration) (*configuration.PollAnswer, error) {
-	request := c.encoder.encode(address, c.subscriber.Version(), c.rejected, wait)
+	deadline := time.Now().Add(timeout)
+	answer, err := c.exchangeOnce(ctx, address, c.namedTo == address, wait, deadline)
+	if err == nil && answer.Refusal == configuration.RefusalUnknownServices {
+		answer, err = c.exchangeOnce(ctx, address, false, wait, deadline)
+	}
+	if err != nil {
+		c.namedTo = ""
+		return nil, err
+	}
+	c.namedTo = address
+	return answer, nil
+}
+
+// exchangeOnce sends one poll, with the digest of the services in their place where
+// they were named before.
+func (c *Client) exchangeOnce(ctx context.Context, address string, named bool, wait time.Duration, deadline time.Time) (*configuration.PollAnswer, error) {
+	request := c.encoder.encode(address, named, c.subscriber.Version(), c.rejected, wait)
 	answer := &configuration.PollAnswer{}
-	if err := c.connection.exchange(ctx, address, request, time.Now().Add(timeout), answer); err != nil {
+	if err := c.connection.exchange(ctx, address, request, deadline, answer); err != nil {
 		return nil, err
 	}
 	return answer, checkRegion(answer, c.settings.Region)
--- a/internal/subscription/subscription_test.go
+++ b/internal/subscription/subscription_test.go
@@ -483,3 +483,33 @@
 	defer l.mu.Unlock()
 	return l.text.String()
 }
+
+// The services are named once to each relay. From then on their digest stands for them,
+// until the relay does not know it any more.
+func TestServicesAreNamedOnce(t *testing.T) {
+	t.Parallel()
+	services := configuration.Subscription{"orders", "payments"}
+	forgetful := newRelay(t, func(w http.ResponseWriter, poll configuration.Poll, number int) {
+		if number == 2 { // it was restarted, say
+			refuse(w, configuration.RefusalUnknownServices)
+			return
+		}
+		update(w, poll, 1)
+	})
+	c := newClient(Settings{Region: region, Subscriber: "n1", Relays: []string{forgetful.address()}, Services: services}, times(1),
+		func(configuration.Taken, configuration.Version) []configuration.Rejection { return nil })
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { c.Run(ctx); close(ended) }()
+	for forgetful.count() < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-ended
+	for number, poll := range forgetful.heard()[:5] {
+		named := number == 0 || number == 3
+		if named != slices.Equal(poll.Services, services) || named == (poll.ServicesDigest == services.Digest()) {
+			t.Errorf("poll %d: found services %q and digest %d, wanted the services: %v", number, poll.Services, poll.ServicesDigest, named)
+		}
+	}
+}
