--- a/test.sh
+++ b/test.sh
@@ -32,6 +32,11 @@
 	[ "$status" = 0 ] || { echo "$1 failed" >&2; exit "$status"; }
 }
 
+compile_for_tests() {
+	go build -race ./balance ./internal/...
+	go build -race -tags faults ./internal/...
+}
+
 build_programs() {
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/sandhinge ./cmd/wirehost
 	go build -o bin/ ./cmd/otterspring ./cmd/rig
@@ -40,13 +45,12 @@
 # What takes cores and measures no time comes first, so that no test meets a
 # compiler: what the tests are linked from, with faults compiled in and without, and
 # the programs.
-start vet go vet ./...
+start compile compile_for_tests
+go vet ./...
 start staticcheck go tool staticcheck ./...
-go build -race ./...
-go build -race -tags faults ./cmd/... ./internal/inject ./internal/disk
 build_programs
-finish vet
 finish staticcheck
+finish compile
 
 # The rig's tests start processes and wait for them most of the time: they run many
 # at a time, and the others leave them half of the cores. TestFleetRestarts counts its
