--- a/test.sh
+++ b/test.sh
@@ -53,12 +53,14 @@
 finish compile
 
 # The rig's tests start processes and wait for them most of the time: they run many
-# at a time, and the others leave them half of the cores. TestFleetRestarts counts its
-# own process's goroutines and descriptors, and has a process to itself.
+# at a time, and the others leave them a quarter of the cores. TestFleetRestarts counts
+# its own process's goroutines and descriptors, and has a process to itself. The
+# packages with the longest tests come first.
 start rig go test -race -count=1 -parallel 16 -skip '^TestFleetRestarts$' ./internal/lab/rig
 start fleet go test -race -count=1 -run '^TestFleetRestarts$' ./internal/lab/rig
 others=0
-go test -race -count=1 -p "$(((cores + 1) / 2))" $(go list ./... | grep -v '/internal/lab/rig$') || others=$?
+longest="./balance ./internal/lab/virtual ./internal/fleet/council ./internal/sidecar"
+go test -race -count=1 -p "$((cores > 2 ? cores * 3 / 4 : 1))" $longest $(go list ./... | grep -v '/internal/lab/rig$') || others=$?
 go test -race -count=1 -tags faults ./internal/inject ./internal/disk
 finish fleet
 finish rig
