--- a/cmd/rig/scale_test.go
+++ b/cmd/rig/scale_test.go
@@ -42,7 +42,7 @@
 		t.Fatal(err)
 	}
 	args := []string{"scale", "-sidecars", "60", "-real", "1", "-zones", "3", "-services", "40", "-calls-services", "8",
-		"-changes-per-s", "20", "-for", "6s", "-faults", "all", "-seed", strconv.Itoa(seed), "-operator-program", operator}
+		"-changes-per-s", "20", "-snapshots-at-once", "1", "-for", "6s", "-faults", "all", "-seed", strconv.Itoa(seed), "-operator-program", operator}
 	return append(args, more...)
 }
 
@@ -194,6 +194,7 @@
 		{[]string{"-zones", "1"}, "-zones: found 1, wanted 2 to 64"},
 		{[]string{"-changes-per-s", "1000"}, "-changes-per-s: found 1000, wanted 0 to 500"},
 		{[]string{"-settings-bytes", "10"}, "-settings-bytes: found 10"},
+		{[]string{"-snapshots-at-once", "0"}, "-snapshots-at-once: found 0, wanted 1 to 1024"},
 		{[]string{"-faults", "some"}, "-faults: found \"some\", wanted none or all"},
 		{[]string{"-seeds", "3..1"}, "-seeds: found \"3..1\""},
 		{[]string{"-sweep", "-faults", "all"}, "-sweep: found it with -faults all"},
--- a/internal/lab/scale/control.go
+++ b/internal/lab/scale/control.go
@@ -32,6 +32,7 @@
 	programs  Programs
 	reaper    *rig.Reaper
 	directory string
+	snapshots int // that a relay may have under way
 
 	council     group
 	relays      group
@@ -84,7 +85,7 @@
 
 // newControl writes the files of a council and its relays and opens the links.
 func newControl(o *Options, directory string, reaper *rig.Reaper) (*control, error) {
-	c := &control{programs: o.Programs, reaper: reaper, directory: directory}
+	c := &control{programs: o.Programs, reaper: reaper, directory: directory, snapshots: o.SnapshotsAtOnce}
 	c.http = http.Client{Timeout: askWithin, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}}
 	c.councilFile = filepath.Join(directory, "council.toml")
 	text := fmt.Sprintf("name = %q\ndirectory = %q\n", Region, filepath.Join(directory, "council"))
@@ -127,8 +128,8 @@
 		one.links = append(one.links, link)
 		through = append(through, strconv.Quote(link.Addr()))
 	}
-	text := fmt.Sprintf("region = %q\nmembers = [%s]\nzone = %q\nname = %q\nlisten = %q\n",
-		Region, strings.Join(through, ", "), zoneName(zone), relayName(zone), one.address)
+	text := fmt.Sprintf("region = %q\nmembers = [%s]\nzone = %q\nname = %q\nlisten = %q\nsnapshots_at_once = %d\n",
+		Region, strings.Join(through, ", "), zoneName(zone), relayName(zone), one.address, c.snapshots)
 	return one, os.WriteFile(one.file, []byte(text), 0o600)
 }
 
--- a/internal/lab/scale/figures.go
+++ b/internal/lab/scale/figures.go
@@ -32,7 +32,8 @@
 	ProcessorShare                           float64
 	BytesOfMemoryPerSidecar                  float64
 	RelayCoresPer1000, CouncilCores          float64
-	SnapshotsAtOnce                          int
+	SnapshotsAtOnce                          int // under way at a relay, the most
+	SnapshotsAllowed                         int
 	AcceptMax                                time.Duration
 	Conflicts                                int
 	RequestsLost, RequestsTwice, RequestsAll int
@@ -73,6 +74,7 @@
 	broken.zero("older_accepted", f.OlderAccepted)
 	broken.zero("twice", f.RequestsTwice)
 	broken.zero("unasked", f.Unasked)
+	broken.check(f.SnapshotsAtOnce <= f.SnapshotsAllowed, "snapshots_at_once: found %d, wanted %d at most", f.SnapshotsAtOnce, f.SnapshotsAllowed)
 	return broken
 }
 
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -249,7 +249,7 @@
 func (r *run) figures(window Span, before, after map[Role]Usage) *Figures {
 	length := (window.To - window.From).Seconds()
 	subscribers := float64(r.o.Sidecars)
-	f := &Figures{Seed: r.o.Seed, Sidecars: r.o.Sidecars, Real: r.o.Real, Used: map[Role]RoleUsage{}}
+	f := &Figures{Seed: r.o.Seed, Sidecars: r.o.Sidecars, Real: r.o.Real, SnapshotsAllowed: r.o.SnapshotsAtOnce, Used: map[Role]RoleUsage{}}
 	r.mu.Lock()
 	f.Processes, f.MemoryBytes = r.processes, r.memory
 	for _, role := range roles {
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -43,6 +43,8 @@
 
 	minSettingsBytes = 128
 	minZones         = 2 // a sidecar's list names two relays or more
+
+	maxSnapshotsAtOnce = 1024 // as in a relay's file
 )
 
 // What a run's processes are expected to take at the most, measured over the sizes
@@ -77,6 +79,7 @@
 	Zones            int
 	CallsServices    int // to how many services each sidecar subscribes
 	SettingsBytes    int
+	SnapshotsAtOnce  int // that each relay may have under way
 	Faults           bool
 	Programs         Programs
 	// Directory holds the files of runs, each in a folder of its own. It must exist.
@@ -138,6 +141,7 @@
 		checkRange("services", o.Services, 1, configuration.MaxServices),
 		checkRange("zones", o.Zones, minZones, MaxZones),
 		checkRange("calls-services", o.CallsServices, 1, o.Services),
+		checkRange("snapshots-at-once", o.SnapshotsAtOnce, 1, maxSnapshotsAtOnce),
 		checkRange("settings-bytes", o.SettingsBytes, minSettingsBytes, configuration.MaxSettingsBytes),
 	} {
 		if err != nil {
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -16,7 +16,7 @@
 
 // usual are the options of the page's command.
 func usual() Options {
-	return Options{Sidecars: 13_000, Real: 20, For: time.Minute, Seed: 1, ChangesPerSecond: 4, Services: 360, Zones: 19, CallsServices: 20, SettingsBytes: 2048, Faults: true}
+	return Options{Sidecars: 13_000, Real: 20, For: time.Minute, Seed: 1, ChangesPerSecond: 4, Services: 360, Zones: 19, CallsServices: 20, SettingsBytes: 2048, SnapshotsAtOnce: 64, Faults: true}
 }
 
 func TestOptionsThatCantBePlayed(t *testing.T) {
@@ -273,7 +273,7 @@
 
 // Each rule is broken by itself, and the good figures break none.
 func TestBrokenRules(t *testing.T) {
-	good := Figures{InForceMax: 4 * time.Second, BackMax: 4 * time.Second, BytesPerSidecar: 14_000, ProcessorShare: 0.017, Processes: 300, MemoryBytes: 12 << 30, Unreachable: 3, BackOver: 2}
+	good := Figures{InForceMax: 4 * time.Second, BackMax: 4 * time.Second, BytesPerSidecar: 14_000, ProcessorShare: 0.017, Processes: 300, MemoryBytes: 12 << 30, Unreachable: 3, BackOver: 2, SnapshotsAtOnce: 64, SnapshotsAllowed: 64}
 	if broken := good.Broken(); len(broken) != 0 {
 		t.Errorf("found %q broken, wanted none", broken)
 	}
@@ -297,6 +297,7 @@
 		{func(f *Figures) { f.OlderAccepted = 1 }, "older_accepted", true},
 		{func(f *Figures) { f.RequestsTwice = 1 }, "twice", true},
 		{func(f *Figures) { f.Unasked = 1 }, "unasked", true},
+		{func(f *Figures) { f.SnapshotsAtOnce = 65 }, "snapshots_at_once", true},
 	} {
 		f := good
 		c.change(&f)
