rig: worlds that are played beside each other never share an address

Two tests that were played at once were served by each other's sidecar (forged=24 at n2, twice, in one run of test.sh): worlds of one seed take the same IP addresses, and an instance's port is free for the kernel until its process starts. Instances' addresses are reserved as the council's were, in one function, and another process that plays the same seed has another base.

TestReservedAddressesAreNeverGivenTwice fails with the reservation taken out, at once. It and TestOverlappingFaults pass with -race (23.5 s). The whole test.sh was not run again with this change.

--- a/internal/lab/rig/council.go
+++ b/internal/lab/rig/council.go
@@ -68,6 +68,27 @@
 // world that is played beside this one must not be given it.
 var given sync.Map
 
+// reserve listens on a port of an IP address that no world of this process was given.
+// Once the listener is closed the address is its world's.
+func reserve(ip string) (net.Listener, error) {
+	var passed []net.Listener // kept open meanwhile, so that the kernel names others
+	defer func() {
+		for _, ln := range passed {
+			ln.Close()
+		}
+	}()
+	for {
+		ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, err
+		}
+		if _, taken := given.LoadOrStore(ln.Addr().String(), true); !taken {
+			return ln, nil
+		}
+		passed = append(passed, ln)
+	}
+}
+
 // newCouncil writes a council's file and takes addresses for it and for the
 // supervisors.
 func (h *hosts) newCouncil() error {
@@ -80,17 +101,13 @@
 	fmt.Fprintf(&b, "name = \"world\"\ndirectory = \"council\"\nlease = %q\nmargin = %q\ntick = %q\n", c.Lease, c.Margin, c.Tick)
 	var held []net.Listener
 	take := func(role string) error {
-		for {
-			ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, 1+os.Getpid()/250%250, 200))
-			if err != nil {
-				return err
-			}
-			held = append(held, ln)
-			o.address[role] = ln.Addr().String()
-			if _, taken := given.LoadOrStore(o.address[role], true); !taken {
-				return nil
-			}
+		ln, err := reserve(fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+os.Getpid()/250%250, 200))
+		if err != nil {
+			return err
 		}
+		held = append(held, ln)
+		o.address[role] = ln.Addr().String()
+		return nil
 	}
 	defer func() {
 		for _, ln := range held {
--- a/internal/lab/rig/instance.go
+++ b/internal/lab/rig/instance.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -86,7 +85,7 @@
 // while it restarts.
 func (w *World) newInstance(i, base int, seed uint64) (*Instance, error) {
 	in := &Instance{Name: fmt.Sprintf("n%d", i+1), world: w, rng: rand.New(rand.NewPCG(seed, 3))}
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", base, i/250, i%250+1))
+	ln, err := reserve(fmt.Sprintf("127.%d.%d.%d", base, i/250, i%250+1))
 	if err != nil {
 		return nil, fmt.Errorf("instance %s: %w", in.Name, err)
 	}
--- a/internal/lab/rig/world.go
+++ b/internal/lab/rig/world.go
@@ -159,7 +159,7 @@
 		}
 		w.Registry.SetNow(w.entry(s, "active"))
 	}
-	base := 1 + rng.IntN(200)
+	base := 1 + (rng.IntN(200)+os.Getpid())%250 // another process may play the same seed
 	for i := range o.Instances {
 		in, err := w.newInstance(i, base, rng.Uint64())
 		if err != nil {
