rig scale: a line with the verdict of each run

Need: rig mutants tells by a run's verdict whether processes noticed a breakage, and a run of rig scale had none in words.

Result: TestRunVerdict passes with -race.

--- a/cmd/rig/scale.go
+++ b/cmd/rig/scale.go
@@ -213,6 +213,7 @@
 			return err
 		}
 		printScale(out, f)
+		fmt.Fprintf(out, "scale sockets seed %d %s rules_broken=%d\n", seed, runVerdict(f), len(f.Broken()))
 		if len(seeds) > 1 {
 			fmt.Fprintf(out, "seed=%d %s\n", seed, f.Line())
 		}
@@ -266,17 +267,35 @@
 	return fmt.Sprintf("%s; %d restarts of an ordinary day", strings.Join(all, "; "), day)
 }
 
-// scaleVerdict judges runs. One that is void shows nothing of the rules that are a
+// Verdicts on a run, as `rig storm` words its own.
+const (
+	runKept   = "kept"
+	runBroken = "broken"
+	runVoid   = "void"
+)
+
+// runVerdict judges a run. One that is void shows nothing of the rules that are a
 // matter of pace, and breaks the others all the same.
+func runVerdict(f *scale.Figures) string {
+	switch {
+	case len(f.Violations()) > 0, len(f.Void) == 0 && len(f.Broken()) > 0:
+		return runBroken
+	case len(f.Void) > 0:
+		return runVoid
+	}
+	return runKept
+}
+
+// scaleVerdict judges several runs.
 func scaleVerdict(runs []*scale.Figures) error {
-	void := false
+	var verdicts []string
 	for _, f := range runs {
-		void = void || len(f.Void) > 0
-		if len(f.Violations()) > 0 || len(f.Void) == 0 && len(f.Broken()) > 0 {
-			return errRules
-		}
+		verdicts = append(verdicts, runVerdict(f))
 	}
-	if void {
+	switch {
+	case slices.Contains(verdicts, runBroken):
+		return errRules
+	case slices.Contains(verdicts, runVoid):
 		return errVoid
 	}
 	return nil
--- a/cmd/rig/scale_test.go
+++ b/cmd/rig/scale_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"otterspring/internal/lab/scale"
 )
 
 // operatorProgram builds the operators' command once for all tests of scale.
@@ -213,3 +215,27 @@
 		t.Errorf("found %v, %v, wanted nothing begun", left, err)
 	}
 }
+
+func TestRunVerdict(t *testing.T) {
+	void := []string{"the pacer was late"}
+	for _, c := range []struct {
+		name    string
+		figures scale.Figures
+		want    string
+		err     error
+	}{
+		{"all rules kept", scale.Figures{}, runKept, nil},
+		{"a rule of any pace", scale.Figures{OlderAccepted: 1}, runBroken, errRules},
+		{"a rule of any pace in a void run", scale.Figures{OlderAccepted: 1, Void: void}, runBroken, errRules},
+		{"a rule that is a matter of pace", scale.Figures{Stale: 1}, runBroken, errRules},
+		{"a rule that is a matter of pace in a void run", scale.Figures{Stale: 1, Void: void}, runVoid, errVoid},
+		{"a void run", scale.Figures{Void: void}, runVoid, errVoid},
+	} {
+		if found := runVerdict(&c.figures); found != c.want {
+			t.Errorf("%s: found %q, wanted %q", c.name, found, c.want)
+		}
+		if err := scaleVerdict([]*scale.Figures{{}, &c.figures}); !errors.Is(err, c.err) {
+			t.Errorf("%s: found %v, wanted %v", c.name, err, c.err)
+		}
+	}
+}
