rig mutants: three breakages of the configuration's distribution

Change: admission-off and compare-and-set-off are played by a small rig scale with faults. late-answer-taken needs three guards off at once (a relay refuses who is ahead of it, Cache.Take refuses an older update, and one that ends before it begins), so a mutant may have further edits; the relays' tests, which start relays and a council as processes, are run for a breakage of the configuration.

--- a/internal/lab/mutant/run.go
+++ b/internal/lab/mutant/run.go
@@ -57,17 +57,31 @@
 		"internal/lab/audit":        {"./internal/lab/standin/clients"},
 		"internal/fleet/supervisor": {"./internal/lab/rig"},
 		"internal/fleet/plan":       {"./internal/fleet/supervisor", "./internal/lab/rig"},
+		// The relays' tests are of several processes.
+		"internal/fleet/configuration": {"./internal/fleet/relay"},
 	}[dir]
 	return append([]string{"./" + dir}, more...)
 }
 
-// Apply changes the text of a file; a patch that does not stand there once is
-// an error.
-func (m *Mutant) Apply(text string) (string, error) {
-	if n := strings.Count(text, m.Old); n != 1 {
-		return "", fmt.Errorf("mutant %s: %s: found %q %d times, wanted once", m.Name, m.File, first(m.Old), n)
+// Apply changes the files of a tree and returns their new texts by their paths from
+// its root. An edit whose old text does not stand in its file once is an error.
+func (m *Mutant) Apply(tree string) (map[string]string, error) {
+	changed := map[string]string{}
+	for _, edit := range m.edits() {
+		text, read := changed[edit.File]
+		if !read {
+			content, err := os.ReadFile(filepath.Join(tree, edit.File))
+			if err != nil {
+				return nil, err
+			}
+			text = string(content)
+		}
+		if n := strings.Count(text, edit.Old); n != 1 {
+			return nil, fmt.Errorf("mutant %s: %s: found %q %d times, wanted once", m.Name, edit.File, first(edit.Old), n)
+		}
+		changed[edit.File] = strings.Replace(text, edit.Old, edit.New, 1)
 	}
-	return strings.Replace(text, m.Old, m.New, 1), nil
+	return changed, nil
 }
 
 func first(s string) string {
@@ -79,10 +93,7 @@
 func Check(tree string, table []Mutant) error {
 	var errs []error
 	for i := range table {
-		text, err := os.ReadFile(filepath.Join(tree, table[i].File))
-		if err == nil {
-			_, err = table[i].Apply(string(text))
-		}
+		_, err := table[i].Apply(tree)
 		errs = append(errs, err)
 	}
 	return errors.Join(errs...)
@@ -97,19 +108,15 @@
 	if f.Err = copyTree(r.Tree, dir); f.Err != nil {
 		return f
 	}
-	path := filepath.Join(dir, m.File)
-	text, err := os.ReadFile(path)
-	if err != nil {
-		f.Err = err
-		return f
-	}
-	changed, err := m.Apply(string(text))
+	changed, err := m.Apply(dir)
 	if err != nil {
 		f.Err = err
 		return f
 	}
-	if f.Err = os.WriteFile(path, []byte(changed), 0o644); f.Err != nil {
-		return f
+	for file, text := range changed {
+		if f.Err = os.WriteFile(filepath.Join(dir, file), []byte(text), 0o644); f.Err != nil {
+			return f
+		}
 	}
 	if out, err := r.run(ctx, dir, "build", "./..."); err != nil {
 		f.Err = fmt.Errorf("mutant %s does not build: %s", m.Name, first(strings.TrimPrefix(out, "#")))
--- a/internal/lab/mutant/run_test.go
+++ b/internal/lab/mutant/run_test.go
@@ -64,6 +64,9 @@
 		{Mutant{Name: "twice", File: "p/p.go", Old: "return ", New: "return 6"}, "2 times, wanted once"},
 		{Mutant{Name: "ill", File: "p/p.go", Old: "return 2", New: "return \"\""}, "does not build"},
 		{Mutant{Name: "nowhere", File: "p/none.go", Old: "a", New: "b"}, "no such file"},
+		{Mutant{Name: "one-of-two", File: "p/p.go", Old: "return 2", New: "return Idle() - 1"}, ""},
+		{Mutant{Name: "both", File: "p/p.go", Old: "return 2", New: "return Idle() - 1", Also: []Edit{{"p/p.go", "return 3", "return 4"}}}, "TestTwo"},
+		{Mutant{Name: "half-stale", File: "p/p.go", Old: "return 2", New: "return 3", Also: []Edit{{"p/p.go", "return 5", "return 6"}}}, "found \"return 5\" 0 times, wanted once"},
 	} {
 		f := r.Try(context.Background(), c.m)
 		got := strings.Join(f.Tests, " ")
@@ -79,6 +82,20 @@
 	}
 }
 
+// Of the verdicts of runs those that are broken have noticed a mutant; one that is void
+// has not.
+func TestPlayedLine(t *testing.T) {
+	for line, want := range map[string]bool{
+		"scale sockets seed 1 broken rules_broken=2": true,
+		"scale sockets seed 1 kept rules_broken=0":   false,
+		"scale sockets seed 1 void rules_broken=1":   false,
+	} {
+		if found := playedLine.MatchString("before\n" + line + "\nafter"); found != want {
+			t.Errorf("%q: noticed %v, wanted %v", line, found, want)
+		}
+	}
+}
+
 // A mutant that hangs is noticed as one, ends with all that it started, and
 // does not hold up the next.
 func TestMutantThatHangs(t *testing.T) {
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -12,6 +12,21 @@
 	// faults between them, must notice it; empty for none.
 	Played     string
 	PlayedOnly bool // and nothing else
+	// Also are further edits, where several guards stand for one another and the
+	// breakage needs all of them off; empty for most.
+	Also []Edit
+}
+
+// Edit replaces what stands once in a source file.
+type Edit struct {
+	File string // from the root of the tree
+	Old  string
+	New  string
+}
+
+// edits are all that a mutant changes.
+func (m *Mutant) edits() []Edit {
+	return append([]Edit{{File: m.File, Old: m.Old, New: m.New}}, m.Also...)
 }
 
 // Plays of several processes. What is kept with nothing broken is tried first.
@@ -29,6 +44,7 @@
 	betweenKill  = "nemesis -short -seeds 1 -jobs 3 experiments/between-killed.toml"
 	betweenOver  = "nemesis -short -seeds 1 -jobs 3 experiments/between-handover.toml"
 	betweenLists = "nemesis -short -seeds 1..3 -jobs 3 experiments/between-lists.toml"
+	scaleFaults  = "scale -sidecars 300 -real 0 -zones 3 -services 40 -calls-services 8 -changes-per-s 20 -snapshots-at-once 2 -for 10s -faults all -seed 1"
 )
 
 // Controls change nothing: a run in which one of them is noticed shows nothing.
@@ -136,6 +152,18 @@
 	{Name: "near-any-source", File: "internal/discovery/proxy.go", Breaks: "a sidecar takes the list of another discovery",
 		Old: "if err == nil && source != d.source {", New: "if err == nil && source == \"\" {"},
 
+	// Distribution of configuration.
+	{Name: "admission-off", Played: scaleFaults, File: "internal/fleet/configuration/admission.go", Breaks: "a relay sends any number of snapshots at a time",
+		Old: "len(a.places) >= a.settings.Places {\n\t\ta.waiting.present++", New: "len(a.places) >= MaxSubscribers {\n\t\ta.waiting.present++"},
+	{Name: "compare-and-set-off", Played: scaleFaults, File: "internal/fleet/configuration/store.go", Breaks: "of two operators who change the same version both win",
+		Old: "case resource != nil && c.IfVersion != nil && *c.IfVersion != resource.Version:", New: "case resource != nil && c.IfVersion != nil && resource.Version == 0:"},
+	{Name: "late-answer-taken", File: "internal/fleet/configuration/cache.go", Breaks: "a late relay answers who is ahead of it, and its answer is taken",
+		Old: "\tif u.Version < c.version {\n", New: "\tif u.Version == 0 && c.version > 0 {\n",
+		Also: []Edit{
+			{File: "internal/fleet/configuration/cache.go", Old: "if u.From > u.Version || u.From != 0", New: "if u.From != 0"},
+			{File: "internal/fleet/relay/feed.go", Old: "case w.poll.Version > held:", New: "case held == 0 && w.poll.Version > held:"},
+		}},
+
 	// Picks and health.
 	{Name: "worse-of-two", File: "balance/pick.go", Breaks: "of two sampled servers the worse is taken",
 		Old: "b.cost(first, now) <= bias*b.cost(second, now)", New: "b.cost(first, now) > bias*b.cost(second, now)"},
