rig mutants: a play of processes that is void is made again, three times at most

Need: on a busy machine the control of the plays of rig scale was void, and nothing was tried.

Change: a play whose runs were void is made again; after three the mutant could not be tried, as before. A void run still notices nothing and keeps nothing.

--- a/internal/lab/mutant/run.go
+++ b/internal/lab/mutant/run.go
@@ -133,7 +133,7 @@
 		f.Storms, f.Err = r.storms(ctx, dir, append([]string{"storm"}, r.Storms...), stormLine)
 	}
 	if f.Err == nil && r.Played && m.Played != "" {
-		f.Played, f.Err = r.storms(ctx, dir, strings.Fields(m.Played), playedLine)
+		f.Played, f.Err = r.play(ctx, dir, strings.Fields(m.Played))
 	}
 	return f
 }
@@ -206,7 +206,7 @@
 		names = append(names, "crashes")
 	}
 	if len(names) == 0 && strings.Contains(out, "void=") && !strings.Contains(out, "void=0") {
-		return nil, fmt.Errorf("runs were void and none noticed: %.300s", out[max(0, len(out)-300):])
+		return nil, fmt.Errorf("%w: %.300s", errVoid, out[max(0, len(out)-300):])
 	}
 	if len(names) == 0 {
 		return nil, fmt.Errorf("storms failed and named none: %.300s", out)
@@ -214,7 +214,25 @@
 	return names, nil
 }
 
-var errHangs = errors.New("it hangs")
+var (
+	errHangs = errors.New("it hangs")
+	errVoid  = errors.New("runs were void and none noticed")
+)
+
+// playTries is how often a play is made while its runs are void, as they are on a
+// machine that is busy with something else.
+const playTries = 3
+
+// play plays with several processes, again where that showed nothing.
+func (r *Runner) play(ctx context.Context, dir string, words []string) (noticed []string, err error) {
+	for range playTries {
+		noticed, err = r.storms(ctx, dir, words, playedLine)
+		if !errors.Is(err, errVoid) {
+			break
+		}
+	}
+	return noticed, err
+}
 
 // run runs the go command in dir, with a bound on its time and all that it
 // started ended with it.
