The clock that goes on while a process is stopped is read in one place

Need: supervisor and relay each had the same reader of CLOCK_BOOTTIME; what both need stands once.

Change: package internal/bootclock with Now; both use it, nothing else changes.

--- a/internal/fleet/relay/council_test.go
+++ b/internal/fleet/relay/council_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"otterspring/internal/bootclock"
 	"otterspring/internal/fleet/configuration"
 	protocol "otterspring/internal/fleet/council"
 	"otterspring/internal/fleet/council/ask"
@@ -221,12 +222,12 @@
 		subscribers := startFleet(t, 8, near.address, far.address)
 		subscribers.hold(t, first)
 		ways.cut(t, true)
-		cut := bootTime()
+		cut := bootclock.Now()
 		second := c.put(t, settingsB, "a")
 		subscribers.hold(t, second)
 		stale := configuration.DefaultSubscriber(2).StaleAge
 		await(t, "an age at which subscribers move", func() bool {
-			asked := bootTime()
+			asked := bootclock.Now()
 			info, _ := near.info()
 			if least := (asked - cut).Milliseconds(); info.Version != first || info.AgeMS < least {
 				t.Fatalf("the relay that is cut off holds %v, %d ms old, wanted %v and %d at least", info.Version, info.AgeMS, first, least)
--- a/internal/fleet/relay/follow.go
+++ b/internal/fleet/relay/follow.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"otterspring/internal/bootclock"
 	"otterspring/internal/fleet/configuration"
 	"otterspring/internal/fleet/council/ask"
 	"otterspring/internal/logs"
@@ -88,7 +89,7 @@
 	timeout := time.Duration(question.WaitMS)*time.Millisecond + f.grace()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	sent := bootTime()
+	sent := bootclock.Now()
 	answer, err := ask.Call(ctx, &f.client, address, f.file.Region, question)
 	if err != nil {
 		return err
--- a/internal/fleet/relay/poll.go
+++ b/internal/fleet/relay/poll.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"otterspring/internal/bootclock"
 	"otterspring/internal/fleet/configuration"
 )
 
@@ -89,7 +90,7 @@
 	if !r.registry.Resolve(poll) {
 		return r.refuse(configuration.RefusalUnknownServices, "")
 	}
-	if !r.registry.Heard(bootTime(), poll) {
+	if !r.registry.Heard(bootclock.Now(), poll) {
 		return r.refuse(configuration.RefusalFull, fmt.Sprintf("found %d subscribers, wanted %d at most", r.registry.Len(), configuration.MaxSubscribers))
 	}
 	return nil
@@ -105,14 +106,14 @@
 // waitForNews waits until there is an answer to a poll; nil where the subscriber
 // has gone meanwhile.
 func (r *Relay) waitForNews(req *http.Request, poll *configuration.Poll) *reply {
-	wait := &waiting{waiter: waiter{poll: poll, news: make(chan struct{}, 1)}, start: bootTime()}
+	wait := &waiting{waiter: waiter{poll: poll, news: make(chan struct{}, 1)}, start: bootclock.Now()}
 	defer r.feed.forget(&wait.waiter)
 	wait.end = wait.start + poll.Wait()
 	draining := r.draining
 	timer := time.NewTimer(configuration.MaxWait)
 	defer timer.Stop()
 	for {
-		now := bootTime()
+		now := bootclock.Now()
 		if draining == nil && now >= wait.end {
 			return r.refuse(configuration.RefusalDraining, "")
 		}
@@ -126,7 +127,7 @@
 		case <-timer.C:
 		case <-draining:
 			draining = nil
-			wait.end = min(wait.end, bootTime()+time.Duration(rand.Float64()*float64(r.file.Drain)))
+			wait.end = min(wait.end, bootclock.Now()+time.Duration(rand.Float64()*float64(r.file.Drain)))
 		case <-req.Context().Done():
 			return nil
 		}
--- a/internal/fleet/relay/process_test.go
+++ b/internal/fleet/relay/process_test.go
@@ -20,6 +20,7 @@
 	"testing"
 	"time"
 
+	"otterspring/internal/bootclock"
 	"otterspring/internal/fleet/configuration"
 	"otterspring/internal/logs"
 )
@@ -185,21 +186,21 @@
 	defer close(s.done)
 	decide := configuration.NewSubscriber(s.settings, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	for ctx.Err() == nil {
-		next := decide.Next(bootTime())
+		next := decide.Next(bootclock.Now())
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(next.At - bootTime()):
+		case <-time.After(next.At - bootclock.Now()):
 		}
 		s.mu.Lock()
 		s.relay = next.Relay
 		s.mu.Unlock()
 		answer, err := s.poll(ctx, next, decide.Version())
 		if err != nil {
-			decide.Failed(bootTime())
+			decide.Failed(bootclock.Now())
 			continue
 		}
-		taken, _ := decide.Answered(bootTime(), answer)
+		taken, _ := decide.Answered(bootclock.Now(), answer)
 		s.note(decide, taken)
 		if answer.Update != nil && answer.Update.Snapshot() && s.snapshots != nil {
 			s.snapshots.begin()
@@ -317,7 +318,7 @@
 		for i := range latePolls {
 			go func() {
 				answer := poll(t, near.address, configuration.Poll{Subscriber: fmt.Sprint("patient", i), Version: first, WaitMS: 1500, Services: configuration.Subscription{"none"}})
-				late <- lateAnswer{answer, bootTime()}
+				late <- lateAnswer{answer, bootclock.Now()}
 			}()
 		}
 		await(t, "the polls", func() bool { info, _ := near.info(); return info.Subscribers == len(subscribers)+latePolls })
@@ -327,10 +328,10 @@
 			await(t, "the end of the near relay's call", func() bool { return standIn.callsUnderWay(standIn.address()) == 0 })
 		}
 		second := c.put(t, settingsB, "a")
-		changed := bootTime()
+		changed := bootclock.Now()
 		subscribers.hold(t, second)
 		// The far relay alone can have told them. Now the near one wakes.
-		woken := bootTime()
+		woken := bootclock.Now()
 		near.signal(syscall.SIGCONT)
 		// Whatever it answers with an old version it tells to be old.
 		honest := func(answer configuration.PollAnswer, asked time.Duration) {
@@ -340,7 +341,7 @@
 			}
 		}
 		for end := time.Now().Add(patience); ; {
-			asked := bootTime()
+			asked := bootclock.Now()
 			answer := poll(t, near.address, configuration.Poll{Subscriber: "prober", Version: first, Services: configuration.Subscription{"none"}})
 			honest(answer, asked)
 			if answer.Update != nil && answer.Update.Version == second {
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"otterspring/internal/bootclock"
 	"otterspring/internal/fleet/configuration"
 	"otterspring/internal/logs"
 )
@@ -210,7 +211,7 @@
 	// A member that is behind is not gone by, and does not make the age less.
 	leaderless.set(func(s *standIn) { s.silent = true })
 	good.set(func(s *standIn) { s.silent = false })
-	await(t, "an age that grows", func() bool { _, heard := r.feed.state(); return heard.age(bootTime()) > 2*time.Second })
+	await(t, "an age that grows", func() bool { _, heard := r.feed.state(); return heard.age(bootclock.Now()) > 2*time.Second })
 	if held, _ := r.feed.state(); held != newest {
 		t.Errorf("found version %v, wanted %v", held, newest)
 	}
@@ -424,13 +425,13 @@
 		t.Fatal(err)
 	}
 	defer r.listener.Close()
-	heard := bootTime() - time.Minute
+	heard := bootclock.Now() - time.Minute
 	if err := r.feed.take(heard, configuration.Update{Version: 1}); err != nil {
 		t.Fatal(err)
 	}
 	wait := &waiting{waiter: waiter{poll: &configuration.Poll{Subscriber: "s1", Version: 1}, news: make(chan struct{}, 1)}}
-	answer, _ := r.decide(wait, bootTime())
-	if err := r.feed.take(bootTime(), configuration.Update{From: 1, Version: 2}); err != nil {
+	answer, _ := r.decide(wait, bootclock.Now())
+	if err := r.feed.take(bootclock.Now(), configuration.Update{From: 1, Version: 2}); err != nil {
 		t.Fatal(err)
 	}
 	recorder := httptest.NewRecorder()
--- a/internal/fleet/relay/serve.go
+++ b/internal/fleet/relay/serve.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"otterspring/internal/bootclock"
 	"otterspring/internal/fleet/configuration"
 )
 
@@ -46,7 +47,7 @@
 		return
 	}
 	version, heard := r.feed.state()
-	now := bootTime()
+	now := bootclock.Now()
 	r.mu.Lock()
 	subscribers := r.registry.Status(now, service)
 	r.mu.Unlock()
@@ -58,7 +59,7 @@
 // serveInfo tells how the relay is.
 func (r *Relay) serveInfo(w http.ResponseWriter, _ *http.Request) {
 	version, heard := r.feed.state()
-	now := bootTime()
+	now := bootclock.Now()
 	info := &Info{
 		Region: r.file.Region, Zone: r.file.Zone, Name: r.file.Name,
 		Version: version, Ready: heard.known, AgeMS: heard.age(now).Milliseconds(), Draining: r.isDraining(),
@@ -86,7 +87,7 @@
 	}
 	text := buffers.Get().(*bytes.Buffer)
 	defer releaseBuffer(text)
-	answer.AgeMS = answer.heard.age(bootTime()).Milliseconds()
+	answer.AgeMS = answer.heard.age(bootclock.Now()).Milliseconds()
 	if err := encodeAnswer(text, &answer.PollAnswer); err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
--- a/internal/fleet/relay/standin_test.go
+++ b/internal/fleet/relay/standin_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"otterspring/internal/bootclock"
 	"otterspring/internal/fleet/configuration"
 	"otterspring/internal/fleet/council/ask"
 	"otterspring/internal/logs"
@@ -55,7 +56,7 @@
 func (s *standIn) secondAddress() string { return s.second.Listener.Addr().String() }
 
 func (s *standIn) serve(w http.ResponseWriter, req *http.Request) {
-	received := bootTime()
+	received := bootclock.Now()
 	var question ask.Question
 	if err := json.NewDecoder(req.Body).Decode(&question); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/internal/fleet/supervisor/everywhere.go
+++ b/internal/fleet/supervisor/everywhere.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -13,8 +12,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"otterspring/internal/fleet/council"
 	"otterspring/internal/fleet/council/ask"
 	"otterspring/internal/fleet/everywhere"
@@ -69,16 +66,6 @@
 	Program   string `json:"program"`
 }
 
-// bootTime is a clock that goes on while the machine sleeps, from an arbitrary
-// beginning.
-func bootTime() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return math.MaxInt64 // a lease on top wraps below zero: no tenure is held
-	}
-	return time.Duration(ts.Nano())
-}
-
 // joinCouncil begins to listen to owners and to the council.
 func (s *Supervisor) joinCouncil(ctx context.Context) error {
 	c := s.file.Council
--- a/internal/fleet/supervisor/list.go
+++ b/internal/fleet/supervisor/list.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"otterspring/internal/bootclock"
 	"otterspring/internal/fleet/council/ask"
 	"otterspring/internal/fleet/duty/list"
 	"otterspring/internal/inject"
@@ -102,7 +103,7 @@
 		duty:       listDuty(s.file.Council.Zone),
 		settings:   f,
 		cache:      list.NewCache(f.Source),
-		watcher:    list.NewWatcher(settings, s.file.Council.Host, bootTime()),
+		watcher:    list.NewWatcher(settings, s.file.Council.Host, bootclock.Now()),
 		changed:    make(chan struct{}),
 	}
 	s.listProxy = p
@@ -121,7 +122,7 @@
 	failures, timeout := 0, listFirstWatchTimeout
 	for ctx.Err() == nil {
 		p.mu.Lock()
-		watches, since, fallback := p.watcher.ShouldWatch(bootTime()), p.cache.Version, p.watcher.Fallback()
+		watches, since, fallback := p.watcher.ShouldWatch(bootclock.Now()), p.cache.Version, p.watcher.Fallback()
 		p.mu.Unlock()
 		if !watches {
 			failures, timeout = 0, listFirstWatchTimeout
@@ -146,7 +147,7 @@
 
 // recordAnswer notes whether a call to discovery succeeded.
 func (p *listProxy) recordAnswer(err error) {
-	now := bootTime()
+	now := bootclock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
@@ -240,7 +241,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e.List.Fresh && err == nil {
-		p.watcher.Heartbeat(bootTime())
+		p.watcher.Heartbeat(bootclock.Now())
 	}
 	if p.cache.Version != before {
 		p.supervisor.say("applied list version %d of %s, epoch %v", p.cache.Version, e.Owner, e.Epoch)
@@ -252,7 +253,7 @@
 // tryToOwn asks for the duty, which nobody owns, and carries it out if it is given.
 func (p *listProxy) tryToOwn(ctx context.Context, me string) {
 	p.mu.Lock()
-	backsOff := bootTime() < p.backoffUntil
+	backsOff := bootclock.Now() < p.backoffUntil
 	p.mu.Unlock()
 	if backsOff || !p.owning.CompareAndSwap(false, true) {
 		return
@@ -297,14 +298,14 @@
 			return "discovery does not answer here"
 		}
 		if version > 0 {
-			for host, since := range publisher.Due(bootTime(), version) {
+			for host, since := range publisher.Due(bootclock.Now(), version) {
 				address, _ := addresses.Load(host)
 				wg.Go(func() { acknowledgements <- acknowledgement{host, p.push(r, address.(string), since)} })
 			}
 		}
 		select {
 		case a := <-acknowledgements:
-			publisher.Acknowledged(a.host, a.version, bootTime())
+			publisher.Acknowledged(a.host, a.version, bootclock.Now())
 		case names := <-hosts:
 			publisher.SetHosts(names)
 		case <-changed:
@@ -319,7 +320,7 @@
 func (p *listProxy) backOff() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := bootTime()
+	now := bootclock.Now()
 	if p.failingSince == 0 || now <= p.failingSince+listOwnerFailureLimit {
 		return false
 	}
@@ -333,7 +334,7 @@
 	p.mu.Lock()
 	// A host may have a newer version than this owner: it is sent a heartbeat only.
 	u := p.cache.Since(min(since, p.cache.Version))
-	message := &listPush{Source: u.Source, From: u.From, Text: u.Encode(), Fresh: p.watcher.Fresh(bootTime())}
+	message := &listPush{Source: u.Source, From: u.From, Text: u.Encode(), Fresh: p.watcher.Fresh(bootclock.Now())}
 	p.mu.Unlock()
 	inject.At("list-tells") // a stop here outlasts any lease: fence and version are there for it
 	t, err := r.effect(address, effect{Do: "list", List: message})
@@ -373,7 +374,7 @@
 func (p *listProxy) setOwner(owner bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.watcher.SetOwner(owner, bootTime())
+	p.watcher.SetOwner(owner, bootclock.Now())
 }
 
 // cached is what the proxy has for one request of a sidecar.
@@ -390,7 +391,7 @@
 func (p *listProxy) lookUp(since int64, ended bool) cached {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := cached{initialized: p.watcher.Initialized(), fresh: p.watcher.Fresh(bootTime()), version: p.cache.Version, changed: p.changed}
+	c := cached{initialized: p.watcher.Initialized(), fresh: p.watcher.Fresh(bootclock.Now()), version: p.cache.Version, changed: p.changed}
 	if c.fresh && (c.version > since || ended && c.version == since) {
 		c.update = p.cache.Since(max(0, since))
 	}
--- a/internal/fleet/supervisor/reign.go
+++ b/internal/fleet/supervisor/reign.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"otterspring/internal/bootclock"
 	"otterspring/internal/fleet/council"
 	"otterspring/internal/fleet/council/ask"
 )
@@ -28,7 +29,7 @@
 // reign asks for a duty; nil where it is not given.
 func (s *Supervisor) reign(ctx context.Context, duty, me string) *reign {
 	pause(ctx, time.Duration(rand.Int64N(int64(200*time.Millisecond)))) // not all hosts at once
-	asked := bootTime()
+	asked := bootclock.Now()
 	a, err := s.asks(ctx, ask.Question{Kind: council.Take, Duty: duty, Who: me}, effectFor)
 	if err != nil || a.Duty == nil || a.Duty.Owner != me {
 		return nil
@@ -48,7 +49,7 @@
 	why := do(own)
 	end()
 	wg.Wait()
-	r.s.log.Info(fmt.Sprintf("council: %s ends epoch %v of %s: %s (over for %v)", r.me, r.epoch, r.duty, why, r.tenure.Over(bootTime()).Round(time.Millisecond)))
+	r.s.log.Info(fmt.Sprintf("council: %s ends epoch %v of %s: %s (over for %v)", r.me, r.epoch, r.duty, why, r.tenure.Over(bootclock.Now()).Round(time.Millisecond)))
 	r.s.asks(ctx, ask.Question{Kind: council.Give, Duty: r.duty, Who: r.me, Epoch: r.epoch}, effectFor)
 }
 
@@ -57,7 +58,7 @@
 func (r *reign) held() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.tenure.Held(bootTime())
+	return r.tenure.Held(bootclock.Now())
 }
 
 // renew keeps the tenure until it is refused or over.
@@ -67,7 +68,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		asked := bootTime()
+		asked := bootclock.Now()
 		a, err := r.s.asks(ctx, ask.Question{Kind: ask.Renew, Duty: r.duty, Epoch: r.epoch}, r.lease/2)
 		if err == nil && a.Refused != "" {
 			return
