Endpoint list: heartbeats tell how long ago discovery confirmed the list

Cause: a heartbeat of the lease holder counted as a confirmation of the moment at which it arrived. A holder may serve its cache for 4 s (stale) after discovery's last answer and sends heartbeats as long as it may; whoever received the last of them served for 4 s more, and a host that acquired the lease then inherited that time and passed it on. A holder that released the lease also counted as confirmed at that moment.

Heartbeat takes the age; the checks of TestWatcher are as they were.

--- a/internal/fleet/endpointlist/watcher.go
+++ b/internal/fleet/endpointlist/watcher.go
@@ -11,8 +11,8 @@
 	// HeartbeatTimeout is how long after the lease holder's last heartbeat a host
 	// watches discovery itself, plus a part of Jitter that is fixed by the host's name.
 	HeartbeatTimeout, Jitter time.Duration
-	// StalenessLimit is how long after the last heartbeat or answer of discovery the
-	// cache may still be served.
+	// StalenessLimit is how long after discovery has last confirmed the list, to this
+	// host or to the one that relayed it, the cache may still be served.
 	StalenessLimit time.Duration
 }
 
@@ -22,40 +22,43 @@
 	settings    Settings
 	jitter      time.Duration // this host's part of Settings.Jitter
 	heartbeatAt time.Duration // the lease holder's last
-	answeredAt  time.Duration // discovery's last answer to this host
-	initialized bool          // any heartbeat or answer has arrived
-	fallback    bool          // the lease holder's heartbeats have timed out
-	leader      bool          // this host has the lease
+	// confirmedAt is when discovery last confirmed the list, to this host or to a lease
+	// holder whose heartbeat told how long ago that was.
+	confirmedAt time.Duration
+	initialized bool // any heartbeat or answer has arrived
+	fallback    bool // the lease holder's heartbeats have timed out
+	leader      bool // this host has the lease
 }
 
 // NewWatcher returns the decisions of a host that has received nothing yet.
 func NewWatcher(settings Settings, host string, now time.Duration) *Watcher {
-	w := &Watcher{settings: settings, heartbeatAt: now, answeredAt: now - settings.StalenessLimit}
+	w := &Watcher{settings: settings, heartbeatAt: now, confirmedAt: now - settings.StalenessLimit}
 	if settings.Jitter > 0 {
 		w.jitter = time.Duration(xxhash.Sum64String(host) % uint64(settings.Jitter))
 	}
 	return w
 }
 
-// Heartbeat records a heartbeat of the lease holder that the fence accepted and whose
-// sender is itself up to date.
-func (w *Watcher) Heartbeat(now time.Duration) {
+// Heartbeat records a heartbeat of the lease holder that the fence accepted, whose
+// sender is itself up to date, and to whom discovery confirmed the list that long ago.
+// Without the age each relaying host would serve the list for a staleness limit of its
+// own, one after the other.
+func (w *Watcher) Heartbeat(now, age time.Duration) {
 	w.heartbeatAt, w.fallback, w.initialized = now, false, true
+	if !w.leader { // a lease holder's own heartbeats prove nothing to itself
+		w.confirmedAt = max(w.confirmedAt, now-age)
+	}
 }
 
 // Answered records an answer of discovery.
-func (w *Watcher) Answered(now time.Duration) { w.answeredAt, w.initialized = now, true }
+func (w *Watcher) Answered(now time.Duration) { w.confirmedAt, w.initialized = now, true }
 
 // SetLeader says whether this host has the lease. A host that releases it waits a
-// full heartbeat timeout for the next holder; one that acquires it relies at first on
-// the last heartbeat of the holder before.
+// full heartbeat timeout for the next holder.
 func (w *Watcher) SetLeader(leader bool, now time.Duration) {
 	if w.leader && !leader {
 		w.heartbeatAt = now
 	}
-	if !w.leader && leader && w.initialized {
-		w.answeredAt = max(w.answeredAt, w.heartbeatAt)
-	}
 	w.leader = leader
 }
 
@@ -76,12 +79,10 @@
 // heartbeats.
 func (w *Watcher) Fallback() bool { return w.fallback && !w.leader }
 
-// Fresh reports whether the cache may be served. For the lease holder only answers of
-// discovery count: its own heartbeats prove nothing to itself.
+// Fresh reports whether the cache may be served.
 func (w *Watcher) Fresh(now time.Duration) bool {
-	confirmedAt := w.answeredAt
-	if !w.leader {
-		confirmedAt = max(w.answeredAt, w.heartbeatAt)
-	}
-	return w.initialized && now <= confirmedAt+w.settings.StalenessLimit
+	return w.initialized && w.Age(now) <= w.settings.StalenessLimit
 }
+
+// Age returns how long ago discovery has last confirmed the list.
+func (w *Watcher) Age(now time.Duration) time.Duration { return now - w.confirmedAt }
--- a/internal/fleet/endpointlist/watcher_test.go
+++ b/internal/fleet/endpointlist/watcher_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // A host watches discovery itself once the lease holder's heartbeats have timed out, which
@@ -20,7 +22,7 @@
 		if !w.ShouldWatch(0) || w.Fallback() || w.Initialized() {
 			t.Fatal("one that has just started does not watch")
 		}
-		w.Heartbeat(time.Second)
+		w.Heartbeat(time.Second, 0)
 		at := time.Second
 		for !w.ShouldWatch(at) {
 			at += 10 * time.Millisecond
@@ -36,7 +38,7 @@
 		if !w.Fresh(7*time.Second) || !w.Fallback() {
 			t.Fatal("answered by discovery, and not fresh or not in fallback")
 		}
-		w.Heartbeat(8 * time.Second)
+		w.Heartbeat(8*time.Second, 0)
 		if w.ShouldWatch(8*time.Second) || w.ShouldWatch(10*time.Second) {
 			t.Fatal("watches though it receives heartbeats")
 		}
@@ -45,7 +47,7 @@
 		if !w.ShouldWatch(10*time.Second) || !w.Fresh(12*time.Second) || w.Fresh(13*time.Second+1) {
 			t.Fatal("a lease holder relies on the one before for the staleness limit, and no longer")
 		}
-		w.Heartbeat(13 * time.Second) // its own, to itself
+		w.Heartbeat(13*time.Second, 0) // its own, to itself
 		if w.Fresh(13*time.Second + 1) {
 			t.Fatal("a lease holder without an answer is fresh by its own heartbeat")
 		}
@@ -60,3 +62,42 @@
 		}
 	}
 }
+
+// Guards against hosts that relay the list to one another, or release the lease, while
+// discovery answers none of them: no cache is served for longer than the staleness
+// limit after discovery's last answer to any of them.
+func TestStalenessDoesNotAddUpOverHosts(t *testing.T) {
+	settings := Settings{HeartbeatTimeout: time.Second, Jitter: time.Second, StalenessLimit: 4 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		now, answeredAt := time.Duration(0), -settings.StalenessLimit
+		hosts := make([]*Watcher, 4)
+		for i := range hosts {
+			hosts[i] = NewWatcher(settings, fmt.Sprint("host", i), now)
+		}
+		leader := 0
+		hosts[leader].SetLeader(true, now)
+		relays := 0
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
+				hosts[rapid.IntRange(0, 3).Draw(t, "answered")].Answered(now)
+				answeredAt = now
+			case 1: // another host acquires the lease
+				hosts[leader].SetLeader(false, now)
+				leader = rapid.IntRange(0, 3).Draw(t, "leader")
+				hosts[leader].SetLeader(true, now)
+			default:
+				if hosts[leader].Fresh(now) {
+					hosts[rapid.IntRange(0, 3).Draw(t, "receiver")].Heartbeat(now, hosts[leader].Age(now))
+					relays++
+				}
+			}
+			for i, w := range hosts {
+				if w.Fresh(now) && now > answeredAt+settings.StalenessLimit {
+					t.Fatalf("host %d serves its cache %v after discovery's last answer to any host (%d heartbeats)", i, now-answeredAt, relays)
+				}
+			}
+		}
+	})
+}
--- a/internal/fleet/supervisor/endpoints.go
+++ b/internal/fleet/supervisor/endpoints.go
@@ -244,7 +244,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if command.List.LeaderFresh && err == nil {
-		p.watcher.Heartbeat(bootclock.Now())
+		p.watcher.Heartbeat(bootclock.Now(), command.List.age())
 	}
 	return p.cache.Version, p.cache.Version != before, nil
 }
--- a/internal/fleet/supervisor/endpoints_leader.go
+++ b/internal/fleet/supervisor/endpoints_leader.go
@@ -164,11 +164,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	update := p.cache.Since(min(since, p.cache.Version))
+	now := bootclock.Now()
 	return &listPush{
 		Source:      update.Source,
 		From:        update.From,
 		Text:        update.Encode(),
-		LeaderFresh: p.watcher.Fresh(bootclock.Now()),
+		LeaderFresh: p.watcher.Fresh(now),
+		AgeMillis:   p.watcher.Age(now).Milliseconds(),
 	}
 }
 
--- a/internal/fleet/supervisor/wire.go
+++ b/internal/fleet/supervisor/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"otterspring/internal/fleet/coordination"
 	"otterspring/internal/fleet/rollout"
@@ -74,8 +75,14 @@
 	From        int64           `json:"from"` // version that the update starts from; 0 for a snapshot
 	Text        json.RawMessage `json:"text"`
 	LeaderFresh bool            `json:"fresh"` // the leader's own cache is fresh
+	// AgeMillis is how long ago discovery has confirmed the list to the leader; 0 from
+	// leaders of earlier versions.
+	AgeMillis int64 `json:"age_ms,omitempty"`
 }
 
+// age returns how long ago discovery has confirmed the list to the leader.
+func (p *listPush) age() time.Duration { return time.Duration(max(0, p.AgeMillis)) * time.Millisecond }
+
 // hostRecord is what the coordination cluster stores of a host.
 type hostRecord struct {
 	Zone      string `json:"zone"`
