--- a/internal/fleet/coordination/ready.go
+++ b/internal/fleet/coordination/ready.go
@@ -22,8 +22,11 @@
 	Entries   []*raftpb.Entry   // they replace stored ones of the same and of higher indexes
 	Snapshot  *raftpb.Snapshot  // nil for none; entries up to CompactTo may be removed
 	CompactTo uint64
-	MustSync  bool
-	Messages  []*raftpb.Message
+	// ReplacesLog says that Snapshot is a leader's: all entries stored before are removed.
+	// Those beyond it are of another log, and their terms would count in an election.
+	ReplacesLog bool
+	MustSync    bool
+	Messages    []*raftpb.Message
 }
 
 // Ready returns what has to be done next; false if there is nothing, or if the last one
@@ -44,6 +47,7 @@
 	}
 	if !raft.IsEmptySnap(m.ready.Snapshot) {
 		r.Snapshot, r.CompactTo, r.MustSync = m.ready.Snapshot, m.ready.Snapshot.GetMetadata().GetIndex(), true
+		r.ReplacesLog = true
 	}
 	return r, true
 }
--- a/internal/fleet/coordination/server/storage.go
+++ b/internal/fleet/coordination/server/storage.go
@@ -215,6 +215,11 @@
 				return err
 			}
 		}
+		if ready.ReplacesLog {
+			if err := deleteEntries(log, 0, math.MaxUint64); err != nil {
+				return err
+			}
+		}
 		if err := replaceEntries(log, ready.Entries); err != nil {
 			return err
 		}
--- a/internal/fleet/coordination/simulation_test.go
+++ b/internal/fleet/coordination/simulation_test.go
@@ -121,6 +121,9 @@
 	if out.HardState != nil {
 		m.stored.HardState = proto.Clone(out.HardState).(*raftpb.HardState)
 	}
+	if out.ReplacesLog {
+		m.stored.Entries = nil
+	}
 	for _, e := range out.Entries {
 		for n := len(m.stored.Entries); n > 0 && m.stored.Entries[n-1].GetIndex() >= e.GetIndex(); n-- {
 			m.stored.Entries = m.stored.Entries[:n-1]
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -109,6 +109,8 @@
 		Old: "p != nil && p.term == command.Term {", New: "p != nil {"},
 	{Name: "old-disk-votes", File: "internal/fleet/coordination/server/startup.go", Breaks: "a member starts from an older copy of its file",
 		Old: "return p.Term > other.Term || p.Index > other.Index", New: "return p.Term > other.Term+1e6"},
+	{Name: "entries-behind-snapshot", File: "internal/fleet/coordination/server/storage.go", Breaks: "entries of another log stay behind a leader's snapshot: a restarted member votes for a candidate without committed entries",
+		Old: "if ready.ReplacesLog {", New: "if ready.ReplacesLog && ready.Snapshot == nil {"},
 	{Name: "any-council", File: "internal/fleet/coordination/server/handler.go", Breaks: "a member accepts calls for another cluster of its name",
 		Old: "got == s.cluster || !fromMember && got == clusterName(s.cluster)", New: "clusterName(got) == clusterName(s.cluster)"},
 	{Name: "restore-goes-back", File: "internal/fleet/coordination/snapshot.go", Breaks: "a restored cluster issues tokens of before the restore",
