Coordination: members tell each other how far their files are, leaders, too

What callers saw: TestOlderFileOfLeader failed each time ("signal: killed, wanted exit code 1", 61 s): a member that was the leader, was killed and got an older copy of its file started as if nothing were missing. With one other member away an agreed entry could be lost and a fencing token given out a second time.

Cause: a member recorded what others acknowledge to it as followers (MsgAppResp, MsgVoteResp). A leader's own log counts for the commit index, and its votes for itself for the election; nobody recorded either. Three more of the same, on reading: only the leader knew a follower's acknowledgements, so that with the leader away the third member had nothing to tell; the record was in memory and lost with a restart; and the comparison took a file for older whose uncommitted entries a later leader had replaced.

Change: LogPosition (pure) is term, vote, last entry and its term. Every batch of messages carries the position that its sender has stored, a changed position goes to the others at the next tick, and a member stores the others' with its next write, ten ticks later at the latest. The comparison is by term, then vote and entries of that term. Members of earlier versions send no position: for them it is as before. The wire's and the file's new keys (X-Council-Position, entry_term, vote, positions) are ignored by earlier versions. postMessages takes the position; the check of the calls is unchanged.

--- a/internal/fleet/coordination/server/boundary_test.go
+++ b/internal/fleet/coordination/server/boundary_test.go
@@ -257,7 +257,7 @@
 	defer server.Close()
 	address := server.Listener.Addr().String()
 	s := startEventLoop(t)
-	if err := s.postMessages(t.Context(), address, []byte("messages")); err != nil {
+	if err := s.postMessages(t.Context(), address, logPosition{}, []byte("messages")); err != nil {
 		t.Error(err)
 	}
 	if m, err := s.fetchAcknowledged(t.Context(), address); err != nil || m != (logPosition{Term: 4, Index: 30}) {
--- a/internal/fleet/coordination/server/handler.go
+++ b/internal/fleet/coordination/server/handler.go
@@ -80,14 +80,20 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	position, found := decodePosition(r.Header)
 	status := http.StatusServiceUnavailable // until the member is started
 	s.execute(r.Context(), func() {
+		if found {
+			s.recordPosition(position.Member, position.logPosition)
+		}
 		if s.member == nil {
 			return
 		}
 		status = http.StatusNoContent
 		for _, message := range messages {
-			s.recordAcknowledgement(message)
+			if !found {
+				s.recordAcknowledgement(message)
+			}
 			if err := s.member.Step(message); err != nil {
 				s.log.Debug("message not processed", "member", message.GetFrom(), "error", err)
 			}
@@ -96,7 +102,7 @@
 	w.WriteHeader(status)
 }
 
-// serveAcknowledged returns the newest position that a member has acknowledged.
+// serveAcknowledged returns the newest position that a member has sent to this one.
 func (s *Server) serveAcknowledged(w http.ResponseWriter, r *http.Request) {
 	if !s.checkCluster(w, r, true) {
 		return
--- a/internal/fleet/coordination/server/server.go
+++ b/internal/fleet/coordination/server/server.go
@@ -65,9 +65,13 @@
 	startError   error                        // the member must not start
 	peers        map[uint64]*peer
 	acknowledged map[uint64]logPosition // the newest of each other member that this one was sent
-	reports      map[string]hostReport
-	ticks        uint64 // since the start
-	promotedAt   uint64 // tick of the last attempt to promote a learner
+	position     logPosition            // of what this member has stored
+	// positionsChangedAt is the tick of the first change of acknowledged that is not
+	// stored; 0 for none.
+	positionsChangedAt uint64
+	reports            map[string]hostReport
+	ticks              uint64 // since the start
+	promotedAt         uint64 // tick of the last attempt to promote a learner
 
 	stateChanged       chan struct{} // closed when an entry is applied
 	applied            uint64        // index that stateChanged was closed for
@@ -99,6 +103,10 @@
 	if err != nil {
 		return nil, err
 	}
+	positions, err := opened.readPositions()
+	if err != nil {
+		return nil, errors.Join(err, opened.db.Close())
+	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Join(err, opened.db.Close())
@@ -107,7 +115,7 @@
 		config: config, number: number, cluster: opened.cluster, log: log, listener: listener,
 		events: make(chan func()), stopped: make(chan struct{}),
 		storage: opened, stored: stored,
-		peers: map[uint64]*peer{}, acknowledged: map[uint64]logPosition{}, reports: map[string]hostReport{},
+		peers: map[uint64]*peer{}, acknowledged: positions, position: storedPosition(stored), reports: map[string]hostReport{},
 		stateChanged: make(chan struct{}), configurationWatch: configurationWatch{changed: make(chan struct{})},
 	}, nil
 }
@@ -177,9 +185,9 @@
 			event()
 			s.runPendingEvents()
 		case <-ticker.C:
-			s.tick()
+			s.tick(tasksCtx)
 		}
-		if err := errors.Join(s.startError, s.processReady(tasksCtx)); err != nil {
+		if err := errors.Join(s.startError, s.processReady(tasksCtx), s.savePositions()); err != nil {
 			return fmt.Errorf("member %d failed: %w", s.number, err)
 		}
 	}
@@ -212,12 +220,14 @@
 	return false
 }
 
-func (s *Server) tick() {
+// tick advances the member's clock. ctx is of the goroutines that it starts.
+func (s *Server) tick(ctx context.Context) {
 	s.ticks++
 	if s.member == nil {
 		return
 	}
 	s.member.Tick()
+	s.announcePosition(ctx)
 	if learners := s.member.Learners(); s.member.IsLeader() && len(learners) > 0 && s.ticks > s.promotedAt+promotionInterval {
 		s.promotedAt = s.ticks
 		s.member.ChangeMembership(raftpb.ConfChangeAddNode, learners[0], "", nil) // rejected until it has caught up
@@ -236,7 +246,7 @@
 			break
 		}
 		faultinjection.At("council-stores")
-		if err := s.storage.save(ready); err != nil {
+		if err := s.save(ready); err != nil {
 			return err
 		}
 		faultinjection.At("council-stored")
--- a/internal/fleet/coordination/server/server_test.go
+++ b/internal/fleet/coordination/server/server_test.go
@@ -441,6 +441,64 @@
 	w.expectExit(2, ErrStaleDisk.Error())
 }
 
+// awaitPosition waits until a member's record of another one is after a position.
+func (w *testCluster) awaitPosition(at, member int, before logPosition) {
+	w.t.Helper()
+	for deadline := time.Now().Add(testTimeout); !w.acknowledged(at, member).after(before); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			w.t.Fatalf("member %d was sent %+v by member %d, wanted more than %+v", at, w.acknowledged(at, member), member, before)
+		}
+	}
+}
+
+// copyOfFile returns a member's file at one moment, and its position.
+func (w *testCluster) copyOfFile(member int) ([]byte, logPosition) {
+	w.t.Helper()
+	w.signal(member, syscall.SIGSTOP) // the copy is of one moment
+	defer w.signal(member, syscall.SIGCONT)
+	older := readFile(w.t, storagePath(w.config.memberDirectory(uint64(member))))
+	directory := w.config.memberDirectory(uint64(member)) + "-copy"
+	if err := os.MkdirAll(directory, 0o700); err != nil {
+		w.t.Fatal(err)
+	}
+	writeFile(w.t, storagePath(directory), older)
+	file, stored, err := openStorage(directory, "test", uint64(member))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if err := file.db.Close(); err != nil {
+		w.t.Fatal(err)
+	}
+	return older, storedPosition(stored)
+}
+
+// Guards against an older file where the only other member that responds is one that
+// never led, while the leader is away: whom a member sent no acknowledgement knows its
+// position, too. And where that one was restarted meanwhile: it has stored it.
+func TestOlderFileWhileTheLeaderIsAway(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, t.TempDir(), 3)
+	for i := 1; i <= 3; i++ {
+		w.start(i, Bootstrap)
+	}
+	w.acquire("h1")
+	w.lead(1)
+	older, position := w.copyOfFile(2)
+	w.acquire("h2")
+	w.lead(1)
+	w.awaitPosition(3, 2, position)
+	// Once more: what member 3 knows is stored with its next write.
+	w.acquire("h3")
+	time.Sleep(2 * positionSaveTicks * w.config.Tick)
+	w.kill(1)
+	w.kill(2)
+	w.kill(3)
+	w.start(3, Resume)
+	writeFile(t, storagePath(w.config.memberDirectory(2)), older)
+	w.start(2, Resume)
+	w.expectExit(2, ErrStaleDisk.Error())
+}
+
 // Two clusters with one name reject each other's calls.
 func TestTwoClustersOfOneName(t *testing.T) {
 	t.Parallel()
--- a/internal/fleet/coordination/server/startup.go
+++ b/internal/fleet/coordination/server/startup.go
@@ -10,8 +10,6 @@
 	"net/http"
 	"time"
 
-	"go.etcd.io/raft/v3/raftpb"
-
 	"otterspring/internal/faultinjection"
 	"otterspring/internal/fleet/coordination"
 	"otterspring/internal/fleet/coordination/client"
@@ -28,30 +26,10 @@
 	advertiseRetryTicks = 10
 )
 
-// ErrStaleDisk is the error of a member whose file is older than what the member has
-// acknowledged to others: it was restored from a copy.
+// ErrStaleDisk is the error of a member whose file is before a position that the member
+// has sent to others: it was restored from a copy.
 var ErrStaleDisk = errors.New("the member's file is older than what it has acknowledged; replace the member")
 
-// logPosition is how far a member's log was known to be. It is sent as JSON.
-type logPosition struct {
-	Term  uint64 `json:"term"`
-	Index uint64 `json:"index"`
-}
-
-// after reports whether the position has a newer term or a greater index than another.
-func (p logPosition) after(other logPosition) bool {
-	return p.Term > other.Term || p.Index > other.Index
-}
-
-// storedPosition returns the position of what a member has stored.
-func storedPosition(stored coordination.PersistentState) logPosition {
-	position := logPosition{Term: stored.HardState.GetTerm(), Index: stored.Snapshot.GetMetadata().GetIndex()}
-	if n := len(stored.Entries); n > 0 {
-		position.Index = stored.Entries[n-1].GetIndex()
-	}
-	return position
-}
-
 // findCluster asks the other members of a file for the cluster's identity.
 func findCluster(ctx context.Context, config *Config, number uint64) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, findClusterTimeout)
@@ -70,8 +48,8 @@
 }
 
 // startMember starts the member when a majority, itself included, has confirmed that
-// its file is not older than what it has acknowledged: a member with an older file
-// could vote or acknowledge entries a second time. It asks all members until they
+// its file is not before a position that it has sent to them: a member with an older
+// file could vote or acknowledge entries a second time. It asks all members until they
 // respond.
 func (s *Server) startMember(ctx context.Context) {
 	position := storedPosition(s.stored)
@@ -89,8 +67,9 @@
 			answered[number] = true
 			if acknowledged.after(position) {
 				s.execute(ctx, func() {
-					s.startError = fmt.Errorf("%s: found term %d and entry %d, wanted %d and %d at least, which member %d has acknowledgements of: %w",
-						s.storage.path, position.Term, position.Index, acknowledged.Term, acknowledged.Index, number, ErrStaleDisk)
+					s.startError = fmt.Errorf("%s: found term %d, vote %d and entry %d of term %d, wanted %d, %d and %d of %d at least, which member %d was sent: %w",
+						s.storage.path, position.Term, position.Vote, position.Index, position.EntryTerm,
+						acknowledged.Term, acknowledged.Vote, acknowledged.Index, acknowledged.EntryTerm, number, ErrStaleDisk)
 				})
 				return
 			}
@@ -121,8 +100,7 @@
 	return members
 }
 
-// fetchAcknowledged asks a member for the newest position that this one has
-// acknowledged to it.
+// fetchAcknowledged asks a member for the newest position that this one has sent to it.
 func (s *Server) fetchAcknowledged(ctx context.Context, address string) (position logPosition, err error) {
 	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
 	defer cancel()
@@ -146,22 +124,6 @@
 	return position, json.NewDecoder(io.LimitReader(r.Body, maxAcknowledgedBytes)).Decode(&position)
 }
 
-// recordAcknowledgement records what a message of another member acknowledges.
-func (s *Server) recordAcknowledgement(message *raftpb.Message) {
-	position := s.acknowledged[message.GetFrom()]
-	switch message.GetType() {
-	case raftpb.MsgAppResp:
-		if !message.GetReject() {
-			position.Index = max(position.Index, message.GetIndex())
-		}
-		position.Term = max(position.Term, message.GetTerm())
-	case raftpb.MsgVoteResp:
-		position.Term = max(position.Term, message.GetTerm())
-	default: // acknowledges nothing
-	}
-	s.acknowledged[message.GetFrom()] = position
-}
-
 // advertiseVersion proposes the version of commands that this member can apply, until
 // the state has it. A member that was downgraded advertises its older one.
 func (s *Server) advertiseVersion(ctx context.Context) {
--- a/internal/fleet/coordination/server/storage.go
+++ b/internal/fleet/coordination/server/storage.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
@@ -29,6 +30,7 @@
 	keyFormat    = []byte("form")
 	keyHardState = []byte("hard")
 	keySnapshot  = []byte("snapshot")
+	keyPositions = []byte("positions") // of the other members, as JSON; versions before have none
 )
 
 const (
@@ -51,9 +53,10 @@
 type storage struct {
 	db        *bolt.DB
 	path      string
-	cluster   string            // identity of the cluster that the member is of
-	hardState *raftpb.HardState // not written yet; nil if it is
-	syncs     int               // synced writes since the start
+	cluster   string                 // identity of the cluster that the member is of
+	hardState *raftpb.HardState      // not written yet; nil if it is
+	positions map[uint64]logPosition // of the other members, not written yet; nil if they are
+	syncs     int                    // synced writes since the start
 }
 
 func storagePath(directory string) string { return filepath.Join(directory, "council.db") }
@@ -105,6 +108,23 @@
 	return &storage{db: db, path: path}, nil
 }
 
+// readPositions reads the positions of the other members; the map is empty in the file
+// of an earlier version.
+func (s *storage) readPositions() (map[uint64]logPosition, error) {
+	positions := map[uint64]logPosition{}
+	err := s.db.View(func(tx *bolt.Tx) error {
+		value := tx.Bucket(bucketMeta).Get(keyPositions)
+		if value == nil {
+			return nil
+		}
+		return json.Unmarshal(value, &positions)
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%s: positions of the other members: %w", s.path, err)
+	}
+	return positions, nil
+}
+
 // openStorage opens and reads a member's file. It returns errNoState for a directory
 // without one, and an error for the file of another member, of a cluster with another
 // name, or of a newer program.
@@ -199,8 +219,8 @@
 }
 
 // save stores what the member has ready, durably. After an error the member has to
-// end, since it is not known what was written. A commit index alone needs no write of
-// its own: it goes with the next.
+// end, since it is not known what was written. A commit index and the positions of other
+// members alone need no write of their own: they go with the next.
 func (s *storage) save(ready coordination.Ready) error {
 	if ready.HardState != nil {
 		s.hardState = ready.HardState
@@ -215,6 +235,11 @@
 				return err
 			}
 		}
+		if s.positions != nil {
+			if err := putPositions(meta, s.positions); err != nil {
+				return err
+			}
+		}
 		if ready.ReplacesLog {
 			if err := deleteEntries(log, 0, math.MaxUint64); err != nil {
 				return err
@@ -232,11 +257,19 @@
 		return deleteEntries(log, 0, ready.CompactTo)
 	})
 	if err == nil {
-		s.hardState = nil
+		s.hardState, s.positions = nil, nil
 	}
 	return err
 }
 
+func putPositions(meta *bolt.Bucket, positions map[uint64]logPosition) error {
+	value, err := json.Marshal(positions)
+	if err != nil {
+		return err
+	}
+	return meta.Put(keyPositions, value)
+}
+
 // replaceEntries stores entries instead of all of the first one's and of higher indexes.
 func replaceEntries(log *bolt.Bucket, entries []*raftpb.Entry) error {
 	if len(entries) == 0 {
--- a/internal/fleet/coordination/server/transport.go
+++ b/internal/fleet/coordination/server/transport.go
@@ -38,17 +38,30 @@
 type peer struct {
 	number uint64
 	queue  chan *raftpb.Message
+	// announcedPosition is the newest of this member that the other one has received. It
+	// belongs to the goroutine of Run.
+	announcedPosition logPosition
 }
 
-// send queues a message. A message to a full queue is dropped: raft sends again what
-// is still needed. On the goroutine of Run.
-func (s *Server) send(ctx context.Context, message *raftpb.Message) {
-	p := s.peers[message.GetTo()]
+// announcement stands in a queue for a batch that has nothing but the sender's position.
+var announcement = &raftpb.Message{}
+
+// peer returns the connection to a member. The first call starts its goroutine, which
+// ends with ctx. On the goroutine of Run.
+func (s *Server) peer(ctx context.Context, number uint64) *peer {
+	p := s.peers[number]
 	if p == nil {
-		p = &peer{number: message.GetTo(), queue: make(chan *raftpb.Message, maxQueuedMessages)}
-		s.peers[p.number] = p
+		p = &peer{number: number, queue: make(chan *raftpb.Message, maxQueuedMessages)}
+		s.peers[number] = p
 		s.tasks.Go(func() { s.runPeer(ctx, p) })
 	}
+	return p
+}
+
+// send queues a message. A message to a full queue is dropped: raft sends again what
+// is still needed. On the goroutine of Run.
+func (s *Server) send(ctx context.Context, message *raftpb.Message) {
+	p := s.peer(ctx, message.GetTo())
 	select {
 	case p.queue <- message:
 	default:
@@ -64,20 +77,21 @@
 			return
 		}
 		var address string
-		if !s.execute(ctx, func() { address = s.address(to.number) }) {
+		var position logPosition // not before what the messages tell: that was stored first
+		if !s.execute(ctx, func() { address, position = s.address(to.number), s.position }) {
 			return
 		}
-		err := s.postMessages(ctx, address, body)
-		if err != nil || hasSnapshot {
-			s.execute(ctx, func() {
-				if err != nil {
-					s.member.ReportUnreachable(to.number)
-				}
-				if hasSnapshot {
-					s.member.ReportSnapshot(to.number, err == nil)
-				}
-			})
-		}
+		err := s.postMessages(ctx, address, position, body)
+		s.execute(ctx, func() {
+			if err != nil {
+				s.member.ReportUnreachable(to.number)
+			} else {
+				to.announcedPosition = position
+			}
+			if hasSnapshot {
+				s.member.ReportSnapshot(to.number, err == nil)
+			}
+		})
 		if err != nil {
 			s.log.Debug("messages to member not sent", "member", to.number, "error", err)
 			sleep(ctx, s.config.Tick)
@@ -115,8 +129,11 @@
 }
 
 // appendMessage appends a message to a batch: its length as a uvarint, then protobuf. A
-// message that can't be encoded is dropped.
+// message that can't be encoded is dropped; an announcement has none.
 func appendMessage(batch []byte, message *raftpb.Message) []byte {
+	if message == announcement {
+		return batch
+	}
 	text, err := proto.Marshal(message)
 	if err != nil {
 		return batch
@@ -145,8 +162,8 @@
 	return messages, nil
 }
 
-// postMessages sends a batch to an address.
-func (s *Server) postMessages(ctx context.Context, address string, batch []byte) error {
+// postMessages sends a batch to an address, with this member's position.
+func (s *Server) postMessages(ctx context.Context, address string, position logPosition, batch []byte) error {
 	if address == "" {
 		return errNoAddress
 	}
@@ -157,6 +174,9 @@
 		return err
 	}
 	req.Header.Set(client.ClusterHeader, s.cluster)
+	if err := s.setPosition(req.Header, position); err != nil {
+		return err
+	}
 	if err := faultinjection.BeforeSend(ctx, address); err != nil {
 		return err
 	}
--- a/internal/fleet/coordination/simulation_test.go
+++ b/internal/fleet/coordination/simulation_test.go
@@ -25,18 +25,22 @@
 // is partitioned; members that crash and lose what is not stored, or are suspended; and
 // clocks that drift.
 type sim struct {
-	t          testing.TB
-	seed       uint64
-	rng        *rand.Rand
-	step       int
-	members    []*simMember
-	holders    []*simHolder
-	fences     []*Fence
-	inFlight   []delayedMessage
-	cut        map[[2]uint64]bool      // by sender and receiver
-	issuedTo   map[FencingToken]string // the holder by token
-	newest     []FencingToken          // token of the newest effect that each receiver has accepted
-	leaseTicks uint64
+	t        testing.TB
+	seed     uint64
+	rng      *rand.Rand
+	step     int
+	members  []*simMember
+	holders  []*simHolder
+	fences   []*Fence
+	inFlight []delayedMessage
+	// announcements are positions on their way, drawn by positionRNG.
+	announcements []delayedMessage
+	positionRNG   *rand.Rand
+	cut           map[[2]uint64]bool      // by sender and receiver
+	issuedTo      map[FencingToken]string // the holder by token
+	newest        []FencingToken          // token of the newest effect that each receiver has accepted
+	leaseTicks    uint64
+	faultless     bool // no crash, suspension or partition begins
 
 	effects, rejectedEffects, acquisitions, renewals int
 
@@ -50,9 +54,13 @@
 	}
 }
 
+// delayedMessage is a message on its way, with the position that its sender had stored;
+// msg is nil for an announcement.
 type delayedMessage struct {
-	at  int
-	msg *raftpb.Message
+	at       int
+	from, to uint64
+	msg      *raftpb.Message
+	position LogPosition
 }
 
 type simMember struct {
@@ -64,6 +72,11 @@
 	clock        float64
 	pendingReady *Ready // to be stored at a later step
 	snapshots    int
+
+	announced       map[uint64]LogPosition // of its own, by the member that it was last sent to
+	positions       map[uint64]LogPosition // of the others
+	storedPositions map[uint64]LogPosition // the same, as stored
+	positionsSaved  int                    // step
 }
 
 // simHolder acquires and renews the lease, and starts effects while its leadership is
@@ -86,7 +99,7 @@
 
 func newSim(tb testing.TB, seed uint64, members int) *sim {
 	tb.Helper()
-	s := &sim{t: tb, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), cut: map[[2]uint64]bool{}, issuedTo: map[FencingToken]string{}, leaseTicks: 30}
+	s := &sim{t: tb, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), positionRNG: rand.New(rand.NewPCG(seed, 8)), cut: map[[2]uint64]bool{}, issuedTo: map[FencingToken]string{}, leaseTicks: 30}
 	crand.Reader = (*chachaReader)(rand.NewChaCha8([32]byte{byte(seed), byte(seed >> 8), byte(seed >> 16)}))
 	all := map[uint64]string{}
 	for i := range members {
@@ -97,7 +110,10 @@
 		if err != nil {
 			tb.Fatal(err)
 		}
-		s.members = append(s.members, &simMember{id: uint64(i + 1), stored: d, drift: 0.98 + 0.04*s.rng.Float64()})
+		s.members = append(s.members, &simMember{
+			id: uint64(i + 1), stored: d, drift: 0.98 + 0.04*s.rng.Float64(),
+			announced: map[uint64]LogPosition{}, positions: map[uint64]LogPosition{}, storedPositions: map[uint64]LogPosition{},
+		})
 	}
 	for i := range 3 {
 		s.holders = append(s.holders, &simHolder{name: fmt.Sprintf("h%d", i+1)})
@@ -143,11 +159,14 @@
 func (s *sim) run(steps int) {
 	for range steps {
 		s.step++
-		s.injectFault()
+		if !s.faultless {
+			s.injectFault()
+		}
 		for _, m := range s.members {
 			s.runMember(m)
 		}
 		s.deliver()
+		s.deliverAnnouncements()
 		for _, o := range s.holders {
 			if s.step >= o.resumesAt {
 				s.runHolder(o)
@@ -159,8 +178,7 @@
 func (s *sim) injectFault() {
 	switch r := s.rng.Float64(); {
 	case r < 0.004: // a crash: what is not stored is lost
-		m := s.members[s.rng.IntN(len(s.members))]
-		m.m, m.pendingReady, m.resumesAt = nil, nil, s.step+s.rng.IntN(60)
+		s.members[s.rng.IntN(len(s.members))].crash(s.step + s.rng.IntN(60))
 	case r < 0.008: // a member is suspended
 		s.members[s.rng.IntN(len(s.members))].resumesAt = s.step + s.rng.IntN(100)
 	case r < 0.014:
@@ -191,15 +209,9 @@
 		m.m.Incarnation = uint64(s.step)
 	}
 	if m.pendingReady != nil { // it was being stored
-		m.store(*m.pendingReady)
-		for _, msg := range m.pendingReady.Messages {
-			s.post(msg)
-		}
-		m.pendingReady = nil
-		if err := m.m.Advance(); err != nil {
-			s.fail("member %d: %v", m.id, err)
-		}
+		s.confirmReady(m)
 	}
+	s.announcePosition(m)
 	for m.clock += m.drift; m.clock >= 1; m.clock-- {
 		m.m.Tick()
 	}
@@ -223,13 +235,16 @@
 }
 
 func (s *sim) post(msg *raftpb.Message) {
-	if s.cut[[2]uint64{msg.GetFrom(), msg.GetTo()}] || s.rng.Float64() < 0.02 {
+	from, to := msg.GetFrom(), msg.GetTo()
+	if s.cut[[2]uint64{from, to}] || s.rng.Float64() < 0.02 {
 		return
 	}
-	msg = proto.Clone(msg).(*raftpb.Message)
-	s.inFlight = append(s.inFlight, delayedMessage{s.step + s.rng.IntN(3), msg})
+	d := delayedMessage{0, from, to, proto.Clone(msg).(*raftpb.Message), StoredPosition(s.members[from-1].stored)}
+	d.at = s.step + s.rng.IntN(3)
+	s.inFlight = append(s.inFlight, d)
 	if s.rng.Float64() < 0.02 {
-		s.inFlight = append(s.inFlight, delayedMessage{s.step + s.rng.IntN(30), msg})
+		d.at = s.step + s.rng.IntN(30)
+		s.inFlight = append(s.inFlight, d)
 	}
 }
 
@@ -242,13 +257,15 @@
 			rest = append(rest, l)
 			continue
 		}
-		m := s.members[l.msg.GetTo()-1]
+		m := s.members[l.to-1]
 		if m.m == nil || s.step < m.resumesAt {
 			if m.m != nil && s.rng.IntN(2) == 0 {
-				rest = append(rest, delayedMessage{m.resumesAt, l.msg}) // in the socket of a member that is suspended
+				l.at = m.resumesAt // in the socket of a member that is suspended
+				rest = append(rest, l)
 			}
 			continue
 		}
+		m.positions[l.from] = m.positions[l.from].Merge(l.position)
 		if err := m.m.Step(proto.Clone(l.msg).(*raftpb.Message)); err != nil {
 			s.trace("member %d rejects %v: %v", m.id, l.msg.GetType(), err)
 		}
