--- a/internal/sidecar/dispatch/request.go
+++ b/internal/sidecar/dispatch/request.go
@@ -21,6 +21,7 @@
 	attempts []*Attempt // by number
 	inFlight int        // how many of them have not ended
 	answered bool       // also when the client has disconnected
+	timing   timing     // complete once Done is closed
 }
 
 // NativeRequest is a request as its proxy received it. An Upstream with the same
@@ -59,6 +60,7 @@
 	d.requests[request.ID] = request
 	now := d.now()
 	attributes.Deadline += now
+	request.timing = timing{submittedAt: now, deadline: attributes.Deadline}
 	d.perform(d.balancer.Request(now, attributes, d.actions[:0]))
 	return true
 }
@@ -98,6 +100,7 @@
 		return
 	}
 	request.answered, request.Result = true, result
+	request.timing.decidedAt = d.now()
 	close(request.Done)
 	interruptRead(request.Conn)
 	d.abandonUnwritten(request)
