Rig: clients tell how each request's last try ended, and rig speed shows it

Need: TestSpeedOfRates failed once with "79 requests failed, of which 77 were shed", and which end the other two had could not be known.

Change: Sample.Ending is the end in terms of its connection: shed, other status, closed or reset before any byte, truncated, no answer by the deadline, no connection, and never asked. The last is new: an arrival whose goroutine ran only after its deadline was asked nothing and counted as failed with the end `served`, the zero value; its End is EndNone now. rig speed has the counts in each round's line, and the test's message has the line. The test's checks are as they were.

--- a/cmd/rig/main_test.go
+++ b/cmd/rig/main_test.go
@@ -111,7 +111,7 @@
 	for _, round := range rounds {
 		side, failed, shed := round[1], round[2], round[3]
 		if failed != shed || side == bareWord && failed != "0" {
-			t.Errorf("%s: %s requests failed, of which %s were shed; wanted no other failures, and none without a sidecar", side, failed, shed)
+			t.Errorf("%s: %s requests failed, of which %s were shed; wanted no other failures, and none without a sidecar: %s", side, failed, shed, round[0])
 		}
 		if side == "sidecar" && !strings.Contains(out.String(), " failed="+failed+"\n") {
 			t.Errorf("the last line does not end with failed=%s:\n%s", failed, out.String())
--- a/cmd/rig/speed.go
+++ b/cmd/rig/speed.go
@@ -130,6 +130,7 @@
 	peak     int64 // bytes
 	failed   int
 	shed     int // of those that failed: rejected with the promise that nothing was executed
+	endings  clients.Endings
 }
 
 const upstreams = 4
@@ -305,6 +306,9 @@
 	for i, rate := range rates {
 		line += fmt.Sprintf("at %.0f/s: CPU a request %4.0f us, p50 %5.2f ms, p99 %6.2f ms  ", rate, us(m.cpu[i]), ms(m.p50[i]), ms(m.p99[i]))
 	}
+	if m.failed > 0 {
+		line += fmt.Sprintf("(%v)  ", m.endings)
+	}
 	return line + fmt.Sprintf("peak %5.1f MB  failed %d, of them shed %d\n", float64(m.peak)/(1<<20), m.failed, m.shed)
 }
 
@@ -485,6 +489,7 @@
 			took.RecordValue(max(1, x.Took.Microseconds()))
 		} else {
 			m.failed++
+			m.endings[x.Ending]++
 			if x.End == clients.EndRefused {
 				m.shed++
 			}
--- a/internal/lab/standin/clients/clients.go
+++ b/internal/lab/standin/clients/clients.go
@@ -54,6 +54,7 @@
 	OK     bool // served
 	Tries  int
 	End    End // how its last try ended
+	Ending Ending
 }
 
 // End is how an arrival ended.
@@ -190,11 +191,13 @@
 const (
 	served result = iota
 	refused
-	failed   // an answer that promises nothing
-	broken   // no answer, the connection ended
-	timedOut // no answer in time
-	notTaken // no connection: it was never asked
-	noneLeft // no connection allowed
+	failed           // an answer that promises nothing
+	closedUnanswered // no answer, the connection ended
+	resetUnanswered  // no answer, the connection was reset
+	truncated        // the connection ended within the answer
+	timedOut         // no answer in time
+	notTaken         // no connection: it was never asked
+	noneLeft         // no connection allowed
 )
 
 // ask asks for one arrival until it is served or its time or tries are over.
@@ -205,7 +208,7 @@
 		c.late.Add(1)
 	}
 	op := fmt.Sprintf("%s-%d-%d", c.cfg.Instance, c.own, c.ids.Add(1))
-	s := Sample{At: due, Class: a.Class, Tenant: a.Tenant}
+	s := Sample{At: due, Class: a.Class, Tenant: a.Tenant, End: EndNone, Ending: Unasked}
 	retries, share := class.Patience(c.cfg.Retries, c.cfg.TryShare)
 	for try := 0; ; try++ {
 		s.Tries++
@@ -220,10 +223,11 @@
 		}
 		got, advice := c.try(a, class, op, try, wait)
 		s.OK = got == served
-		s.End = EndOf(s.OK, got == refused, got == failed || got == broken)
+		s.Ending = got.ending()
+		s.End = EndOf(s.OK, got == refused, got == failed || got.broken())
 		again := got == refused || got == notTaken ||
 			(got == failed || got == timedOut) && class.Effect == invariant.Idempotent ||
-			got == broken && class.Effect != invariant.NonIdempotent
+			got.broken() && class.Effect != invariant.NonIdempotent
 		if !again || try >= retries {
 			break
 		}
@@ -288,14 +292,14 @@
 		}
 		c.log.RequestSent(id, c.cfg.Instance, class.Effect, c.log.Now(), left)
 		got, advice, begun := c.exchange(cc, a, class, id, op, n, until)
-		if got != broken {
+		if !got.broken() {
 			return got, advice
 		}
 		if !kept && !begun {
 			c.unread.Add(1)
 		}
 		if !c.log.ConnectionBroke(id, kept && !begun, c.log.Now()) {
-			return broken, 0
+			return got, 0
 		}
 		if cc, got = c.dial(); cc == nil {
 			c.log.Abandoned(id, c.log.Now()+min(0, time.Until(until)))
@@ -316,7 +320,7 @@
 			c.log.Abandoned(id, min(end, c.log.Now()))
 			return timedOut, 0, false
 		}
-		return broken, 0, false
+		return brokenBefore(err), 0, false
 	}
 	if _, err := cc.br.Peek(1); err != nil {
 		c.close(cc)
@@ -324,7 +328,7 @@
 			c.log.Abandoned(id, min(end, c.log.Now()))
 			return timedOut, 0, false
 		}
-		return broken, 0, false
+		return brokenBefore(err), 0, false
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
@@ -334,7 +338,7 @@
 			c.log.Abandoned(id, min(end, c.log.Now()))
 			return timedOut, 0, true
 		}
-		return broken, 0, true
+		return truncated, 0, true
 	}
 	at := min(end, c.log.Now()) // it was read before the connection's deadline
 	switch resp.StatusCode() {
