Rig: a device over CoAP ends at its deadline, whenever its goroutine says so

Cause: that text is for a client that gave up, and a device gives up when its deadline has passed, whatever the sidecar does. tryCoAP reported the moment in which its goroutine ran again, 307 ms later, as the end; clients over HTTP report the deadline.

Change: a device that gives up reports its deadline, and one that was answered the time at which its reader had the last datagram, so that an answer that comes late is late as before.

--- a/internal/lab/standin/clients/coap.go
+++ b/internal/lab/standin/clients/coap.go
@@ -80,13 +80,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	device := c.devices[(uint64(a.At)+c.cfg.Seed)%uint64(len(c.devices))]
-	c.log.RequestSent(id, c.cfg.Instance, class.Effect, c.log.Now(), wait)
+	sent := c.log.Now()
+	c.log.RequestSent(id, c.cfg.Instance, class.Effect, sent, wait)
 	r, err := device.Do(ctx, m, body)
-	at := c.log.Now()
-	switch {
-	case err != nil:
-		c.log.Abandoned(id, at)
+	if err != nil {
+		// When this client stops waiting, whenever its goroutine comes to say so.
+		c.log.Abandoned(id, min(sent+wait, c.log.Now()))
 		return timedOut, 0
+	}
+	at := c.log.Now() - time.Since(r.ReceivedAt)
+	switch {
 	case r.Code.Class() == 2:
 		c.log.Answered(id, invariant.Served, callserver.Made(id, string(r.Payload)), at)
 		return served, 0
--- a/internal/lab/standin/coapclient/coapclient.go
+++ b/internal/lab/standin/coapclient/coapclient.go
@@ -40,11 +40,24 @@
 	x       *exchange.Client
 	timer   *time.Timer
 	last    uint64
-	waiting map[uint64]chan exchange.Action
+	waiting map[uint64]chan received
 	echo    []byte
 	wg      sync.WaitGroup
 }
 
+// received is the end of a request and when the client's reader had it.
+type received struct {
+	exchange.Action
+	at time.Time
+}
+
+// Response is the answer to a request and when its last datagram was read, whenever
+// the goroutine that waited for it ran.
+type Response struct {
+	message.Message
+	ReceivedAt time.Time
+}
+
 // Dial opens a client's socket.
 func Dial(cfg Config) (*Client, error) {
 	server, err := netip.ParseAddrPort(cfg.Server)
@@ -73,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Client{cfg: cfg, conn: conn, server: server, start: time.Now(), x: x, waiting: map[uint64]chan exchange.Action{}}
+	c := &Client{cfg: cfg, conn: conn, server: server, start: time.Now(), x: x, waiting: map[uint64]chan received{}}
 	c.timer = time.AfterFunc(time.Hour, c.tick)
 	c.wg.Add(1)
 	go c.read()
@@ -139,7 +152,7 @@
 		case exchange.Response, exchange.Failed:
 			if w := c.waiting[a.Handle]; w != nil {
 				delete(c.waiting, a.Handle)
-				w <- a
+				w <- received{a, time.Now()}
 			}
 		}
 	}
@@ -151,7 +164,13 @@
 // Exchange asks once and waits for the answer. Unanswered it is given up when ctx
 // ends.
 func (c *Client) Exchange(ctx context.Context, m message.Message) (message.Message, error) {
-	got := make(chan exchange.Action, 1)
+	r, err := c.exchange(ctx, m)
+	return r.Message, err
+}
+
+func (c *Client) exchange(ctx context.Context, m message.Message) (Response, error) {
+	unanswered := Response{Message: m}
+	got := make(chan received, 1)
 	c.mu.Lock()
 	c.last++
 	handle := c.last
@@ -167,32 +186,32 @@
 	}
 	c.mu.Unlock()
 	if !ok {
-		return m, errors.New("coap client: too many requests are open")
+		return unanswered, errors.New("coap client: too many requests are open")
 	}
 	select {
 	case a, ok := <-got:
 		if !ok || a.Kind == exchange.Failed {
-			return m, ErrLost
+			return unanswered, ErrLost
 		}
 		if v, there := a.Message.Get(message.Echo); there {
 			c.mu.Lock()
 			c.echo = v
 			c.mu.Unlock()
 		}
-		return a.Message, nil
+		return Response{a.Message, a.at}, nil
 	case <-ctx.Done():
 		c.mu.Lock()
 		delete(c.waiting, handle)
 		acts, _ := c.x.Cancel(c.now(), handle, nil)
 		c.carry(acts)
 		c.mu.Unlock()
-		return m, ErrLost
+		return unanswered, ErrLost
 	}
 }
 
 // Do asks with a body of any size, and takes an answer of any size. On a demand
 // for an Echo it asks once more with it, unless it knows nothing of that.
-func (c *Client) Do(ctx context.Context, m message.Message, body []byte) (message.Message, error) {
+func (c *Client) Do(ctx context.Context, m message.Message, body []byte) (Response, error) {
 	r, err := c.upload(ctx, m, body)
 	if err == nil && r.Code == message.Unauthorized && !c.cfg.NoEcho {
 		if _, there := r.Get(message.Echo); there {
@@ -205,10 +224,10 @@
 	return c.download(ctx, m, r)
 }
 
-func (c *Client) upload(ctx context.Context, m message.Message, body []byte) (message.Message, error) {
+func (c *Client) upload(ctx context.Context, m message.Message, body []byte) (Response, error) {
 	if len(body) <= c.cfg.Block {
 		m.Payload = body
-		return c.Exchange(ctx, m)
+		return c.exchange(ctx, m)
 	}
 	up := block.NewUpload(body, c.cfg.Block)
 	for {
@@ -217,33 +236,33 @@
 		q.Options = append([]message.Option(nil), m.Options...)
 		q.AddBlock(message.Block1, b)
 		q.Payload = part
-		r, err := c.Exchange(ctx, q)
+		r, err := c.exchange(ctx, q)
 		if err != nil {
 			return r, err
 		}
-		if more, err := up.HandleResponse(&r); err != nil || !more {
+		if more, err := up.HandleResponse(&r.Message); err != nil || !more {
 			return r, err
 		}
 	}
 }
 
-func (c *Client) download(ctx context.Context, m, r message.Message) (message.Message, error) {
+func (c *Client) download(ctx context.Context, m message.Message, r Response) (Response, error) {
 	down := block.NewDownload(64 << 10)
 	first := r
 	for {
-		next, more, err := down.HandleResponse(&r)
+		next, more, err := down.HandleResponse(&r.Message)
 		if err != nil {
 			return r, err
 		}
 		if !more {
-			first.Payload = down.Body()
+			first.Payload, first.ReceivedAt = down.Body(), r.ReceivedAt
 			return first, nil
 		}
 		q := m
 		q.Payload = nil
 		q.Options = append([]message.Option(nil), m.Options...)
 		q.AddBlock(message.Block2, next)
-		if r, err = c.Exchange(ctx, q); err != nil {
+		if r, err = c.exchange(ctx, q); err != nil {
 			return r, err
 		}
 		if r.Code.Class() != 2 {
