Discovery: watches are short after a start, a failure or a change

Cause (docs/measure/standing.md, lines of log at each answer): the first watch of each falls silent, and a watch of an asked list waited 20 s, given up at 20.8 s. Since a list of version 0 is watched instead of being asked for again and again, which had hidden it. Ruled out there: lingering connections.

Change: backoff.WatchWait (pure): 4 s after a start, a failure or a change, doubled with each answer without a change, 20 s at most, which the constant was. The options and what each costs discovery: docs/design/orders.md. Pushed lists and the local proxy wait as before, and so does a watch that falls silent after a long quiet time.

TestUnresponsiveFirstWatchIsShort failed with the constant of before: "the first watch waits 20000 ms, wanted 4000", and the drain was not noticed within 12 s.

--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -297,6 +297,8 @@
 		Old: "if !changed && time.Since", New: "if !changed && len(list.Endpoints) == 0 && time.Since"},
 	{Name: "pushed-watch-long", File: "internal/sidecar/discovery/watcher.go", Breaks: "a silent watch of pushed lists is given up long after what it misses counts as told",
 		Old: "pushedWatchTimeout = 2 * time.Second", New: "pushedWatchTimeout = 20 * time.Second"},
+	{Name: "first-watch-long", File: "internal/sidecar/backoff/watch.go", Breaks: "a first watch that falls silent hides for 20 s what changed",
+		Old: "ShortestWatch = 4 * time.Second", New: "ShortestWatch = 20 * time.Second"},
 	{Name: "silent-watch-waits", File: "internal/sidecar/discovery/watcher.go", Breaks: "after a watch that fell silent the next call waits until the module asks",
 		Old: "unresponsive := attempts == 0 &&", New: "unresponsive := attempts < 0 &&"},
 	{Name: "crossing-dropped", File: "internal/sidecar/discovery/connection.go", Breaks: "what discovery tells in the moment of a move is lost",
--- /dev/null
+++ b/internal/sidecar/backoff/watch_test.go
@@ -0,0 +1,30 @@
+package backoff
+
+import (
+	"testing"
+	"time"
+)
+
+// A watch is short after a start, a failure and a change, and grows longer while nothing
+// changes: many sidecars call an idle discovery no more often than with long watches.
+func TestWatchWait(t *testing.T) {
+	var w WatchWait
+	want := func(seconds ...int) {
+		t.Helper()
+		for _, s := range seconds {
+			if got := w.Next(); got != time.Duration(s)*time.Second {
+				t.Errorf("found %v, wanted %d s", got, s)
+			}
+			w.Answered(false)
+		}
+	}
+	want(4, 8, 16, 20, 20, 20)
+	w.Answered(true)
+	want(4, 8)
+	w.Failed()
+	want(4, 8, 16, 20)
+	for range 1000 {
+		w.Answered(false)
+	}
+	want(20)
+}
--- a/internal/sidecar/discovery/watcher.go
+++ b/internal/sidecar/discovery/watcher.go
@@ -22,13 +22,11 @@
 )
 
 const (
-	// watchTimeout is how long a watch waits. Each call costs the one discovery service
-	// as much as some dozens of list lines, and it serves a few hundred calls a second
-	// for all sidecars, so watches are long. They are not longer, since a connection
-	// that is lost without a reset is only noticed at the end of a watch.
-	watchTimeout = 20 * time.Second
-	// pushedWatchTimeout is the same where lists are pushed: the agent is on this machine
-	// and a call costs nothing. What an unresponsive watch misses counts as reported
+	// watchTimeout is the longest wait of a watch where lists are not pushed: each call
+	// costs the one discovery service as much as some dozens of list lines.
+	watchTimeout = backoff.LongestWatch
+	// pushedWatchTimeout is how long a watch waits where lists are pushed: the agent is on
+	// this machine and a call costs nothing. What an unresponsive watch misses counts as reported
 	// after 6 s, and this, answerTimeout and pushedRetryInterval have to fit into them.
 	pushedWatchTimeout = 2 * time.Second
 	// answerTimeout is how much longer than its wait a watch may take. What an
@@ -54,9 +52,10 @@
 // those below mu, and one that checks the proxy while that fails. SetAddress and
 // RequestList may be called by any goroutine.
 type Watcher struct {
-	pushed       bool     // lists come without being requested
-	schemes      []string // that addresses of servers may have
-	watchTimeout time.Duration
+	pushed       bool          // lists come without being requested
+	schemes      []string      // that addresses of servers may have
+	watchTimeout time.Duration // of every watch; 0 where watchWait decides
+	watchWait    backoff.WatchWait
 	// crossingTimeout is the constant, but for tests on slow machines.
 	crossingTimeout time.Duration
 
@@ -88,7 +87,7 @@
 	}
 	w := &Watcher{
 		address: address, pushed: pushed, version: version, schemes: schemes, requested: make(chan struct{}, 1),
-		watchTimeout: watchTimeout, crossingTimeout: crossingTimeout,
+		crossingTimeout: crossingTimeout,
 	}
 	if pushed {
 		w.watchTimeout = pushedWatchTimeout
@@ -96,6 +95,14 @@
 	return w
 }
 
+// nextWatch returns how long the next watch waits.
+func (w *Watcher) nextWatch() time.Duration {
+	if w.watchTimeout > 0 {
+		return w.watchTimeout
+	}
+	return w.watchWait.Next()
+}
+
 // SetAddress changes discovery's address. The list stays in use; the next call is for a
 // snapshot, since another service may count its versions differently. It does not
 // block, and a later change replaces one that is not yet in effect.
@@ -237,8 +244,9 @@
 func (w *Watcher) watchUntilError(ctx context.Context, address string, generation int) (answered bool, err error) {
 	for {
 		started := time.Now()
-		list, _, err := w.fetch(ctx, address, w.watchTimeout, answerTimeout)
+		list, _, err := w.fetch(ctx, address, w.nextWatch(), answerTimeout)
 		if err != nil {
+			w.watchWait.Failed()
 			return answered, err
 		}
 		kind := balance.ListDelta
@@ -251,6 +259,7 @@
 		}
 		answered = true
 		changed := list.Version != w.version
+		w.watchWait.Answered(changed)
 		w.version = list.Version
 		// An answer that overlaps a move is of the old address and counts as reported: a
 		// drain in it stays in force, whatever the new address knows of it.
--- a/internal/sidecar/discovery/watcher_test.go
+++ b/internal/sidecar/discovery/watcher_test.go
@@ -240,3 +240,25 @@
 	}, func(watcher *Watcher) { watcher.watchTimeout = 100 * time.Millisecond })
 	eventually(t, "the drain", func() bool { return state(dispatcher) == balance.Draining })
 }
+
+// Guards against a first watch that becomes unresponsive and hides, for 20 s, that servers
+// have left: it is short, and what it misses is received by the next within 6 s.
+func TestUnresponsiveFirstWatchIsShort(t *testing.T) {
+	t.Parallel()
+	var watches atomic.Int64
+	started := time.Now()
+	_, dispatcher := watchWith(t, false, func(c net.Conn, r *http.Request) {
+		if !r.URL.Query().Has("since") {
+			answer(c, listOf(0, true, "active"))
+			return
+		}
+		if wait := r.URL.Query().Get("timeout_ms"); watches.Add(1) == 1 && wait != "4000" {
+			t.Errorf("the first watch waits %s ms, wanted 4000", wait)
+		}
+		if watches.Load() > 1 {
+			answer(c, listOf(6, false, "leaving"))
+		}
+	})
+	eventually(t, "the drain", func() bool { return state(dispatcher) == balance.Draining })
+	t.Logf("noticed after %v", time.Since(started).Round(100*time.Millisecond))
+}
