HTTP server: incomplete requests have less time while all places are taken

Cause: clients that stop within a request are no idle connections, which are closed for a newcomer; they keep their places for 2.7 s. Once they have all places, those for rejections too, Accept waits, and new connections wait in the kernel with their complete requests.

Ruled out: the rig's machine (requests on kept connections of the same instance are answered in the same seconds) and descriptors (the limit is the server's own).

Change: while all places are taken, a request that is not complete within 400 ms (and what its body's bytes add) is ended as after 2.7 s: an error or a close.

--- a/internal/sidecar/httpserver/connection.go
+++ b/internal/sidecar/httpserver/connection.go
@@ -24,8 +24,10 @@
 	// extends that by the bytes received, so that a slow connection is served and one that
 	// transfers next to nothing is not.
 	requestTimeout = 2700 * time.Millisecond
-	minBodyRate    = 16 << 10 // bytes that extend the timeout by a second
-	writeTimeout   = 5 * time.Second
+	// crowdedRequestTimeout is the same while all places are taken.
+	crowdedRequestTimeout = 400 * time.Millisecond
+	minBodyRate           = 16 << 10 // bytes that extend the timeout by a second
+	writeTimeout          = 5 * time.Second
 	// A response may be in transit to the client for deliveryTime. A connection that is
 	// closed meanwhile lingers until the client ends its side, for so long and over so
 	// many bytes at most.
@@ -208,8 +210,8 @@
 	return unread
 }
 
-// timedOut reports whether the client has used up its time.
-func (c *clientConn) timedOut(now int64) bool {
+// timedOut reports whether the client has used up its time, which is limit for a request.
+func (c *clientConn) timedOut(now int64, limit time.Duration) bool {
 	switch c.phase.Load() {
 	case phaseIdle:
 		if c.hadRequest.Load() {
@@ -218,7 +220,7 @@
 		return now-c.readingSince.Load() > firstRequestTimeout.Milliseconds()
 	case phaseReading:
 		extension := c.bodyReceived.Load() * 1000 / minBodyRate
-		return now-c.readingSince.Load() > requestTimeout.Milliseconds()+extension
+		return now-c.readingSince.Load() > limit.Milliseconds()+extension
 	}
 	return false
 }
--- a/internal/sidecar/httpserver/connection_test.go
+++ b/internal/sidecar/httpserver/connection_test.go
@@ -1,7 +1,9 @@
 package httpserver
 
 import (
+	"errors"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -72,3 +74,56 @@
 		}
 	})
 }
+
+// Guards against clients that stop within a request and take all places: complete requests
+// of others wait in the kernel until long after their deadline. With a place free such a
+// client has its whole time.
+func TestIncompleteRequestsMakeRoom(t *testing.T) {
+	t.Parallel()
+	server := testServer(t)
+	var connections []*clientConn
+	for len(connections) < server.settings.MaxServed {
+		client, err := net.Dial("tcp", server.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		accepted, err := server.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer accepted.Close()
+		connection := accepted.(*clientConn)
+		connection.setPhase(phaseReading)
+		connection.readingSince.Store(server.now() - crowdedRequestTimeout.Milliseconds() - 1)
+		connections = append(connections, connection)
+
+		server.sweep(server.now())
+		if full := len(connections) == server.settings.MaxServed; full != interrupted(t, connection) {
+			t.Errorf("%d of %d places taken: found interrupted %t, wanted %t", len(connections), server.settings.MaxServed, !full, full)
+		}
+	}
+	// Those that had begun long ago have no more time than the others.
+	if !interrupted(t, connections[0]) {
+		t.Error("with all places taken the first connection may go on")
+	}
+}
+
+// interrupted reports whether a connection's reads were interrupted.
+func interrupted(t *testing.T, c *clientConn) bool {
+	t.Helper()
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.Conn.Read(make([]byte, 1))
+		result <- err
+	}()
+	select {
+	case err := <-result:
+		return errors.Is(err, os.ErrDeadlineExceeded)
+	case <-time.After(100 * time.Millisecond):
+		c.interruptRead() // it waits: ended here
+		<-result
+		c.clearReadDeadline()
+		return false
+	}
+}
--- a/internal/sidecar/httpserver/handler.go
+++ b/internal/sidecar/httpserver/handler.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"os"
+	"runtime"
 	"strconv"
 	"time"
 
@@ -79,6 +80,7 @@
 	}
 	ctx.Response.Header.Set("X-Pid", ownPID)
 	ctx.Response.Header.Set("X-Reloads", s.settings.ReloadCounts())
+	ctx.Response.Header.Set("X-Goroutines", strconv.Itoa(runtime.NumGoroutine()))
 	if s.settings.ListVersion != nil {
 		ctx.Response.Header.Set("X-List", s.settings.ListVersion())
 	}
--- a/internal/sidecar/httpserver/server.go
+++ b/internal/sidecar/httpserver/server.go
@@ -328,16 +328,26 @@
 			return
 		case <-ticker.C:
 		}
-		now := s.now()
-		s.mu.Lock()
-		for c := range s.connections {
-			if c.timedOut(now) && !c.closeIfIdle() && c.phase.Load() == phaseReading {
-				c.interruptRead()
-			}
-			if since := c.writingSince.Load(); since > 0 && now-since > writeTimeout.Milliseconds() {
-				c.interruptWrite()
-			}
+		s.sweep(s.now())
+	}
+}
+
+// sweep ends the connections whose time is used up. While all places are taken an
+// incomplete request has less time: connections that wait in the kernel for a place may
+// have a complete one.
+func (s *Server) sweep(now int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := requestTimeout
+	if len(s.connections) >= s.settings.MaxServed {
+		limit = crowdedRequestTimeout
+	}
+	for c := range s.connections {
+		if c.timedOut(now, limit) && !c.closeIfIdle() && c.phase.Load() == phaseReading {
+			c.interruptRead()
+		}
+		if since := c.writingSince.Load(); since > 0 && now-since > writeTimeout.Milliseconds() {
+			c.interruptWrite()
 		}
-		s.mu.Unlock()
 	}
 }
