Rig: a standstill right before a run's end is noticed

What was seen: TestStoppedRigIsVoid failed once beside four busy loops on: the run was void for slow clients ("of 26 arrivals 21 began late"), and did not say that the rig stood still.

Cause: the rig of the test stops for 6 s of a run of 5 s. When it goes on, all arrivals are due at once, the run ends within milliseconds, and the meter's threads, which wait for a tick or the end, could see the end first and left without a look at the clock. On a loaded machine they run later and see it more often.

Change: the meter's threads look at the clock at the end, too. The bound and the test's checks are as they were.

--- a/internal/lab/rig/meter.go
+++ b/internal/lab/rig/meter.go
@@ -40,9 +40,10 @@
 			for {
 				before := log.Now()
 				tick.Reset(meterEvery)
+				ended := false
 				select {
 				case <-end:
-					return
+					ended = true // the rig may have stood still just before
 				case <-tick.C:
 				}
 				if now := log.Now(); now-before > meterEvery+meterLate {
@@ -51,6 +52,9 @@
 					longest = max(longest, now-before-meterEvery)
 					mu.Unlock()
 				}
+				if ended {
+					return
+				}
 			}
 		}()
 	}
