HTTP upstream: a connection is used again after a response in chunks

Cause: fasthttp's ReadBody ends with the last chunk's line and leaves the empty line behind it; takeIdle finds two bytes that belong to no response and discards the connection. Evidence: the recorded form of such a response, "left 2".

Change: the empty line is removed if it is there. It is not waited for, so that a response that ends without it is complete as before, and trailers still cost the connection.

--- a/internal/sidecar/httpupstream/response.go
+++ b/internal/sidecar/httpupstream/response.go
@@ -17,6 +17,8 @@
 	maxInterimResponses = 8        // 1xx responses before the final one
 	// noContentLength is what fasthttp returns for a body that ends with the connection.
 	noContentLength = -2
+	// chunkedLength is what it returns for a body in chunks.
+	chunkedLength = -1
 	// notRunHeader is 1 in a rejection that proves that the request was not executed.
 	notRunHeader = "X-Not-Run"
 )
@@ -91,9 +93,25 @@
 	if err := response.ReadBody(reader, maxBodySize); err != nil {
 		return classify(err)
 	}
+	if response.Header.ContentLength() == chunkedLength {
+		discardLastLine(reader)
+	}
 	return nil
 }
 
+// discardLastLine removes the empty line behind the last chunk, which belongs to the
+// response, so that the connection can be used again. It does not wait for it: the
+// response is complete without it, and trailers are left for the pool to find.
+func discardLastLine(reader *bufio.Reader) {
+	const line = "\r\n"
+	if reader.Buffered() < len(line) {
+		return
+	}
+	if next, err := reader.Peek(len(line)); err == nil && string(next) == line {
+		_, _ = reader.Discard(len(line)) // can't fail: so much is buffered
+	}
+}
+
 // classify distinguishes a malformed response from one that was truncated by the end of
 // its connection, for which the connection's error is returned.
 func classify(err error) error {
