Handover: an offer's goroutine ends though nobody receives its Successor

Cause: the Successor was sent on an unbuffered channel.

Change: one Successor waits in the channel; a second that finds it there fails, and its process is told by the end of the connection, as for any handover that fails. TestSuccessorThatNobodyReceives failed before: "the second handover waits for a receiver".

--- a/internal/sidecar/handover/handover_test.go
+++ b/internal/sidecar/handover/handover_test.go
@@ -380,6 +380,38 @@
 	}
 }
 
+// Guards against handovers whose Successor nobody receives, as in a process that ends:
+// none leaves a goroutine, and the second is told that it failed.
+func TestSuccessorThatNobodyReceives(t *testing.T) {
+	t.Parallel()
+	s := newSource(t)
+	o, path := offer(t, s, testTimeout)
+	takeOver := func() *Predecessor {
+		predecessor, err := Request(path, s.ln.Addr().String(), testTimeout)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := errors.Join(predecessor.AnnounceReady(), predecessor.AnnounceAccepting()); err != nil {
+			t.Fatal(err)
+		}
+		return predecessor
+	}
+	first := takeOver()
+	defer first.Close()
+	if err := o.Open(); err != nil { // as after a successor that has gone
+		t.Fatal(err)
+	}
+	second := takeOver()
+	defer second.Close()
+	for deadline := time.Now().Add(testTimeout); o.isBusy(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the second handover waits for a receiver")
+		}
+	}
+	successor := <-o.Successors()
+	successor.Close()
+}
+
 // isBusy reports whether a handover is in progress.
 func (o *Offer) isBusy() bool {
 	o.mu.Lock()
--- a/internal/sidecar/handover/offer.go
+++ b/internal/sidecar/handover/offer.go
@@ -21,6 +21,10 @@
 // ErrNotSocket is returned where the path of an offer is taken by another kind of file.
 var ErrNotSocket = errors.New("found a file that is no socket, wanted a free path")
 
+// errNotReceived is the end of a handover in a process that receives no Successor any
+// more.
+var errNotReceived = errors.New("the successor before this one was not received")
+
 // Source is the state of an offering process. Its methods are called by goroutines of
 // the Offer.
 type Source interface {
@@ -36,7 +40,7 @@
 
 // Offer offers a listener at a path, to one process at a time. It has a goroutine that
 // accepts, until Close or the next Open, and one for the handover in progress, which
-// ends with that or once the Successor has been received.
+// ends with that. One Successor waits to be received.
 type Offer struct {
 	path        string
 	source      Source
@@ -53,7 +57,7 @@
 // long a new process may take until it is ready, and until it accepts connections.
 // Where the path is no socket its error is ErrNotSocket.
 func NewOffer(path string, source Source, stepTimeout time.Duration) (*Offer, error) {
-	o := &Offer{path: path, source: source, stepTimeout: stepTimeout, successors: make(chan *Successor)}
+	o := &Offer{path: path, source: source, stepTimeout: stepTimeout, successors: make(chan *Successor, 1)}
 	return o, o.Open()
 }
 
@@ -195,9 +199,13 @@
 		slog.Debug("handover connection has ended", "error", err)
 	}
 	successor := &Successor{conn: conn, disconnected: make(chan struct{})}
-	go successor.receive(reader, o.source.ApplyEndpointList)
-	o.successors <- successor
-	return nil
+	select {
+	case o.successors <- successor:
+		go successor.receive(reader, o.source.ApplyEndpointList)
+		return nil
+	default: // the one before was not received: this process ends
+		return errNotReceived
+	}
 }
 
 // sendState sends the descriptors and the endpoint list.
