--- a/internal/fleet/endpointlist/cache.go
+++ b/internal/fleet/endpointlist/cache.go
@@ -19,14 +19,14 @@
 	// ErrSourceMismatch is returned where an update is of another discovery, whose versions
 	// can't be compared with those of the cache.
 	ErrSourceMismatch = errors.New("endpoint list of another source")
-	// ErrTooManyEntries is returned where an update names more than MaxEntries servers.
+	// ErrTooManyEntries is returned where an update names more than MaxEntries servers, or
+	// would leave more than that in the cache.
 	ErrTooManyEntries = errors.New("endpoint list is too long")
 )
 
 // Cache is one process's copy of the endpoint list. It remembers the version of each
 // entry's latest change, and so can answer with a delta. It has at most MaxEntries
-// servers of its latest snapshot, those that deltas added since, and MaxDeparted that
-// have left.
+// servers that have not left, and MaxDeparted that have.
 type Cache struct {
 	Source  string
 	Version int64 // 0 while it is empty
@@ -57,6 +57,9 @@
 	case update.From > c.Version || update.From > 0 && c.Version == 0:
 		return false, ErrGap
 	}
+	if live := c.liveAfter(update); live > MaxEntries {
+		return false, fmt.Errorf("%w: found %d servers with the cached ones, wanted at most %d", ErrTooManyEntries, live, MaxEntries)
+	}
 	for _, entry := range update.Entries {
 		c.put(entry, update.Version)
 	}
@@ -72,6 +75,25 @@
 	return true, nil
 }
 
+// liveAfter returns how many servers that have not left an update would lead to.
+func (c *Cache) liveAfter(update Update) int {
+	live := 0
+	if update.From > 0 {
+		live = len(c.entries) - c.departed
+	}
+	for _, entry := range update.Entries {
+		old := c.entries[entry.Name]
+		wasLive := update.From > 0 && old != nil && old.Status != statusLeft
+		switch isLive := entry.Status != statusLeft; {
+		case isLive && !wasLive:
+			live++
+		case !isLive && wasLive:
+			live--
+		}
+	}
+	return live
+}
+
 // markOthersLeft marks the servers that a snapshot does not name as left.
 func (c *Cache) markOthersLeft(snapshot []Entry, version int64) {
 	named := make(map[string]bool, len(snapshot))
--- a/internal/fleet/endpointlist/cache_test.go
+++ b/internal/fleet/endpointlist/cache_test.go
@@ -209,3 +209,33 @@
 		t.Errorf("changes since 200 of %d: from %d, %d servers", c.Version, u.From, len(u.Entries))
 	}
 }
+
+// entryOf is a server as a list names it.
+func entryOf(name, status string) Entry {
+	return Entry{Name: name, Status: status, JSON: text(name, status+" 0")}
+}
+
+// Guards against deltas that each are within the bound and together fill the memory of a
+// supervisor. What has left makes room, and an update beyond the bound changes nothing.
+func TestDeltasStayWithinTheBound(t *testing.T) {
+	cache := NewCache("d")
+	apply := func(from, version int64, entries []Entry) error {
+		_, err := cache.Apply(Update{Source: "d", From: from, Version: version, Entries: entries})
+		return err
+	}
+	half := func(prefix, status string) (entries []Entry) {
+		for i := range MaxEntries / 2 {
+			entries = append(entries, entryOf(fmt.Sprint(prefix, i), status))
+		}
+		return entries
+	}
+	if err := errors.Join(apply(0, 1, half("a", statusActive)), apply(1, 2, half("b", statusActive))); err != nil {
+		t.Fatal(err)
+	}
+	if err := apply(2, 3, []Entry{entryOf("c", statusActive)}); !errors.Is(err, ErrTooManyEntries) || cache.Version != 2 {
+		t.Fatalf("one more server: found %v and version %d, wanted ErrTooManyEntries and version 2", err, cache.Version)
+	}
+	if err := apply(2, 3, []Entry{entryOf("a0", statusLeft), entryOf("c", statusActive), entryOf("b1", statusLeaving)}); err != nil {
+		t.Errorf("one server for another: %v", err)
+	}
+}
