Configuration: a subscriber stays with a busy relay where no other is usable

Cause, by the trace of the shrunk schedule: the subscriber starts while relay 0 is cut off from the cluster, relay 1 is stopped and relay 2 is healthy. Relay 0 answers with an old version (5 ms), relay 1 not at all (0.6 s), relay 2 "busy" nine times within 0.8 s: its two slots belong to subscribers that restarted and never acknowledged, and time out after 2 s. After eight such answers the relay counted as failed, all three had, and the subscriber settled at the stale relay 0; a probe then went to relay 1 first.

The model's condition holds there: a healthy relay could be reached all along. Ruled out: the restore's token space (the version at relay 2 is of the new one) and a backoff that outlives its cause (polls follow each other at once).

Change: a relay that is busy after all others have failed or are stale is polled up to 32 times instead of 8 before it is left, long enough for such slots to time out. With another relay not polled yet it is 8, as before.

TestSubscriberStaysWithABusyRelayWhereNoOtherIsUsable failed before.

--- a/internal/fleet/configuration/subscriber.go
+++ b/internal/fleet/configuration/subscriber.go
@@ -45,7 +45,10 @@
 	pollInterval     = 250 * time.Millisecond // mean time between polls, beyond a burst
 	pollBurst        = 8                      // polls that may follow each other immediately
 	maxBusyResponses = 8                      // consecutive CodeBusy responses before another relay is polled
-	maxRetryAfter    = 5 * time.Second        // that a busy relay may request
+	// maxBusyOfLast is the same at a relay after all others have failed or are stale: long
+	// enough for the slots of subscribers that went away to time out.
+	maxBusyOfLast = 4 * maxBusyResponses
+	maxRetryAfter = 5 * time.Second // that a busy relay may request
 )
 
 // NextPoll is the next poll of a subscriber.
@@ -135,7 +138,7 @@
 // applied. A stale relay's update is applied, too, but the subscriber then looks for
 // another relay.
 func (s *Subscriber) HandleResponse(now time.Duration, response *PollResponse) (Changes, error) {
-	if response.ErrorCode == CodeBusy && !s.probing && s.busyResponses < maxBusyResponses {
+	if response.ErrorCode == CodeBusy && !s.probing && s.busyResponses < s.busyLimit() {
 		s.scheduleRetry(now, response)
 		return Changes{}, nil
 	}
@@ -158,6 +161,15 @@
 	return changes, nil
 }
 
+// busyLimit returns how many consecutive CodeBusy responses of the current relay are
+// followed by a further poll of it.
+func (s *Subscriber) busyLimit() int {
+	if s.failedRelays == s.settings.Relays-1 {
+		return maxBusyOfLast
+	}
+	return maxBusyResponses
+}
+
 // updateAge applies a response's age if it is lower than the known one: the response of
 // a relay that is behind does not make the cache older.
 func (s *Subscriber) updateAge(now, age time.Duration) {
--- a/internal/fleet/configuration/subscriber_test.go
+++ b/internal/fleet/configuration/subscriber_test.go
@@ -444,3 +444,33 @@
 		t.Errorf("found returns within %v to %v, wanted a spread of 12 s from 7.5 s on", low, high)
 	}
 }
+
+// Guards against a healthy relay that is left for stale ones because it is busy: the
+// changes that the others lack would come only after a round of them.
+func TestSubscriberStaysWithABusyRelayWhereNoOtherIsUsable(t *testing.T) {
+	for _, test := range []struct {
+		failedBefore, busy, wantRelay int
+	}{
+		{2, maxBusyOfLast, 2},
+		{2, maxBusyOfLast + 1, 0}, // it is left at last, whatever it responds
+		{1, maxBusyResponses, 1},
+		{1, maxBusyResponses + 1, 2}, // another relay has not been polled
+	} {
+		s, now := newSubscriber(3, 5), time.Second
+		for range test.failedBefore {
+			s.NextPoll(now)
+			mustHandle(t, s, now, staleResponse(v(1, 1)))
+		}
+		for range test.busy {
+			next := s.NextPoll(now)
+			if next.Relay != test.failedBefore {
+				t.Fatalf("%+v: found %+v, wanted relay %d", test, next, test.failedBefore)
+			}
+			now = next.Due
+			mustHandle(t, s, now, errorResponse(CodeBusy))
+		}
+		if next := s.NextPoll(now); next.Relay != test.wantRelay {
+			t.Errorf("%+v: found %+v, wanted relay %d", test, next, test.wantRelay)
+		}
+	}
+}
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -93,6 +93,8 @@
 	{Name: "late-is-good", File: "balance/request.go", Breaks: "a request waits past its aim up to its deadline",
 		Old: "if r.class.LatePriorityWeight > 0 {", New: "if r.class.Deadline > 0 {"},
 
+	{Name: "incomplete-keep-places", File: "internal/sidecar/httpserver/server.go", Breaks: "clients that stop within a request keep all places while others wait",
+		Old: "limit = crowdedRequestTimeout", New: "limit = requestTimeout"},
 	{Name: "acks-unwaited", File: "internal/sidecar/coapserver/server.go", Breaks: "a drain ends though answers over CoAP wait for their acknowledgement",
 		Old: "unacknowledged = s.protocol.UnacknowledgedResponses()", New: "unacknowledged = 0"},
 
@@ -297,6 +299,8 @@
 		Old: "if !changed && time.Since", New: "if !changed && len(list.Endpoints) == 0 && time.Since"},
 	{Name: "pushed-watch-long", File: "internal/sidecar/discovery/watcher.go", Breaks: "a silent watch of pushed lists is given up long after what it misses counts as told",
 		Old: "pushedWatchTimeout = 2 * time.Second", New: "pushedWatchTimeout = 20 * time.Second"},
+	{Name: "busy-relay-left", File: "internal/fleet/configuration/subscriber.go", Breaks: "a subscriber leaves the only usable relay because it is busy",
+		Old: "if s.failedRelays == s.settings.Relays-1 {", New: "if s.failedRelays > s.settings.Relays {"},
 	{Name: "first-watch-long", File: "internal/sidecar/backoff/watch.go", Breaks: "a first watch that falls silent hides for 20 s what changed",
 		Old: "ShortestWatch = 4 * time.Second", New: "ShortestWatch = 20 * time.Second"},
 	{Name: "silent-watch-waits", File: "internal/sidecar/discovery/watcher.go", Breaks: "after a watch that fell silent the next call waits until the module asks",
