--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -42,6 +42,7 @@
 	{"check", "FILE...", "what is wrong with storms' files, a line a fault", setCheck},
 	{"coap", "", "clients and call servers over CoAP and HTTP beside each other, on links that lose datagrams", setCoAP},
 	{"nemesis", "FILE...", "many real processes with faults between them, drawn by seed; histories, judged; what breaks is made smaller", setNemesis},
+	{"soak", "", "drawn days of restarts, signals in series and crowds; what breaks is played again and made smaller", setSoak},
 	{"owner", "", "a council and many hosts, rolled while their processes fail: one owner at a time, none rolled twice or left out", setOwner},
 	{"council", "", "what a council of processes costs and carries: commits, fsyncs, hosts that hear", setCouncil},
 	{"scale", "", "a council, relays and thousands of subscribers of configuration, with faults by seed; or several sizes, with lines fitted", setScale},
--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -58,6 +58,14 @@
 	"reload":        {Does: "the sidecar reads its configuration anew", On: "instances", Sockets: true},
 	"reload-bad":    {Does: "the sidecar is told to read a configuration that is no good", On: "instances", Sockets: true},
 	"rude":          {Does: "count clients at each instance send what can't be used", On: "instances", Lasts: true, NeedCount: true, Sockets: true},
+	"term-kill":     {Does: "SIGTERM while clients send on every connection that stays open, SIGKILL at the platform's earliest, and a start", On: "instances", Sockets: true},
+	"hup-series":    {Does: "SIGHUP several times in quick succession, the process suspended between some", On: "instances", Sockets: true},
+	"hup-term":      {Does: "SIGHUP, SIGTERM within a second, and a start", On: "instances", Sockets: true},
+	"term-twice":    {Does: "SIGTERM twice, and a start", On: "instances", Sockets: true},
+	"term-in-start": {Does: "SIGTERM, a start, SIGTERM to the process that starts, and a start", On: "instances", Sockets: true},
+	"handover-term": {Does: "a handover begins, the old process gets SIGTERM", On: "instances", Sockets: true},
+	"handover-kill": {Does: "a handover begins, the new process gets SIGKILL", On: "instances", Sockets: true},
+	"crowd":         {Does: "count clients at each instance hold connections, a third within a request", On: "instances", Lasts: true, NeedCount: true, Sockets: true},
 	"stop":          {Does: "SIGSTOP, and SIGCONT when it is over: the old one that wakes up late", On: "processes", Lasts: true, Sockets: true, Hosts: true},
 	"sigkill":       {Does: "SIGKILL; a sidecar is started anew by its supervisor, a supervisor at once", On: "processes", Sockets: true, Hosts: true},
 	"host-down":     {Does: "all processes of a host are killed, and started again when it is over", On: "processes", Only: "h", Lasts: true, Sockets: true, Hosts: true},
@@ -255,8 +263,8 @@
 	if f.Move {
 		wants(true, f.Kind == "vanish" || f.Kind == "crash", "move", "")
 	}
-	if n := f.Count * s.World.Instances; f.Kind == "rude" && n > mostRude {
-		c.bad(key+".count", fmt.Sprintf("up to %d rude clients", n), fmt.Sprintf("%d at most over all instances", mostRude))
+	if n := f.Count * s.World.Instances; (f.Kind == "rude" || f.Kind == "crowd") && n > mostRude {
+		c.bad(key+".count", fmt.Sprintf("up to %d clients", n), fmt.Sprintf("%d at most over all instances", mostRude))
 	}
 	c.set(key+".servers", f.Servers, 's', s.AllServers())
 	c.set(key+".instances", f.Instances, 'n', s.World.Instances)
--- a/internal/lab/experiment/plan.go
+++ b/internal/lab/experiment/plan.go
@@ -40,6 +40,8 @@
 	Freeze   Op = "freeze"
 	Thaw     Op = "thaw"
 	Move     Op = "move"
+	Signals  Op = "signals" // a series of signals; the fault's kind says which
+	Crowd    Op = "crowd"
 	Begin    Op = "begin" // a fault between processes begins on Proc
 	End      Op = "end"   // and is over
 )
@@ -170,6 +172,14 @@
 		for _, in := range instances {
 			add(at, map[string]Op{"reload": Reload, "reload-bad": BadFile, "rude": Rude}[f.Kind], -1, in)
 		}
+	case "term-kill", "hup-series", "hup-term", "term-twice", "term-in-start", "handover-term", "handover-kill":
+		for _, in := range instances {
+			add(at, Signals, -1, in)
+		}
+	case "crowd":
+		for _, in := range instances {
+			add(at, Crowd, -1, in)
+		}
 	case "break":
 		for _, n := range servers {
 			add(at, Break, n, -1)
--- /dev/null
+++ b/internal/lab/experiment/soak.go
@@ -0,0 +1,173 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds of a drawn day.
+const (
+	soakShortest      = 15 * time.Second
+	soakLongest       = 30 * time.Second
+	soakShortForm     = 9 * time.Second
+	soakFirstFault    = 0.08 // of the day
+	soakLastFault     = 0.72 // nothing begins or lasts beyond it: the rest shows who serves again
+	soakCrowdEvery    = 4    // one day in so many has a crowd
+	soakCrowdSockets  = 160  // descriptors of a sidecar on such a day
+	soakShortFaults   = 4
+	soakMostFaults    = 8
+	soakFewestFaults  = 3
+	soakMostInstances = 12
+	soakMostServers   = 12
+)
+
+// soakFault draws the keys of a fault besides kind and time. It returns how long the
+// fault lasts, 0 for one that has no length.
+type soakFault struct {
+	kind string
+	keys func(d *soakDay) (keys string, lasts time.Duration)
+}
+
+// The faults that a day is drawn from: signals to sidecars, and what goes wrong around
+// them meanwhile.
+var (
+	soakSignals = []soakFault{
+		{"term-kill", oneInstance}, {"hup-series", oneInstance}, {"hup-term", oneInstance}, {"term-twice", oneInstance},
+		{"term-in-start", oneInstance}, {"handover-term", oneInstance}, {"handover-kill", oneInstance},
+		{"kill", oneInstance}, {"handover", oneInstance},
+	}
+	soakTroubles = []soakFault{
+		{"hang", someServers}, {"drain", someServers}, {"crash", someServers}, {"break", func(d *soakDay) (string, time.Duration) {
+			return d.servers(), 0
+		}},
+		{"reset-answer", chanceOnServers}, {"reset-after", chanceOnServers}, {"refuse", chanceOnServers}, {"spoilt", chanceOnServers},
+		{"list-silent", aWhile}, {"list-down", aWhile},
+		{"rude", func(d *soakDay) (string, time.Duration) {
+			return fmt.Sprintf("instances = %q\ncount = %d\n", d.instance(), 2+d.rng.IntN(10)), d.length()
+		}},
+	}
+	soakCrowd = soakFault{"crowd", func(d *soakDay) (string, time.Duration) {
+		return fmt.Sprintf("instances = %q\ncount = %d\n", d.instance(), min(mostRude/d.instances, soakCrowdSockets+d.rng.IntN(soakCrowdSockets))), d.length()
+	}}
+)
+
+func oneInstance(d *soakDay) (string, time.Duration) {
+	return fmt.Sprintf("instances = %q\n", d.instance()), 0
+}
+
+func someServers(d *soakDay) (string, time.Duration) { return d.servers(), d.length() }
+
+func chanceOnServers(d *soakDay) (string, time.Duration) {
+	return d.servers() + fmt.Sprintf("chance = %.2f\n", 0.02+0.08*d.rng.Float64()), d.length()
+}
+
+func aWhile(d *soakDay) (string, time.Duration) { return "", d.length() }
+
+// soakDay is a day that is being drawn.
+type soakDay struct {
+	rng                *rand.Rand
+	run                time.Duration
+	instances, serving int
+	text               strings.Builder
+}
+
+func (d *soakDay) instance() string { return fmt.Sprintf("n%d", 1+d.rng.IntN(d.instances)) }
+
+// servers draws up to a third of the servers.
+func (d *soakDay) servers() string {
+	return fmt.Sprintf("servers = \"%d\"\n", 1+d.rng.IntN(max(1, d.serving/3)))
+}
+
+// length draws how long a fault lasts, a twentieth to a fifth of the day.
+func (d *soakDay) length() time.Duration {
+	return time.Duration((0.05 + 0.15*d.rng.Float64()) * float64(d.run)).Round(time.Millisecond)
+}
+
+// between draws a number of a range, both ends included.
+func (d *soakDay) between(least, most int) int { return least + d.rng.IntN(most-least+1) }
+
+func (d *soakDay) write(format string, args ...any) { fmt.Fprintf(&d.text, format, args...) }
+
+// SoakDay draws a day of restarts, signals in series and crowds, as the text of a storm's
+// file: the same for the same seed. short draws the short form.
+func SoakDay(seed uint64, short bool) string {
+	d := &soakDay{rng: rand.New(rand.NewPCG(seed, 0x736f616b))}
+	d.run = soakShortest + time.Duration(d.rng.Int64N(int64(soakLongest-soakShortest))).Round(100*time.Millisecond)
+	faults := d.between(soakFewestFaults, soakMostFaults)
+	if short {
+		d.run, faults = soakShortForm, min(faults, soakShortFaults)
+	}
+	d.instances, d.serving = d.between(2, soakMostInstances), d.between(3, soakMostServers)
+	crowded := d.rng.IntN(soakCrowdEvery) == 0
+	d.write("name = \"soak-%d\"\nfor = %q\n", seed, d.run)
+	d.world(crowded)
+	d.load()
+	d.faults(faults, crowded)
+	return d.text.String()
+}
+
+// world draws processes, servers, lists and protocols.
+func (d *soakDay) world(crowded bool) {
+	d.write("[world]\ninstances = %d\nservers = %d\npod = %d\n", d.instances, d.serving, d.between(2, 5))
+	d.write("[world.server]\nidle = \"%dms\"\nwindow = \"%dms\"\n", d.between(2000, 5000), d.between(1500, 6000))
+	d.write("[world.discovery]\npushed = %t\nlate = \"%dms\"\n", d.rng.IntN(2) == 0, d.between(50, 1000))
+	if crowded {
+		d.write("[world.sidecar]\nsockets = %d\n", soakCrowdSockets)
+	}
+	switch d.rng.IntN(4) {
+	case 0: // both protocols on both sides
+		d.write("[world.coap]\nclients = 0.5\nservers = 0.5\necho = true\ndrop = 0.02\n")
+	case 1: // CoAP alone
+		d.write("[world.coap]\nclients = 1.0\nservers = 1.0\necho = true\n")
+	default: // HTTP
+	}
+}
+
+// load draws the classes' effects and deadlines, and how much is asked.
+func (d *soakDay) load() {
+	d.write("[load]\ntimes = %.2f\novertime = \"500ms\"\nkept = \"%dms\"\nimpatient = %.2f\n",
+		0.3+0.6*d.rng.Float64(), d.between(500, 4000), 0.1*float64(d.rng.IntN(3)))
+	effects := []string{"repeat", "keyed", "once"}
+	for i, class := range DelftClasses() {
+		deadline := d.between(300, 3000)
+		if i > 0 {
+			d.rng.Shuffle(len(effects), func(i, j int) { effects[i], effects[j] = effects[j], effects[i] })
+		}
+		d.write("[[load.class]]\nname = %q\neffect = %q\nshare = %g\naim = \"%dms\"\ndeadline = \"%dms\"\nwork = %q\nworth = %g\n",
+			class.Name, effects[0], class.Share, min(deadline, 400), deadline, class.Work, class.Worth)
+	}
+}
+
+// faults draws the faults, half of them or more signals, by time.
+func (d *soakDay) faults(n int, crowded bool) {
+	type drawn struct {
+		at   time.Duration
+		text string
+	}
+	var all []drawn
+	for i := range n {
+		from := soakTroubles
+		if i < (n+1)/2 {
+			from = soakSignals
+		}
+		fault := from[d.rng.IntN(len(from))]
+		if crowded && i == n-1 {
+			fault = soakCrowd
+		}
+		keys, lasts := fault.keys(d)
+		first, last := soakFirstFault*float64(d.run), soakLastFault*float64(d.run)-float64(lasts)
+		at := time.Duration(first + d.rng.Float64()*(last-first)).Round(time.Millisecond)
+		text := fmt.Sprintf("[[fault]]\nkind = %q\nat = %q\n%s", fault.kind, at, keys)
+		if lasts > 0 {
+			text += fmt.Sprintf("for = %q\n", lasts)
+		}
+		all = append(all, drawn{at, text})
+	}
+	slices.SortStableFunc(all, func(a, b drawn) int { return int(a.at - b.at) })
+	for _, f := range all {
+		d.write("%s", f.text)
+	}
+}
--- a/internal/lab/experiment/storm.go
+++ b/internal/lab/experiment/storm.go
@@ -131,6 +131,7 @@
 	Lines     float64       `toml:"lines" min:"0" max:"1000000"` // a second for all callers, 0 for no bound
 	CallLines float64       `toml:"call_lines" min:"0" max:"1000"`
 	Late      time.Duration `toml:"late" min:"0s" max:"1m"`
+	Pushed    bool          `toml:"pushed"` // sidecars are told that lists come without being asked for
 }
 
 // Network is what lies between sidecars and call servers. On sockets there is
@@ -177,6 +178,9 @@
 	Tenants   []Tenant      `toml:"tenant" max:"20"`
 	Surges    []Surge       `toml:"surge" max:"20"`
 	Kept      time.Duration `toml:"kept" min:"100ms" max:"1m"` // clients keep idle connections this long
+	// Overtime is how long clients over HTTP wait past a deadline. An answer that comes
+	// then earns nothing; a request with none by then has lost its final answer.
+	Overtime time.Duration `toml:"overtime" min:"0s" max:"5s"`
 }
 
 // Class is one kind of request.
--- a/internal/lab/experiment/verdict.go
+++ b/internal/lab/experiment/verdict.go
@@ -103,8 +103,33 @@
 	// by their names in Figures.
 	Fleet   map[string]float64
 	Skipped []string
-	Void    []string // why the run shows nothing
-	Between *Between // of a world with hosts; nil without
+	Void    []string      // why the run shows nothing
+	Between *Between      // of a world with hosts; nil without
+	Signals *SignalCounts // of a storm with series of signals or crowds; nil without
+}
+
+// SignalCounts are what series of signals and crowds did to the processes.
+type SignalCounts struct {
+	Restarts int // processes that were ended and started anew
+	Sent     int // signals
+	Crowds   int // instances that a crowd came to
+	Overruns int // processes that did not end on SIGTERM within the platform's time and were killed
+	Unready  int // starts that took longer than 10 s
+	Idle     int // instances that served nobody in the last quarter
+	Leaked   int // instances with more descriptors or goroutines than at the start
+	Problems []string
+}
+
+// signals takes over what series of signals and crowds showed.
+func (r *Result) signals(c *SignalCounts) {
+	if c == nil {
+		return
+	}
+	r.Rules["overruns"], r.Rules["idle"], r.Rules["leaked"] = c.Overruns, c.Idle, c.Leaked
+	if c.Unready*10 > c.Restarts { // nine in ten have to be ready in time
+		r.Rules["unready"] = c.Unready
+	}
+	r.Notes = append(slices.Clone(r.Notes), c.Problems...)
 }
 
 // Between is what was seen of the processes of a world with hosts.
@@ -257,6 +282,7 @@
 			}
 		}
 	}
+	res.signals(rec.Signals)
 	res.Figures["back_s"] = back(s, rec)
 	res.Figures["worst_third"] = 1
 	for i := range time.Duration(3) {
--- a/internal/lab/rig/instance.go
+++ b/internal/lab/rig/instance.go
@@ -51,9 +51,11 @@
 	cmd  *exec.Cmd
 	tail *tail
 	done chan struct{}
-	err  error        // after done
-	peak atomic.Int64 // largest resident size seen, in bytes
-	over atomic.Bool  // its end is asked for, or expected
+	// started is when the process was started.
+	started time.Time
+	err     error        // after done
+	peak    atomic.Int64 // largest resident size seen, in bytes
+	over    atomic.Bool  // its end is asked for, or expected
 }
 
 // tail keeps the last lines that a process wrote.
@@ -133,7 +135,7 @@
 func (in *Instance) Spawn(env []string, extra ...string) (*Process, error) {
 	o := &in.world.opt
 	args := append(append([]string{}, o.Program[1:]...), extra...)
-	p := &Process{cmd: exec.Command(o.Program[0], args...), tail: &tail{}, done: make(chan struct{})}
+	p := &Process{cmd: exec.Command(o.Program[0], args...), tail: &tail{}, done: make(chan struct{}), started: time.Now()}
 	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+in.config, "RELAY_NAME="+in.Name, "RELAY_LISTEN="+in.Addr, "RELAY_DISCOVERY="+in.door.Addr())
 	p.cmd.Env = append(append(p.cmd.Env, o.Env...), env...)
 	p.cmd.Stdout, p.cmd.Stderr = p.tail, p.tail
--- /dev/null
+++ b/internal/lab/rig/signals.go
@@ -0,0 +1,454 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"otterspring/internal/lab/experiment"
+	"otterspring/internal/lab/standin/clients"
+)
+
+// What the platform gives a sidecar at a planned restart.
+const (
+	// killMargin is how much later than the longest deadline after SIGTERM a process is
+	// killed, and longestDeadline bounds that deadline.
+	killMargin      = 700 * time.Millisecond
+	longestDeadline = 3 * time.Second
+	// newConnections is how long after SIGTERM new connections go on coming.
+	newConnections = 400 * time.Millisecond
+	// mostReady is how long a start may take.
+	mostReady = 10 * time.Second
+	// reloadAge is how old a process is at its first SIGHUP.
+	reloadAge = time.Second
+	// mostSuspended is the longest that the platform holds a process up.
+	mostSuspended = 150 * time.Millisecond
+	// pesterConnections are held by clients that send on all of them during a restart.
+	pesterConnections = 6
+	// pesterLead is how long before the signal they begin.
+	pesterLead = 300 * time.Millisecond
+	// leastAsked is how many requests an instance must get before it counts as one that
+	// serves nobody.
+	leastAsked = 15
+)
+
+// signals plays a series of signals on an instance.
+func (r *stormRun) signals(ctx context.Context, st experiment.Step, seed uint64) error {
+	r.turns[st.Instance].Lock()
+	defer r.turns[st.Instance].Unlock()
+	s := &signalSeries{run: r, in: r.w.Instances[st.Instance], rng: rand.New(rand.NewPCG(seed, 0x7369676e))}
+	switch kind := r.plan.Storm.Faults[st.Fault].Kind; kind {
+	case "term-kill":
+		return s.restart(ctx, func(p *Process) { s.send(p, syscall.SIGTERM) })
+	case "hup-series":
+		return s.reloads(ctx)
+	case "hup-term":
+		return s.restart(ctx, func(p *Process) {
+			s.reload(p)
+			s.pause(ctx, time.Second)
+			s.send(p, syscall.SIGTERM)
+		})
+	case "term-twice":
+		return s.restart(ctx, func(p *Process) {
+			s.send(p, syscall.SIGTERM)
+			s.suspend(ctx, p)
+			s.pause(ctx, 500*time.Millisecond)
+			s.send(p, syscall.SIGTERM)
+		})
+	case "term-in-start":
+		return s.termInStart(ctx)
+	case "handover-term":
+		return s.handover(ctx, func(old, _ *Process) { s.send(old, syscall.SIGTERM) })
+	case "handover-kill":
+		return s.handover(ctx, func(_, successor *Process) { s.kill(successor) })
+	default:
+		return fmt.Errorf("rig: no series of signals of kind %q", kind)
+	}
+}
+
+// signalSeries is one series of signals on one instance.
+type signalSeries struct {
+	run *stormRun
+	in  *Instance
+	rng *rand.Rand
+}
+
+// count changes the counts.
+func (r *stormRun) count(change func(*experiment.SignalCounts)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.counts == nil {
+		r.counts = &experiment.SignalCounts{}
+	}
+	change(r.counts)
+}
+
+// problem notes what a count stands for.
+func (r *stormRun) problem(count func(*experiment.SignalCounts) *int, format string, args ...any) {
+	r.count(func(c *experiment.SignalCounts) {
+		*count(c)++
+		c.Problems = append(c.Problems, fmt.Sprintf(format, args...))
+	})
+}
+
+// send sends a signal to a process, which may have ended.
+func (s *signalSeries) send(p *Process, signal syscall.Signal) {
+	if signal == syscall.SIGTERM {
+		p.over.Store(true)
+	}
+	_ = p.cmd.Process.Signal(signal) // fails only on a process that has ended
+	s.run.count(func(c *experiment.SignalCounts) { c.Sent++ })
+}
+
+// pause waits for up to a time, at least a millisecond.
+func (s *signalSeries) pause(ctx context.Context, most time.Duration) {
+	wait(ctx, time.Millisecond+time.Duration(s.rng.Int64N(int64(most))))
+}
+
+// suspend holds a process up for as long as the platform may.
+func (s *signalSeries) suspend(ctx context.Context, p *Process) {
+	s.send(p, syscall.SIGSTOP)
+	s.pause(ctx, mostSuspended)
+	s.send(p, syscall.SIGCONT)
+}
+
+// kill kills a process. Clients retry what it has in flight under a new ID, so that they
+// have to know of the kill before a connection breaks.
+func (s *signalSeries) kill(p *Process) {
+	from := s.in.world.Log.Now()
+	s.in.world.Log.ExcuseKill(s.in.Name, from)
+	p.Kill()
+	s.run.count(func(c *experiment.SignalCounts) { c.Sent++ })
+	<-p.done
+	s.in.world.Log.ExcuseKill(s.in.Name, from)
+}
+
+// newest returns the instance's newest process, which is old enough for SIGHUP.
+func (s *signalSeries) newest(ctx context.Context) (*Process, error) {
+	procs := s.in.running()
+	if len(procs) == 0 {
+		return nil, fmt.Errorf("instance %s: no process", s.in.Name)
+	}
+	p := procs[len(procs)-1]
+	wait(ctx, time.Until(p.started.Add(reloadAge)))
+	return p, ctx.Err()
+}
+
+// reload has a process read a new configuration, which names another address of
+// discovery half of the time.
+func (s *signalSeries) reload(p *Process) {
+	var err error
+	if s.rng.IntN(2) == 0 {
+		err = s.in.MoveDoor(0)
+	}
+	if err == nil {
+		err = s.in.writeConfig()
+	}
+	s.run.note(err)
+	s.send(p, syscall.SIGHUP)
+}
+
+// reloads sends SIGHUP several times.
+func (s *signalSeries) reloads(ctx context.Context) error {
+	p, err := s.newest(ctx)
+	if err != nil {
+		return err
+	}
+	for range 2 + s.rng.IntN(4) {
+		s.reload(p)
+		if s.rng.IntN(3) == 0 {
+			s.suspend(ctx, p)
+		}
+		s.pause(ctx, 30*time.Millisecond)
+	}
+	return nil
+}
+
+// restart ends a process by signals, which include SIGTERM, while clients send on every
+// connection that stays open; kills it at the platform's earliest; and starts another.
+func (s *signalSeries) restart(ctx context.Context, signals func(*Process)) error {
+	p, err := s.newest(ctx)
+	if err != nil {
+		return err
+	}
+	pesterCtx, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	if s.run.plan.Storm.World.CoAP.Clients < 1 {
+		pester := s.run.w.Clients(s.in, s.rng.Uint64())
+		wg.Go(func() { pester.Pester(pesterCtx, pesterConnections, pesterLead+newConnections) })
+		wait(ctx, pesterLead)
+	}
+	signals(p)
+	if err := s.awaitEnd(ctx, p); err != nil {
+		return err
+	}
+	return s.start(ctx)
+}
+
+// limit is how long after SIGTERM a process may run.
+func (r *stormRun) limit() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range r.w.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return min(longest, longestDeadline) + killMargin
+}
+
+// awaitEnd waits until a process that got SIGTERM has ended, and kills one that runs for
+// longer than the platform lets it. What it has not answered then is lost.
+func (s *signalSeries) awaitEnd(ctx context.Context, p *Process) error {
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(s.run.limit()):
+		s.run.problem(func(c *experiment.SignalCounts) *int { return &c.Overruns },
+			"%s: not ended %v after SIGTERM: %s", s.in.Name, s.run.limit(), lastLine(p.tail.String()))
+		p.cmd.Process.Kill()
+		<-p.done
+		return nil
+	}
+	if p.err != nil && !endedBySIGTERM(p) {
+		return fmt.Errorf("instance %s: ended on SIGTERM with %v: %s: %w", s.in.Name, p.err, strings.TrimSpace(p.tail.String()), ErrCrashed)
+	}
+	return nil
+}
+
+// endedBySIGTERM reports whether the signal itself ended a process, as it does before the
+// process handles signals.
+func endedBySIGTERM(p *Process) bool {
+	status, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM
+}
+
+func lastLine(text string) string {
+	lines := strings.Split(strings.TrimSpace(text), "\n")
+	return lines[len(lines)-1]
+}
+
+// start starts the next process of an instance that has none.
+func (s *signalSeries) start(ctx context.Context) error {
+	s.in.world.Log.Restarted(s.in.Name, s.in.world.Log.Now())
+	started := time.Now()
+	if err := s.in.Start(ctx); err != nil {
+		return err
+	}
+	s.run.count(func(c *experiment.SignalCounts) { c.Restarts++ })
+	if took := time.Since(started); took > mostReady {
+		s.run.problem(func(c *experiment.SignalCounts) *int { return &c.Unready }, "%s: ready after %v", s.in.Name, took)
+	}
+	return nil
+}
+
+// termInStart ends a process while it starts.
+func (s *signalSeries) termInStart(ctx context.Context) error {
+	p, err := s.newest(ctx)
+	if err != nil {
+		return err
+	}
+	s.send(p, syscall.SIGTERM)
+	if err := s.awaitEnd(ctx, p); err != nil {
+		return err
+	}
+	s.in.world.Log.Restarted(s.in.Name, s.in.world.Log.Now())
+	if err := s.in.writeConfig(); err != nil {
+		return err
+	}
+	next, err := s.in.spawn()
+	if err != nil {
+		return err
+	}
+	s.pause(ctx, 300*time.Millisecond)
+	s.send(next, syscall.SIGTERM)
+	if err := s.awaitEnd(ctx, next); err != nil {
+		return err
+	}
+	return s.start(ctx)
+}
+
+// handover begins a handover and disturbs it by a signal to either process. Whatever is
+// left afterwards has to serve; an instance without a process is started anew.
+func (s *signalSeries) handover(ctx context.Context, disturb func(old, successor *Process)) error {
+	old, err := s.newest(ctx)
+	if err != nil {
+		return err
+	}
+	if err := s.in.writeConfig(); err != nil {
+		return err
+	}
+	old.over.Store(true)
+	successor, err := s.in.spawn()
+	if err != nil {
+		return err
+	}
+	successor.over.Store(true) // its predecessor may end before the listener is handed over
+	s.pause(ctx, 300*time.Millisecond)
+	disturb(old, successor)
+	return s.settle(ctx, old, successor)
+}
+
+// settle waits until one process is left after a disturbed handover, and is up.
+func (s *signalSeries) settle(ctx context.Context, old, successor *Process) error {
+	deadline := time.After(2*s.run.limit() + mostReady)
+	for {
+		procs := s.in.running()
+		switch {
+		case len(procs) == 0:
+			return s.start(ctx)
+		case len(procs) == 1 && s.in.up(ctx):
+			procs[0].over.Store(false)
+			s.run.count(func(c *experiment.SignalCounts) { c.Restarts++ })
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-deadline:
+			return fmt.Errorf("instance %s: %d processes are left after a disturbed handover, none of them up alone: %s; %s: %w",
+				s.in.Name, len(procs), lastLine(old.tail.String()), lastLine(successor.tail.String()), ErrCrashed)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// crowd lets a crowd at an instance for as long as its fault lasts.
+func (r *stormRun) crowd(ctx context.Context, st experiment.Step) {
+	s := r.plan.Storm
+	f := &s.Faults[st.Fault]
+	ctx, cancel := context.WithTimeout(ctx, min(f.For.On(s.For), s.For-st.At))
+	defer cancel()
+	r.count(func(c *experiment.SignalCounts) { c.Crowds++ })
+	crowd := clients.Crowd{Addr: r.w.Instances[st.Instance].Addr, Count: f.Count}
+	crowd.Run(ctx)
+}
+
+// footprint is what a resting process holds.
+type footprint struct{ descriptors, goroutines int }
+
+// Bounds on what a process may hold more than when it had just started: what it keeps for
+// its upstreams, whose number differs, and for the rig's own look.
+const (
+	footprintSlack     = 12
+	footprintPerServer = 4
+)
+
+// What a sidecar holds after its last request: idle connections for some seconds, and
+// the goroutines that served them for up to twice the HTTP server's idle time.
+const (
+	restPoll = 500 * time.Millisecond
+	mostRest = 26 * time.Second
+)
+
+// watchesFootprint reports whether the storm has what may leak: a handover, a restart or
+// a crowd.
+func (r *stormRun) watchesFootprint() bool {
+	for _, step := range r.plan.Steps {
+		if step.Do == experiment.Signals || step.Do == experiment.Crowd {
+			return true
+		}
+	}
+	return false
+}
+
+// rest notes what each instance holds before the load.
+func (r *stormRun) rest(ctx context.Context) {
+	if !r.watchesFootprint() {
+		return
+	}
+	r.count(func(*experiment.SignalCounts) {})
+	r.resting = map[string]footprint{}
+	for _, in := range r.w.Instances {
+		if held, err := in.footprint(ctx); err == nil {
+			r.resting[in.Name] = held
+		}
+	}
+}
+
+// findLeaks waits until each instance holds what it held before the load, about, and
+// notes those that still hold more after a time.
+func (r *stormRun) findLeaks(ctx context.Context) {
+	if r.resting == nil {
+		return
+	}
+	deadline := time.Now().Add(mostRest)
+	leaks := r.leaks(ctx)
+	for len(leaks) > 0 && time.Now().Before(deadline) && wait(ctx, restPoll) {
+		leaks = r.leaks(ctx)
+	}
+	for _, leak := range leaks {
+		r.problem(func(c *experiment.SignalCounts) *int { return &c.Leaked }, "%s", leak)
+	}
+}
+
+// leaks returns the instances that hold more than before the load, each with what.
+func (r *stormRun) leaks(ctx context.Context) (found []string) {
+	more := footprintSlack + footprintPerServer*len(r.w.Servers)
+	for _, in := range r.w.Instances {
+		before, known := r.resting[in.Name]
+		after, err := in.footprint(ctx)
+		if !known || err != nil {
+			continue // one that is not up is found elsewhere
+		}
+		if after.descriptors > before.descriptors+more || after.goroutines > before.goroutines+more {
+			found = append(found, fmt.Sprintf("%s: holds %d descriptors and %d goroutines, %d and %d at the start, wanted at most %d more",
+				in.Name, after.descriptors, after.goroutines, before.descriptors, before.goroutines, more))
+		}
+	}
+	return found
+}
+
+// footprint returns what the instance's newest process holds.
+func (in *Instance) footprint(ctx context.Context) (footprint, error) {
+	procs := in.running()
+	if len(procs) == 0 {
+		return footprint{}, fmt.Errorf("instance %s: no process", in.Name)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+in.Addr+"/up", nil)
+	if err != nil {
+		return footprint{}, err
+	}
+	response, err := upClient.Do(request)
+	if err != nil {
+		return footprint{}, err
+	}
+	response.Body.Close()
+	goroutines, err := strconv.Atoi(response.Header.Get("X-Goroutines"))
+	if err != nil {
+		return footprint{}, err
+	}
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", procs[len(procs)-1].Pid()))
+	return footprint{descriptors: len(open), goroutines: goroutines}, err
+}
+
+// findIdle finds instances that were asked in the last quarter and served nobody.
+func (r *stormRun) findIdle(start time.Duration, all []*clients.Clients) {
+	if r.counts == nil {
+		return
+	}
+	asked, served := map[string]int{}, map[string]int{}
+	for _, c := range all {
+		for _, sample := range c.Samples() {
+			if sample.At-start < r.plan.Storm.For*3/4 {
+				continue
+			}
+			asked[c.Instance()]++
+			if sample.OK {
+				served[c.Instance()]++
+			}
+		}
+	}
+	for name, n := range asked {
+		if n >= leastAsked && served[name] == 0 {
+			r.problem(func(c *experiment.SignalCounts) *int { return &c.Idle }, "%s: served none of %d requests in the last quarter", name, n)
+		}
+	}
+}
--- a/internal/lab/rig/storm.go
+++ b/internal/lab/rig/storm.go
@@ -42,7 +42,7 @@
 			}}
 	}
 	for _, st := range p.Steps {
-		if st.Do == experiment.HandOver && o.CoAP == nil { // with CoAP each has one in any case
+		if (st.Do == experiment.HandOver || st.Do == experiment.Signals) && o.CoAP == nil { // with CoAP each has one in any case
 			o.Operator = func(i int, dir string) string {
 				return fmt.Sprintf("[handover]\nsocket = %q\n", filepath.Join(dir, fmt.Sprintf("n%d.sock", i+1)))
 			}
@@ -160,9 +160,11 @@
 
 	held []int // resident memory of all instances at even times, in KiB
 
-	mu   sync.Mutex
-	errs []error
-	rude *clients.RudeCount
+	mu      sync.Mutex
+	errs    []error
+	rude    *clients.RudeCount
+	counts  *experiment.SignalCounts // nil until a series of signals or a crowd
+	resting map[string]footprint     // of each instance before the load, by name
 }
 
 // weighings are how often the instances' memory is taken down over a run.
@@ -366,6 +368,7 @@
 	if !wait(ctx, 3*time.Second) {
 		return nil, ctx.Err()
 	}
+	run.rest(ctx)
 	start := w.Log.Now()
 	var all []*clients.Clients
 	var wg sync.WaitGroup
@@ -392,6 +395,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
+	run.findLeaks(ctx)
 	for _, err := range w.Crashes() {
 		run.note(err)
 	}
@@ -483,6 +487,11 @@
 			wg.Go(func() { r.note(r.restart(ctx, st.Instance, st.Do)) })
 		case experiment.Freeze, experiment.Thaw, experiment.Move:
 			wg.Go(func() { r.note(r.disturb(ctx, st)) })
+		case experiment.Signals:
+			seed := r.rng.Uint64()
+			wg.Go(func() { r.note(r.signals(ctx, st, seed)) })
+		case experiment.Crowd:
+			wg.Go(func() { r.crowd(ctx, st) })
 		case experiment.Rude:
 			seed := r.rng.Uint64()
 			wg.Go(func() { r.rudeness(ctx, st, seed) })
@@ -653,6 +662,8 @@
 		rec.Report.Forged += r.rude.Served
 		rec.Report.Violations = append(rec.Report.Violations, r.rude.Problems...)
 	}
+	r.findIdle(start, all)
+	rec.Signals = r.counts
 	overflow, late, unread := 0, 0, 0
 	for _, c := range all {
 		for _, s := range c.Samples() {
--- a/internal/lab/rig/world.go
+++ b/internal/lab/rig/world.go
@@ -314,6 +314,7 @@
 		c.Impatient, c.Unmarked = s.Load.Impatient, s.Load.Unmarked
 		c.Retries, c.TryShare, c.Body, c.Kept = s.Load.Retries, s.Load.Try, s.Load.Body, s.Load.Kept
 		c.Tenants = s.ClientTenants()
+		c.Overtime = s.Load.Overtime
 	}
 	return c
 }
@@ -330,19 +331,22 @@
 		classes = append(classes, fmt.Sprintf(`{"name":%q,"aim-us":%d,"deadline-us":%d,"worth":%g,%s}`,
 			c.Name, c.Aim.Microseconds(), c.Deadline.Microseconds(), c.Worth, effect))
 	}
-	advice, attempts, dial, tenants := time.Second, 3, 100*time.Millisecond, ""
+	advice, attempts, dial, tenants, discoveryKind := time.Second, 3, 100*time.Millisecond, "", "subscribe"
 	if s := w.opt.Storm; s != nil {
 		advice, attempts, dial = s.World.Sidecar.Advice, s.World.Sidecar.Attempts, s.World.Sidecar.Dial
 		tenants = tenantText(s)
+		if s.World.Discovery.Pushed {
+			discoveryKind = "automatic"
+		}
 	}
 	return fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x",
 "limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},
 "known":%s,
-"settings":{"discovery":"subscribe","extra":{"warm-keys":true},"round-us":2000,
+"settings":{"discovery":%q,"extra":{"warm-keys":true},"round-us":2000,
  "limits":{"try-limit":%d,"cancel":true,"second-copies":true,"retry-after":%v,"max-retry-after-us":%d,"conn-idle-us":%d,"dial-timeout-us":%d},
  "rules":{"cold-from":0.12,"cold-us":23000000,"tip-multiple":%g},%s
  "classes":[%s]}}
-`, in.Name, in.Addr, discovery, seed, w.opt.MemoryMB, w.opt.Sockets, known,
+`, in.Name, in.Addr, discovery, seed, w.opt.MemoryMB, w.opt.Sockets, known, discoveryKind,
 		attempts, advice > 0, advice.Microseconds(), w.idle().Microseconds(), dial.Microseconds(), w.tipAt(), tenants, strings.Join(classes, ","))
 }
 
--- a/internal/lab/standin/clients/clients.go
+++ b/internal/lab/standin/clients/clients.go
@@ -43,6 +43,9 @@
 	CoAP    string
 	Devices int
 	NoEcho  bool // the devices know nothing of Echo
+	// Overtime is how long after a request's deadline its answer is still read, over HTTP:
+	// one that comes then earns nothing, none is reported as late. 0 closes at the deadline.
+	Overtime time.Duration
 }
 
 // Sample is what became of one arrival, over all its tries.
@@ -146,6 +149,9 @@
 	return slices.Clone(c.samples)
 }
 
+// Instance is the sidecar that they ask.
+func (c *Clients) Instance() string { return c.cfg.Instance }
+
 // Run asks as planned, from now on, and returns when all has been answered or
 // given up. When ctx ends nothing more is asked.
 func (c *Clients) Run(ctx context.Context, plan []Arrival) {
@@ -176,13 +182,7 @@
 		}()
 	}
 	c.wg.Wait()
-	c.mu.Lock()
-	idle := c.idle
-	c.idle = nil
-	c.mu.Unlock()
-	for _, cc := range idle {
-		c.close(cc)
-	}
+	c.closeIdle()
 }
 
 // result is how one try ended.
@@ -221,7 +221,11 @@
 		if wait <= 0 {
 			break
 		}
-		got, advice := c.try(a, class, op, try, wait)
+		overtime := c.cfg.Overtime
+		if early > 0 {
+			overtime = 0 // this client leaves
+		}
+		got, advice := c.try(a, class, op, try, wait, overtime)
 		s.OK = got == served
 		s.Ending = got.ending()
 		s.End = EndOf(s.OK, got == refused, got == failed || got.broken())
@@ -271,7 +275,7 @@
 
 // try asks once, and once more on a new connection where the first was a kept
 // one that closed unread.
-func (c *Clients) try(a Arrival, class *Class, op string, n int, wait time.Duration) (result, time.Duration) {
+func (c *Clients) try(a Arrival, class *Class, op string, n int, wait, overtime time.Duration) (result, time.Duration) {
 	id := op + "." + strconv.Itoa(n)
 	if c.cfg.CoAP != "" {
 		return c.tryCoAP(a, class, id, op, n, wait)
@@ -291,7 +295,7 @@
 			return notTaken, 0
 		}
 		c.log.RequestSent(id, c.cfg.Instance, class.Effect, c.log.Now(), left)
-		got, advice, begun := c.exchange(cc, a, class, id, op, n, until)
+		got, advice, begun := c.exchange(cc, a, class, id, op, n, until, overtime)
 		if !got.broken() {
 			return got, advice
 		}
@@ -309,15 +313,16 @@
 }
 
 // exchange writes one request and reads its answer; begun tells whether any of
-// the answer came.
-func (c *Clients) exchange(cc *clientConn, a Arrival, class *Class, id, op string, n int, until time.Time) (got result, advice time.Duration, begun bool) {
-	cc.nc.SetDeadline(until)
+// the answer came. An answer within the overtime counts as timed out.
+func (c *Clients) exchange(cc *clientConn, a Arrival, class *Class, id, op string, n int, until time.Time, overtime time.Duration) (got result, advice time.Duration, begun bool) {
+	cc.nc.SetDeadline(until.Add(overtime))
 	// When this client stops waiting, whenever its goroutine comes to say so.
 	end := c.log.Now() + time.Until(until)
+	abandon := func() { c.log.Abandoned(id, min(end+overtime, c.log.Now())) }
 	if _, err := cc.nc.Write(c.text(a, class, id, op, n, time.Until(until))); err != nil {
 		c.close(cc)
 		if isTimeout(err) {
-			c.log.Abandoned(id, min(end, c.log.Now()))
+			abandon()
 			return timedOut, 0, false
 		}
 		return brokenBefore(err), 0, false
@@ -325,7 +330,7 @@
 	if _, err := cc.br.Peek(1); err != nil {
 		c.close(cc)
 		if isTimeout(err) {
-			c.log.Abandoned(id, min(end, c.log.Now()))
+			abandon()
 			return timedOut, 0, false
 		}
 		return brokenBefore(err), 0, false
@@ -335,32 +340,44 @@
 	if err := resp.ReadLimitBody(cc.br, 64<<10); err != nil {
 		c.close(cc)
 		if isTimeout(err) {
-			c.log.Abandoned(id, min(end, c.log.Now()))
+			abandon()
 			return timedOut, 0, true
 		}
 		return truncated, 0, true
 	}
-	at := min(end, c.log.Now()) // it was read before the connection's deadline
+	at := c.log.Now()
+	if overtime == 0 {
+		at = min(end, at) // it was read before the connection's deadline
+	}
+	if at <= end {
+		got, advice = c.answered(id, resp, at)
+	} else {
+		c.log.Abandoned(id, end)
+		got = timedOut
+	}
+	if resp.ConnectionClose() || cc.br.Buffered() > 0 {
+		c.close(cc)
+	} else {
+		c.put(cc)
+	}
+	return got, advice, true
+}
+
+// answered reports a complete answer and returns what it says.
+func (c *Clients) answered(id string, resp *fasthttp.Response, at time.Duration) (got result, advice time.Duration) {
 	switch resp.StatusCode() {
 	case 200:
 		c.log.Answered(id, invariant.Served, callserver.Made(id, string(resp.Body())), at)
-		got = served
+		return served, 0
 	case 429, 503:
 		c.log.Answered(id, invariant.Rejected, false, at)
-		got = refused
 		if s, err := strconv.ParseFloat(string(resp.Header.Peek("Retry-After")), 64); err == nil && s >= 0 && s <= 60 {
 			advice = time.Duration(s * float64(time.Second))
 		}
-	default:
-		c.log.Answered(id, invariant.Failed, false, at)
-		got = failed
+		return refused, advice
 	}
-	if resp.ConnectionClose() || cc.br.Buffered() > 0 {
-		c.close(cc)
-	} else {
-		c.put(cc)
-	}
-	return got, advice, true
+	c.log.Answered(id, invariant.Failed, false, at)
+	return failed, 0
 }
 
 // text is a request on the wire.
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -225,7 +225,7 @@
 			p.awake(func() { p.move(f.Late) })
 		}
 		return
-	case experiment.Reload, experiment.BadFile, experiment.Rude, experiment.Begin, experiment.End:
+	case experiment.Reload, experiment.BadFile, experiment.Rude, experiment.Signals, experiment.Crowd, experiment.Begin, experiment.End:
 		w.track.Unseen(s)
 		return
 	case experiment.Kill, experiment.Term, experiment.HandOver:
