HTTP upstream: idle limits are learnt where idle times are spread widely

What callers saw: TestForgottenConnectionsAreNotUsed, on a loaded machine, "16 of 16 requests were written to forgotten connections", wanted 8 at most: requests that may not be repeated failed on connections that their upstream had forgotten.

Reproduced: eight copies of the package's tests at once beside four busy loops, 6 cores: 8 of 8 failed, 9 to 14 of 16.

Cause, by a line at each use: the pool wants a weight of three resets in one bucket of idle times, and weights halve in 15 s. Under load 300 ms become 300 to 700 ms, three buckets, and three resets some seconds apart weigh less than three. Quiet, the limit is learnt at the third reset and given up at the first decay, which costs one more.

Change: buckets in a row count together up to a weight of 2.5, the first with two resets at least.

--- a/internal/sidecar/httpupstream/staleness.go
+++ b/internal/sidecar/httpupstream/staleness.go
@@ -7,8 +7,9 @@
 
 const (
 	idleBuckets     = 32               // buckets of idle times, two for each doubling of 1 ms
-	minDead         = 3.0              // dead connections in a bucket below which nothing is concluded
-	minDeadShare    = 0.2              // share of dead connections from which a bucket counts as stale
+	minDead         = 2.5              // dead connections below which nothing is concluded: three, the latest of some seconds
+	minDeadFirst    = 1.5              // of them in the first bucket of a row
+	minDeadShare    = 0.2              // share of dead connections from which idle times count as stale
 	minDeadMultiple = 3.0              // and this multiple of the share after shorter idle times
 	useHalfLife     = 15 * time.Second // of what was recorded
 )
@@ -66,21 +67,46 @@
 	s.decayedAt = now
 }
 
-// limit returns the idle time from which connections are stale, maxIdle if none is.
+// limit returns the idle time from which connections are stale, maxIdle if none is. Idle
+// times may be spread so widely that no bucket has many uses: buckets in a row count
+// together, as many as have minDead between them.
 func (s *staleness) limit(now time.Time, maxIdle time.Duration) time.Duration {
 	s.decay(now)
-	var alive, dead float64 // after all shorter idle times
-	for i := range s.dead {
-		if start := bucketStart(i); start >= maxIdle {
-			break
-		} else if inBucket := s.dead[i]; inBucket >= minDead && alive > 0 {
-			share := dead / (alive + dead)
-			if inBucket/(inBucket+s.alive[i]) > max(minDeadShare, minDeadMultiple*share) {
-				return start
+	var shorter uses
+	for i := 0; i < idleBuckets && bucketStart(i) < maxIdle; i++ {
+		here := s.bucket(i)
+		least := max(minDeadShare, minDeadMultiple*shorter.deadShare())
+		if shorter.alive > 0 && here.dead >= minDeadFirst && here.deadShare() > least {
+			if row := s.row(i, maxIdle); row.dead >= minDead && row.deadShare() > least {
+				return bucketStart(i)
 			}
 		}
-		alive += s.alive[i]
-		dead += s.dead[i]
+		shorter.add(here)
 	}
 	return maxIdle
 }
+
+// row returns what was recorded in the buckets from one on, up to the first with which
+// they have minDead dead connections.
+func (s *staleness) row(from int, maxIdle time.Duration) (row uses) {
+	for i := from; i < idleBuckets && bucketStart(i) < maxIdle && row.dead < minDead; i++ {
+		row.add(s.bucket(i))
+	}
+	return row
+}
+
+// bucket returns what was recorded in a bucket.
+func (s *staleness) bucket(i int) uses { return uses{s.alive[i], s.dead[i]} }
+
+// uses are weighted uses of connections.
+type uses struct{ alive, dead float64 }
+
+func (u *uses) add(other uses) { u.alive, u.dead = u.alive+other.alive, u.dead+other.dead }
+
+// deadShare returns the share of dead connections, 0 without uses.
+func (u *uses) deadShare() float64 {
+	if u.alive+u.dead <= 0 {
+		return 0
+	}
+	return u.dead / (u.alive + u.dead)
+}
