Coordination: former members are told no position, silent ones every ten ticks

Need: found on reading once more. A member that was removed but still stands in the file of the cluster, or one that is down, was called at each tick for as long as it did not respond.

Change: only members with an address in the agreed state are told, and one that does not respond gets the same position again after ten ticks. The tests of the package pass.

--- a/internal/fleet/coordination/server/positions.go
+++ b/internal/fleet/coordination/server/positions.go
@@ -16,6 +16,9 @@
 	// positionSaveTicks is how long the positions of other members may change without a
 	// write of this member's own: they are then stored by one of their own.
 	positionSaveTicks = 10
+	// announceRetryTicks is the time between two announcements of one position to a member
+	// that does not respond.
+	announceRetryTicks = 10
 	// maxTrackedMembers bounds the members of whom a position is kept. Numbers are used
 	// once: those of former members count, too.
 	maxTrackedMembers = 256
@@ -118,17 +121,20 @@
 }
 
 // announcePosition sends this member's position to the members that have not been sent
-// it with other messages: any of them may be asked for it when this one restarts. On the
+// it with other messages: any of them may be asked for it when this one restarts. One
+// that does not respond is sent the same position again after announceRetryTicks. On the
 // goroutine of Run.
 func (s *Server) announcePosition(ctx context.Context) {
-	for number := range s.member.State().Members {
-		if number == s.number || s.address(number) == "" {
+	for number, address := range s.member.State().Members {
+		if number == s.number || address == "" { // without one it is a former member
 			continue
 		}
 		p := s.peer(ctx, number)
-		if p.announcedPosition == s.position || len(p.queue) > 0 {
+		retried := p.attemptedPosition == s.position && s.ticks < p.attemptedAt+announceRetryTicks
+		if p.announcedPosition == s.position || retried || len(p.queue) > 0 {
 			continue
 		}
+		p.attemptedPosition, p.attemptedAt = s.position, s.ticks
 		p.queue <- announcement
 	}
 }
--- a/internal/fleet/coordination/server/transport.go
+++ b/internal/fleet/coordination/server/transport.go
@@ -38,9 +38,11 @@
 type peer struct {
 	number uint64
 	queue  chan *raftpb.Message
-	// announcedPosition is the newest of this member that the other one has received. It
-	// belongs to the goroutine of Run.
-	announcedPosition logPosition
+	// announcedPosition is the newest of this member that the other one has received, and
+	// attemptedPosition the one that was announced last, at a tick. They belong to the
+	// goroutine of Run.
+	announcedPosition, attemptedPosition logPosition
+	attemptedAt                          uint64
 }
 
 // announcement stands in a queue for a batch that has nothing but the sender's position.
