Rig soak: SIGHUP also moves to a discovery that lags; windows from 0.4 s on

Change: one of three reloads moves to a second discovery of the same servers that learns of changes 0.5 to 2 s later; windows are drawn from 0.4 to 4 s.

--- a/internal/lab/experiment/soak.go
+++ b/internal/lab/experiment/soak.go
@@ -112,7 +112,7 @@
 // world draws processes, servers, lists and protocols.
 func (d *soakDay) world(crowded bool) {
 	d.write("[world]\ninstances = %d\nservers = %d\npod = %d\n", d.instances, d.serving, d.between(2, 5))
-	d.write("[world.server]\nidle = \"%dms\"\nwindow = \"%dms\"\n", d.between(2000, 5000), d.between(1500, 6000))
+	d.write("[world.server]\nidle = \"%dms\"\nwindow = \"%dms\"\n", d.between(2000, 5000), d.between(400, 4000))
 	d.write("[world.discovery]\npushed = %t\nlate = \"%dms\"\n", d.rng.IntN(2) == 0, d.between(50, 1000))
 	if crowded {
 		d.write("[world.sidecar]\nsockets = %d\n", soakCrowdSockets)
--- a/internal/lab/rig/instance.go
+++ b/internal/lab/rig/instance.go
@@ -350,7 +350,12 @@
 // MoveDoor makes the next reload find discovery at another address of the same
 // service, which takes no call for a while. The old address ends 1.5 s later.
 func (in *Instance) MoveDoor(down time.Duration) error {
-	door, err := in.world.Registry.Open(in.Name)
+	return in.moveDoorTo(in.world.Registry, down)
+}
+
+// moveDoorTo is MoveDoor to an address of another service of the same servers.
+func (in *Instance) moveDoorTo(to *registry.Registry, down time.Duration) error {
+	door, err := to.Open(in.Name)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/rig/signals.go
+++ b/internal/lab/rig/signals.go
@@ -34,6 +34,9 @@
 	pesterConnections = 6
 	// pesterLead is how long before the signal they begin.
 	pesterLead = 300 * time.Millisecond
+	// leastLag and mostLag bound how much later than the first the second discovery learns
+	// of a change.
+	leastLag, mostLag = 500 * time.Millisecond, 2 * time.Second
 	// leastAsked is how many requests an instance must get before it counts as one that
 	// serves nobody.
 	leastAsked = 15
@@ -142,11 +145,14 @@
 }
 
 // reload has a process read a new configuration, which names another address of
-// discovery half of the time.
+// discovery two times of three: of the same service, or of one that lags behind.
 func (s *signalSeries) reload(p *Process) {
 	var err error
-	if s.rng.IntN(2) == 0 {
+	switch s.rng.IntN(3) {
+	case 0:
 		err = s.in.MoveDoor(0)
+	case 1:
+		err = s.in.moveDoorTo(s.in.world.lag, 0)
 	}
 	if err == nil {
 		err = s.in.writeConfig()
@@ -359,11 +365,17 @@
 	return false
 }
 
-// rest notes what each instance holds before the load.
+// rest prepares a storm with signals or crowds: it opens a second discovery, which lags
+// behind, and notes what each instance holds before the load.
 func (r *stormRun) rest(ctx context.Context) {
 	if !r.watchesFootprint() {
 		return
 	}
+	if r.w.lag == nil {
+		r.w.lag = r.w.Registry.Fork(r.w.Registry.Index())
+		r.w.regs = append(r.w.regs, r.w.lag)
+		r.w.lagging(leastLag + time.Duration(r.rng.Int64N(int64(mostLag-leastLag))))
+	}
 	r.count(func(*experiment.SignalCounts) {})
 	r.resting = map[string]footprint{}
 	for _, in := range r.w.Instances {
