Rig soak: half of the SIGHUPs come while a server begins to drain

Change: with one of two series that begin with SIGHUP, a drain of one server begins 0.3 to 1.6 s before, in place of another trouble.

--- a/internal/lab/experiment/soak.go
+++ b/internal/lab/experiment/soak.go
@@ -22,6 +22,7 @@
 	soakFewestFaults  = 3
 	soakMostInstances = 12
 	soakMostServers   = 12
+	soakDrainLasts    = 5 * time.Second // of one that begins before a SIGHUP; the server ends after seven tenths
 )
 
 // soakFault draws the keys of a fault besides kind and time. It returns how long the
@@ -148,13 +149,14 @@
 		text string
 	}
 	var all []drawn
-	for i := range n {
+	drains := 0 // that accompany a SIGHUP, in place of other troubles
+	for i := 0; i+drains < n; i++ {
 		from := soakTroubles
 		if i < (n+1)/2 {
 			from = soakSignals
 		}
 		fault := from[d.rng.IntN(len(from))]
-		if crowded && i == n-1 {
+		if crowded && i+drains == n-1 {
 			fault = soakCrowd
 		}
 		keys, lasts := fault.keys(d)
@@ -165,6 +167,14 @@
 			text += fmt.Sprintf("for = %q\n", lasts)
 		}
 		all = append(all, drawn{at, text})
+		if strings.HasPrefix(fault.kind, "hup-") && d.rng.IntN(2) == 0 {
+			// A server drains that the present discovery has told of and the next one may not.
+			before := max(0, at-time.Duration(d.between(300, 1600))*time.Millisecond)
+			ends := min(before+soakDrainLasts, time.Duration(soakLastFault*float64(d.run)))
+			drain := fmt.Sprintf("[[fault]]\nkind = \"drain\"\nat = %q\nservers = \"1\"\nfor = %q\n", before, ends-before)
+			all = append(all, drawn{before, drain})
+			drains++
+		}
 	}
 	slices.SortStableFunc(all, func(a, b drawn) int { return int(a.at - b.at) })
 	for _, f := range all {
