--- a/internal/fleet/coordination/ready_test.go
+++ b/internal/fleet/coordination/ready_test.go
@@ -17,7 +17,7 @@
 	}
 	stored.HardState.Term = proto.Uint64(2)
 	for i := uint64(2); i <= 25; i++ { // of a leader of term 2 that no majority followed
-		stored.Entries = append(stored.Entries, &raftpb.Entry{Index: proto.Uint64(i), Term: proto.Uint64(2)})
+		stored.Entries = append(stored.Entries, &raftpb.Entry{Index: new(i), Term: proto.Uint64(2)})
 	}
 	ofLeader := proto.Clone(stored.Snapshot).(*raftpb.Snapshot)
 	ofLeader.Metadata.Index, ofLeader.Metadata.Term = proto.Uint64(20), proto.Uint64(3)
--- a/internal/fleet/coordination/server/storage_test.go
+++ b/internal/fleet/coordination/server/storage_test.go
@@ -25,7 +25,7 @@
 	}
 	var uncommitted []*raftpb.Entry
 	for i := uint64(2); i <= 25; i++ {
-		uncommitted = append(uncommitted, &raftpb.Entry{Index: proto.Uint64(i), Term: proto.Uint64(2)})
+		uncommitted = append(uncommitted, &raftpb.Entry{Index: new(i), Term: proto.Uint64(2)})
 	}
 	if err := file.save(coordination.Ready{Entries: uncommitted, MustSync: true}); err != nil {
 		t.Fatal(err)
@@ -42,7 +42,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer file.db.Close()
+	defer func() {
+		if err := file.db.Close(); err != nil {
+			t.Error(err)
+		}
+	}()
 	if stored.Snapshot.GetMetadata().GetIndex() != 20 || len(stored.Entries) != 0 {
 		t.Errorf("found a snapshot of entry %d and %d entries, wanted one of entry 20 and none", stored.Snapshot.GetMetadata().GetIndex(), len(stored.Entries))
 	}
--- a/internal/sidecar/httpserver/connection_test.go
+++ b/internal/sidecar/httpserver/connection_test.go
@@ -122,7 +122,9 @@
 		return errors.Is(err, os.ErrDeadlineExceeded)
 	case <-time.After(100 * time.Millisecond):
 		c.interruptRead() // it waits: ended here
-		<-result
+		if err := <-result; err == nil {
+			t.Error("found a byte, wanted none")
+		}
 		c.clearReadDeadline()
 		return false
 	}
