--- a/internal/sidecar/dispatch/late.go
+++ b/internal/sidecar/dispatch/late.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"log/slog"
 	"time"
 
@@ -51,8 +50,6 @@
 		return
 	}
 	t := request.timing
-	slog.LogAttrs(context.Background(), slog.LevelWarn, "answer begins after its deadline", slog.String("protocol", protocol),
-		slog.Duration("duration", now-t.deadline), slog.String("reason", string(cause)),
-		slog.Duration("decided_after", t.decidedAt-t.submittedAt), slog.Duration("time_limit", t.deadline-t.submittedAt),
-		logging.Cause("late answer "+string(cause)))
+	slog.Warn("answer begins after its deadline", "protocol", protocol, "duration", now-t.deadline, "reason", string(cause),
+		"decided_after", t.decidedAt-t.submittedAt, "time_limit", t.deadline-t.submittedAt, logging.CauseKey, "late answer "+string(cause))
 }
