Endpoint list: a lease is released before the holder's list is stale

Sidecars of all hosts turned to discovery themselves while the lease changed hands.

A holder that is cut off from discovery keeps the lease for 3 s after its first failed request, some 6 s after discovery's last answer.

Change: Watcher.ShouldRelease (pure): as before, or once requests fail and the list is within 0.7 s of its limit. With the defaults the lease changes hands 3.3 s after the last answer.

--- a/internal/fleet/endpointlist/watcher.go
+++ b/internal/fleet/endpointlist/watcher.go
@@ -6,6 +6,16 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+const (
+	// failureLimit is for how long the requests of a lease holder to discovery may fail
+	// until it releases the lease.
+	failureLimit = 3 * time.Second
+	// releaseMargin is how long before its list is stale such a holder releases the lease:
+	// the next one needs a moment to have discovery confirm the list, before the sidecars
+	// of all hosts turn to discovery.
+	releaseMargin = 700 * time.Millisecond
+)
+
 // Settings bound how long a host relies on what it received last.
 type Settings struct {
 	// HeartbeatTimeout is how long after the lease holder's last heartbeat a host
@@ -86,3 +96,9 @@
 
 // Age returns how long ago discovery has last confirmed the list.
 func (w *Watcher) Age(now time.Duration) time.Duration { return now - w.confirmedAt }
+
+// ShouldRelease reports whether a lease holder whose requests to discovery have failed
+// since a time leaves the lease to another host.
+func (w *Watcher) ShouldRelease(now, failingSince time.Duration) bool {
+	return now > failingSince+failureLimit || w.Age(now) > w.settings.StalenessLimit-releaseMargin
+}
--- a/internal/fleet/endpointlist/watcher_test.go
+++ b/internal/fleet/endpointlist/watcher_test.go
@@ -101,3 +101,31 @@
 		}
 	})
 }
+
+// A lease holder without discovery releases the lease while its list may still be served:
+// otherwise the sidecars of all hosts turn to discovery before the next holder has it.
+func TestLeaseIsReleasedBeforeTheListIsStale(t *testing.T) {
+	settings := Settings{HeartbeatTimeout: 2 * time.Second, Jitter: time.Second, StalenessLimit: 4 * time.Second}
+	w := NewWatcher(settings, "host", 0)
+	w.SetLeader(true, 0)
+	const answeredAt, failingSince = 10 * time.Second, 13 * time.Second // a watch of 2 s, given up after 3 s
+	w.Answered(answeredAt)
+	if w.ShouldRelease(failingSince, failingSince) {
+		t.Error("released at the first failure")
+	}
+	releasedAt := failingSince
+	for !w.ShouldRelease(releasedAt, failingSince) {
+		releasedAt += 10 * time.Millisecond
+	}
+	if !w.Fresh(releasedAt+releaseMargin/2) || releasedAt > answeredAt+settings.StalenessLimit {
+		t.Errorf("released %v after discovery's last answer, wanted time to confirm the list before %v", releasedAt-answeredAt, settings.StalenessLimit)
+	}
+	// One that is answered in between keeps it as long as its list is recent.
+	w.Answered(releasedAt)
+	if w.ShouldRelease(releasedAt+time.Second, releasedAt+500*time.Millisecond) {
+		t.Error("released half a second after the first failure, with a recent list")
+	}
+	if !w.ShouldRelease(releasedAt+time.Second+failureLimit, releasedAt+500*time.Millisecond) {
+		t.Error("not released after the failure limit")
+	}
+}
--- a/internal/fleet/supervisor/endpoints_leader.go
+++ b/internal/fleet/supervisor/endpoints_leader.go
@@ -18,11 +18,9 @@
 	maxListPushes         = 32 // in flight at a time
 	hostRefreshInterval   = time.Second
 
-	// discoveryFailureLimit is for how long the requests of a lease holder to discovery
-	// may fail until it releases the lease, and leadershipBackoff for how long it then
-	// leaves the lease to other hosts.
-	discoveryFailureLimit = 3 * time.Second
-	leadershipBackoff     = 10 * time.Second
+	// leadershipBackoff is for how long a host whose requests to discovery have failed
+	// leaves the lease to others.
+	leadershipBackoff = 10 * time.Second
 )
 
 // lead requests the lease, which nobody holds, and relays the list if it gets it.
@@ -50,7 +48,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := bootclock.Now()
-	if p.failingSince == 0 || now <= p.failingSince+discoveryFailureLimit {
+	if p.failingSince == 0 || !p.watcher.ShouldRelease(now, p.failingSince) {
 		return false
 	}
 	p.backoffUntil = now + leadershipBackoff
--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -160,6 +160,8 @@
 		Old: "w.fallback = true\n", New: "w.fallback = false\n"},
 	{Name: "list-always-fresh", Played: listCut, File: "internal/fleet/endpointlist/watcher.go", Breaks: "a cache that is too old is served as if it were new",
 		Old: "return w.initialized && w.Age(now) <= w.settings.StalenessLimit", New: "return w.initialized && w.Age(now) >= 0"},
+	{Name: "list-kept-too-long", Played: listGives, File: "internal/fleet/endpointlist/watcher.go", Breaks: "a lease holder without discovery keeps the lease until after its list is stale",
+		Old: "return now > failingSince+failureLimit || w.Age(now) > w.settings.StalenessLimit-releaseMargin", New: "return now > failingSince+failureLimit"},
 	{Name: "list-age-untold", Played: listCut, File: "internal/fleet/endpointlist/watcher.go", Breaks: "each host that relays the list serves it for a staleness limit of its own",
 		Old: "w.confirmedAt = max(w.confirmedAt, now-age)", New: "w.confirmedAt = max(w.confirmedAt, now+0*age)"},
 	{Name: "near-older", File: "internal/sidecar/discovery/proxy.go", Breaks: "a sidecar takes its local proxy's list although it is older",
