Endpoint list: a lease holder's watch waits half a second

A host without heartbeats turns to discovery 1.5 to 3.5 s after the last one; with an age of up to 2 s its list was stale, at 4 s, before that.

Change: the holder's watch waits 0.5 s instead of 2 s, so that heartbeats are at most about that old.

--- a/internal/fleet/endpointlist/watcher.go
+++ b/internal/fleet/endpointlist/watcher.go
@@ -72,6 +72,9 @@
 	w.leader = leader
 }
 
+// Leader reports whether this host has the lease.
+func (w *Watcher) Leader() bool { return w.leader }
+
 // Initialized reports whether any heartbeat or answer has arrived yet.
 func (w *Watcher) Initialized() bool { return w.initialized }
 
--- a/internal/fleet/supervisor/endpoints.go
+++ b/internal/fleet/supervisor/endpoints.go
@@ -28,6 +28,10 @@
 	// watch whose connection has died is noticed at its end, what it missed counts as
 	// delivered 6 s later, and few hosts watch.
 	watchTimeout = 2 * time.Second
+	// leaderWatchTimeout is that of the lease holder, whose heartbeats tell how long ago
+	// discovery has confirmed the list: a host that gets none any more has to turn to
+	// discovery, after its heartbeat timeout and jitter, before that age is the limit.
+	leaderWatchTimeout = 500 * time.Millisecond
 	// firstWatchTimeout is that of the first watch, which only has to confirm the cached
 	// version: until then a host has nothing recent to serve.
 	firstWatchTimeout = time.Millisecond
@@ -111,6 +115,9 @@
 	for ctx.Err() == nil {
 		p.mu.Lock()
 		watch, since, fallback := p.watcher.ShouldWatch(bootclock.Now()), p.cache.Version, p.watcher.Fallback()
+		if leader := p.watcher.Leader(); leader && timeout == watchTimeout {
+			timeout = leaderWatchTimeout
+		}
 		p.mu.Unlock()
 		if !watch {
 			failures, timeout = 0, firstWatchTimeout
