--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -264,7 +264,7 @@
 		wants(true, f.Kind == "vanish" || f.Kind == "crash", "move", "")
 	}
 	if n := f.Count * s.World.Instances; (f.Kind == "rude" || f.Kind == "crowd") && n > mostRude {
-		c.bad(key+".count", fmt.Sprintf("up to %d clients", n), fmt.Sprintf("%d at most over all instances", mostRude))
+		c.bad(key+".count", fmt.Sprintf("up to %d %s clients", n, f.Kind), fmt.Sprintf("%d at most over all instances", mostRude))
 	}
 	c.set(key+".servers", f.Servers, 's', s.AllServers())
 	c.set(key+".instances", f.Instances, 'n', s.World.Instances)
