--- a/review/lab/callserver.go
+++ b/review/lab/callserver.go
@@ -16,6 +16,7 @@
 type Arrival struct {
 	Server, Method, Path, ID, Key string
 	First, Last                   time.Time // of its bytes
+	IDs                           []string  // all values of X-Request-Id; ID is the first
 	Body                          string
 	Conn                          net.Conn
 	// Waiting reports whether bytes of a further request have come on the connection.
@@ -110,7 +111,7 @@
 		s.mu.Lock()
 		s.arrivals = append(s.arrivals, a)
 		s.mu.Unlock()
-		s.record.AddAt(a.Last, "%s: request %s %s id %s", s.Name, a.Method, a.Path, a.ID)
+		s.record.AddAt(a.Last, "%s: request %s %s id %s", s.Name, a.Method, a.Path, strings.Join(a.IDs, " and id "))
 		if a.ID == "" {
 			fmt.Fprint(raw, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 			continue
@@ -149,7 +150,9 @@
 			a.Body = string(body)
 			return nil
 		case "x-request-id":
-			a.ID = value
+			if a.IDs = append(a.IDs, value); len(a.IDs) == 1 {
+				a.ID = value
+			}
 		case "idempotency-key":
 			a.Key = value
 		case "content-length":
--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -59,9 +59,11 @@
 }
 
 // Send sends one request in the background.
-func (c *Clients) Send(class Class, deadline time.Duration) {
+func (c *Clients) Send(class Class, deadline time.Duration) { c.SendID(class, NewID(), deadline) }
+
+// SendID sends one request with the given id in the background.
+func (c *Clients) SendID(class Class, id string, deadline time.Duration) {
 	c.wait.Go(func() {
-		id := NewID()
 		o := c.do(class, id, deadline)
 		c.record.AddAt(o.Sent, "client: sent %s id %s", class.Name, id)
 		c.record.AddAt(o.End, "client: id %s got status %d body %q err %v", id, o.Status, o.Body, o.Err)
