--- a/review/lab/callserver.go
+++ b/review/lab/callserver.go
@@ -19,6 +19,7 @@
 	IDs                           []string  // all values of X-Request-Id; ID is the first
 	Body                          string
 	Conn                          net.Conn
+	Record                        *Record
 	// Waiting reports whether bytes of a further request have come on the connection.
 	Waiting func() bool
 }
@@ -81,6 +82,12 @@
 	return err == nil
 }
 
+// TurnAway writes a 503 answer that says that the request has not run.
+func (a *Arrival) TurnAway() bool {
+	_, err := fmt.Fprint(a.Conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	return err == nil
+}
+
 // countingConn counts the bytes that were read.
 type countingConn struct {
 	net.Conn
@@ -101,7 +108,7 @@
 		if _, err := reader.Peek(1); err != nil {
 			return
 		}
-		a := Arrival{Server: s.Name, First: time.Now(), Conn: raw}
+		a := Arrival{Server: s.Name, First: time.Now(), Conn: raw, Record: s.record}
 		if err := a.read(reader); err != nil {
 			return
 		}
--- a/review/late.go
+++ b/review/late.go
@@ -3,13 +3,17 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"review/lab"
 )
 
-func init() { cases["late-answer"] = lateAnswer }
+func init() {
+	cases["late-answer"] = func(e *env) (verdict, error) { return lateAnswer(e, 0) }
+	cases["late-refusal"] = func(e *env) (verdict, error) { return lateAnswer(e, 10) }
+}
 
 const (
 	// oneWay is the delay of the network between the sidecar and the call servers: the site
@@ -22,22 +26,30 @@
 
 // lateAnswer: some good answers are followed by a second copy some milliseconds later, if
 // nothing else waits on the connection by then.
-func lateAnswer(e *env) (v verdict, err error) {
+// With refusedShare above 0, one request in so many is turned away, with X-Not-Run; such an
+// answer may have a second copy as well, and what is checked is that no start-rec runs twice.
+func lateAnswer(e *env, refusedShare int) (v verdict, err error) {
 	servers, entries, err := fleet(e, 6, 0)
 	if err != nil {
 		return v, err
 	}
 	var copies atomic.Int64
+	ran := runs{ids: map[string]int{}}
 	for i, s := range servers {
 		s.Handle = func(a *lab.Arrival) bool {
 			time.Sleep(3*time.Millisecond + rand.N(7*time.Millisecond))
-			body := lab.Answer(a.ID)
-			if !a.Reply(body) {
+			answer := func() bool { return a.Reply(lab.Answer(a.ID)) }
+			if refusedShare > 0 && rand.IntN(refusedShare) == 0 {
+				answer = a.TurnAway
+			} else {
+				ran.add(a)
+			}
+			if !answer() {
 				return false
 			}
 			if e.trouble && rand.IntN(secondShare) == 0 {
 				time.AfterFunc(secondFrom+rand.N(secondTo-secondFrom), func() {
-					if !a.Waiting() && a.Reply(body) {
+					if !a.Waiting() && answer() {
 						copies.Add(1)
 						e.record.Add("%s: second answer for id %s to %s", s.Name, a.ID, a.Conn.RemoteAddr())
 					}
@@ -77,6 +89,14 @@
 	status := map[int]int{}
 	for _, o := range outcomes {
 		status[o.Status]++
+		if refusedShare > 0 {
+			v.checked++
+			if n := ran.ids[o.ID]; n > 1 && o.Class == "start-rec" {
+				v.broken++
+				e.record.AddAt(o.End, "BREAK start-rec id %s ran %d times", o.ID, n)
+			}
+			continue
+		}
 		if o.Status != 200 {
 			continue
 		}
@@ -86,6 +106,23 @@
 			e.record.AddAt(o.End, "BREAK client: id %s of class %s was served with %q", o.ID, o.Class, o.Body)
 		}
 	}
+	if refusedShare > 0 {
+		v.text = fmt.Sprintf("start-rec that ran more than once; %d second answers were sent; requests by status: %v", copies.Load(), status)
+		return v, nil
+	}
 	v.text = fmt.Sprintf("answers 200 that were made for another request; %d second answers were sent; requests by status: %v", copies.Load(), status)
 	return v, nil
 }
+
+// runs counts how often each request ran.
+type runs struct {
+	mu  sync.Mutex
+	ids map[string]int
+}
+
+func (r *runs) add(a *lab.Arrival) {
+	r.mu.Lock()
+	r.ids[a.ID]++
+	r.mu.Unlock()
+	a.Record.Add("%s: id %s runs", a.Server, a.ID)
+}
