--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -76,7 +76,7 @@
 func (c *Clients) do(class Class, id string, deadline time.Duration) Outcome {
 	o := Outcome{ID: id, Class: class.Name}
 	for try := 0; try < 2; try++ {
-		conn, kept, err := c.take()
+		conn, kept, err := c.take(try > 0)
 		if err != nil {
 			o.Sent, o.End, o.Err = time.Now(), time.Now(), err
 			return o
@@ -102,8 +102,7 @@
 		}
 		return o
 	}
-	o.End = time.Now()
-	return o
+	return o // not reached: a new connection is not kept
 }
 
 func (o *Outcome) read(conn *clientConn) error {
@@ -122,9 +121,10 @@
 	return nil
 }
 
-func (c *Clients) take() (conn *clientConn, kept bool, err error) {
+// take returns a kept connection, or a new one if there is none or if fresh is set.
+func (c *Clients) take(fresh bool) (conn *clientConn, kept bool, err error) {
 	c.mu.Lock()
-	for len(c.idle) > 0 {
+	for len(c.idle) > 0 && !fresh {
 		conn = c.idle[len(c.idle)-1]
 		c.idle = c.idle[:len(c.idle)-1]
 		if time.Since(conn.since) < 1500*time.Millisecond {
--- a/review/lab/sidecar.go
+++ b/review/lab/sidecar.go
@@ -63,6 +63,10 @@
 	}
 }
 
+// Descriptors is the limit on open file descriptors that NewSidecar writes. The pages have 256 to
+// 1,024.
+var Descriptors = 1024
+
 // Sidecar is one process of the project's program.
 type Sidecar struct {
 	Listen string
@@ -107,7 +111,7 @@
 	}
 	config := map[string]any{
 		"name": name, "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": Descriptors},
 		"known":  known, "settings": settings,
 	}
 	text, err := json.Marshal(config)
