balance: decisions are the same on x86-64 and arm64

TestActionsEqualTheRecording failed on arm64 in line 261 (no-tenants-7), and without the compiler's fmahash flag from line 1 on. Two sidecars of one release could decide differently.

Powers now come from balance/portablemath, which uses only operations that IEEE 754 defines, and each product that is added is converted to float64. The recording is unchanged, byte for byte, and holds on arm64 with the flag and without it. Ruled out: a difference of random numbers or of sorting; with the two mends all lines agree.

--- a/balance/hedge.go
+++ b/balance/hedge.go
@@ -19,7 +19,7 @@
 		left = objective
 	}
 	if delay := max(hedgeMinShare*left, hedgeLatencyMultiple*a.expectedLatency); delay < left {
-		b.schedule(now+time.Duration(delay*(hedgeJitterFrom+hedgeJitterSpan*b.rng.Float64())), timerHedge, r, a.number)
+		b.schedule(now+time.Duration(delay*(hedgeJitterFrom+float64(hedgeJitterSpan*b.rng.Float64()))), timerHedge, r, a.number)
 	}
 }
 
--- a/balance/latency.go
+++ b/balance/latency.go
@@ -2,8 +2,9 @@
 
 import (
 	"cmp"
-	"math"
 	"time"
+
+	"otterspring/balance/portablemath"
 )
 
 const (
@@ -29,7 +30,7 @@
 func (b *Balancer) updateClassEstimate(r *request, took time.Duration) {
 	c := &b.classEstimates[r.classIndex]
 	c.meanLatency = cmp.Or(c.meanLatency, float64(took))
-	c.meanLatency += classSampleWeight * (float64(took)/b.workFactor(r) - c.meanLatency)
+	c.meanLatency += float64(classSampleWeight * (float64(took)/b.workFactor(r) - c.meanLatency))
 }
 
 // workFactor returns the ratio of the expected latency of a request to the mean of its class, based on the work
@@ -39,7 +40,7 @@
 	if r.work <= 0 || c.meanWork <= 0 {
 		return 1
 	}
-	return (1 - workDependentShare) + workDependentShare*min(r.work/c.meanWork, maxWorkMultiple)
+	return (1 - workDependentShare) + float64(workDependentShare*min(r.work/c.meanWork, maxWorkMultiple))
 }
 
 // expectedLatency returns the expected latency of an attempt of r at an average server, in nanoseconds.
@@ -87,13 +88,13 @@
 	if s.samples == 0 {
 		return 0
 	}
-	return s.samples * math.Exp2(-float64(now-s.sampledAt)/float64(sampleHalfLife))
+	return float64(s.samples * portablemath.Exp2(-float64(now-s.sampledAt)/float64(sampleHalfLife)))
 }
 
 // addSample adds a latency ratio to the mean of a server.
 func (b *Balancer) addSample(s *server, now time.Duration, ratio float64) {
 	n := min(s.decayedSamples(now), maxSamples-1)
-	s.latencyRatio = (s.latencyRatio*n + ratio) / (n + 1)
+	s.latencyRatio = (float64(s.latencyRatio*n) + ratio) / (n + 1)
 	s.samples, s.sampledAt = n+1, now
 }
 
@@ -101,5 +102,5 @@
 // to the fleet-wide mean of 1.
 func (b *Balancer) estimatedRatio(s *server, now time.Duration) float64 {
 	n := s.decayedSamples(now)
-	return (s.latencyRatio*n + priorSamples) / (n + priorSamples)
+	return (float64(s.latencyRatio*n) + priorSamples) / (n + priorSamples)
 }
--- a/balance/machinekind.go
+++ b/balance/machinekind.go
@@ -47,7 +47,7 @@
 		}
 		kind.samples++
 		weight := max(throughputSampleWeight, 1/(throughputPriorSamples+kind.samples))
-		kind.throughput += weight * (sample - kind.throughput)
+		kind.throughput += float64(weight * (sample - kind.throughput))
 	}
 }
 
--- a/balance/outlier.go
+++ b/balance/outlier.go
@@ -1,9 +1,10 @@
 package balance
 
 import (
-	"math"
 	"slices"
 	"time"
+
+	"otterspring/balance/portablemath"
 )
 
 const (
@@ -36,7 +37,7 @@
 // server was healthy, so the failures were random.
 func (b *Balancer) updateBaseline(s *server) {
 	for status, n := range s.failures {
-		b.baselineFailures[status] += baselineSampleWeight * (min(float64(n), maxBaselineRunLength) - b.baselineFailures[status])
+		b.baselineFailures[status] += float64(baselineSampleWeight * (min(float64(n), maxBaselineRunLength) - b.baselineFailures[status]))
 	}
 }
 
@@ -51,7 +52,7 @@
 	failures, probability := 0, 1.0
 	for status, n := range target.failures {
 		failures += n
-		probability *= math.Pow(min(max(b.baselineFailures[status], ejectionProbability), maxBaselineFailures), float64(n))
+		probability *= portablemath.Pow(min(max(b.baselineFailures[status], ejectionProbability), maxBaselineFailures), float64(n))
 	}
 	if failures < threshold || probability > ejectionProbability || target.ejectedUntil > now {
 		return
@@ -61,7 +62,7 @@
 		return
 	}
 	duration := min(baseEjectionTime<<min(target.ejections, maxEjectionDoublings), maxEjectionTime)
-	target.ejectedUntil = now + time.Duration(float64(duration)*(minEjectionJitter+ejectionJitterRange*b.rng.Float64()))
+	target.ejectedUntil = now + time.Duration(float64(duration)*(minEjectionJitter+float64(ejectionJitterRange*b.rng.Float64())))
 	target.ejections++
 	b.ejected = append(b.ejected, target)
 }
--- a/balance/request.go
+++ b/balance/request.go
@@ -44,7 +44,7 @@
 	if arriving.Work > 0 {
 		c := &b.classEstimates[at]
 		c.meanWork = cmp.Or(c.meanWork, r.work)
-		c.meanWork += workSampleWeight * (r.work - c.meanWork)
+		c.meanWork += float64(workSampleWeight * (r.work - c.meanWork))
 	}
 	r.answerDeadline = b.answerDeadline(r, now)
 	b.requests[arriving.ID] = r
@@ -72,7 +72,7 @@
 // park schedules another send after a jittered delay, for a request without an eligible server.
 func (b *Balancer) park(r *request, now time.Duration) {
 	r.resendPending = true
-	wait := time.Duration(float64(parkDelay) * (0.5 + b.rng.Float64()))
+	wait := time.Duration(float64(parkDelay) * (0.5 + float64(b.rng.Float64())))
 	if now+wait >= r.answerDeadline {
 		b.abandon(r, now)
 		return
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -14,7 +14,7 @@
 // backoff returns the jittered delay before a retry. n is the number of earlier retries of the request. It is 0 for
 // the first retry.
 func backoff(rng *rand.Rand, n int) time.Duration {
-	return time.Duration(float64(backoffBase<<min(n, backoffMaxDoubles)) * (1 - backoffJitter + 2*backoffJitter*rng.Float64()))
+	return time.Duration(float64(backoffBase<<min(n, backoffMaxDoubles)) * (1 - backoffJitter + float64(2*backoffJitter*rng.Float64())))
 }
 
 // retry schedules the next attempt after a failure, with a backoff delay. If the retry budget is exhausted, the
--- a/balance/shedding.go
+++ b/balance/shedding.go
@@ -1,8 +1,9 @@
 package balance
 
 import (
-	"math"
 	"time"
+
+	"otterspring/balance/portablemath"
 )
 
 const (
@@ -26,7 +27,7 @@
 // takes larger steps, because hundreds of such balancers that adapt slowly would together overload the servers.
 func (b *Balancer) adjustShedShare(now time.Duration, step float64) {
 	multiple := min(maxShedStepMultiple, max(1, shedStepFullTraffic/float64(b.budget.firstsInWindow(now)+1)))
-	b.shedShare = min(maxShedShare, max(0, b.shedShare+step*multiple))
+	b.shedShare = min(maxShedShare, max(0, b.shedShare+float64(step*multiple)))
 }
 
 // recordServed records a response: whether it was on time and whether its server was warm.
@@ -50,7 +51,7 @@
 	if excess := b.quotaExcess(r); excess > 1 && b.servedShare < scarcityThreshold && b.rng.Float64() < 1-1/excess {
 		return true
 	}
-	return b.shedShare > 0 && b.rng.Float64() < math.Pow(b.shedShare, b.relativeWeight(r))
+	return b.shedShare > 0 && b.rng.Float64() < portablemath.Pow(b.shedShare, b.relativeWeight(r))
 }
 
 // relativeWeight returns the priority weight of a request's class relative to the mean of all classes, within
--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -15,7 +15,7 @@
 		return 1
 	}
 	age := max(0, float64(now-s.StartTime)/float64(b.settings.WarmUpTime))
-	return b.settings.InitialCapacity + (1-b.settings.InitialCapacity)*age
+	return b.settings.InitialCapacity + float64((1-b.settings.InitialCapacity)*age)
 }
 
 // pickWarmingUp returns a server that is warming up, or nil. It draws one server for each request, uniformly from
--- a/balance/tenants.go
+++ b/balance/tenants.go
@@ -44,7 +44,7 @@
 		b.tenantShares[at] += tenantSampleWeight
 	}
 	quota := b.settings.Tenants[at].Quota / b.quotaSum
-	own := b.tenantShares[at] + tenantPriorWeight*quota
+	own := b.tenantShares[at] + float64(tenantPriorWeight*quota)
 	others := 1 + tenantPriorWeight - own
 	return own / quota * (1 - quota) / others / quotaSlack
 }
