--- a/balance/portablemath/portablemath.go
+++ b/balance/portablemath/portablemath.go
@@ -141,23 +141,10 @@
 // grows with the logarithm of y. Pow(x, 0) is 1, Pow(0, y) is 0 for y > 0 and +Inf for y < 0.
 // The result is NaN if x is negative or an argument is NaN, and if y is infinite.
 func Pow(x, y float64) float64 {
-	switch {
-	case math.IsNaN(x) || math.IsNaN(y) || x < 0 || math.IsInf(y, 0):
-		return math.NaN()
-	case y == 0 || x == 1:
-		return 1
-	case x == 0 && y < 0, math.IsInf(x, 1) && y > 0:
-		return math.Inf(1)
-	case x == 0 || math.IsInf(x, 1):
-		return 0
+	if result, special := specialPower(x, y); special {
+		return result
 	}
 	whole, fraction := math.Modf(math.Abs(y))
-	if whole >= 1<<62 {
-		if (x > 1) == (y > 0) {
-			return math.Inf(1)
-		}
-		return 0
-	}
 	if fraction > 0.5 {
 		fraction--
 		whole++
@@ -173,6 +160,23 @@
 	return math.Ldexp(mantissa, exponent)
 }
 
+// specialPower returns the results of Pow that are not computed: for arguments that are not
+// numbers, zeros, infinities, and exponents beyond any finite result.
+func specialPower(x, y float64) (result float64, special bool) {
+	switch {
+	case math.IsNaN(x) || math.IsNaN(y) || x < 0 || math.IsInf(y, 0):
+		return math.NaN(), true
+	case y == 0 || x == 1:
+		return 1, true
+	case x == 0 || math.IsInf(x, 1) || math.Abs(y) >= 1<<62:
+		if (x > 1) == (y > 0) {
+			return math.Inf(1), true
+		}
+		return 0, true
+	}
+	return 0, false
+}
+
 // multiplyPower returns factor * base**n as a mantissa and a power of two. It squares the
 // mantissa of base repeatedly; the exponents are added separately, so that nothing overflows.
 func multiplyPower(factor, base float64, n int64) (mantissa float64, exponent int) {
