Sidecar: log memory near its limit, and why clients are closed or rejected

Now a line is logged when resident memory passes 75 % of the limit, and when it is below 60 % again, with heap, stacks, goroutines, connections, requests and attempts; and every 5 s at most the counts of timeouts, evictions, rejections by cause, disconnects and failures, with the connections by phase.

--- a/internal/sidecar/httpserver/handler.go
+++ b/internal/sidecar/httpserver/handler.go
@@ -57,6 +57,14 @@
 	ctx.Response.Header.Set("Retry-After", busyRetryAfter)
 }
 
+// bodyEvent returns the event that an error of reading a body is counted as.
+func bodyEvent(err error) event {
+	if errors.Is(err, dispatch.ErrBudgetExhausted) {
+		return eventBusy
+	}
+	return eventInvalid
+}
+
 // rejectBody rejects a request whose body could not be read.
 func rejectBody(ctx *fasthttp.RequestCtx, err error) {
 	switch {
@@ -109,9 +117,11 @@
 	attributes, invalid := s.validate(header)
 	switch {
 	case invalid != nil:
+		s.events.count(eventInvalid)
 		rejectUnread(ctx, invalid.code, invalid.reason)
 		return
 	case connection.rejected:
+		s.events.count(eventBusy)
 		rejectBusy(ctx, "too many connections")
 		return
 	}
@@ -121,6 +131,7 @@
 		request.Body = dispatch.NewBody(s.bodyBudget, &connection.bodyReceived)
 		defer request.Body.Release()
 		if err := request.Body.Fill(ctx.RequestBodyStream(), length); err != nil {
+			s.events.count(bodyEvent(err))
 			rejectBody(ctx, err)
 			return
 		}
@@ -128,10 +139,12 @@
 	request.Native = requestHead(header, request.Body.Len(), withoutBody)
 	connection.markRequestComplete()
 	if !s.dispatcher.Submit(request, attributes) {
+		s.events.count(eventRepeatedID)
 		rejectUnread(ctx, fasthttp.StatusConflict, "X-Request-Id: in use or used before")
 		return
 	}
 	if disconnected := connection.awaitResult(request.Done); disconnected {
+		s.events.count(eventDisconnected)
 		s.dispatcher.ClientDisconnected(request)
 		rejectUnread(ctx, fasthttp.StatusBadRequest, "client gone")
 		return
@@ -142,9 +155,20 @@
 	s.dispatcher.Barrier()
 	_ = connection.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	s.dispatcher.RecordAnswerStart(request, "http")
+	s.countResult(request.Result.Kind)
 	respond(ctx, &request.Result)
 }
 
+// countResult counts a result that is not an upstream's response.
+func (s *Server) countResult(kind balance.ActionKind) {
+	switch kind {
+	case balance.Reject:
+		s.events.count(eventShed)
+	case balance.Fail:
+		s.events.count(eventFailed)
+	}
+}
+
 // respond writes the response that corresponds to a result of the dispatcher.
 func respond(ctx *fasthttp.RequestCtx, result *dispatch.Result) {
 	switch result.Kind {
--- a/internal/sidecar/httpserver/server.go
+++ b/internal/sidecar/httpserver/server.go
@@ -57,6 +57,7 @@
 	lingerSlots slots
 	start       time.Time
 	draining    atomic.Bool
+	events      eventCounts
 
 	mu          sync.Mutex
 	acceptCond  sync.Cond // signals that a connection was removed, or that accepting was resumed or stopped
@@ -124,6 +125,13 @@
 	return n
 }
 
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.connections)
+}
+
 // CloseIdle closes the connections on which no byte of a request has arrived.
 func (s *Server) CloseIdle() { s.cutOffReads(phaseIdle) }
 
@@ -155,6 +163,7 @@
 			}
 			// The process may be out of file descriptors. Closing an idle connection frees a
 			// descriptor.
+			s.events.count(eventAcceptFailed)
 			s.evictIdle()
 			time.Sleep(acceptRetryDelay)
 			continue
@@ -218,6 +227,7 @@
 			continue
 		}
 		if candidate.closeIfIdle() {
+			s.events.count(eventEvictedIdle)
 			return true
 		}
 	}
@@ -249,8 +259,8 @@
 			}
 		}
 	}
-	if idle > s.settings.MaxIdle && !oldest.hasUnread() {
-		oldest.closeIfIdle()
+	if idle > s.settings.MaxIdle && !oldest.hasUnread() && oldest.closeIfIdle() {
+		s.events.count(eventClosedExcessIdle)
 	}
 }
 
@@ -349,6 +359,7 @@
 		case <-ticker.C:
 		}
 		s.sweep(s.now())
+		s.reportEvents(s.now())
 	}
 }
 
@@ -363,10 +374,14 @@
 		limit = requestTimeoutAtCapacity
 	}
 	for c := range s.connections {
-		if c.timedOut(now, limit) && !c.closeIfIdle() && c.phase.Load() == phaseReading {
-			c.interruptRead()
+		if c.timedOut(now, limit) {
+			s.events.count(eventTimedOut)
+			if !c.closeIfIdle() && c.phase.Load() == phaseReading {
+				c.interruptRead()
+			}
 		}
 		if since := c.writingSince.Load(); since > 0 && now-since > writeTimeout.Milliseconds() {
+			s.events.count(eventWriteTimedOut)
 			c.interruptWrite()
 		}
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -169,6 +169,7 @@
 	}
 	go s.httpPool.Sweep(ctx.Done())
 	go s.httpServer.Sweep(ctx.Done())
+	go s.watchMemory(ctx.Done())
 	go func() {
 		if err := s.httpServer.Serve(); err != nil {
 			slog.Error("HTTP server ended", "error", err)
