--- /dev/null
+++ b/cmd/sandhinge/memory_test.go
@@ -0,0 +1,315 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"otterspring/internal/testkit"
+)
+
+const (
+	leastMemoryMB   = 32   // the least memory limit of a deployment
+	mostDescriptors = 1024 // the largest descriptor limit of a deployment
+	crowdSize       = 900  // more clients than a sidecar has places for
+	crowdDuration   = 4 * time.Second
+	reconnectDelay  = 10 * time.Millisecond // of a client whose connection was closed
+	usualInterval   = 50 * time.Millisecond
+	usualTimeout    = 2500 * time.Millisecond // the deadline and half a second
+	maxHeadBytes    = 8 << 10
+	maxBodyBytes    = 64 << 10
+)
+
+var (
+	buildOnce   sync.Once
+	programPath string
+	buildError  error
+)
+
+// buildProgram builds the sidecar as it is deployed, without the race detector, whose memory
+// would be measured as well. It returns the path of the program.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	buildOnce.Do(func() {
+		dir, err := os.MkdirTemp("", "sandhinge")
+		if err != nil {
+			buildError = err
+			return
+		}
+		programPath = filepath.Join(dir, "sandhinge")
+		command := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", programPath, ".")
+		command.Env = append(os.Environ(), "CGO_ENABLED=1")
+		if output, err := command.CombinedOutput(); err != nil {
+			buildError = fmt.Errorf("%w: %s", err, output)
+		}
+	})
+	if buildError != nil {
+		t.Fatal(buildError)
+	}
+	return programPath
+}
+
+// limitedSidecar is a process of the deployed program with the least memory and the most
+// descriptors of a deployment.
+type limitedSidecar struct {
+	address string
+	pid     int
+	log     *testkit.LogBuffer
+	exited  chan struct{} // closed when the process has ended
+}
+
+func limitedConfig(address, upstream string) string {
+	return fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":"127.0.0.1:1","seed":"7",
+		"limits":{"cores":1,"memory_mb":%d,"sockets":%d},
+		"known":{"index":1,"snapshot":true,"endpoints":[{"name":"s-1","address":%q,"zone":"a","group":1,"status":"active","since_ms":0}]},
+		"settings":{"discovery":"subscribe","limits":{"try-limit":2,"conn-idle-us":5000000,"dial-timeout-us":100000},
+		"rules":{"cold-from":0.5},"classes":[{"name":"read","deadline-us":2000000,"effect":"free"},{"name":"write","deadline-us":2000000,"effect":"single_shot"}]}}`,
+		address, leastMemoryMB, mostDescriptors, upstream)
+}
+
+// startLimited starts a sidecar with the least memory and a call server.
+func startLimited(t *testing.T, callServer http.Handler) *limitedSidecar {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: callServer}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	s := &limitedSidecar{address: testkit.UnusedAddress(t, 200), log: &testkit.LogBuffer{}, exited: make(chan struct{})}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(limitedConfig(s.address, listener.Addr().String())), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	command := exec.Command(buildProgram(t))
+	command.Env = append(os.Environ(), "RELAY_CONFIG="+path)
+	command.Stderr = s.log
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	s.pid = command.Process.Pid
+	limit := unix.Rlimit{Cur: mostDescriptors, Max: mostDescriptors}
+	if err := unix.Prlimit(s.pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_ = command.Wait()
+		close(s.exited)
+	}()
+	t.Cleanup(func() {
+		_ = command.Process.Kill()
+		<-s.exited
+	})
+	(&sidecarProcess{addr: s.address}).waitUntilUp(t)
+	return s
+}
+
+// statusBytes returns a figure of the process's status in bytes, for example VmHWM.
+func (s *limitedSidecar) statusBytes(t *testing.T, key string) int {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, key+":"); ok {
+			kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
+			if err != nil {
+				t.Fatal(err)
+			}
+			return kilobytes << 10
+		}
+	}
+	t.Fatalf("found no %s of process %d", key, s.pid)
+	return 0
+}
+
+// crowdKind is what each client of a crowd sends on a connection. A client that does not read
+// stays until the end; the others come again when the sidecar has closed their connection.
+type crowdKind struct {
+	name  string
+	text  func(client, turn int) string
+	reads bool
+}
+
+func crowdHead(method, class string, client, turn int, fields string) string {
+	return fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: a\r\nX-Request-Id: c%d-%d\r\nX-Deadline: 2\r\n%s", method, class, client, turn, fields)
+}
+
+// shortFields returns so many short fields that a head with them has about the given length.
+func shortFields(headBytes int) string {
+	const field = "a:\r\n"
+	return strings.Repeat(field, (headBytes-200)/len(field))
+}
+
+var crowdKinds = []crowdKind{
+	{"many fields", func(client, turn int) string {
+		return crowdHead("GET", "read", client, turn, shortFields(maxHeadBytes)) + "\r\n"
+	}, true},
+	{"many fields and no end", func(client, turn int) string {
+		return crowdHead("GET", "read", client, turn, shortFields(maxHeadBytes))
+	}, true},
+	{"long head and no end", func(client, turn int) string {
+		return crowdHead("GET", "read", client, turn, "X-Long: "+strings.Repeat("x", maxHeadBytes-300))
+	}, true},
+	{"half a body", func(client, turn int) string {
+		return crowdHead("POST", "write", client, turn, fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes)) + strings.Repeat("x", maxBodyBytes*7/8)
+	}, true},
+	{"half a chunked body", func(client, turn int) string {
+		return crowdHead("POST", "write", client, turn, "Transfer-Encoding: chunked\r\n\r\nf000\r\n") + strings.Repeat("x", 0xe000)
+	}, true},
+	{"whole bodies", func(client, turn int) string {
+		return crowdHead("POST", "write", client, turn, fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes)) + strings.Repeat("x", maxBodyBytes)
+	}, true},
+	{"commands ahead", func(client, turn int) string {
+		var text strings.Builder
+		for i := range 24 {
+			text.WriteString(crowdHead("GET", "read", client, turn*24+i, shortFields(maxHeadBytes/2)) + "\r\n")
+		}
+		return text.String()
+	}, true},
+	{"unread answers", func(client, turn int) string {
+		var text strings.Builder
+		for i := range 24 {
+			text.WriteString(crowdHead("GET", "read", client, turn*24+i, "\r\n"))
+		}
+		return text.String()
+	}, false},
+}
+
+// run opens crowdSize connections and returns when crowdDuration is over.
+func (k *crowdKind) run(address string) {
+	end := time.Now().Add(crowdDuration)
+	var clients sync.WaitGroup
+	for client := range crowdSize {
+		clients.Go(func() {
+			for turn := 0; time.Now().Before(end); turn++ {
+				k.connect(address, client, turn, end)
+			}
+		})
+	}
+	clients.Wait()
+}
+
+// connect sends the text on one connection and stays until the sidecar closes the connection,
+// at most until end.
+func (k *crowdKind) connect(address string, client, turn int, end time.Time) {
+	defer time.Sleep(reconnectDelay)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	_ = c.SetDeadline(end)
+	_, _ = io.WriteString(c, k.text(client, turn))
+	if k.reads {
+		_, _ = io.Copy(io.Discard, c)
+		return
+	}
+	time.Sleep(time.Until(end))
+}
+
+// usualRequests sends a request at each usualInterval until crowdDuration is over, each on a
+// connection of its own and without waiting for the one before. It returns how many were sent
+// and how many were answered within usualTimeout.
+func usualRequests(address string) (sent, answered int) {
+	var requests sync.WaitGroup
+	var answers atomic.Int64
+	for end := time.Now().Add(crowdDuration); time.Now().Before(end); time.Sleep(usualInterval) {
+		sent++
+		requests.Go(func() {
+			if usualRequest(address, sent) {
+				answers.Add(1)
+			}
+		})
+	}
+	requests.Wait()
+	return sent, int(answers.Load())
+}
+
+// usualRequest sends a request and reports whether it got a whole answer in time.
+func usualRequest(address string, number int) bool {
+	end := time.Now().Add(usualTimeout)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	_ = c.SetDeadline(end)
+	if _, err := fmt.Fprintf(c, "GET /read HTTP/1.1\r\nHost: a\r\nX-Request-Id: usual-%d\r\nX-Deadline: 2\r\n\r\n", number); err != nil {
+		return false
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil
+}
+
+// startBeforeCrowd starts a sidecar whose call server answers with the largest body.
+func startBeforeCrowd(t *testing.T) *limitedSidecar {
+	t.Helper()
+	body := strings.Repeat("y", maxBodyBytes)
+	return startLimited(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(w, body)
+	}))
+}
+
+// Guards against a process that is killed for its memory: clients that send heads of many short
+// fields, stop within a request or do not read, more of them than there are places.
+func TestCrowdStaysWithinTheLeastMemory(t *testing.T) {
+	for _, kind := range crowdKinds {
+		t.Run(kind.name, func(t *testing.T) {
+			s := startBeforeCrowd(t)
+			atStart := s.statusBytes(t, "VmHWM")
+			kind.run(s.address)
+			select {
+			case <-s.exited:
+				t.Fatalf("the process has ended: %s", s.log)
+			default:
+			}
+			peak := s.statusBytes(t, "VmHWM")
+			t.Logf("peak %.1f MB, %.1f MB at the start", float64(peak)/(1<<20), float64(atStart)/(1<<20))
+			if peak > leastMemoryMB<<20 {
+				t.Errorf("peak of %.1f MB passes the limit of %d MB: %s", float64(peak)/(1<<20), leastMemoryMB, s.log)
+			}
+		})
+	}
+}
+
+// Guards against usual clients without an answer beside a crowd that holds the places.
+func TestUsualRequestsAreAnsweredBesideACrowd(t *testing.T) {
+	for _, kind := range crowdKinds {
+		t.Run(kind.name, func(t *testing.T) {
+			s := startBeforeCrowd(t)
+			over := make(chan struct{})
+			go func() {
+				defer close(over)
+				kind.run(s.address)
+			}()
+			sent, answered := usualRequests(s.address)
+			<-over
+			t.Logf("%d of %d usual requests were answered", answered, sent)
+			if answered < sent {
+				t.Errorf("%d of %d usual requests were answered: %s", answered, sent, s.log)
+			}
+		})
+	}
+}
