Dispatcher: goroutines of ended attempts are bounded by client connections

Cause: a request that is answered ends its attempts, but their goroutines have yet to run, and nothing waited for them. A connection's next request is now read when the goroutines of ended attempts of the one before have returned; ended attempts are interrupted, so the wait is short, and attempts in flight are not waited for.

Weighed: a limit on attempts (rejects others' requests for one client's flood), a pool of workers (a queue instead).

--- a/internal/sidecar/dispatch/attempt.go
+++ b/internal/sidecar/dispatch/attempt.go
@@ -66,6 +66,7 @@
 	cancelDial func()         // nil while no dial is in progress
 	committed  bool           // the last byte may have been written
 	ended      bool
+	running    bool           // the goroutine of Upstream.Run has been started and has not returned
 	status     balance.Status // valid once ended is set
 }
 
@@ -87,14 +88,32 @@
 	}
 	attempt.upstream = server.upstream
 	request.Body.Retain()
+	attempt.running = true
 	go attempt.run()
 }
 
 func (a *Attempt) run() {
 	defer a.Request.Body.Release()
+	defer a.returned()
 	a.upstream.Run(a)
 }
 
+// returned records that the goroutine of the attempt is about to end.
+func (a *Attempt) returned() {
+	a.dispatcher.mu.Lock()
+	defer a.dispatcher.mu.Unlock()
+	a.running = false
+	if !a.ended {
+		return // unreachable: Run ends with Finish, or after the dispatcher has ended the attempt
+	}
+	request := a.Request
+	request.ending--
+	if request.ending == 0 && request.endingsOver != nil {
+		close(request.endingsOver)
+		request.endingsOver = nil
+	}
+}
+
 // expireAttempts ends the attempts whose deadline has passed. An attempt and its request
 // expire at the same time. The balancer must be notified of the attempt's timeout first. If
 // the balancer expired the request first, it would cancel the attempt and never detect an
@@ -129,6 +148,9 @@
 func (d *Dispatcher) endAttempt(attempt *Attempt, status balance.Status) {
 	attempt.ended, attempt.status = true, status
 	attempt.Request.inFlight--
+	if attempt.running {
+		attempt.Request.ending++
+	}
 	moved := d.attempts[len(d.attempts)-1]
 	d.attempts[attempt.index], moved.index = moved, attempt.index
 	d.attempts[len(d.attempts)-1] = nil
--- a/internal/sidecar/dispatch/request.go
+++ b/internal/sidecar/dispatch/request.go
@@ -23,6 +23,9 @@
 	inFlight int        // number of attempts that have not ended
 	answered bool       // also set when the client has disconnected
 	timing   timing     // complete once Done is closed
+
+	ending      int           // number of attempts that have ended and whose goroutine still runs
+	endingsOver chan struct{} // closed when ending becomes 0; nil while nobody waits
 }
 
 // NativeRequest is a request in the representation of its proxy's protocol. An Upstream of
@@ -84,6 +87,22 @@
 	}
 }
 
+// AwaitEndings waits until the goroutines of the request's ended attempts have returned. A proxy
+// that calls it before it reads the next request of a connection bounds the number of these
+// goroutines by that of its connections. An ended attempt is interrupted, so that the wait is
+// short. Attempts that have not ended are not waited for.
+func (d *Dispatcher) AwaitEndings(request *Request) {
+	d.mu.Lock()
+	if request.ending == 0 {
+		d.mu.Unlock()
+		return
+	}
+	over := make(chan struct{})
+	request.endingsOver = over
+	d.mu.Unlock()
+	<-over
+}
+
 // AnswerPending gives every unanswered request its final answer immediately and returns
 // their number. The balancer decides whether a request is rejected as safe to retry.
 func (d *Dispatcher) AnswerPending() int {
--- a/internal/sidecar/httpserver/exchange.go
+++ b/internal/sidecar/httpserver/exchange.go
@@ -79,6 +79,7 @@
 		ctx = acquireContext()
 		s.respondTo(ctx, request, end)
 		defer request.release()
+		defer s.dispatcher.AwaitEndings(&request.Request)
 	}
 	defer releaseContext(ctx)
 	closing := ctx.Response.ConnectionClose() || framing.close || c.closesAfterResponse()
