--- a/internal/sidecar/dispatch/attempt.go
+++ b/internal/sidecar/dispatch/attempt.go
@@ -240,6 +240,7 @@
 		return false
 	}
 	a.committed = true
+	dispatcher.recentIDs.add(a.Request.ID)
 	_ = a.conn.SetReadDeadline(time.Time{}) // fails only on a closed connection, whose next read returns the error
 	return true
 }
--- a/internal/sidecar/dispatch/request.go
+++ b/internal/sidecar/dispatch/request.go
@@ -56,13 +56,13 @@
 }
 
 // Submit passes a request to the balancer. attributes.Deadline is relative to the current
-// time. Submit returns false and does nothing if the request's ID is in use or was used
-// recently. The balancer would ignore a request whose ID is in use and never answer it. A
-// request whose ID was used recently would be executed a second time.
+// time. Submit returns false and does nothing if the request's ID is in use or if an attempt with
+// it was sent recently. The balancer would ignore a request whose ID is in use and never answer
+// it. A request that was sent before would be executed a second time.
 func (d *Dispatcher) Submit(request *Request, attributes balance.Request) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.requests[request.ID] != nil || !d.recentIDs.add(request.ID) {
+	if d.requests[request.ID] != nil || d.recentIDs.contains(request.ID) {
 		return false
 	}
 	d.requests[request.ID] = request
--- a/internal/sidecar/httpserver/handler.go
+++ b/internal/sidecar/httpserver/handler.go
@@ -29,9 +29,9 @@
 var errEvicted = errors.New("too many incomplete requests")
 
 // maxUnreadBytes is how many bytes may follow a request unread. Behind more of them, the
-// receive buffer of the kernel may be full, and the end of the connection could not arrive: a
+// receive window of 64 KiB may be closed, and the end of the connection could not arrive: a
 // client that has left could not be told from one that waits.
-const maxUnreadBytes = 32 << 10
+const maxUnreadBytes = 48 << 10
 
 var (
 	processID        = strconv.Itoa(os.Getpid())
