Test: servers of the recorded lists have addresses of their own

The random lists of TestEndpointListsMatchGolden let several servers with different starts share an address, which no two processes can. Each server's addresses are now its own; the draws are the same.

--- a/internal/sidecar/dispatch/trace_test.go
+++ b/internal/sidecar/dispatch/trace_test.go
@@ -24,7 +24,7 @@
 func (u recordingUpstream) Retire() { *u.retired = append(*u.retired, u.name) }
 
 // Checks which upstreams a sequence of random lists opens and retires, and which merged lists
-// result. For each seed they must equal those recorded in testdata/lists.txt.
+// result. No two servers share an address: see TestLaterServerAtAnAddressSupersedesTheEarlier. For each seed they must equal those recorded in testdata/lists.txt.
 func TestEndpointListsMatchGolden(t *testing.T) {
 	var trace strings.Builder
 	for seed := range uint64(10) {
@@ -63,9 +63,10 @@
 			kind, list = balance.ListFailed, EndpointList{}
 		}
 		for i := range rng.IntN(5) {
+			index := (i*2 + rng.IntN(2)) % 7
 			list.Endpoints = append(list.Endpoints, Endpoint{
-				Server:  balance.Server{ID: fmt.Sprint("s", (i*2+rng.IntN(2))%7), State: []balance.ServerState{balance.Ready, balance.Ready, balance.Draining, balance.Removed}[rng.IntN(4)]},
-				Address: fmt.Sprintf("127.0.0.1:%d", 1+rng.IntN(2)), StartedMillis: int64(rng.IntN(3)),
+				Server:  balance.Server{ID: fmt.Sprint("s", index), State: []balance.ServerState{balance.Ready, balance.Ready, balance.Draining, balance.Removed}[rng.IntN(4)]},
+				Address: fmt.Sprintf("127.0.0.%d:%d", 1+index, 1+rng.IntN(2)), StartedMillis: int64(rng.IntN(3)),
 			})
 		}
 		opened, retired = nil, nil
