Dispatcher: a later server at an address supersedes the earlier one

A list may name a new process at the address of one that crashed while the earlier entry still counts as active: attempts chosen for the earlier ID, in its cell, reached the later one. Cause: upstreams are kept by ID, and nothing compared addresses. Whether the platform sends such a list is not known.

--- a/internal/sidecar/dispatch/dispatch.go
+++ b/internal/sidecar/dispatch/dispatch.go
@@ -71,6 +71,7 @@
 	generation int                 // generation of the last list; see UpdateEndpoints
 	version    int64               // version of the endpoint list
 	endpoints  map[string]Endpoint // the merged list, by server ID
+	addresses  map[string]string   // IDs of the merged list's servers by address
 	onUpdate   func(EndpointList)  // called without the lock; may be nil
 }
 
@@ -92,6 +93,7 @@
 		requestList:    requestList,
 		recentIDs:      newRecentIDSet(),
 		endpoints:      map[string]Endpoint{},
+		addresses:      map[string]string{},
 	}
 	d.setClasses(settings.Balance.Classes)
 	d.timer = time.AfterFunc(initialTimer, d.onTimer)
--- a/internal/sidecar/dispatch/endpoints.go
+++ b/internal/sidecar/dispatch/endpoints.go
@@ -37,6 +37,7 @@
 func (d *Dispatcher) UpdateEndpoints(kind balance.ListKind, list EndpointList, generation int) {
 	d.mu.Lock()
 	if kind != balance.ListFailed {
+		list.Endpoints = d.markSuperseded(list)
 		d.applyDrains(list, generation)
 		d.mergeEndpoints(list)
 	}
@@ -161,22 +162,69 @@
 	}
 }
 
+// markSuperseded returns the endpoints of a list, with each server marked as removed whose address
+// belongs to a server that started later under another ID. Two processes can't listen on one
+// address, so the earlier one is gone, even if no list has said so yet. Attempts meant for it
+// would reach the later one. The caller holds the lock.
+func (d *Dispatcher) markSuperseded(list EndpointList) []Endpoint {
+	latest, listed := map[string]Endpoint{}, map[string]bool{} // by address, by ID
+	for _, endpoint := range list.Endpoints {
+		listed[endpoint.ID] = true
+		other, found := latest[endpoint.Address]
+		if endpoint.State != balance.Removed && (!found || other.StartedMillis < endpoint.StartedMillis) {
+			latest[endpoint.Address] = endpoint
+		}
+	}
+	endpoints := list.Endpoints
+	for address, successor := range latest {
+		known, found := d.endpoints[d.addresses[address]]
+		switch {
+		case !found || list.Snapshot || listed[known.ID]:
+		case known.StartedMillis > successor.StartedMillis:
+			latest[address] = known
+		case known.StartedMillis < successor.StartedMillis:
+			known.State = balance.Removed
+			endpoints = append(endpoints, known)
+		}
+	}
+	for i := range endpoints {
+		successor := latest[endpoints[i].Address]
+		if successor.ID != endpoints[i].ID && successor.StartedMillis > endpoints[i].StartedMillis {
+			endpoints[i].State = balance.Removed
+		}
+	}
+	return endpoints
+}
+
 // mergeEndpoints merges a list into the current list. In a handover, the current list is
 // passed to the new process. The caller holds the lock.
 func (d *Dispatcher) mergeEndpoints(list EndpointList) {
 	d.version = list.Version
 	if list.Snapshot {
 		clear(d.endpoints)
+		clear(d.addresses)
 	}
 	for _, endpoint := range list.Endpoints {
-		if endpoint.State == balance.Removed {
-			delete(d.endpoints, endpoint.ID)
-		} else {
+		d.removeEndpoint(endpoint.ID)
+		if endpoint.State != balance.Removed {
 			d.endpoints[endpoint.ID] = endpoint
+			d.addresses[endpoint.Address] = endpoint.ID
 		}
 	}
 }
 
+// removeEndpoint removes a server from the current list. The caller holds the lock.
+func (d *Dispatcher) removeEndpoint(id string) {
+	known, found := d.endpoints[id]
+	if !found {
+		return
+	}
+	delete(d.endpoints, id)
+	if d.addresses[known.Address] == id {
+		delete(d.addresses, known.Address)
+	}
+}
+
 // OnEndpointUpdate registers a function that is called with the merged list after each
 // update, without the lock. If update is nil, the registered function is removed. A call of the
 // previous function that is in progress may end after OnEndpointUpdate has returned.
--- a/internal/sidecar/dispatch/lateendpoints.go
+++ b/internal/sidecar/dispatch/lateendpoints.go
@@ -31,6 +31,7 @@
 	case generation == d.generation && list.Version <= d.version:
 		changed = false // a later list from the same address has been applied
 	default:
+		list.Endpoints = d.markSuperseded(list)
 		d.applyDrains(list, generation)
 		d.mergeEndpoints(list)
 	}
@@ -94,7 +95,7 @@
 		switch {
 		case !listed:
 		case endpoint.State == balance.Removed:
-			delete(d.endpoints, endpoint.ID)
+			d.removeEndpoint(endpoint.ID)
 			changed = true
 		case current.State == balance.Ready:
 			current.State = endpoint.State
