--- a/internal/sidecar/httpserver/accept.go
+++ b/internal/sidecar/httpserver/accept.go
@@ -50,7 +50,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for !s.stopped && (s.paused || len(s.connections) >= s.settings.MaxServed+s.settings.MaxRejected) {
-		if !s.paused && !s.evictIncomplete() {
+		if !s.paused && !s.evictIdleLocked() && !s.evictIncomplete() {
 			time.AfterFunc(minIncompleteAge, s.acceptCond.Broadcast)
 		}
 		s.acceptCond.Wait()
--- a/internal/sidecar/httpserver/connection_test.go
+++ b/internal/sidecar/httpserver/connection_test.go
@@ -131,3 +131,32 @@
 		return false
 	}
 }
+
+// Guards against a server that stops accepting: a burst of connections that send nothing takes
+// all places at once, so that each is too new to be evicted when the next one comes.
+func TestBurstOfSilentConnectionsIsEvicted(t *testing.T) {
+	t.Parallel()
+	server := testServer(t)
+	go func() { _ = server.Serve() }()
+	for range 4 * (server.settings.MaxServed + server.settings.MaxRejected) {
+		client, err := net.Dial("tcp", server.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+	}
+	client, err := net.Dial("tcp", server.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	if err := client.SetDeadline(time.Now().Add(firstRequestTimeout / 2)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Write([]byte("GET /nothing HTTP/1.1\r\nHost: a\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Read(make([]byte, 1)); err != nil {
+		t.Errorf("no answer before silent connections time out: %v", err)
+	}
+}
