Dispatcher: the ID of a request with a response is remembered in any case

TestRepeatFromAnotherPort executed a request twice: its fake upstream responds without Commit, and IDs were remembered at Commit only. The product's upstreams call Commit; the ID of an attempt that ends with a response is now remembered as well.

--- a/internal/sidecar/dispatch/attempt.go
+++ b/internal/sidecar/dispatch/attempt.go
@@ -186,6 +186,9 @@
 		return false
 	}
 	a.conn = nil
+	if status == balance.OK {
+		dispatcher.recentIDs.add(a.Request.ID) // also from an upstream that does not call Commit
+	}
 	dispatcher.endAttempt(a, status)
 	now := dispatcher.now()
 	answered := a.Request.answered
