--- a/internal/sidecar/httpserver/accept.go
+++ b/internal/sidecar/httpserver/accept.go
@@ -94,8 +94,7 @@
 // clients that never send a request, to clients that keep a connection open after a single
 // request, and to oversized connection pools.
 //
-// Connections without a request so far are closed first, once they are older than
-// minIncompleteAge: most usual clients have sent a request by then. A connection with unread
+// Connections without a request so far are closed first, once they are older than minSilentAge. A connection with unread
 // bytes is not closed. A client that connects long before it sends its first request may find
 // the connection closed; it then opens another connection.
 func (s *Server) evictIdle() bool {
--- a/internal/sidecar/httpserver/connection.go
+++ b/internal/sidecar/httpserver/connection.go
@@ -33,6 +33,9 @@
 	// stallTimeout is the longest pause of a client whose body takes longer than
 	// requestTimeout. A client that has stopped early gets its error after requestTimeout.
 	stallTimeout = 700 * time.Millisecond
+	// minSilentAge is how long a new connection on which nothing has arrived is not evicted:
+	// most usual clients have sent their request by then.
+	minSilentAge = 50 * time.Millisecond
 	// minIncompleteAge is how long an incomplete request is not evicted: a request that is
 	// sent in two pieces is complete by then.
 	minIncompleteAge = 5 * time.Millisecond
@@ -216,10 +219,10 @@
 	}
 }
 
-// isNew reports whether the connection was accepted less than minIncompleteAge ago and has not
-// had a request.
+// isNew reports whether the connection was accepted less than minSilentAge ago and has not had a
+// request.
 func (c *clientConn) isNew(now int64) bool {
-	return !c.hadRequest.Load() && now-c.readingSince.Load() < minIncompleteAge.Milliseconds()
+	return !c.hadRequest.Load() && now-c.readingSince.Load() < minSilentAge.Milliseconds()
 }
 
 // Write records when a write is in progress, so that the sweep can enforce writeTimeout.
@@ -374,7 +377,7 @@
 	}
 	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 	n, err = unix.Poll(polled, 0)
-	if err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0 {
+	if hungUp := err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0; hungUp {
 		return true, 0
 	}
 	unread, err = unix.IoctlGetInt(fd, unix.TIOCINQ)
