HTTP upstream: a connection is used again after 15 ms of quiet, 100 ms after surplus

Cause: a second copy of an answer that comes later than the rest of 5 ms is read as the answer to the next request.

Weighed: a connection for each request (proof, at a handshake for each); Connection: close on a reused connection, so that one answer and the end prove it (half of that cost); a request between two others as a probe (copies are not ordered with it, so no proof); a pause. Nothing in HTTP/1.1 names the request of an answer. Chosen: the pause, longer and learnt: 15 ms, and 100 ms for 30 s after any surplus bytes, which end their connection whenever they come and are looked for on all idle connections each 0.5 s. A connection that is not yet quiet is no longer used when the pool is full.

--- a/internal/sidecar/httpupstream/attempt.go
+++ b/internal/sidecar/httpupstream/attempt.go
@@ -63,13 +63,10 @@
 // the upstream, or ConnectFailed if the upstream does not accept connections.
 func (a *attempt) connect() (*conn, balance.Status) {
 	pool := a.upstream.pool
-	if connection := pool.takeIdle(a.upstream, true); connection != nil {
+	if connection := pool.takeIdle(a.upstream); connection != nil {
 		return connection, 0
 	}
 	if !pool.reserve() {
-		if connection := pool.takeIdle(a.upstream, false); connection != nil {
-			return connection, 0
-		}
 		return nil, balance.NeverSent
 	}
 	connection, err := a.dial()
@@ -153,7 +150,11 @@
 	err := readResponse(received, connection.reader)
 	// The framing defines where a response ends. Bytes after it are not passed to the
 	// client, and later data on the connection can't be attributed to a request.
-	clean := err == nil && !received.ConnectionClose() && connection.reader.Buffered() == 0
+	surplus := err == nil && connection.reader.Buffered() > 0
+	clean := err == nil && !received.ConnectionClose() && !surplus
+	if surplus {
+		pool.recordSurplus()
+	}
 	status := statusOf(received, err)
 	if status != balance.OK {
 		fasthttp.ReleaseResponse(received)
@@ -172,7 +173,7 @@
 	rejected := status == balance.AtCapacity && connection.idleTime == 0
 	switch {
 	case clean && accepted && !rejected:
-		_ = connection.SetReadDeadline(time.Time{}) // fails only on a closed connection, which isReusable detects
+		_ = connection.SetReadDeadline(time.Time{}) // fails only on a closed connection, which idleState detects
 		pool.putIdle(connection)
 	case err != nil:
 		pool.abort(connection)
--- a/internal/sidecar/httpupstream/conn.go
+++ b/internal/sidecar/httpupstream/conn.go
@@ -50,15 +50,28 @@
 	return n, err
 }
 
-// isReusable reports whether nothing has been received on an idle connection. A FIN means
-// that the upstream has closed the connection. Data that was received belongs to no
-// request, so later responses could not be matched to their requests.
-func (c *conn) isReusable() bool {
-	quiet := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		_, err := syscall.Read(int(fd), c.probe[:])
-		quiet = err == syscall.EAGAIN
+// idleState is what an idle connection has received.
+type idleState int
+
+const (
+	idleQuiet       idleState = iota // nothing: the connection can be used again
+	idleEnded                        // the upstream has closed or reset the connection
+	idleWithSurplus                  // bytes that belong to no request, so that later responses could not be matched to their requests
+)
+
+// idleState looks at what an idle connection has received.
+func (c *conn) idleState() idleState {
+	state := idleEnded
+	// Read fails only on a closed connection.
+	_ = c.raw.Read(func(fd uintptr) bool {
+		n, err := syscall.Read(int(fd), c.probe[:])
+		switch {
+		case err == syscall.EAGAIN:
+			state = idleQuiet
+		case n > 0:
+			state = idleWithSurplus
+		}
 		return true
 	})
-	return err == nil && quiet
+	return state
 }
--- a/internal/sidecar/httpupstream/pool.go
+++ b/internal/sidecar/httpupstream/pool.go
@@ -19,10 +19,6 @@
 	// that is sent while the upstream closes the connection may have been executed.
 	idleMargin    = 400 * time.Millisecond
 	sweepInterval = 500 * time.Millisecond
-	// minIdleTime is how long a connection stays idle before its next use. A FIN, or bytes
-	// that do not belong to the last response, usually arrive right after the response.
-	// They are detected if the connection stays idle for minIdleTime.
-	minIdleTime = 5 * time.Millisecond
 	// resetDelay is the time between the FIN and the reset of an aborted connection.
 	resetDelay = 50 * time.Millisecond
 )
@@ -44,6 +40,7 @@
 	upstreams map[*upstream]bool // upstreams with idle connections
 	open      int
 	staleness staleness // reduces maxIdle according to observed resets
+	surplus   surplus   // sets the minimum idle time according to observed surplus bytes
 }
 
 // New returns a pool of at most maxOpen connections.
@@ -86,15 +83,15 @@
 	return p.open, idle
 }
 
-// takeIdle returns the most recently used idle connection to an upstream, or nil if there
-// is none. With requireMinIdle it skips connections that have been idle for less than
-// minIdleTime.
-func (p *Pool) takeIdle(u *upstream, requireMinIdle bool) *conn {
+// takeIdle returns the most recently used idle connection to an upstream that has been quiet for
+// long enough, or nil if there is none.
+func (p *Pool) takeIdle(u *upstream) *conn {
 	for {
 		p.mu.Lock()
 		now := time.Now()
+		quietTime := p.surplus.quietTime(now)
 		i := len(u.idle) - 1
-		for requireMinIdle && i >= 0 && now.Sub(u.idle[i].idleSince) < minIdleTime {
+		for i >= 0 && now.Sub(u.idle[i].idleSince) < quietTime {
 			i--
 		}
 		if i < 0 || now.Sub(u.idle[i].idleSince) >= p.staleness.limit(now, p.maxIdle) {
@@ -105,13 +102,23 @@
 		c.idleTime = now.Sub(c.idleSince)
 		p.remove(u, i)
 		p.mu.Unlock()
-		if c.isReusable() {
+		switch c.idleState() {
+		case idleQuiet:
 			return c
+		case idleWithSurplus:
+			p.recordSurplus()
 		}
 		p.discard(c)
 	}
 }
 
+// recordSurplus records that bytes which belong to no request have arrived on a connection.
+func (p *Pool) recordSurplus() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.surplus.record(time.Now())
+}
+
 // remove removes the i-th idle connection. The caller holds the lock.
 func (p *Pool) remove(u *upstream, i int) {
 	copy(u.idle[i:], u.idle[i+1:])
@@ -226,6 +233,16 @@
 
 func matchAll(*conn) bool { return true }
 
+// hasEnded reports whether an idle connection can't be used again, and records surplus bytes. The
+// caller holds the lock.
+func (p *Pool) hasEnded(c *conn) bool {
+	state := c.idleState()
+	if state == idleWithSurplus {
+		p.surplus.record(time.Now())
+	}
+	return state != idleQuiet
+}
+
 // closeIdle closes the idle connections to an upstream.
 func (p *Pool) closeIdle(u *upstream) { p.closeIf(u, matchAll) }
 
@@ -255,7 +272,7 @@
 			}
 			p.mu.Unlock()
 			for _, u := range upstreams {
-				p.closeIf(u, func(c *conn) bool { return now.Sub(c.idleSince) >= limit })
+				p.closeIf(u, func(c *conn) bool { return now.Sub(c.idleSince) >= limit || p.hasEnded(c) })
 			}
 		}
 	}
