--- a/internal/sidecar/httpupstream/attempt.go
+++ b/internal/sidecar/httpupstream/attempt.go
@@ -148,13 +148,7 @@
 	}
 	received := fasthttp.AcquireResponse()
 	err := readResponse(received, connection.reader)
-	// The framing defines where a response ends. Bytes after it are not passed to the
-	// client, and later data on the connection can't be attributed to a request.
-	surplus := err == nil && connection.reader.Buffered() > 0
-	clean := err == nil && !received.ConnectionClose() && !surplus
-	if surplus {
-		pool.recordSurplus()
-	}
+	clean := err == nil && !received.ConnectionClose() && !connection.hasSurplus()
 	status := statusOf(received, err)
 	if status != balance.OK {
 		fasthttp.ReleaseResponse(received)
--- a/internal/sidecar/httpupstream/conn.go
+++ b/internal/sidecar/httpupstream/conn.go
@@ -50,6 +50,17 @@
 	return n, err
 }
 
+// hasSurplus reports whether bytes follow the response that was just read, and records them. The
+// framing defines where a response ends: bytes after it are not passed to the client, and later
+// data on the connection can't be attributed to a request.
+func (c *conn) hasSurplus() bool {
+	if c.reader.Buffered() == 0 {
+		return false
+	}
+	c.upstream.pool.recordSurplus()
+	return true
+}
+
 // idleState is what an idle connection has received.
 type idleState int
 
