Discovery: a pushed list is requested again 10 to 300 ms after a failed call

Cause: after each failed call to the agent that pushes lists the watcher slept for 1 s; a watch may end instead of telling, and what the agent has counts as told, also at discovery's return. Weighed: a second watch beside the first (two calls for every list), a call at once (a busy loop against an agent that refuses). Now the delay is jittered and grows from 20 ms to 200 ms in the mean.

--- a/internal/sidecar/backoff/backoff.go
+++ b/internal/sidecar/backoff/backoff.go
@@ -26,6 +26,29 @@
 // The delay is uniformly distributed between 0.5 and 1.5 times a mean that doubles with
 // each retry, up to MaxDoublings times.
 func Delay(rng *rand.Rand, retry int) time.Duration {
-	mean := InitialDelay << min(max(retry-1, 0), MaxDoublings)
+	return jittered(rng, InitialDelay<<min(max(retry-1, 0), MaxDoublings))
+}
+
+// jittered returns a delay that is uniformly distributed between 0.5 and 1.5 times a mean.
+func jittered(rng *rand.Rand, mean time.Duration) time.Duration {
 	return mean/2 + time.Duration(rng.Int64N(int64(mean)))
 }
+
+// The retry delays of calls to an agent on the same machine, where a call costs next to nothing.
+// What the agent has counts as reported, so that the longest delay has to stay well below the
+// 0.5 s after which requests to a draining server are a fault.
+const (
+	initialAgentDelay = 20 * time.Millisecond  // mean of the first delay
+	maxAgentDelay     = 200 * time.Millisecond // largest mean
+)
+
+// AgentDelay returns a random delay before the given retry of a call to an agent on the same
+// machine. The number of the first retry is 1. The delay is uniformly distributed between 0.5 and
+// 1.5 times a mean that doubles with each retry up to maxAgentDelay.
+func AgentDelay(rng *rand.Rand, retry int) time.Duration {
+	mean := initialAgentDelay
+	for i := 1; i < retry && mean < maxAgentDelay; i++ {
+		mean = min(2*mean, maxAgentDelay)
+	}
+	return jittered(rng, mean)
+}
--- a/internal/sidecar/backoff/backoff_test.go
+++ b/internal/sidecar/backoff/backoff_test.go
@@ -55,3 +55,19 @@
 		}
 	}
 }
+
+// The delays before calls to an agent grow, are jittered, and stay below the grace of a drain.
+func TestAgentDelay(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for retry, mean := range map[int]time.Duration{0: 20, 1: 20, 2: 40, 3: 80, 4: 160, 5: 200, 100: 200} {
+		mean *= time.Millisecond
+		least, most := time.Hour, time.Duration(0)
+		for range 1000 {
+			delay := AgentDelay(rng, retry)
+			least, most = min(least, delay), max(most, delay)
+		}
+		if least < mean/2 || most > mean*3/2 || most-least < mean/2 {
+			t.Errorf("retry %d: delays from %v to %v, want them spread over %v to %v", retry, least, most, mean/2, mean*3/2)
+		}
+	}
+}
--- a/internal/sidecar/discovery/watcher.go
+++ b/internal/sidecar/discovery/watcher.go
@@ -35,8 +35,8 @@
 	watchTimeout = backoff.MaxWatchTimeout
 	// pushedWatchTimeout is the timeout of a watch if lists are pushed. It can be short
 	// because the agent that is watched runs on this machine, where a call costs next to
-	// nothing. The sum of pushedWatchTimeout, responseTimeout and pushedRetryInterval has to
-	// stay below the 6 s after which a change counts as reported.
+	// nothing. The sum of pushedWatchTimeout, responseTimeout and the delay before a retry has
+	// to stay below the 6 s after which a change counts as reported.
 	pushedWatchTimeout = 2 * time.Second
 	// responseTimeout is the longest time between the end of a watch's timeout and the
 	// first byte of the response. A change that an unresponsive watch misses can count as
@@ -50,10 +50,6 @@
 	// an agent that does not wait. Discovery treats a call within 200 ms of the end of a
 	// watch as the continuation of that watch.
 	minWatchInterval = 100 * time.Millisecond
-	// pushedRetryInterval is the delay between a failed call and the next call if lists are
-	// pushed. The watcher has to repeat the call by itself, because the balancer does not
-	// request pushed lists.
-	pushedRetryInterval = time.Second
 	// noVersion means that there is no list, so that the next call requests a snapshot. It
 	// is not 0, which is a valid version.
 	noVersion = -1
@@ -80,6 +76,7 @@
 
 	dispatcher        *dispatch.Dispatcher
 	version           int64
+	failures          int              // number of calls that have failed since the last success, if lists are pushed
 	watchedGeneration int              // generation of the address that was last used for a call to discovery
 	expectedSource    string           // required source of the list in the current call; empty if any source is accepted
 	conn              *listConn        // current connection; nil if there is none
@@ -219,7 +216,7 @@
 		cancel()
 		w.closeConnection()
 		if succeeded {
-			attempts = 0
+			attempts, w.failures = 0, 0
 		}
 		switch {
 		case ctx.Err() != nil:
@@ -236,6 +233,10 @@
 // waitAfterFailure waits after a failed call, for a time that depends on the kind of
 // failure. It returns how many of the next calls are made without a request by the balancer.
 func (w *Watcher) waitAfterFailure(ctx context.Context, rng *rand.Rand, attempts, generation int, err error) int {
+	if w.pushed {
+		w.retryPushed(ctx, rng, generation, err)
+		return max(0, attempts-1)
+	}
 	unresponsive := attempts == 0 && w.version > noVersion && errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
 	case unresponsive:
@@ -252,12 +253,22 @@
 	}
 	slog.Warn("discovery call failed", "error", err)
 	w.dispatcher.UpdateEndpoints(balance.ListFailed, dispatch.EndpointList{}, generation)
-	if w.pushed {
-		sleep(ctx, pushedRetryInterval)
-	}
 	return 0
 }
 
+// retryPushed waits before the next call to an agent that pushes lists. The watcher has to repeat
+// the call by itself, because the balancer does not request pushed lists. It does so soon: what the
+// agent has counts as reported, also while no watch is open, and a watch may end instead of
+// reporting a change.
+func (w *Watcher) retryPushed(ctx context.Context, rng *rand.Rand, generation int, err error) {
+	w.failures++
+	if w.failures > 1 {
+		slog.Warn("discovery call failed", "error", err)
+		w.dispatcher.UpdateEndpoints(balance.ListFailed, dispatch.EndpointList{}, generation)
+	}
+	sleep(ctx, backoff.AgentDelay(rng, w.failures))
+}
+
 // sleep waits for the duration or until ctx is done.
 func sleep(ctx context.Context, duration time.Duration) {
 	select {
--- a/internal/sidecar/discovery/watcher_test.go
+++ b/internal/sidecar/discovery/watcher_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -270,3 +271,44 @@
 	eventually(t, "the drain", func() bool { return firstServerState(dispatcher) == balance.Draining })
 	t.Logf("drain applied after %v", time.Since(started).Round(100*time.Millisecond))
 }
+
+// Guards against requests to a draining server after a watch has ended instead of reporting the
+// drain, and after discovery's return: what the agent has counts as reported, and a drain has a
+// grace of 0.55 s. Each call ends without a response for two seconds, then the drain is reported.
+func TestPushedListIsRequestedSoonAfterEachEndOfAWatch(t *testing.T) {
+	t.Parallel()
+	const longestGap, period = 450 * time.Millisecond, 2 * time.Second
+	const mostCalls = 40 // no busy loop
+	var mu sync.Mutex
+	var calls []time.Time
+	_, dispatcher := watchWith(t, true, func(c net.Conn, r *http.Request) {
+		mu.Lock()
+		calls = append(calls, time.Now())
+		since := time.Since(calls[0])
+		first := len(calls) == 1
+		mu.Unlock()
+		switch {
+		case first:
+			writeResponse(c, oneServerList(5, true, "active"))
+		case since < period:
+			c.Close()
+		default:
+			writeResponse(c, oneServerList(6, true, "leaving"))
+		}
+	})
+	eventually(t, "the drain", func() bool { return firstServerState(dispatcher) == balance.Draining })
+	mu.Lock()
+	defer mu.Unlock()
+	inPeriod := 0
+	for i := 1; i < len(calls); i++ {
+		if gap := calls[i].Sub(calls[i-1]); gap > longestGap && calls[i-1].Sub(calls[0]) < period {
+			t.Errorf("call %d came %v after the one before, want at most %v", i+1, gap, longestGap)
+		}
+		if calls[i].Sub(calls[0]) < period {
+			inPeriod++
+		}
+	}
+	if inPeriod > mostCalls {
+		t.Errorf("%d calls in %v, want at most %d", inPeriod, period, mostCalls)
+	}
+}
