HTTP upstream: a response without a length ends with a FIN

Cause: the length was wanted so that a cut answer is told from a whole one.

Bytes behind such an answer can't be told from it.

--- a/internal/sidecar/httpupstream/response.go
+++ b/internal/sidecar/httpupstream/response.go
@@ -69,9 +69,10 @@
 
 func (e *malformedError) Error() string { return "malformed response: " + e.reason }
 
-// readResponse reads a complete response. A response is malformed if the length of its body
-// is not defined or exceeds maxBodyBytes. I/O errors before the first byte are returned
-// unchanged.
+// readResponse reads a complete response. A response is malformed if its body exceeds
+// maxBodyBytes. A body without a length extends to the orderly end of the connection (RFC 9112,
+// section 6.3): an upstream that dies resets its connections, and a reset is an error. I/O errors
+// before the first byte are returned unchanged.
 func readResponse(response *fasthttp.Response, reader *bufio.Reader) error {
 	if _, err := reader.Peek(1); err != nil {
 		return err
@@ -90,7 +91,7 @@
 		_, err := reader.Discard(length) // can't fail: that many bytes are buffered
 		return err
 	case length == untilCloseLength:
-		return &malformedError{"body length not defined"}
+		response.SetConnectionClose()
 	case length > maxBodyBytes:
 		return &malformedError{"body too large"}
 	}
