--- a/internal/sidecar/pipeline_test.go
+++ b/internal/sidecar/pipeline_test.go
@@ -129,3 +129,127 @@
 		t.Errorf("the request ran %d times, want once", runs)
 	}
 }
+
+// sendBatch writes requests of the idempotent class at once and returns their IDs.
+func sendBatch(t *testing.T, c net.Conn, count int, deadline string) (sent []string) {
+	t.Helper()
+	var text strings.Builder
+	for range count {
+		id := newID()
+		sent = append(sent, id)
+		text.WriteString("GET /read HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id + "\r\nX-Deadline: " + deadline + "\r\n\r\n")
+	}
+	send(t, c, text.String())
+	return sent
+}
+
+// readAnswer reads the next answer on a connection.
+func readAnswer(t *testing.T, reader *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	r, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, string(body)
+}
+
+// Guards against requests that were read behind another and get no answer because a drain closes
+// the connection after the first answer.
+func TestDrainAnswersRequestsWrittenAhead(t *testing.T) {
+	t.Parallel()
+	arrived, release := make(chan bool, 10), make(chan bool)
+	s := startSidecar(t, startUpstream(t, func(c net.Conn, r *http.Request, _ int64) bool {
+		arrived <- true
+		<-release
+		return echoRequestID(c, r, 0)
+	}).addr())
+	client := dialClient(t, s)
+	batch := sendBatch(t, client, 4, "6")
+	<-arrived
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		s.Drain()
+	}()
+	eventually(t, "the drain", s.httpServer.Draining)
+	close(release)
+	reader := bufio.NewReader(client)
+	for i, id := range batch {
+		if r, body := readAnswer(t, reader); r.StatusCode != http.StatusOK || body != id {
+			t.Errorf("answer %d: found %v %q, want 200 %s", i+1, r, body, id)
+		}
+	}
+	awaitClosed(t, drained)
+}
+
+// Guards against answers that are held back until the last request of a batch is executed: the
+// second request is answered only after the client has read the first answer.
+func TestAnswersOfABatchAreNotHeldBack(t *testing.T) {
+	t.Parallel()
+	firstRead := make(chan bool)
+	s := startSidecar(t, startUpstream(t, func(c net.Conn, r *http.Request, nth int64) bool {
+		if nth > 1 {
+			<-firstRead
+		}
+		return echoRequestID(c, r, 0)
+	}).addr())
+	client := dialClient(t, s)
+	batch := sendBatch(t, client, 2, "6")
+	reader := bufio.NewReader(client)
+	if _, body := readAnswer(t, reader); body != batch[0] {
+		t.Errorf("found %q, want the first request's answer", body)
+	}
+	close(firstRead)
+	if _, body := readAnswer(t, reader); body != batch[1] {
+		t.Errorf("found %q, want the second request's answer", body)
+	}
+}
+
+// Guards against deadlines that begin when a request's turn comes: the requests of a batch arrive
+// together, and the upstream answers none of them.
+func TestDeadlinesOfABatchCountFromItsArrival(t *testing.T) {
+	t.Parallel()
+	const deadline, grace = 400 * time.Millisecond, 500 * time.Millisecond
+	end := make(chan bool)
+	t.Cleanup(func() { close(end) })
+	s := startSidecar(t, startUpstream(t, func(net.Conn, *http.Request, int64) bool {
+		<-end
+		return false
+	}).addr())
+	client := dialClient(t, s)
+	sentAt := time.Now()
+	batch := sendBatch(t, client, 4, "0.4")
+	reader := bufio.NewReader(client)
+	for i := range batch {
+		readAnswer(t, reader)
+		if after := time.Since(sentAt); after > deadline+grace {
+			t.Errorf("answer %d came %v after its request, want at most %v", i+1, after, deadline+grace)
+		}
+	}
+}
+
+// Guards against an ID that is added behind the checks of the head: in a trailer.
+func TestTrailersAreNotForwarded(t *testing.T) {
+	t.Parallel()
+	heads := make(chan http.Header, 1)
+	s := startSidecar(t, startUpstream(t, func(c net.Conn, r *http.Request, _ int64) bool {
+		heads <- r.Header
+		return echoRequestID(c, r, 0)
+	}).addr())
+	id := newID()
+	r, body := exchange(t, s, "POST /act HTTP/1.1\r\nHost: a\r\nX-Request-Id: "+id+"\r\nX-Deadline: 6\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Request-Id: other\r\nX-More: 1\r\n\r\n")
+	if r == nil || r.StatusCode != http.StatusOK || body != id {
+		t.Fatalf("found %v %q, want 200 %s", r, body, id)
+	}
+	head := <-heads
+	if got := head.Values("X-Request-Id"); len(got) != 1 || got[0] != id {
+		t.Errorf("the upstream got the IDs %v, want %s alone", got, id)
+	}
+	if got := head.Get("X-More"); got != "" {
+		t.Errorf("the upstream got X-More: %s from the trailer", got)
+	}
+}
