Dispatcher: a server that starts after a step of the wall clock back is cold

Start times of servers are wall-clock times, and were set against the wall clock at the sidecar's start: after a step back by an hour a server that had just started counted as an hour old, thus warm, and could be pushed over. The step is now the difference of the wall clock's and the monotonic clock's advance, and the later start is taken. Steps forward were right before (a start in the future counts as now).

--- a/internal/sidecar/dispatch/endpoints.go
+++ b/internal/sidecar/dispatch/endpoints.go
@@ -6,6 +6,7 @@
 
 	"otterspring/balance"
 	"otterspring/internal/sidecar/discovery/drain"
+	"otterspring/internal/wallclock"
 )
 
 // EndpointList is a snapshot of discovery's endpoint list, or a delta to an earlier one.
@@ -275,9 +276,27 @@
 // clock is clamped to the current time. Otherwise, on a machine whose clock is hours behind,
 // each restarted server would count as not warmed up at all for hours. If this machine's
 // clock is ahead, servers count as warm too early. This can't be detected here.
+//
+// A step of the wall clock since the start of this process can be detected. The reported time
+// may have been read before or after the step; the later of the two starts is taken, so that a
+// server that has just started never counts as warm.
 func (d *Dispatcher) toBalancerClock(unixMillis int64) time.Duration {
 	if unixMillis <= 0 {
 		return 0
 	}
-	return min(max(0, clockOrigin+time.UnixMilli(unixMillis).Sub(d.startWallClock)), d.now())
+	started := clockOrigin + time.UnixMilli(unixMillis).Sub(d.startWallClock)
+	if step := d.wallClockStep(); step < -minWallClockStep {
+		started -= step
+	}
+	return min(max(0, started), d.now())
+}
+
+// minWallClockStep is the least difference between the wall clock and the monotonic clock that
+// counts as a step. Smaller ones may be corrections of the rate.
+const minWallClockStep = 500 * time.Millisecond
+
+// wallClockStep returns by how much the wall clock has been stepped since the start of the
+// process; it is negative if the clock was set back.
+func (d *Dispatcher) wallClockStep() time.Duration {
+	return wallclock.Now().Sub(d.startWallClock) - time.Since(d.start)
 }
