Dispatcher: a list entry supersedes an earlier one also after a clock step

A server in the list is now later than one known from earlier lists only; starts are compared within one list.

--- a/internal/sidecar/dispatch/endpoints.go
+++ b/internal/sidecar/dispatch/endpoints.go
@@ -164,9 +164,11 @@
 }
 
 // markSuperseded returns the endpoints of a list, with each server marked as removed whose address
-// belongs to a server that started later under another ID. Two processes can't listen on one
-// address, so the earlier one is gone, even if no list has said so yet. Attempts meant for it
-// would reach the later one. The caller holds the lock.
+// belongs to a later server under another ID. Two processes can't listen on one address, so the
+// earlier one is gone, even if no list has said so yet. Attempts meant for it would reach the later
+// one. Of two servers in one list the later is the one with the later start; a server in the list
+// is later than one that is only known from earlier lists, whatever the wall clocks said. Equal
+// starts are left alone. The caller holds the lock.
 func (d *Dispatcher) markSuperseded(list EndpointList) []Endpoint {
 	latest, listed := map[string]Endpoint{}, map[string]bool{} // by address, by ID
 	for _, endpoint := range list.Endpoints {
@@ -177,23 +179,22 @@
 		}
 	}
 	endpoints := list.Endpoints
-	for address, successor := range latest {
-		known, found := d.endpoints[d.addresses[address]]
-		switch {
-		case !found || list.Snapshot || listed[known.ID]:
-		case known.StartedMillis > successor.StartedMillis:
-			latest[address] = known
-		case known.StartedMillis < successor.StartedMillis:
-			known.State = balance.Removed
-			endpoints = append(endpoints, known)
-		}
-	}
 	for i := range endpoints {
 		successor := latest[endpoints[i].Address]
 		if successor.ID != endpoints[i].ID && successor.StartedMillis > endpoints[i].StartedMillis {
 			endpoints[i].State = balance.Removed
 		}
 	}
+	if list.Snapshot {
+		return endpoints
+	}
+	for address, successor := range latest {
+		known, found := d.endpoints[d.addresses[address]]
+		if found && !listed[known.ID] && known.StartedMillis != successor.StartedMillis {
+			known.State = balance.Removed
+			endpoints = append(endpoints, known)
+		}
+	}
 	return endpoints
 }
 
