--- a/internal/lab/mutant/table.go
+++ b/internal/lab/mutant/table.go
@@ -428,7 +428,7 @@
 	{Name: "never-silent", File: "internal/fleet/lifecycle/instance.go", Defect: "an instance that does not respond is not replaced",
 		Old: "in.phase == Ready && len(in.processes) == 1 && in.processes[0].id == processID", New: "in.phase == Ready && len(in.processes) > 1 && in.processes[0].id == processID"},
 	{Name: "starts-ahead", File: "internal/sidecar/dispatch/endpoints.go", Defect: "a start time in the future, caused by a wall clock that is behind, stays in the future",
-		Old: "return min(max(0, clockOrigin+time.UnixMilli(unixMillis).Sub(d.startWallClock)), d.now())", New: "return max(0, clockOrigin+time.UnixMilli(unixMillis).Sub(d.startWallClock))"},
+		Old: "return min(max(0, started), d.now())", New: "return max(0, started)"},
 	{Name: "starts-anew", File: "internal/sidecar/dispatch/endpoints.go", Defect: "the start time of a server moves with each list that contains it",
 		Old: "\t\treturn server.startTime\n", New: "\t\treturn d.toBalancerClock(endpoint.StartedMillis)\n"},
 	{Name: "host-up-too-soon", File: "internal/lab/rig/disturb.go", Defect: "the rig starts a host although another fault still keeps it down",
