Sidecar: interrupted system calls are repeated; no route is this machine's fault

Two places by reading: a peek that is interrupted counted as nothing to read, and the wait that follows could miss the event that was already there; a connect that fails with ENETUNREACH ejected its server at the first failure. Peeks, reads and polls are repeated after EINTR; ENETUNREACH and ENETDOWN count as lack of resources here: never sent, no evidence against the server. Accepts were right before: each error but a close is tried again. Injected faults on every listener and dialer were not run.

--- a/internal/sidecar/httpserver/connection.go
+++ b/internal/sidecar/httpserver/connection.go
@@ -150,12 +150,31 @@
 	c.setPhase(phaseReading)
 }
 
+// retryInterrupted calls a system call again while it is interrupted by a signal. A wait for the
+// next event of the socket could otherwise follow the event that is already there.
+func retryInterrupted(call func() (int, error)) (int, error) {
+	for {
+		n, err := call()
+		if !errors.Is(err, syscall.EINTR) {
+			return n, err
+		}
+	}
+}
+
+// peek returns the number of bytes that can be read from a socket, at most 1, without reading them.
+func peek(fd int) (int, error) {
+	var b [1]byte
+	return retryInterrupted(func() (int, error) {
+		n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return n, err
+	})
+}
+
 // isReadable reports whether a read of the socket would return at once, with bytes, with the end
 // of the stream or with an error.
 func isReadable(fd int) bool {
-	var b [1]byte
-	_, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	_, err := peek(fd)
+	return !errors.Is(err, syscall.EAGAIN)
 }
 
 // Read implements io.Reader for the read buffer. After a read was interrupted, for a timeout, an
@@ -192,7 +211,8 @@
 func (c *clientConn) readReceived(p []byte) (received int) {
 	// Control fails only on a closed connection, which has no bytes left.
 	_ = c.raw.Control(func(fd uintptr) {
-		if n, err := syscall.Read(int(fd), p); n > 0 && err == nil {
+		n, err := retryInterrupted(func() (int, error) { return syscall.Read(int(fd), p) })
+		if n > 0 && err == nil {
 			received = n
 		}
 	})
@@ -295,8 +315,7 @@
 	unread := false
 	// Control fails only on a closed connection, which has no unread bytes.
 	_ = c.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err := peek(int(fd))
 		unread = n > 0 && err == nil
 	})
 	return unread
@@ -367,16 +386,15 @@
 // disconnection: the server could tell a half-close from a close only by a write, and the first
 // bytes that it could write are those of the response.
 func connectionState(fd int) (disconnected bool, unread int) {
-	var b [1]byte
-	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	n, err := peek(fd)
 	switch {
-	case errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR):
+	case errors.Is(err, syscall.EAGAIN):
 		return false, 0
 	case n <= 0 || err != nil:
 		return true, 0
 	}
 	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err = unix.Poll(polled, 0)
+	n, err = retryInterrupted(func() (int, error) { return unix.Poll(polled, 0) })
 	if hungUp := err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0; hungUp {
 		return true, 0
 	}
--- a/internal/sidecar/httpserver/connection_test.go
+++ b/internal/sidecar/httpserver/connection_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -160,3 +161,20 @@
 		t.Errorf("no answer before silent connections time out: %v", err)
 	}
 }
+
+func TestInterruptedSystemCallsAreRepeated(t *testing.T) {
+	calls := 0
+	n, err := retryInterrupted(func() (int, error) {
+		calls++
+		if calls < 3 {
+			return -1, syscall.EINTR
+		}
+		return 1, nil
+	})
+	if n != 1 || err != nil || calls != 3 {
+		t.Errorf("got %d, %v after %d calls, want 1 after 3", n, err, calls)
+	}
+	if _, err := retryInterrupted(func() (int, error) { return -1, syscall.EAGAIN }); !errors.Is(err, syscall.EAGAIN) {
+		t.Errorf("got %v, want EAGAIN", err)
+	}
+}
--- a/internal/sidecar/httpupstream/attempt.go
+++ b/internal/sidecar/httpupstream/attempt.go
@@ -95,10 +95,10 @@
 }
 
 // isLocalFault reports whether a dial failed because this machine lacks file descriptors,
-// memory or ports. Such a failure is not the upstream's: ejecting the upstream would reduce
+// memory, ports or a route. Such a failure is not the upstream's: ejecting the upstream would reduce
 // the number of servers just when resources are scarce.
 func isLocalFault(err error) bool {
-	for _, local := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+	for _, local := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN} {
 		if errors.Is(err, local) {
 			return true
 		}
--- a/internal/sidecar/httpupstream/conn.go
+++ b/internal/sidecar/httpupstream/conn.go
@@ -76,6 +76,9 @@
 	// Read fails only on a closed connection.
 	_ = c.raw.Read(func(fd uintptr) bool {
 		n, err := syscall.Read(int(fd), c.probe[:])
+		for err == syscall.EINTR {
+			n, err = syscall.Read(int(fd), c.probe[:])
+		}
 		switch {
 		case err == syscall.EAGAIN:
 			state = idleQuiet
