Coordination: a used member number is a final rejection

An operator who added a member under a number that was used before could get a timeout after 5 s in place of the reason (TestMembershipChanges, known red). Cause: replyResult answered the error as unavailable, which clients retry.

--- a/internal/fleet/coordination/server/requests.go
+++ b/internal/fleet/coordination/server/requests.go
@@ -92,6 +92,10 @@
 // replyResult returns the callback that replies with the result of a proposal.
 func (s *Server) replyResult(pending *pendingCall) func(coordination.Result, error) {
 	return func(result coordination.Result, err error) {
+		if errors.Is(err, coordination.ErrMemberNumberUsed) {
+			pending.reject(err.Error())
+			return
+		}
 		pending.response.Rejection, pending.response.Lease = result.Rejection, result.Lease
 		s.replyError(pending, err)
 	}
