--- a/internal/lab/rig/instance.go
+++ b/internal/lab/rig/instance.go
@@ -482,35 +482,6 @@
 	return accepted, rejected, nil
 }
 
-// HandOver starts a new process that takes over the listener. It waits until the old processes have ended and the
-// new process is ready.
-func (in *Instance) HandOver(ctx context.Context) error {
-	oldProcesses := in.runningProcesses()
-	for _, oldProcess := range oldProcesses {
-		oldProcess.exitExpected.Store(true)
-	}
-	if err := in.writeConfig(); err != nil {
-		return err
-	}
-	successor, err := in.spawnDefault()
-	if err != nil {
-		return err
-	}
-	for _, oldProcess := range oldProcesses {
-		select {
-		case <-oldProcess.done:
-			if oldProcess.err != nil {
-				return fmt.Errorf("instance %s: the old process ended with %v: %s: %w", in.Name, oldProcess.err, strings.TrimSpace(oldProcess.tail.String()), ErrCrashed)
-			}
-		case <-successor.done:
-			return fmt.Errorf("instance %s: the new process ended: %v: %s", in.Name, successor.err, strings.TrimSpace(successor.tail.String()))
-		case <-ctx.Done():
-			return fmt.Errorf("instance %s: the old process did not end: %w", in.Name, ctx.Err())
-		}
-	}
-	return in.awaitReady(ctx, successor)
-}
-
 // ResourceUsage returns the largest peak resident size of a process of the instance, in bytes, and the sum of the
 // CPU times of all its processes. Running processes are included.
 func (in *Instance) ResourceUsage() (peakRSS int64, cpuTime time.Duration) {
