--- a/cmd/sandhinge/memory_test.go
+++ b/cmd/sandhinge/memory_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +29,8 @@
 	reconnectDelay  = 10 * time.Millisecond // of a client whose connection was closed
 	usualInterval   = 50 * time.Millisecond
 	usualTimeout    = 2500 * time.Millisecond // the deadline and half a second
+	slowPieceBytes  = 512
+	slowPause       = 100 * time.Millisecond
 	maxHeadBytes    = 8 << 10
 	maxBodyBytes    = 64 << 10
 )
@@ -127,6 +130,7 @@
 	name  string
 	text  func(client, turn int) string
 	reads bool
+	slow  bool // writes in pieces of slowPieceBytes, one each slowPause
 }
 
 func crowdHead(method, class string, client, turn int, fields string) string {
@@ -142,36 +146,42 @@
 var crowdKinds = []crowdKind{
 	{"many fields", func(client, turn int) string {
 		return crowdHead("GET", "read", client, turn, shortFields(maxHeadBytes)) + "\r\n"
-	}, true},
+	}, true, false},
 	{"many fields and no end", func(client, turn int) string {
 		return crowdHead("GET", "read", client, turn, shortFields(maxHeadBytes))
-	}, true},
+	}, true, false},
 	{"long head and no end", func(client, turn int) string {
 		return crowdHead("GET", "read", client, turn, "X-Long: "+strings.Repeat("x", maxHeadBytes-300))
-	}, true},
+	}, true, false},
 	{"half a body", func(client, turn int) string {
 		return crowdHead("POST", "write", client, turn, fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes)) + strings.Repeat("x", maxBodyBytes*7/8)
-	}, true},
+	}, true, false},
 	{"half a chunked body", func(client, turn int) string {
 		return crowdHead("POST", "write", client, turn, "Transfer-Encoding: chunked\r\n\r\nf000\r\n") + strings.Repeat("x", 0xe000)
-	}, true},
+	}, true, false},
 	{"whole bodies", func(client, turn int) string {
 		return crowdHead("POST", "write", client, turn, fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes)) + strings.Repeat("x", maxBodyBytes)
-	}, true},
+	}, true, false},
 	{"commands ahead", func(client, turn int) string {
 		var text strings.Builder
 		for i := range 24 {
 			text.WriteString(crowdHead("GET", "read", client, turn*24+i, shortFields(maxHeadBytes/2)) + "\r\n")
 		}
 		return text.String()
-	}, true},
+	}, true, false},
 	{"unread answers", func(client, turn int) string {
 		var text strings.Builder
 		for i := range 24 {
 			text.WriteString(crowdHead("GET", "read", client, turn*24+i, "\r\n"))
 		}
 		return text.String()
-	}, false},
+	}, false, false},
+	{"slow heads of many fields", func(client, turn int) string {
+		return crowdHead("GET", "read", client, turn, shortFields(maxHeadBytes)) + "\r\n"
+	}, true, true},
+	{"slow bodies", func(client, turn int) string {
+		return crowdHead("POST", "write", client, turn, fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes)) + strings.Repeat("x", maxBodyBytes)
+	}, true, true},
 }
 
 // run opens crowdSize connections and returns when crowdDuration is over.
@@ -198,7 +208,7 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(end)
-	_, _ = io.WriteString(c, k.text(client, turn))
+	k.write(c, k.text(client, turn))
 	if k.reads {
 		_, _ = io.Copy(io.Discard, c)
 		return
@@ -206,6 +216,20 @@
 	time.Sleep(time.Until(end))
 }
 
+// write writes the text at once, or in pieces until the sidecar closes the connection.
+func (k *crowdKind) write(c net.Conn, text string) {
+	if !k.slow {
+		_, _ = io.WriteString(c, text)
+		return
+	}
+	for piece := range slices.Chunk([]byte(text), slowPieceBytes) {
+		if _, err := c.Write(piece); err != nil {
+			return
+		}
+		time.Sleep(slowPause)
+	}
+}
+
 // usualRequests sends a request at each usualInterval until crowdDuration is over, each on a
 // connection of its own and without waiting for the one before. It returns how many were sent,
 // and the errors of those that were not answered within usualTimeout.
