HTTP server: an eviction that comes too late does not last

Found on reading: an eviction that sees an incomplete request and stores its mark when the request has become complete left the mark for the connection's next request, which was then never evicted again and got the wrong reason. The mark is taken off when a request begins. A connection that is taken back from its close as idle, since a request has arrived, is read without the interruption, so that a request in two pieces is served. TestEvictionOfACompleteRequestDoesNotLast forces the order and failed before.

--- a/internal/sidecar/httpserver/connection.go
+++ b/internal/sidecar/httpserver/connection.go
@@ -90,7 +90,6 @@
 // markRequestComplete records that a complete request was received.
 func (c *clientConn) markRequestComplete() {
 	c.hadRequest.Store(true)
-	c.evicted.Store(false)
 	c.setPhase(phaseWaiting)
 }
 
@@ -138,6 +137,9 @@
 func (c *clientConn) takeBack() bool {
 	if c.phase.CompareAndSwap(phaseClosing, phaseReading) {
 		c.restartTimes()
+		if !c.readsCutOff.Load() {
+			c.clearReadDeadline() // the rest of the request may come
+		}
 		return true
 	}
 	return c.markReading()
@@ -232,6 +234,7 @@
 // restartTimes begins the timeouts of a request of which bytes have arrived.
 func (c *clientConn) restartTimes() {
 	now := c.server.now()
+	c.evicted.Store(false) // an eviction may have come when the request before was complete
 	c.bodyReceived.Store(0)
 	c.lastReadAt.Store(now)
 	if c.hadRequest.Load() {
--- a/internal/sidecar/httpserver/connection_test.go
+++ b/internal/sidecar/httpserver/connection_test.go
@@ -178,3 +178,27 @@
 		t.Errorf("got %v, want EAGAIN", err)
 	}
 }
+
+// Guards against a connection that can't be evicted any more: an eviction comes in the moment in
+// which a request becomes complete, and the connection's next request stays incomplete.
+func TestEvictionOfACompleteRequestDoesNotLast(t *testing.T) {
+	t.Parallel()
+	connection, _ := connectedPair(t)
+	server := connection.server
+	oldEnough := server.now() - minIncompleteAge.Milliseconds()
+	connection.setPhase(phaseReading)
+	connection.readingSince.Store(oldEnough)
+	server.mu.Lock()
+	first := server.evictIncomplete()
+	server.mu.Unlock()
+	connection.markRequestComplete()
+	connection.evicted.Store(true) // the eviction saw the phase before, and comes to store this now
+	connection.beginRequest()
+	connection.readingSince.Store(oldEnough)
+	server.mu.Lock()
+	second := server.evictIncomplete()
+	server.mu.Unlock()
+	if !first || !second {
+		t.Errorf("evicted %t and %t, want both requests evicted", first, second)
+	}
+}
