--- a/review/second/window.go
+++ b/review/second/window.go
@@ -197,7 +197,7 @@
 		dedupWindow = time.Second
 		slack       = 50*time.Millisecond + 150*time.Millisecond // of sockets, and of a sidecar that is held up
 		perSecond   = 100
-		cuts        = 4
+		cuts        = 6
 		cutLength   = 1400 * time.Millisecond
 	)
 	pods := []*pod{{window: dedupWindow, runs: map[string][]podRun{}}, {window: dedupWindow, runs: map[string][]podRun{}}}
