--- a/review/second/main.go
+++ b/review/second/main.go
@@ -11,6 +11,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"time"
 )
 
@@ -18,7 +19,7 @@
 const caseLimit = 115 * time.Second
 
 var cases = map[string]func(*run) verdict{
-	"refused": refused, "restored": restored, "takeover": takeover, "window": window, "rolled": rolled,
+	"refused": refused, "restored": restored, "takeover": takeover, "window": window, "rolled": rolled, "crowd": crowd,
 }
 
 func main() {
@@ -26,6 +27,10 @@
 		callServer(os.Args[2:])
 		return
 	}
+	if len(os.Args) > 1 && os.Args[1] == "crowd" && len(os.Args) == 3 && strings.Contains(os.Args[2], ":") {
+		crowdOfBodies(os.Args[2:])
+		return
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-2 NAME FOLDER")
 		os.Exit(2)
