--- a/internal/sidecar/httpupstream/attempt.go
+++ b/internal/sidecar/httpupstream/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -74,7 +73,7 @@
 		return connection, 0
 	}
 	pool.release()
-	if isLocalFault(err) {
+	if dispatch.IsLocalFault(err) {
 		return nil, balance.NeverSent
 	}
 	return nil, balance.ConnectFailed
@@ -94,18 +93,6 @@
 	return newConn(connection, a.upstream)
 }
 
-// isLocalFault reports whether a dial failed because this machine lacks file descriptors,
-// memory, ports or a route. Such a failure is not the upstream's: ejecting the upstream would reduce
-// the number of servers just when resources are scarce.
-func isLocalFault(err error) bool {
-	for _, local := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN} {
-		if errors.Is(err, local) {
-			return true
-		}
-	}
-	return false
-}
-
 // write writes the request. It waits for LastByteDelay before it writes the last byte. The
 // last byte is written only if nothing was received and no error occurred until the end of
 // this delay. write returns false if the last byte was certainly not written. The request was
