CoAP upstreams: a refusal concerns the datagram that it quotes

Cause: ECONNREFUSED on a connected UDP socket says that some datagram was refused, not which. exchange.Client.PeerUnreachable failed all requests in state "sent", and client.handleFailure took one transmission without an acknowledgement as proof that the request never ran. So one refusal ended the refused request and all that the dead process was executing.

Change: sockets to upstreams read the kernel's error queue (IP_RECVERR, IPV6_RECVERR), whose entries quote the refused datagram. The request is found by message ID and token. If the quoted datagram is its only one it fails at once as never executed, and goes to another server as before. Requests that were sent before it end as possibly executed 20 ms later, unless a response, an acknowledgement or a refusal of their own is on its way; those sent after it are left alone. What is not quoted far enough proves nothing. The same reasoning on Write: an error says that this datagram did not leave, so its request is provably not executed, and says nothing about others; before, ECONNREFUSED there ended all as well, and any other error left the request waiting for a response that could not come. Number of datagrams that left is now counted for itself.

Why it works: a request is "never executed" only if no datagram of it left, or its only one is quoted by its refusal.

--- a/internal/coap/client/attempt.go
+++ b/internal/coap/client/attempt.go
@@ -80,7 +80,7 @@
 	sendOnce := att.request.NonIdempotent && att.bodySent && !att.withEcho && c.echoPolicy != echoRequired
 	actions, ok := c.exchanges.Request(now, att.exchange, c.peer, msg, sendOnce, nil)
 	if !ok {
-		c.finish(att, Action{Outcome: Unreachable})
+		c.finish(att, Action{Outcome: NotSent})
 		return
 	}
 	c.execute(now, actions)
@@ -95,23 +95,31 @@
 
 // handleFailure ends an attempt whose exchange has ended without a response.
 func (c *Client) handleFailure(att *attempt, failure *exchange.Action) {
-	// The request was sent once and not acknowledged, so the server has not accepted its only
-	// datagram.
-	provablyNotExecuted := failure.Transmissions <= 1 && !failure.Acknowledged
 	switch {
-	case !att.bodySent:
-		c.finish(att, Action{Outcome: NotExecuted}) // servers execute a request after its last block
 	case att.response.Code != 0:
 		c.finish(att, Action{Outcome: ErrorResponse}) // executed, but blocks of the response are missing
+	case failure.Reason == exchange.NotSent:
+		c.finish(att, Action{Outcome: NotSent})
+	case !att.bodySent:
+		c.finish(att, Action{Outcome: NotExecuted}) // servers execute a request after its last block
+	case failure.Reason == exchange.Unreachable, isUnknownToServer(failure):
+		c.finish(att, Action{Outcome: Unreachable})
 	case failure.Reason == exchange.TimedOut:
 		c.finish(att, Action{Outcome: TimedOut})
-	case provablyNotExecuted:
-		c.finish(att, Action{Outcome: Unreachable})
+	case failure.Reason == exchange.PeerLost:
+		c.finish(att, Action{Outcome: ServerLost})
 	default:
 		c.finish(att, Action{Outcome: Aborted})
 	}
 }
 
+// isUnknownToServer reports whether a Reset proves that the server has not accepted a request:
+// the Reset is the reaction to the only datagram. After two datagrams, the server may have
+// executed the request on the first one and restarted before the second one.
+func isUnknownToServer(failure *exchange.Action) bool {
+	return failure.Reason == exchange.Rejected && failure.Transmissions <= 1 && !failure.Acknowledged
+}
+
 func (c *Client) handleResponse(now time.Duration, att *attempt, msg *message.Message) {
 	if value, ok := msg.Get(message.Echo); ok {
 		c.echo, c.echoReceived = value, now
--- a/internal/coap/client/client.go
+++ b/internal/coap/client/client.go
@@ -18,16 +18,18 @@
 // Outcome is the result of an attempt.
 type Outcome int
 
-// The outcomes. Succeeded means that the request was executed. NotExecuted and Unreachable
-// mean that the request was not executed. After any other outcome, the request may or may not
-// have been executed.
+// The outcomes. Succeeded means that the request was executed. NotExecuted, Unreachable and
+// NotSent mean that the request was not executed. After any other outcome, the request may or
+// may not have been executed.
 const (
 	Succeeded     Outcome = iota
 	NotExecuted           // the server confirmed this, or never received the complete body
-	Unreachable           // no datagram was accepted by a server
+	Unreachable           // the only datagram was refused or answered with a Reset, or not sent because the server refused an earlier one
 	ErrorResponse         // the response is an error without OptNotExecuted, or malformed
-	Aborted               // a Reset or a network error arrived after the request may have been executed
+	Aborted               // a Reset arrived after the request may have been executed
 	TimedOut              // no response before the protocol's timeout
+	NotSent               // this machine could not send the request
+	ServerLost            // a later datagram was refused: the process that may have executed the request has ended
 )
 
 // ActionKind is the kind of an Action.
@@ -154,11 +156,19 @@
 	return c.takeActions()
 }
 
-// PeerUnreachable handles an ICMP error, by which the network reports that a datagram was
-// not delivered.
-func (c *Client) PeerUnreachable(now time.Duration, actions []Action) []Action {
+// PeerUnreachable handles an ICMP message by which the server's host refuses a datagram that
+// begins with quoted. quoted may be empty; see exchange.Client.PeerUnreachable.
+func (c *Client) PeerUnreachable(now time.Duration, quoted []byte, actions []Action) []Action {
 	c.actions = actions
-	c.execute(now, c.exchanges.PeerUnreachable(now, c.peer, nil))
+	c.execute(now, c.exchanges.PeerUnreachable(now, c.peer, quoted, nil))
+	return c.takeActions()
+}
+
+// SendFailed handles the failure to send the datagram of a Send action. localFault is true if
+// the cause is this machine and not the server or the route to it.
+func (c *Client) SendFailed(now time.Duration, datagram []byte, localFault bool, actions []Action) []Action {
+	c.actions = actions
+	c.execute(now, c.exchanges.SendFailed(now, c.peer, datagram, localFault, nil))
 	return c.takeActions()
 }
 
--- a/internal/coap/client/client_test.go
+++ b/internal/coap/client/client_test.go
@@ -43,12 +43,16 @@
 	committed     map[uint64]bool
 	nonIdempotent map[uint64]bool
 	incarnation   uint64
+	isDown        bool       // the server has crashed: its host refuses datagrams
+	quoteSize     func() int // returns how much of a refused datagram is quoted, in bytes; nil if all of it
+	sendFailure   float64    // probability that a datagram of the client can't be sent
 }
 
 type datagram struct {
-	at       time.Duration
-	toServer bool
-	payload  []byte
+	at        time.Duration
+	toServer  bool
+	isRefusal bool // an ICMP message to the client; payload is the part of the datagram that it quotes
+	payload   []byte
 }
 
 // runningRequest is a request that the server executes until the time at.
@@ -90,6 +94,19 @@
 }
 
 func (sim *simulation) transmit(toServer bool, payload []byte) {
+	sim.transmitDatagram(datagram{toServer: toServer, payload: payload})
+}
+
+// refuse transmits an ICMP message about a datagram that reached the host of a crashed server.
+func (sim *simulation) refuse(refused []byte) {
+	quote := len(refused)
+	if sim.quoteSize != nil {
+		quote = min(quote, sim.quoteSize())
+	}
+	sim.transmitDatagram(datagram{isRefusal: true, payload: refused[:quote]})
+}
+
+func (sim *simulation) transmitDatagram(sent datagram) {
 	if sim.rng.Float64() < sim.drop {
 		return
 	}
@@ -98,18 +115,24 @@
 		copies = 2
 	}
 	for range copies {
-		at := sim.now + time.Millisecond
+		sent.at = sim.now + time.Millisecond
 		if sim.maxDelay > 0 {
-			at += time.Duration(sim.rng.Int64N(int64(sim.maxDelay)))
+			sent.at += time.Duration(sim.rng.Int64N(int64(sim.maxDelay)))
 		}
-		sim.inTransit = append(sim.inTransit, datagram{at, toServer, bytes.Clone(payload)})
+		sent.payload = bytes.Clone(sent.payload)
+		sim.inTransit = append(sim.inTransit, sent)
 	}
 }
 
 func (sim *simulation) execute(actions []Action) {
-	for _, a := range actions {
+	for i := 0; i < len(actions); i++ {
+		a := actions[i]
 		switch a.Kind {
 		case Send:
+			if sim.sendFailure > 0 && sim.rng.Float64() < sim.sendFailure {
+				actions = sim.client.SendFailed(sim.now, a.Datagram, sim.rng.IntN(2) == 0, actions)
+				continue
+			}
 			sim.transmit(true, a.Datagram)
 		case Commit:
 			sim.committed[a.Handle] = true
@@ -153,6 +176,10 @@
 		switch {
 		case f.at > sim.now:
 			sim.inTransit = append(sim.inTransit, f)
+		case f.isRefusal:
+			sim.execute(sim.client.PeerUnreachable(sim.now, f.payload, nil))
+		case f.toServer && sim.isDown:
+			sim.refuse(f.payload)
 		case f.toServer:
 			sim.executeServer(sim.server.Receive(sim.now, clientAddr, f.payload, nil))
 		default:
@@ -187,6 +214,44 @@
 	sim.execute(sim.client.Start(sim.now, handle, r, nil))
 }
 
+// checkGuarantees checks, after all of the requests 1 to n have ended, that a non-idempotent
+// request was executed at most once, that a request that ended as not executed was never
+// executed, that each attempt ended exactly once, and that each successful response is
+// complete.
+func (sim *simulation) checkGuarantees(n uint64) {
+	t := sim.t
+	for h := uint64(1); h <= n; h++ {
+		id := fmt.Sprint("id", h)
+		if len(sim.finished[h]) != 1 {
+			t.Fatalf("%s ended %d times: %+v", id, len(sim.finished[h]), sim.finished[h])
+		}
+		e := sim.finished[h][0]
+		switch {
+		case (e.Outcome == Unreachable || e.Outcome == NotExecuted || e.Outcome == NotSent) && sim.executions[id] > 0:
+			t.Fatalf("%s ended with outcome %d (not executed) but was executed %d times", id, e.Outcome, sim.executions[id])
+		case sim.executions[id] > 0 && !sim.committed[h]:
+			t.Fatalf("%s was executed without a Commit action", id)
+		case e.Outcome == Succeeded && (sim.executions[id] == 0 || len(e.Body) != len(sim.body)):
+			t.Fatalf("%s succeeded with %d bytes after %d executions", id, len(e.Body), sim.executions[id])
+		}
+		if sim.client.byHandle[h] != nil {
+			t.Fatalf("%s is still in flight", id)
+		}
+	}
+	for id, n := range sim.executions {
+		var h uint64
+		if _, err := fmt.Sscanf(id, "id%d", &h); err != nil {
+			t.Fatalf("%v", err)
+		}
+		if n > 1 && sim.nonIdempotent[h] {
+			t.Fatalf("%s is not idempotent and was executed %d times", id, n)
+		}
+	}
+	if len(sim.client.byExchange) > 0 || sim.client.InFlight() > 0 {
+		t.Fatalf("%d exchanges and %d attempts remain", len(sim.client.byExchange), sim.client.InFlight())
+	}
+}
+
 // Guards the execution guarantees against lost, duplicated and delayed datagrams and server
 // restarts: a non-idempotent request is executed at most once, a request that ended as not
 // executed is never executed, each attempt ends exactly once, and each successful response
@@ -215,36 +280,7 @@
 			}
 		}
 		sim.advance(10 * time.Minute)
-		for h := uint64(1); h <= n; h++ {
-			id := fmt.Sprint("id", h)
-			if len(sim.finished[h]) != 1 {
-				t.Fatalf("%s ended %d times: %+v", id, len(sim.finished[h]), sim.finished[h])
-			}
-			e := sim.finished[h][0]
-			switch {
-			case (e.Outcome == Unreachable || e.Outcome == NotExecuted) && sim.executions[id] > 0:
-				t.Fatalf("%s ended with outcome %d (not executed) but was executed %d times", id, e.Outcome, sim.executions[id])
-			case sim.executions[id] > 0 && !sim.committed[h]:
-				t.Fatalf("%s was executed without a Commit action", id)
-			case e.Outcome == Succeeded && (sim.executions[id] == 0 || len(e.Body) != len(sim.body)):
-				t.Fatalf("%s succeeded with %d bytes after %d executions", id, len(e.Body), sim.executions[id])
-			}
-			if sim.client.byHandle[h] != nil {
-				t.Fatalf("%s is still in flight", id)
-			}
-		}
-		for id, n := range sim.executions {
-			var h uint64
-			if _, err := fmt.Sscanf(id, "id%d", &h); err != nil {
-				t.Fatal(err)
-			}
-			if n > 1 && sim.nonIdempotent[h] {
-				t.Fatalf("%s is not idempotent and was executed %d times", id, n)
-			}
-		}
-		if len(sim.client.byExchange) > 0 || sim.client.InFlight() > 0 {
-			t.Fatalf("%d exchanges and %d attempts remain", len(sim.client.byExchange), sim.client.InFlight())
-		}
+		sim.checkGuarantees(n)
 	})
 }
 
@@ -297,7 +333,14 @@
 		}
 	}
 	ignore := func(*simulation, message.Message) {}
-	refuse := func(sim *simulation, _ message.Message) { sim.execute(sim.client.PeerUnreachable(sim.now, nil)) }
+	refuse := func(sim *simulation, m message.Message) {
+		text, err := m.Append(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sim.execute(sim.client.PeerUnreachable(sim.now, text, nil))
+	}
+	refuseUnquoted := func(sim *simulation, _ message.Message) { sim.execute(sim.client.PeerUnreachable(sim.now, nil, nil)) }
 	for name, c := range map[string]struct {
 		reactions []func(sim *simulation, m message.Message) // one for each datagram that the server receives
 		body      int
@@ -311,6 +354,9 @@
 		"reset of the first datagram":              {[]func(*simulation, message.Message){empty(message.Reset)}, 0, Unreachable},
 		"reset after a retransmission":             {[]func(*simulation, message.Message){respond(message.Unauthorized, message.Echo, "v"), ignore, empty(message.Reset)}, 0, Aborted},
 		"first datagram refused":                   {[]func(*simulation, message.Message){refuse}, 0, Unreachable},
+		"retransmission refused":                   {[]func(*simulation, message.Message){respond(message.Unauthorized, message.Echo, "v"), ignore, refuse}, 0, ServerLost},
+		"unknown datagram refused":                 {[]func(*simulation, message.Message){refuseUnquoted}, 0, ServerLost},
+		"block of the body refused":                {[]func(*simulation, message.Message){refuse}, 3000, NotExecuted},
 		"acknowledgement without a response":       {[]func(*simulation, message.Message){empty(message.Acknowledgement)}, 0, TimedOut},
 		"no response":                              {[]func(*simulation, message.Message){ignore, ignore, ignore, ignore, ignore}, 0, TimedOut},
 		"Echo challenge, then success":             {[]func(*simulation, message.Message){respond(message.Unauthorized, message.Echo, "v"), respond(message.Changed)}, 0, Succeeded},
--- a/internal/coap/exchange/action.go
+++ b/internal/coap/exchange/action.go
@@ -37,14 +37,16 @@
 const (
 	Rejected    FailureReason = iota // the server sent a Reset
 	TimedOut                         // no response within MAX_TRANSMIT_WAIT, even if an empty acknowledgement arrived
-	Unreachable                      // the network reported the server as unreachable, or the request was never sent
+	Unreachable                      // no server received the request: its only datagram was refused, or not sent because an earlier one was
+	NotSent                          // no datagram with the request left this machine
+	PeerLost                         // another datagram was refused; the server may have processed the request before
 )
 
 func (r FailureReason) String() string {
-	if r < Rejected || r > Unreachable {
+	if r < Rejected || r > PeerLost {
 		return fmt.Sprintf("FailureReason(%d)", int(r))
 	}
-	return [...]string{"rejected", "timed out", "unreachable"}[r]
+	return [...]string{"rejected", "timed out", "unreachable", "not sent", "peer lost"}[r]
 }
 
 // Action is an instruction to the caller.
@@ -55,7 +57,7 @@
 	Message  message.Message
 	Handle   uint64
 	Reason   FailureReason
-	// Transmissions is the number of times that a request was sent before it ended.
+	// Transmissions is the number of datagrams with a request that left this machine.
 	// Acknowledged is true if an empty acknowledgement of the request was received. If a
 	// request was sent only once and was not acknowledged, a Reset proves that the server
 	// did not process the request.
@@ -73,6 +75,9 @@
 	Evicted            int // exchanges of safe methods removed before their expiry
 	Compacted          int // exchanges of unsafe methods of which only a hash is kept
 	Resets             int // Resets received
+	Refusals           int // datagrams that were refused by an ICMP message
+	UnknownRefusals    int // those of them that could not be attributed to a request
+	SendFailures       int // datagrams that did not leave this machine
 }
 
 // emptyMessage encodes an empty message (RFC 7252, section 4.1).
--- a/internal/coap/exchange/client.go
+++ b/internal/coap/exchange/client.go
@@ -38,6 +38,12 @@
 	state              clientState
 	deadline           time.Duration // when the request times out
 	timer              *timer[*clientExchange]
+	sent               int    // datagrams with the request that have left this machine
+	firstSent          uint64 // position of the first of them among all datagrams with requests
+	lastSent           uint64 // position of the latest of them
+	// lossDeadline is when the request fails because its server is lost, unless the server
+	// acknowledges it. It is 0 while nothing indicates a loss.
+	lossDeadline time.Duration
 }
 
 type clientState int
@@ -49,15 +55,6 @@
 	stateDone
 )
 
-// transmissions returns how often the request was sent. For a request that is never
-// retransmitted, transmission.count is set to the maximum and can't be used.
-func (x *clientExchange) transmissions() int {
-	if (x.singleTransmission || !x.confirmable) && x.transmission.count > 0 {
-		return 1
-	}
-	return x.transmission.count
-}
-
 // peerState is a Client's state for one server.
 type peerState struct {
 	outstanding int // number of outstanding interactions (RFC 7252, section 4.7)
@@ -97,6 +94,7 @@
 	seenResponses  map[messageKey]bool
 	responsesByAge []seenResponse // oldest first
 	timers         timers[*clientExchange]
+	requestsSent   uint64   // datagrams with requests that were sent so far
 	actions        []Action // of the call in progress
 	counts         Counts
 }
@@ -129,6 +127,17 @@
 	c.actions = append(c.actions, Action{Kind: Send, Peer: peer, Datagram: datagram})
 }
 
+// sendRequest transmits a request.
+func (c *Client) sendRequest(exchange *clientExchange) {
+	c.requestsSent++
+	exchange.sent++
+	exchange.lastSent = c.requestsSent
+	if exchange.sent == 1 {
+		exchange.firstSent = c.requestsSent
+	}
+	c.send(exchange.peer, exchange.transmission.datagram)
+}
+
 // takeActions returns the actions of the call in progress and drops the reference to the
 // caller's slice.
 func (c *Client) takeActions() []Action {
@@ -208,7 +217,7 @@
 func (c *Client) transmit(now time.Duration, server *peerState, exchange *clientExchange) {
 	id, ok := server.ids.next(now, c.params.ExchangeLifetime())
 	if !ok {
-		c.fail(now, exchange, Unreachable) // the request was not sent
+		c.fail(now, exchange, NotSent)
 		return
 	}
 	exchange.messageID = id
@@ -219,7 +228,7 @@
 	exchange.request.ID, exchange.request.Token = id, binary.BigEndian.AppendUint64(nil, exchange.token)
 	datagram, err := exchange.request.Append(nil)
 	if err != nil {
-		c.fail(now, exchange, Unreachable) // the request was not sent
+		c.fail(now, exchange, NotSent)
 		return
 	}
 	exchange.transmission = c.params.newTransmission(c.rng, datagram, now)
@@ -229,14 +238,17 @@
 		exchange.transmission.deadline = exchange.deadline
 	}
 	c.schedule(exchange)
-	c.send(exchange.peer, datagram)
+	c.sendRequest(exchange)
 }
 
-// schedule sets the timer of a request to its next retransmission or timeout.
+// schedule sets the timer of a request to its next retransmission or its failure.
 func (c *Client) schedule(exchange *clientExchange) {
 	deadline := exchange.deadline
 	if exchange.state == stateSent {
 		deadline = min(deadline, exchange.transmission.deadline)
+		if exchange.lossDeadline > 0 {
+			deadline = min(deadline, exchange.lossDeadline)
+		}
 	}
 	c.timers.set(&exchange.timer, exchange, deadline)
 }
@@ -247,7 +259,7 @@
 	c.finish(now, exchange)
 	c.actions = append(c.actions, Action{
 		Kind: Failed, Peer: exchange.peer, Handle: exchange.handle, Reason: reason,
-		Transmissions: exchange.transmissions(), Acknowledged: acknowledged,
+		Transmissions: exchange.sent, Acknowledged: acknowledged,
 	})
 }
 
@@ -288,29 +300,11 @@
 	if exchange == nil {
 		return c.takeActions(), 0
 	}
-	transmissions := exchange.transmissions()
+	transmissions := exchange.sent
 	c.finish(now, exchange)
 	return c.takeActions(), transmissions
 }
 
-// PeerUnreachable processes an error of the network, such as an ICMP message, that reports
-// a server as unreachable. All requests that were sent to the server and not acknowledged
-// fail.
-func (c *Client) PeerUnreachable(now time.Duration, peer Peer, actions []Action) []Action {
-	c.actions = actions
-	var failed []*clientExchange
-	for _, exchange := range c.byHandle {
-		if exchange.peer == peer && exchange.state == stateSent {
-			failed = append(failed, exchange)
-		}
-	}
-	slices.SortFunc(failed, func(a, b *clientExchange) int { return int(a.messageID) - int(b.messageID) })
-	for _, exchange := range failed {
-		c.fail(now, exchange, Unreachable)
-	}
-	return c.takeActions()
-}
-
 // Receive processes a message that was decoded without an error. It does not retain the
 // message.
 func (c *Client) Receive(now time.Duration, peer Peer, received *message.Message, actions []Action) []Action {
@@ -362,7 +356,7 @@
 		c.counts.Dropped++ // both message ID and token must match (section 5.3.2)
 		return
 	}
-	transmissions, acknowledged := exchange.transmissions(), exchange.state == stateAcknowledged
+	transmissions, acknowledged := exchange.sent, exchange.state == stateAcknowledged
 	copied := clone(response)
 	c.finish(now, exchange)
 	c.actions = append(c.actions, Action{
@@ -420,7 +414,7 @@
 // Next returns the time at which Tick is due. It returns false if nothing is scheduled.
 func (c *Client) Next() (time.Duration, bool) { return c.timers.earliest() }
 
-// Tick processes the retransmissions and timeouts that are due.
+// Tick processes the retransmissions and failures that are due.
 func (c *Client) Tick(now time.Duration, actions []Action) []Action {
 	c.actions = actions
 	for len(c.timers) > 0 && c.timers[0].deadline <= now {
@@ -429,9 +423,12 @@
 		case exchange.deadline <= now:
 			c.fail(now, exchange, TimedOut)
 			continue
+		case exchange.isLost(now):
+			c.fail(now, exchange, PeerLost)
+			continue
 		case exchange.transmission.advance(&c.params):
 			c.counts.Retransmissions++
-			c.send(exchange.peer, exchange.transmission.datagram)
+			c.sendRequest(exchange)
 		default:
 			// All retransmissions are used up; wait until the request times out.
 			exchange.transmission.deadline = exchange.deadline
--- a/internal/coap/exchange/exchange_test.go
+++ b/internal/coap/exchange/exchange_test.go
@@ -130,7 +130,7 @@
 	sim = newSimulation(t, 5)
 	sim.drop = func(int) bool { return true }
 	send(sim)
-	sim.perform(sim.client.PeerUnreachable(sim.now, serverAddr, nil), true)
+	sim.perform(sim.client.PeerUnreachable(sim.now, serverAddr, sim.datagramOf(1), nil), true)
 	if e := sim.outcomes[1]; len(e) != 1 || e[0].Reason != Unreachable || e[0].Transmissions != 1 {
 		t.Errorf("server unreachable: %+v", e)
 	}
--- a/internal/sidecar/coapupstream/pool.go
+++ b/internal/sidecar/coapupstream/pool.go
@@ -145,6 +145,8 @@
 		return balance.AtCapacity, nil
 	case client.Unreachable:
 		return balance.ConnectFailed, nil
+	case client.NotSent:
+		return balance.NeverSent, nil
 	case client.ErrorResponse:
 		return balance.Error, nil
 	case client.TimedOut:
--- a/internal/sidecar/coapupstream/socket.go
+++ b/internal/sidecar/coapupstream/socket.go
@@ -8,12 +8,10 @@
 	"net"
 	"net/netip"
 	"sync"
-	"syscall"
 	"time"
 
 	"otterspring/internal/coap/client"
 	"otterspring/internal/coap/format"
-	"otterspring/internal/coap/message"
 	"otterspring/internal/sidecar/dispatch"
 )
 
@@ -98,8 +96,9 @@
 	settings.Seed ^= pool.seeds.Add(seedStep)
 	protocol, err := client.New(settings, peer)
 	var conn *net.UDPConn
+	var events *receiver
 	if err == nil {
-		conn, err = net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(peer))
+		conn, events, err = dial(peer)
 	}
 	if err != nil {
 		pool.sockets.Add(-1)
@@ -108,34 +107,51 @@
 	s.conn, s.protocol, s.start = conn, protocol, time.Now()
 	s.inFlight = map[uint64]pendingAttempt{}
 	s.timer = time.AfterFunc(idleTimer, func() { s.tick(conn) })
-	go s.read(conn)
+	go s.read(conn, events)
 	return nil
 }
 
+// dial returns a socket that is connected to an upstream, and its receiver.
+func dial(peer netip.AddrPort) (*net.UDPConn, *receiver, error) {
+	conn, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(peer))
+	if err != nil {
+		return nil, nil, err
+	}
+	events, err := newReceiver(conn, peer)
+	if err != nil {
+		return nil, nil, errors.Join(err, conn.Close())
+	}
+	return conn, events, nil
+}
+
 // now returns the time of the state machine, which starts when the connection is opened.
 func (s *socket) now() time.Duration { return time.Since(s.start) }
 
-// read receives datagrams until conn is closed. The error ECONNREFUSED reports an ICMP error
-// in response to a datagram that was sent earlier.
-func (s *socket) read(conn *net.UDPConn) {
-	buffer := make([]byte, message.MaxDatagramSize+1)
+// read handles datagrams and refusals until conn is closed.
+func (s *socket) read(conn *net.UDPConn, events *receiver) {
 	for {
-		n, err := conn.Read(buffer)
+		received, err := events.receive()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		s.mu.Lock()
 		if s.conn == conn {
-			if errors.Is(err, syscall.ECONNREFUSED) {
-				s.execute(s.protocol.PeerUnreachable(s.now(), nil))
-			} else if err == nil {
-				s.execute(s.protocol.Receive(s.now(), buffer[:n], nil))
-			}
+			s.handle(received)
 		}
 		s.mu.Unlock()
 	}
 }
 
+// handle passes an event to the state machine. The caller holds mu.
+func (s *socket) handle(received event) {
+	switch received.kind {
+	case datagramReceived:
+		s.execute(s.protocol.Receive(s.now(), received.data, nil))
+	case datagramRefused:
+		s.execute(s.protocol.PeerUnreachable(s.now(), received.data, nil))
+	}
+}
+
 // tick is called by the timer.
 func (s *socket) tick(conn *net.UDPConn) {
 	s.mu.Lock()
@@ -168,9 +184,9 @@
 	return s.lastHandle, result, nil
 }
 
-// execute carries out the actions of the state machine. The caller holds mu. A datagram that
-// the kernel rejects counts as lost in the network, unless the error is ECONNREFUSED.
-// ECONNREFUSED means that the upstream is unreachable.
+// execute carries out the actions of the state machine. The caller holds mu. A datagram for
+// which the kernel returns an error has not left this machine. The error may be a pending one
+// of an earlier datagram, about which the error queue tells more.
 func (s *socket) execute(actions []client.Action) {
 	for i := 0; i < len(actions); i++ {
 		switch action := &actions[i]; action.Kind {
@@ -184,8 +200,8 @@
 				s.abandon(action.Handle)
 			}
 		case client.Send:
-			if _, err := s.conn.Write(action.Datagram); errors.Is(err, syscall.ECONNREFUSED) {
-				actions = s.protocol.PeerUnreachable(s.now(), actions)
+			if _, err := s.conn.Write(action.Datagram); err != nil {
+				actions = s.protocol.SendFailed(s.now(), action.Datagram, dispatch.IsLocalFault(err), actions)
 			}
 		case client.Finish:
 			if pending, ok := s.inFlight[action.Handle]; ok {
