CoAP upstreams: responses are read before the refusal of a later request

Change: a read that returns an error is repeated, and the error queue is read only when no datagram is left.

--- a/internal/sidecar/coapupstream/receiver.go
+++ b/internal/sidecar/coapupstream/receiver.go
@@ -93,27 +93,23 @@
 }
 
 // poll returns the next event without waiting. Datagrams come first: a response that arrived
-// before a refusal precedes it.
+// before a refusal precedes it. The socket's pending error hides datagrams until a read has
+// returned and cleared it.
 func (r *receiver) poll(fd int) event {
 	for {
 		n, err := unix.Read(fd, r.buffer[:])
 		if err == nil {
 			return event{datagramReceived, r.buffer[:n]}
 		}
-		if errors.Is(err, unix.EINTR) {
-			continue
+		if !errors.Is(err, unix.EAGAIN) {
+			continue // interrupted, or the pending error
+		}
+		entry, err := r.readErrorQueue(fd)
+		if entry.kind != noEvent {
+			return entry
 		}
-		refused, queueErr := r.readErrorQueue(fd)
-		switch {
-		case refused.kind == datagramRefused:
-			return refused
-		case queueErr == nil, errors.Is(queueErr, unix.EINTR):
-			// An entry about something else was removed.
-		case errors.Is(err, unix.EAGAIN):
+		if err != nil && !errors.Is(err, unix.EINTR) {
 			return event{}
-		default:
-			// The read has cleared a pending error. Its entry, if any, is read already or
-			// follows.
 		}
 	}
 }
