CoAP upstreams: counts of how attempts ended, logged at the end

Need: the log could not tell a refusal from a Reset or a timeout, nor whether a refusal was attributed to a request; the incident took trial lines on a scratch copy.

Change: the pool counts attempts by outcome, refusals, those of them whose datagram is not known, and datagrams that did not leave. The process logs them at its end as "CoAP attempts ended".

--- a/internal/coap/client/client.go
+++ b/internal/coap/client/client.go
@@ -30,6 +30,7 @@
 	TimedOut              // no response before the protocol's timeout
 	NotSent               // this machine could not send the request
 	ServerLost            // a later datagram was refused: the process that may have executed the request has ended
+	OutcomeCount          // number of outcomes
 )
 
 // ActionKind is the kind of an Action.
--- a/internal/sidecar/coap.go
+++ b/internal/sidecar/coap.go
@@ -5,19 +5,20 @@
 	"log/slog"
 	"strings"
 
+	"otterspring/internal/coap/client"
 	"otterspring/internal/sidecar/coapserver"
 	"otterspring/internal/sidecar/coapupstream"
 	"otterspring/internal/sidecar/dispatch"
 	"otterspring/internal/sidecar/httpserver"
-	"otterspring/internal/sidecar/httpupstream"
 	"otterspring/internal/sidecar/operatorconfig"
 )
 
 // upstreamOpener returns the function that opens upstreams. The function opens an address
 // without a scheme over HTTP/1.1. schemes are the address schemes that the function
-// supports in addition. Each CoAP upstream uses one socket. All CoAP upstreams together use
-// at most half of the sockets for upstreams.
-func upstreamOpener(config *Config, section *operatorconfig.CoAP, httpPool *httpupstream.Pool) (open func(string, int64) dispatch.Upstream, schemes []string, err error) {
+// supports in addition. All CoAP upstreams together use at most half of the sockets for
+// upstreams.
+func (s *Sidecar) upstreamOpener(section *operatorconfig.CoAP) (open func(string, int64) dispatch.Upstream, schemes []string, err error) {
+	config, httpPool := &s.config, s.httpPool
 	if section == nil || !section.Upstreams {
 		for _, endpoint := range config.KnownEndpoints.Endpoints {
 			if strings.HasPrefix(endpoint.Address, coapupstream.Scheme) {
@@ -27,6 +28,7 @@
 		return httpPool.Open, nil, nil
 	}
 	coapPool := coapupstream.New(coapserver.UpstreamSettings(section, config.Seed), upstreamSockets(config.Sockets)/2)
+	s.coapPool = coapPool
 	return func(address string, startedMillis int64) dispatch.Upstream {
 		if rest, ok := strings.CutPrefix(address, coapupstream.Scheme); ok {
 			return coapPool.Open(rest, startedMillis)
@@ -89,8 +91,9 @@
 	return unanswered+unacknowledged == 0
 }
 
-// closeCoAP closes the CoAP server and logs its counters.
+// closeCoAP closes the CoAP server and logs the counters of CoAP.
 func (s *Sidecar) closeCoAP() {
+	s.logUpstreamCounts()
 	if s.coapServer == nil {
 		return
 	}
@@ -100,3 +103,17 @@
 		"retransmits", counts.Retransmissions, "rejected", counts.CapacityRejections+counts.ObservationRejections, "unproven", counts.PossiblyExecuted,
 		"bad_requests", counts.BadRequests, "truncated", counts.AmplificationLimited, "unsent", unsent)
 }
+
+// logUpstreamCounts logs how the attempts at CoAP upstreams have ended. Canceled attempts are
+// not counted.
+func (s *Sidecar) logUpstreamCounts() {
+	if s.coapPool == nil {
+		return
+	}
+	counts := s.coapPool.Counts()
+	outcomes := &counts.Outcomes
+	slog.Info("CoAP attempts ended", "succeeded", outcomes[client.Succeeded], "not_executed", outcomes[client.NotExecuted],
+		"unreachable", outcomes[client.Unreachable], "not_sent", outcomes[client.NotSent], "error_response", outcomes[client.ErrorResponse],
+		"aborted", outcomes[client.Aborted], "timed_out", outcomes[client.TimedOut], "server_lost", outcomes[client.ServerLost],
+		"refusals", counts.Refusals, "unknown_refusals", counts.UnknownRefusals, "send_failures", counts.SendFailures)
+}
--- a/internal/sidecar/coapupstream/pool.go
+++ b/internal/sidecar/coapupstream/pool.go
@@ -27,6 +27,7 @@
 	maxSockets int
 	sockets    atomic.Int64
 	seeds      atomic.Uint64
+	counters   counters
 }
 
 // New returns a pool of at most maxSockets sockets.
@@ -47,6 +48,9 @@
 // Sockets returns the number of open sockets.
 func (p *Pool) Sockets() int { return int(p.sockets.Load()) }
 
+// Counts returns the totals so far.
+func (p *Pool) Counts() Counts { return p.counters.load() }
+
 // upstream is one incarnation of the server at an address. mu guards sockets and retired. The
 // mu of a socket may be locked while holding the mu of the upstream, but not vice versa.
 type upstream struct {
--- a/internal/sidecar/coapupstream/refusal_test.go
+++ b/internal/sidecar/coapupstream/refusal_test.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"otterspring/balance"
+	"otterspring/internal/coap/client"
 	"otterspring/internal/coap/message"
 	"otterspring/internal/coap/server"
 	"otterspring/internal/sidecar/dispatch"
@@ -233,6 +234,10 @@
 			if n := executions("executing"); n != 0 {
 				t.Errorf("the executing request ran %d times at another server, want 0", n)
 			}
+			counts := upstreams.pool.Counts()
+			if o := counts.Outcomes; o[client.Unreachable] == 0 || o[client.ServerLost] != 1 || counts.Refusals == 0 || counts.UnknownRefusals != 0 {
+				t.Errorf("found %+v, want one lost server and refusals that are all known", counts)
+			}
 		})
 	}
 }
@@ -274,6 +279,9 @@
 	if got := later.wait(later.submit("unsent")); got != balance.Reject {
 		t.Errorf("the unsent request ended as %v, want %v: it provably never ran", got, balance.Reject)
 	}
+	if counts := upstreams.pool.Counts(); counts.SendFailures == 0 || counts.Outcomes[client.ServerLost] != 0 {
+		t.Errorf("found %+v, want send failures and no lost server", counts)
+	}
 	select {
 	case <-request.Done:
 		t.Errorf("the executing request ended as %v when another request was not sent", request.Result.Kind)
--- a/internal/sidecar/coapupstream/socket.go
+++ b/internal/sidecar/coapupstream/socket.go
@@ -148,7 +148,10 @@
 	case datagramReceived:
 		s.execute(s.protocol.Receive(s.now(), received.data, nil))
 	case datagramRefused:
+		counters, unknownBefore := &s.upstream.pool.counters, s.protocol.Counts().UnknownRefusals
+		counters.refusals.Add(1)
 		s.execute(s.protocol.PeerUnreachable(s.now(), received.data, nil))
+		counters.unknownRefusals.Add(int64(s.protocol.Counts().UnknownRefusals - unknownBefore))
 	}
 }
 
@@ -201,11 +204,13 @@
 			}
 		case client.Send:
 			if _, err := s.conn.Write(action.Datagram); err != nil {
+				s.upstream.pool.counters.sendFailures.Add(1)
 				actions = s.protocol.SendFailed(s.now(), action.Datagram, dispatch.IsLocalFault(err), actions)
 			}
 		case client.Finish:
 			if pending, ok := s.inFlight[action.Handle]; ok {
 				delete(s.inFlight, action.Handle)
+				s.upstream.pool.counters.outcomes[action.Outcome].Add(1)
 				pending.result <- *action
 			}
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -43,6 +43,7 @@
 	httpPool     *httpupstream.Pool
 	httpServer   *httpserver.Server
 	coapServer   *coapserver.Server // nil if CoAP is not served
+	coapPool     *coapupstream.Pool // nil without CoAP upstreams
 	watcher      *discovery.Watcher
 	configClient *configclient.Client // nil without a service configuration
 	config       Config               // configuration as loaded at the start; Reload changes only Discovery
@@ -116,7 +117,7 @@
 func (s *Sidecar) open(options *Options) error {
 	config := &s.config
 	s.httpPool = httpupstream.New(config.Connections, upstreamSockets(config.Sockets))
-	openUpstream, schemes, err := upstreamOpener(config, options.CoAP, s.httpPool)
+	openUpstream, schemes, err := s.upstreamOpener(options.CoAP)
 	if err != nil {
 		return err
 	}
