CoAP: one linked list in place of three

Need: block transfers, exchanges with a response and observations each had a doubly linked list of their own, line for line alike but for names.

--- a/internal/coap/block/table.go
+++ b/internal/coap/block/table.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"otterspring/internal/coap/intrusive"
 	"otterspring/internal/coap/message"
 )
 
@@ -13,18 +14,15 @@
 	lastBlock time.Duration    // time of the latest block
 	code      message.Code     // code of the response; set by a Sender only
 	options   []message.Option // options of the response; set by a Sender only
-	older     *transfer        // links of the table's list
-	newer     *transfer
+	links     intrusive.Links[transfer]
 }
 
-// table holds the transfers in flight, with a doubly linked list in the order of their
-// latest blocks.
+// table holds the transfers in flight.
 type table struct {
 	limits Limits
 	byKey  map[string]*transfer
-	oldest *transfer
-	newest *transfer
-	size   int // bytes of all bodies
+	byAge  intrusive.List[transfer] // in the order of their latest blocks
+	size   int                      // bytes of all bodies
 
 	Rejected  int // total of transfers rejected at a limit
 	Abandoned int // total of transfers removed when idle or to free capacity for others
@@ -34,7 +32,8 @@
 	if err := limits.validate(); err != nil {
 		return nil, err
 	}
-	return &table{limits: limits, byKey: map[string]*transfer{}}, nil
+	byAge := intrusive.New(func(entry *transfer) *intrusive.Links[transfer] { return &entry.links })
+	return &table{limits: limits, byKey: map[string]*transfer{}, byAge: byAge}, nil
 }
 
 // InFlight returns the number of transfers in flight and their total size.
@@ -43,33 +42,14 @@
 // contains reports whether the transfer is in the table.
 func (t *table) contains(entry *transfer) bool { return t.byKey[entry.key] == entry }
 
-func (t *table) unlink(entry *transfer) {
-	if entry.older != nil {
-		entry.older.newer = entry.newer
-	} else {
-		t.oldest = entry.newer
-	}
-	if entry.newer != nil {
-		entry.newer.older = entry.older
-	} else {
-		t.newest = entry.older
-	}
-	entry.older, entry.newer = nil, nil
-}
-
-// touch adds a transfer or moves it to the newest position of the list.
+// touch adds a transfer or makes it the newest one.
 func (t *table) touch(now time.Duration, entry *transfer) {
 	if t.contains(entry) {
-		t.unlink(entry)
+		t.byAge.Remove(entry)
 	}
 	t.byKey[entry.key] = entry
-	entry.lastBlock, entry.older, entry.newer = now, t.newest, nil
-	if t.newest != nil {
-		t.newest.newer = entry
-	} else {
-		t.oldest = entry
-	}
-	t.newest = entry
+	entry.lastBlock = now
+	t.byAge.Push(entry)
 }
 
 // remove removes a transfer, if it is in the table.
@@ -77,16 +57,16 @@
 	if !t.contains(entry) {
 		return
 	}
-	t.unlink(entry)
+	t.byAge.Remove(entry)
 	delete(t.byKey, entry.key)
 	t.size -= len(entry.body)
 }
 
 // expire abandons the transfers whose idle timeout has expired.
 func (t *table) expire(now time.Duration) {
-	for t.oldest != nil && now-t.oldest.lastBlock >= t.limits.IdleTimeout {
+	for oldest := t.byAge.Oldest(); oldest != nil && now-oldest.lastBlock >= t.limits.IdleTimeout; oldest = t.byAge.Oldest() {
 		t.Abandoned++
-		t.remove(t.oldest)
+		t.remove(oldest)
 	}
 }
 
@@ -97,9 +77,9 @@
 		return false
 	}
 	for t.size+bytes > t.limits.MaxTotalSize || !t.contains(entry) && len(t.byKey) >= t.limits.MaxTransfers {
-		victim := t.oldest
+		victim := t.byAge.Oldest()
 		if victim == entry {
-			victim = entry.newer
+			victim = t.byAge.Newer(entry)
 		}
 		if victim == nil {
 			return false
--- a/internal/coap/exchange/server.go
+++ b/internal/coap/exchange/server.go
@@ -62,6 +62,7 @@
 	return &Server{
 		params: params, limits: limits, rng: rng, completed: completed, byKey: map[messageKey]*serverExchange{},
 		byResponseID: map[messageKey]*serverExchange{}, byHandle: map[uint64]*serverExchange{}, lastID: uint16(rng.Uint32()),
+		respondedSafe: newExchangeList(), respondedUnsafe: newExchangeList(),
 	}, nil
 }
 
@@ -276,7 +277,7 @@
 	exchange.responded, exchange.separate = true, separate
 	s.pending--
 	s.cacheResponse(exchange, datagram)
-	s.respondedList(exchange).push(exchange)
+	s.respondedList(exchange).Push(exchange)
 	if separate {
 		exchange.responseID = response.ID
 		s.byResponseID[messageKey{exchange.peer, exchange.responseID}] = exchange
--- a/internal/coap/exchange/serverexchange.go
+++ b/internal/coap/exchange/serverexchange.go
@@ -1,6 +1,10 @@
 package exchange
 
-import "time"
+import (
+	"time"
+
+	"otterspring/internal/coap/intrusive"
+)
 
 // serverExchange is the state of a request or a notification. The state of a request is kept
 // until no duplicate of the request can arrive. The state of a notification is kept until the
@@ -20,37 +24,16 @@
 	transmission   transmission
 	retransmitting bool // the message in transmission is still being retransmitted
 	timer          *timer[*serverExchange]
-	resetReceived  bool            // the client sent a Reset
-	notification   bool            // a notification without a request of its own (RFC 7641)
-	older          *serverExchange // links of exchangeList
-	newer          *serverExchange
+	resetReceived  bool // the client sent a Reset
+	notification   bool // a notification without a request of its own (RFC 7641)
+	links          intrusive.Links[serverExchange]
 }
 
-// exchangeList is a doubly linked list of exchanges in the order of their responses.
-type exchangeList struct{ oldest, newest *serverExchange }
-
-func (l *exchangeList) push(exchange *serverExchange) {
-	exchange.older, exchange.newer = l.newest, nil
-	if l.newest != nil {
-		l.newest.newer = exchange
-	} else {
-		l.oldest = exchange
-	}
-	l.newest = exchange
-}
+// exchangeList is a list of exchanges in the order of their responses.
+type exchangeList = intrusive.List[serverExchange]
 
-func (l *exchangeList) remove(exchange *serverExchange) {
-	if exchange.older != nil {
-		exchange.older.newer = exchange.newer
-	} else {
-		l.oldest = exchange.newer
-	}
-	if exchange.newer != nil {
-		exchange.newer.older = exchange.older
-	} else {
-		l.newest = exchange.older
-	}
-	exchange.older, exchange.newer = nil, nil
+func newExchangeList() exchangeList {
+	return intrusive.New(func(exchange *serverExchange) *intrusive.Links[serverExchange] { return &exchange.links })
 }
 
 // respondedList returns the list to which an exchange belongs once it has a response.
@@ -82,17 +65,17 @@
 // has a response with the hash of the exchange. It skips up to maxEvictionScan exchanges
 // whose response is still being retransmitted. It returns false if nothing can be evicted.
 func (s *Server) evict(now time.Duration) bool {
-	if exchange := s.respondedSafe.oldest; exchange != nil {
+	if exchange := s.respondedSafe.Oldest(); exchange != nil {
 		s.counts.Evicted++
 		s.remove(exchange)
 		return true
 	}
-	exchange := s.respondedUnsafe.oldest
+	exchange := s.respondedUnsafe.Oldest()
 	for range maxEvictionScan {
 		if exchange == nil || !exchange.retransmitting {
 			break
 		}
-		exchange = exchange.newer
+		exchange = s.respondedUnsafe.Newer(exchange)
 	}
 	if exchange == nil || exchange.retransmitting || !s.completed.add(now, exchange.messageKey, s.expiry(exchange)) {
 		return false
@@ -108,7 +91,7 @@
 		s.stopRetransmission(exchange)
 	}
 	if exchange.responded {
-		s.respondedList(exchange).remove(exchange)
+		s.respondedList(exchange).Remove(exchange)
 	} else {
 		s.pending--
 	}
--- a/internal/coap/server/observe.go
+++ b/internal/coap/server/observe.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"otterspring/internal/coap/intrusive"
 	"otterspring/internal/coap/message"
 )
 
@@ -29,8 +30,7 @@
 	due          time.Duration
 	polling      bool
 	notification uint64 // handle of the last notification's exchange; 0 if there is none
-	previous     *observation
-	next         *observation
+	links        intrusive.Links[observation]
 }
 
 // observationKey identifies an observation by endpoint and token (RFC 7641, section 3.1).
@@ -39,42 +39,26 @@
 	token string
 }
 
-// observationQueue is a linked list of all observations in the order of their due times. An
-// observation is moved to the end when it is polled. This keeps the order, since all
-// observations have the same interval.
+// observationQueue holds all observations. An observation is moved to the end of the list when
+// it is polled. This keeps the order of due times, since all observations have the same
+// interval.
 type observationQueue struct {
 	byKey          map[observationKey]*observation
 	byNotification map[uint64]*observation
-	first, last    *observation
+	byDue          intrusive.List[observation]
 }
 
 func newObservationQueue() observationQueue {
-	return observationQueue{byKey: map[observationKey]*observation{}, byNotification: map[uint64]*observation{}}
-}
-
-func (q *observationQueue) unlink(obs *observation) {
-	if obs.previous != nil {
-		obs.previous.next = obs.next
-	} else {
-		q.first = obs.next
+	return observationQueue{
+		byKey: map[observationKey]*observation{}, byNotification: map[uint64]*observation{},
+		byDue: intrusive.New(func(obs *observation) *intrusive.Links[observation] { return &obs.links }),
 	}
-	if obs.next != nil {
-		obs.next.previous = obs.previous
-	} else {
-		q.last = obs.previous
-	}
-	obs.previous, obs.next = nil, nil
 }
 
 // pushBack appends an observation to the queue.
 func (q *observationQueue) pushBack(obs *observation, due time.Duration) {
-	obs.due, obs.previous = due, q.last
-	if q.last != nil {
-		q.last.next = obs
-	} else {
-		q.first = obs
-	}
-	q.last = obs
+	obs.due = due
+	q.byDue.Push(obs)
 }
 
 func (q *observationQueue) remove(obs *observation) {
@@ -83,16 +67,17 @@
 	}
 	delete(q.byKey, obs.key)
 	delete(q.byNotification, obs.notification)
-	q.unlink(obs)
+	q.byDue.Remove(obs)
 }
 
 // nextDue returns the time at which the first observation is due. It returns false if there is
 // no observation.
 func (q *observationQueue) nextDue() (time.Duration, bool) {
-	if q.first == nil {
+	first := q.byDue.Oldest()
+	if first == nil {
 		return 0, false
 	}
-	return q.first.due, true
+	return first.due, true
 }
 
 // observe registers or deregisters an observer. If a registration is not accepted, the
@@ -149,7 +134,7 @@
 // because it receives at the same address.
 func (s *Server) EndObservations(now time.Duration, actions []Action) []Action {
 	s.actions = actions
-	for obs := s.observations.first; obs != nil; obs = s.observations.first {
+	for obs := s.observations.byDue.Oldest(); obs != nil; obs = s.observations.byDue.Oldest() {
 		sent, _, err := s.exchanges.Notify(now, obs.key.peer, []byte(obs.key.token), rejection(message.ServiceUnavailable, 0), nil)
 		if err == nil { // after an error, the observer detects the end by its own timeout
 			s.execute(now, sent, 0)
@@ -170,8 +155,8 @@
 
 // poll submits a request for every observation that is due.
 func (s *Server) poll(now time.Duration) {
-	for obs := s.observations.first; obs != nil && obs.due <= now; obs = s.observations.first {
-		s.observations.unlink(obs)
+	for obs := s.observations.byDue.Oldest(); obs != nil && obs.due <= now; obs = s.observations.byDue.Oldest() {
+		s.observations.byDue.Remove(obs)
 		s.observations.pushBack(obs, now+s.settings.ObserveInterval)
 		if obs.polling || s.draining {
 			continue
