CoAP client: separate responses and peer state in files of their own

Duplicates of separate responses move to separate.go, the state for each server to peerstate.go; the upstream's request is built by a function of its own, a field a line; two drawn tests share how a request is drawn.

--- a/internal/coap/client/client_test.go
+++ b/internal/coap/client/client_test.go
@@ -214,6 +214,17 @@
 	sim.execute(sim.client.Start(sim.now, handle, r, nil))
 }
 
+// startDrawn starts a drawn request: a safe one, or a non-idempotent one with a body in no,
+// one or several blocks.
+func (sim *simulation) startDrawn(t *rapid.T, handle uint64) {
+	var body []byte
+	nonIdempotent := rapid.Bool().Draw(t, "non-idempotent")
+	if nonIdempotent {
+		body = make([]byte, rapid.SampledFrom([]int{0, 5, 2500}).Draw(t, "body size"))
+	}
+	sim.start(handle, nonIdempotent, body)
+}
+
 // checkGuarantees checks, after all of the requests 1 to n have ended, that a non-idempotent
 // request was executed at most once, that a request that ended as not executed was never
 // executed, that each attempt ended exactly once, and that each successful response is
@@ -268,12 +279,7 @@
 		sim.body = make([]byte, rapid.SampledFrom([]int{0, 10, 3000}).Draw(t, "response size"))
 		n := uint64(rapid.IntRange(1, 25).Draw(t, "requests"))
 		for h := uint64(1); h <= n; h++ {
-			var body []byte
-			nonIdempotent := rapid.Bool().Draw(t, "non-idempotent")
-			if nonIdempotent {
-				body = make([]byte, rapid.SampledFrom([]int{0, 5, 2500}).Draw(t, "body size"))
-			}
-			sim.start(h, nonIdempotent, body)
+			sim.startDrawn(t, h)
 			sim.advance(time.Duration(rapid.IntRange(0, 500).Draw(t, "pause in ms")) * time.Millisecond)
 			if rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
 				sim.restart()
--- a/internal/coap/client/refusal_test.go
+++ b/internal/coap/client/refusal_test.go
@@ -23,12 +23,7 @@
 		sim.quoteSize = func() int { return sim.rng.IntN(maxQuote + 1) }
 		n := uint64(rapid.IntRange(1, 25).Draw(t, "requests"))
 		for h := uint64(1); h <= n; h++ {
-			var body []byte
-			nonIdempotent := rapid.Bool().Draw(t, "non-idempotent")
-			if nonIdempotent {
-				body = make([]byte, rapid.SampledFrom([]int{0, 5, 2500}).Draw(t, "body size"))
-			}
-			sim.start(h, nonIdempotent, body)
+			sim.startDrawn(t, h)
 			sim.advance(time.Duration(rapid.IntRange(0, 100).Draw(t, "pause in ms")) * time.Millisecond)
 			if rapid.IntRange(0, 3).Draw(t, "crash or start") == 0 {
 				sim.isDown = !sim.isDown
--- a/internal/coap/exchange/client.go
+++ b/internal/coap/exchange/client.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// maxPeers limits the number of servers whose message IDs are tracked.
-	maxPeers = 4096
 	// tokenSize is the size of a request's token in bytes.
 	tokenSize = 8
 	// randomStream is the second seed of the PCG generators, "coap" in ASCII.
@@ -55,32 +53,12 @@
 	stateDone
 )
 
-// peerState is a Client's state for one server.
-type peerState struct {
-	outstanding int // number of outstanding interactions (RFC 7252, section 4.7)
-	queued      []*clientExchange
-	ids         messageIDs
-}
-
-// removable reports whether the state can be removed: nothing is in flight, and all
-// message IDs may be reused.
-func (p *peerState) removable(now, lifetime time.Duration) bool {
-	return p.outstanding == 0 && len(p.ids.inUse) == 0 && len(p.queued) == 0 && now-p.ids.lastAssigned >= lifetime
-}
-
 // tokenKey identifies the request to which a response belongs.
 type tokenKey struct {
 	peer  Peer
 	token uint64
 }
 
-// seenResponse records a separate response. Duplicates of it are acknowledged but not
-// returned again.
-type seenResponse struct {
-	messageKey
-	at time.Duration
-}
-
 // Client sends requests. It is not safe for concurrent use, and the times passed to it
 // must never decrease.
 type Client struct {
@@ -185,28 +163,6 @@
 	return token
 }
 
-// peerState returns the state for a server and creates the state if necessary. The state is
-// kept until all message IDs that were sent to the server may be reused. peerState returns
-// nil if a new state would exceed maxPeers.
-func (c *Client) peerState(now time.Duration, peer Peer) *peerState {
-	if known := c.peers[peer]; known != nil {
-		return known
-	}
-	if len(c.peers) >= maxPeers {
-		for other, state := range c.peers {
-			if state.removable(now, c.params.ExchangeLifetime()) {
-				delete(c.peers, other)
-			}
-		}
-		if len(c.peers) >= maxPeers {
-			return nil
-		}
-	}
-	added := &peerState{ids: newMessageIDs(now, uint16(c.rng.Uint32()))}
-	c.peers[peer] = added
-	return added
-}
-
 // HasCapacity reports whether Request would accept a request to the server.
 func (c *Client) HasCapacity(now time.Duration, peer Peer) bool {
 	server := c.peers[peer]
@@ -365,52 +321,6 @@
 	})
 }
 
-// acceptSeparate acknowledges or rejects a separate response. It reports whether the
-// response matches a request and is not a duplicate.
-func (c *Client) acceptSeparate(now time.Duration, peer Peer, response *message.Message, matches bool) bool {
-	c.expireResponses(now)
-	key := messageKey{peer, response.ID}
-	duplicate := c.seenResponses[key]
-	reply := message.Acknowledgement
-	switch {
-	case duplicate:
-		c.counts.Duplicates++
-	case matches:
-		c.recordResponse(now, key)
-	case response.Type == message.Confirmable:
-		reply = message.Reset
-	default:
-		c.counts.Dropped++
-	}
-	if response.Type == message.Confirmable {
-		c.send(peer, emptyMessage(reply, response.ID))
-	}
-	return matches && !duplicate
-}
-
-// recordResponse records a separate response to detect duplicates. At the limit, the
-// oldest record is removed; a duplicate of that response is then rejected with a Reset,
-// which ends its retransmission by the server.
-func (c *Client) recordResponse(now time.Duration, key messageKey) {
-	if len(c.responsesByAge) >= c.limits.MaxDedupEntries {
-		c.removeOldestResponse()
-	}
-	c.seenResponses[key] = true
-	c.responsesByAge = append(c.responsesByAge, seenResponse{key, now})
-}
-
-// expireResponses removes the records of responses whose duplicates can't arrive any more.
-func (c *Client) expireResponses(now time.Duration) {
-	for len(c.responsesByAge) > 0 && now-c.responsesByAge[0].at >= c.params.ExchangeLifetime() {
-		c.removeOldestResponse()
-	}
-}
-
-func (c *Client) removeOldestResponse() {
-	delete(c.seenResponses, c.responsesByAge[0].messageKey)
-	c.responsesByAge = c.responsesByAge[1:]
-}
-
 // Next returns the time at which Tick is due. It returns false if nothing is scheduled.
 func (c *Client) Next() (time.Duration, bool) { return c.timers.earliest() }
 
--- a/internal/sidecar/coapupstream/socket.go
+++ b/internal/sidecar/coapupstream/socket.go
@@ -167,14 +167,7 @@
 // send starts the exchange of an attempt. It returns the handle of the attempt and the channel
 // for its result, which is closed without a result if the attempt is abandoned.
 func (s *socket) send(attempt *dispatch.Attempt, timeout time.Duration) (uint64, <-chan client.Action, error) {
-	neutral := attempt.Request.Native.Neutral()
-	request := client.Request{
-		NonIdempotent: !neutral.Safe, Safe: neutral.Safe, Target: neutral.Target, ID: neutral.ID, IdempotencyKey: neutral.IdempotencyKey, Tenant: neutral.Tenant, AffinityKey: neutral.AffinityKey, IsRetry: neutral.IsRetry,
-		Deadline: timeout, Body: bytes.Join(attempt.Request.Body.Chunks(), nil), ContentFormat: -1,
-	}
-	if neutral.ContentType != "" {
-		request.ContentFormat = format.ContentFormat(neutral.ContentType)
-	}
+	request := newRequest(attempt.Request, timeout)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.open(); err != nil {
@@ -187,6 +180,29 @@
 	return s.lastHandle, result, nil
 }
 
+// newRequest returns the form that the state machine takes of a request with the time until
+// its deadline.
+func newRequest(submitted *dispatch.Request, timeout time.Duration) client.Request {
+	neutral := submitted.Native.Neutral()
+	request := client.Request{
+		NonIdempotent:  !neutral.Safe,
+		Safe:           neutral.Safe,
+		Target:         neutral.Target,
+		ID:             neutral.ID,
+		IdempotencyKey: neutral.IdempotencyKey,
+		Tenant:         neutral.Tenant,
+		AffinityKey:    neutral.AffinityKey,
+		IsRetry:        neutral.IsRetry,
+		Deadline:       timeout,
+		Body:           bytes.Join(submitted.Body.Chunks(), nil),
+		ContentFormat:  format.None,
+	}
+	if neutral.ContentType != "" {
+		request.ContentFormat = format.ContentFormat(neutral.ContentType)
+	}
+	return request
+}
+
 // execute carries out the actions of the state machine. The caller holds mu. A datagram for
 // which the kernel returns an error has not left this machine. The error may be a pending one
 // of an earlier datagram, about which the error queue tells more.
