CoAP upstreams: reading a datagram allocates nothing

Need: a closure for each read, with its event, was allocated on the heap. The receiver has both once.

--- a/internal/sidecar/coapupstream/receiver.go
+++ b/internal/sidecar/coapupstream/receiver.go
@@ -49,10 +49,12 @@
 //
 // A receiver is not safe for concurrent use.
 type receiver struct {
-	raw     syscall.RawConn
-	buffer  [message.MaxDatagramSize + 1]byte
-	quote   [quoteSize]byte
-	control [errorControlSize]byte
+	raw      syscall.RawConn
+	tryRead  func(fd uintptr) bool // sets received and reports whether there is an event
+	received event
+	buffer   [message.MaxDatagramSize + 1]byte
+	quote    [quoteSize]byte
+	control  [errorControlSize]byte
 }
 
 // newReceiver enables the error queue of a socket that is connected to peer. No datagram may
@@ -70,26 +72,28 @@
 	if err := raw.Control(func(fd uintptr) { optionErr = unix.SetsockoptInt(int(fd), level, option, 1) }); err != nil {
 		return nil, err
 	}
-	return &receiver{raw: raw}, optionErr
+	r := &receiver{raw: raw}
+	r.tryRead = func(fd uintptr) bool {
+		r.received = r.poll(int(fd))
+		return r.received.kind != noEvent
+	}
+	return r, optionErr
 }
 
 // receive waits for the next event. It returns an error that wraps net.ErrClosed after the
 // socket is closed. It may return noEvent.
 func (r *receiver) receive() (event, error) {
-	var received event
-	err := r.raw.Read(func(fd uintptr) bool {
-		received = r.poll(int(fd))
-		return received.kind != noEvent
-	})
+	r.received = event{}
+	err := r.raw.Read(r.tryRead)
 	if err == nil || errors.Is(err, net.ErrClosed) {
-		return received, err
+		return r.received, err
 	}
 	// The runtime does not wait for a socket that has an error and can't be written to.
-	err = r.raw.Control(func(fd uintptr) { received = r.poll(int(fd)) })
-	if err == nil && received.kind == noEvent {
+	err = r.raw.Control(func(fd uintptr) { r.tryRead(fd) })
+	if err == nil && r.received.kind == noEvent {
 		time.Sleep(pollPause)
 	}
-	return received, err
+	return r.received, err
 }
 
 // poll returns the next event without waiting. Datagrams come first: a response that arrived
