CoAP client: a second refusal does not sort requests that are marked

Need: while a server is gone each of its refusals walked all requests in flight and sorted those that an earlier refusal had marked already. They are passed over. Tests of coap/... and coapupstream with the race detector: passed.

--- a/internal/coap/exchange/refusal.go
+++ b/internal/coap/exchange/refusal.go
@@ -87,12 +87,12 @@
 	return exchange
 }
 
-// expectLoss sets the loss deadlines of the requests to a server whose latest datagram has at
-// most the position last.
+// expectLoss sets the loss deadlines, where they are not set, of the requests to a server whose
+// latest datagram has at most the position last.
 func (c *Client) expectLoss(now time.Duration, peer Peer, last uint64) {
 	var lost []*clientExchange
 	for _, exchange := range c.byHandle {
-		if exchange.peer == peer && exchange.state == stateSent && exchange.lastSent <= last {
+		if exchange.peer == peer && exchange.state == stateSent && exchange.lossDeadline == 0 && exchange.lastSent <= last {
 			lost = append(lost, exchange)
 		}
 	}
