Relay: a second signal ends the process once the drain has begun

Cause: context.AfterFunc restored the signals' default action in a goroutine beside the drain that the same context starts; a signal in between was taken and lost.

Change: the context of the drain is canceled after the default action is restored.

--- a/cmd/otterspring/relay.go
+++ b/cmd/otterspring/relay.go
@@ -7,9 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"os"
 	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -39,9 +37,8 @@
 		if err != nil {
 			return err
 		}
-		ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+		ctx, stop := untilFirstSignal(ctx, signal.NotifyContext)
 		defer stop()
-		context.AfterFunc(ctx, stop) // restores the default action: a second signal ends the process
 		process, err := relay.Open(file, log())
 		if err != nil {
 			return err
